--- /dev/null
+++ b/src/node/dispatch/batch_link.ts
@@ -0,0 +1,62 @@
+/** Sends many small messages to one peer in few calls. */
+import type {RpcClient} from '../rpc/rpc.js';
+import type {GatewayError} from '../types/errors.js';
+
+/** Longer than a pause of the peer's processor, shorter than a target. */
+export const BATCH_TIMEOUT_MS = 400;
+const MAX_CALLS_IN_FLIGHT = 4;
+const MAX_BATCH_PARTS = 500;
+
+export interface BatchLinkOptions<Part> {
+  readonly client: RpcClient;
+  readonly address: string;
+  readonly method: string;
+  /** Puts the parts into the parameters of one call. */
+  readonly pack: (parts: readonly Part[]) => unknown;
+  readonly onReply: (reply: unknown) => void;
+  /** The parts may or may not have arrived. */
+  readonly onFailure: (parts: readonly Part[], error: GatewayError) => void;
+}
+
+/**
+ * Parts that are pushed in the same turn of the event loop share a call, and
+ * so do those that are pushed while all calls are under way.
+ */
+export class BatchLink<Part> {
+  private parts: Part[] = [];
+  private callsInFlight = 0;
+  private isScheduled = false;
+
+  constructor(private readonly options: BatchLinkOptions<Part>) {}
+
+  push(part: Part): void {
+    this.parts.push(part);
+    this.schedule();
+  }
+
+  private schedule(): void {
+    if (this.isScheduled || this.callsInFlight >= MAX_CALLS_IN_FLIGHT) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      void this.flush();
+    });
+  }
+
+  private async flush(): Promise<void> {
+    const parts = this.parts.splice(0, MAX_BATCH_PARTS);
+    if (parts.length === 0) return;
+    const {client, address, method, pack, onReply, onFailure} = this.options;
+    this.callsInFlight += 1;
+    const reply = await client.call<unknown>(
+      address,
+      method,
+      pack(parts),
+      BATCH_TIMEOUT_MS,
+    );
+    this.callsInFlight -= 1;
+    if (this.parts.length > 0) this.schedule();
+    if (reply.isOk()) onReply(reply.value);
+    else onFailure(parts, reply.error);
+  }
+}
--- /dev/null
+++ b/src/node/dispatch/decision_sender.ts
@@ -0,0 +1,54 @@
+/** Takes the decisions of the schedulers on this entry to the other entries. */
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {RpcClient} from '../rpc/rpc.js';
+import type {Decision} from '../scheduling/types.js';
+import type {InstanceId} from '../types/ids.js';
+import {BatchLink} from './batch_link.js';
+import {DECIDE_METHOD} from './messages.js';
+
+export interface DecisionSenderOptions {
+  readonly self: InstanceId;
+  readonly members: FleetMembers;
+  readonly client: RpcClient;
+  readonly deliverHere: (decisions: readonly Decision[]) => void;
+  /** These may not have arrived. */
+  readonly onLost: (decisions: readonly Decision[]) => void;
+}
+
+interface PeerLink {
+  readonly address: string;
+  readonly link: BatchLink<Decision>;
+}
+
+/** One link for each entry that waits for decisions. */
+export class DecisionSender {
+  private readonly links = new Map<InstanceId, PeerLink>();
+
+  constructor(private readonly options: DecisionSenderOptions) {}
+
+  send(decision: Decision): void {
+    const {self, members, deliverHere, onLost} = this.options;
+    if (decision.entry === self) {
+      deliverHere([decision]);
+      return;
+    }
+    const address = members.entry(decision.entry)?.innerAddress;
+    if (address === undefined) onLost([decision]);
+    else this.linkTo(decision.entry, address).push(decision);
+  }
+
+  private linkTo(entry: InstanceId, address: string): BatchLink<Decision> {
+    const known = this.links.get(entry);
+    if (known?.address === address) return known.link;
+    const link = new BatchLink<Decision>({
+      client: this.options.client,
+      address,
+      method: DECIDE_METHOD,
+      pack: decisions => ({decisions}),
+      onReply: () => undefined,
+      onFailure: decisions => this.options.onLost(decisions),
+    });
+    this.links.set(entry, {address, link});
+    return link;
+  }
+}
--- /dev/null
+++ b/src/node/dispatch/messages.ts
@@ -0,0 +1,69 @@
+/** Messages between entries and the schedulers of their region. */
+import {z} from 'zod';
+import type {
+  CapacityDigest,
+  Decision,
+  Release,
+  RunningPlacement,
+  WorkItem,
+} from '../scheduling/types.js';
+import type {RequestId, ServiceId} from '../types/ids.js';
+
+export const SUBMIT_METHOD = 'schedule.submit';
+export const DECIDE_METHOD = 'schedule.decide';
+export const DIGEST_METHOD = 'schedule.digest';
+
+/** One thing that an entry tells a scheduler. */
+export type SubmissionPart =
+  | {readonly kind: 'item'; readonly item: WorkItem}
+  | {
+      readonly kind: 'release';
+      readonly service: ServiceId;
+      readonly release: Release;
+    }
+  | {
+      readonly kind: 'cancel';
+      readonly service: ServiceId;
+      readonly requestId: RequestId;
+    }
+  /** All that the entry runs on a service, for a scheduler new to it. */
+  | {
+      readonly kind: 'running';
+      readonly service: ServiceId;
+      readonly placements: readonly RunningPlacement[];
+    };
+
+export interface Submission {
+  readonly parts: readonly SubmissionPart[];
+}
+
+/** Tells an entry whether the scheduler still has its state. */
+export interface SubmissionReply {
+  readonly incarnation: number;
+}
+
+export interface DecisionBatch {
+  readonly decisions: readonly Decision[];
+}
+
+export interface DigestBatch {
+  readonly digests: readonly CapacityDigest[];
+}
+
+// The peers are authenticated and of the same build, so only the outer form
+// is checked: these messages come with every request.
+export const submissionSchema = z.object({
+  parts: z.array(z.custom<SubmissionPart>(isObject)),
+}) satisfies z.ZodType<Submission>;
+
+export const decisionBatchSchema = z.object({
+  decisions: z.array(z.custom<Decision>(isObject)),
+}) satisfies z.ZodType<DecisionBatch>;
+
+export const digestBatchSchema = z.object({
+  digests: z.array(z.custom<CapacityDigest>(isObject)),
+}) satisfies z.ZodType<DigestBatch>;
+
+function isObject(value: unknown): boolean {
+  return typeof value === 'object' && value !== null;
+}
--- /dev/null
+++ b/src/node/dispatch/scheduler_client.ts
@@ -0,0 +1,270 @@
+/**
+ * The entry's side of scheduling: hands requests to the entry that schedules
+ * their service, and falls back to the next one if that does not answer.
+ */
+import {monotonicNowMs} from '../clock/clock.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {EntryInstance} from '../fleet/messages.js';
+import type {Logger} from '../logging/logger.js';
+import type {RpcClient} from '../rpc/rpc.js';
+import type {
+  Decision,
+  Release,
+  RunningPlacement,
+  WorkItem,
+} from '../scheduling/types.js';
+import type {GatewayError} from '../types/errors.js';
+import type {InstanceId, RegionId, RequestId, ServiceId} from '../types/ids.js';
+import {BatchLink} from './batch_link.js';
+import {
+  SUBMIT_METHOD,
+  type SubmissionPart,
+  type SubmissionReply,
+} from './messages.js';
+
+/** A decision comes at the latest this long after the target has passed. */
+const DECISION_GRACE_MS = 500;
+const MAX_SUBMISSIONS = 3;
+
+export interface SchedulerClientOptions {
+  readonly region: RegionId;
+  readonly self: InstanceId;
+  readonly members: FleetMembers;
+  readonly client: RpcClient;
+  readonly logger: Logger;
+  /** Hands parts to the schedulers on this entry. */
+  readonly submitHere: (parts: readonly SubmissionPart[]) => void;
+}
+
+interface Pending {
+  item: WorkItem;
+  readonly submittedAtMs: number;
+  readonly resolve: (decision: Decision) => void;
+  scheduler: InstanceId;
+  submissions: number;
+  timer: ReturnType<typeof setTimeout>;
+}
+
+interface Running extends RunningPlacement {
+  readonly scheduler: InstanceId;
+}
+
+interface PeerLink {
+  readonly address: string;
+  readonly link: BatchLink<SubmissionPart>;
+}
+
+/** Asks for upstreams and gives them back. */
+export class SchedulerClient {
+  private readonly pending = new Map<RequestId, Pending>();
+  private readonly running = new Map<RequestId, Running>();
+  private readonly links = new Map<InstanceId, PeerLink>();
+  /** The process of a scheduler that knows what this entry runs. */
+  private readonly syncedWith = new Map<InstanceId, number>();
+  private readonly lastScheduler = new Map<ServiceId, InstanceId>();
+
+  constructor(private readonly options: SchedulerClientOptions) {}
+
+  /** Resolves with the decision on a request; it never rejects. */
+  acquire(item: WorkItem, signal: AbortSignal): Promise<Decision> {
+    return new Promise(resolve => {
+      const pending: Pending = {
+        item,
+        resolve,
+        submittedAtMs: monotonicNowMs(),
+        scheduler: this.options.self,
+        submissions: 0,
+        timer: setTimeout(
+          () => this.resubmit(item.requestId, 'no decision in time'),
+          Math.max(0, item.targetLatencyMs - item.ageMs) + DECISION_GRACE_MS,
+        ),
+      };
+      this.pending.set(item.requestId, pending);
+      signal.addEventListener('abort', () => this.cancel(item.requestId), {
+        once: true,
+      });
+      this.submit(pending);
+    });
+  }
+
+  /** Ends a granted placement. */
+  release(release: Release): void {
+    const running = this.running.get(release.requestId);
+    if (running === undefined) return;
+    this.running.delete(release.requestId);
+    const {service} = running.item;
+    const isKnown = this.options.members
+      .liveEntries(this.options.region, monotonicNowMs())
+      .some(entry => entry.instanceId === running.scheduler);
+    const target = isKnown ? running.scheduler : this.schedulerOf(service);
+    this.send(target, {kind: 'release', service, release});
+  }
+
+  /** Takes decisions that a scheduler made. */
+  deliver(from: InstanceId, decisions: readonly Decision[]): void {
+    decisions.forEach(decision => this.take(from, decision));
+  }
+
+  private take(from: InstanceId, decision: Decision): void {
+    const pending = this.pending.get(decision.requestId);
+    if (pending === undefined || pending.scheduler !== from) {
+      this.giveBack(from, decision);
+      return;
+    }
+    this.close(decision.requestId);
+    if (decision.kind === 'grant') {
+      this.running.set(decision.requestId, {
+        item: pending.item,
+        upstreamId: decision.upstreamId,
+        scheduler: from,
+      });
+    }
+    pending.resolve(decision);
+  }
+
+  // A grant for a request that is served elsewhere, or whose caller left.
+  private giveBack(from: InstanceId, decision: Decision): void {
+    if (decision.kind !== 'grant') return;
+    const {requestId, upstreamId, service} = decision;
+    const release: Release = {
+      requestId,
+      upstreamId,
+      outcome: 'cancelled',
+      firstAnswerMs: 0,
+      totalMs: 0,
+    };
+    this.send(from, {kind: 'release', service, release});
+  }
+
+  private submit(pending: Pending): void {
+    const {item} = pending;
+    const target = this.schedulerOf(item.service);
+    pending.scheduler = target;
+    pending.submissions += 1;
+    this.syncIfMoved(item.service, target);
+    this.send(target, {kind: 'item', item});
+  }
+
+  private resubmit(requestId: RequestId, cause: string): void {
+    const pending = this.pending.get(requestId);
+    if (pending === undefined) return;
+    const {item, scheduler, submittedAtMs} = pending;
+    const nowMs = monotonicNowMs();
+    const waitedMs = nowMs - submittedAtMs;
+    this.options.logger.warn(
+      {event: 'scheduler_silent', requestId, scheduler, waitedMs, cause},
+      'a scheduler did not decide on a request',
+    );
+    this.options.members.suspect(scheduler, nowMs);
+    const isHopeless =
+      waitedMs + item.ageMs > item.targetLatencyMs ||
+      pending.submissions >= MAX_SUBMISSIONS;
+    if (isHopeless) {
+      this.close(requestId);
+      pending.resolve({
+        kind: 'refuse',
+        requestId,
+        entry: item.entry,
+        reason: 'unscheduled',
+        predictedWaitMs: 0,
+        retryAfterMs: DECISION_GRACE_MS,
+      });
+      return;
+    }
+    pending.item = {...item, ageMs: item.ageMs + waitedMs};
+    this.submit(pending);
+  }
+
+  private cancel(requestId: RequestId): void {
+    const pending = this.pending.get(requestId);
+    if (pending === undefined) return;
+    this.close(requestId);
+    const {item, scheduler} = pending;
+    this.send(scheduler, {kind: 'cancel', service: item.service, requestId});
+    pending.resolve({
+      kind: 'refuse',
+      requestId,
+      entry: item.entry,
+      reason: 'expired',
+      predictedWaitMs: 0,
+      retryAfterMs: 0,
+    });
+  }
+
+  private close(requestId: RequestId): void {
+    clearTimeout(this.pending.get(requestId)?.timer);
+    this.pending.delete(requestId);
+  }
+
+  private schedulerOf(service: ServiceId): InstanceId {
+    const {members, region, self} = this.options;
+    const [first] = members.rankedEntries(region, service, monotonicNowMs());
+    return first?.instanceId ?? self;
+  }
+
+  private send(target: InstanceId, part: SubmissionPart): void {
+    const entry = this.options.members.entry(target);
+    if (target === this.options.self || entry === undefined) {
+      this.options.submitHere([part]);
+      return;
+    }
+    this.linkTo(entry).push(part);
+  }
+
+  private linkTo(entry: EntryInstance): BatchLink<SubmissionPart> {
+    const {instanceId, innerAddress} = entry;
+    const known = this.links.get(instanceId);
+    if (known?.address === innerAddress) return known.link;
+    const link = new BatchLink<SubmissionPart>({
+      client: this.options.client,
+      address: innerAddress,
+      method: SUBMIT_METHOD,
+      pack: parts => ({parts}),
+      onReply: reply => this.noteReply(instanceId, reply as SubmissionReply),
+      onFailure: (parts, error) => this.noteFailure(instanceId, parts, error),
+    });
+    this.links.set(instanceId, {address: innerAddress, link});
+    return link;
+  }
+
+  private noteReply(scheduler: InstanceId, reply: SubmissionReply): void {
+    this.options.members.clearSuspicion(scheduler);
+    if (this.syncedWith.get(scheduler) === reply.incarnation) return;
+    this.syncedWith.set(scheduler, reply.incarnation);
+    [...this.lastScheduler]
+      .filter(([, target]) => target === scheduler)
+      .forEach(([service]) => this.sync(service, scheduler));
+  }
+
+  private noteFailure(
+    scheduler: InstanceId,
+    parts: readonly SubmissionPart[],
+    error: GatewayError,
+  ): void {
+    this.options.members.suspect(scheduler, monotonicNowMs());
+    parts.forEach(part => {
+      if (part.kind === 'item') {
+        this.resubmit(part.item.requestId, error.message);
+      }
+    });
+  }
+
+  private syncIfMoved(service: ServiceId, target: InstanceId): void {
+    const before = this.lastScheduler.get(service);
+    if (before === target) return;
+    this.lastScheduler.set(service, target);
+    this.options.logger.info(
+      {event: 'scheduler_moved', service, from: before, to: target},
+      'another entry schedules a service',
+    );
+    if (before !== undefined) this.sync(service, target);
+  }
+
+  private sync(service: ServiceId, target: InstanceId): void {
+    const placements = [...this.running.values()]
+      .filter(each => each.item.service === service)
+      .map(({item, upstreamId}) => ({item, upstreamId}));
+    if (placements.length === 0) return;
+    this.send(target, {kind: 'running', service, placements});
+  }
+}
--- /dev/null
+++ b/src/node/ingress/answer_reader.ts
@@ -0,0 +1,117 @@
+/**
+ * Reads the answer of one try and hands it to the caller: plain answers whole,
+ * streams event by event.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {CallerAnswer} from './caller_answer.js';
+import {EventSplitter, type EventBatch} from './event_splitter.js';
+import type {AnswerSink} from './exchange.js';
+import {NOT_RUN_HEADER} from './final_answers.js';
+import type {AnswerTraits, RequestProtocol} from './protocol.js';
+
+/** How far a stream has come over all tries of a request. */
+export interface StreamProgress {
+  lastEventId: number | undefined;
+  /** Whether the caller has got any event. */
+  isStarted: boolean;
+}
+
+export interface AnswerReaderOptions {
+  readonly protocol: RequestProtocol;
+  readonly answer: CallerAnswer;
+  readonly attemptId: string;
+  readonly isStream: boolean;
+  readonly progress: StreamProgress;
+  /** Whether another entry answers, which may refuse for itself. */
+  readonly isFromPeer: boolean;
+  readonly onFirstAnswer: () => void;
+}
+
+/** What the head of an answer was. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly traits: AnswerTraits;
+}
+
+const MIN_SUCCESS = 200;
+const MIN_REDIRECT = 300;
+
+/** The sink of one try. */
+export class AnswerReader implements AnswerSink {
+  head: AnswerHead | undefined;
+  private readonly splitter = new EventSplitter();
+  private readonly chunks: Buffer[] = [];
+  private isRelaying = false;
+
+  constructor(private readonly options: AnswerReaderOptions) {}
+
+  get isSuccess(): boolean {
+    const status = this.head?.status ?? 0;
+    return status >= MIN_SUCCESS && status < MIN_REDIRECT;
+  }
+
+  /** Another entry refused the request before it reached an upstream. */
+  get isRefusedByPeer(): boolean {
+    const {isFromPeer} = this.options;
+    return isFromPeer && this.head?.headers[NOT_RUN_HEADER] !== undefined;
+  }
+
+  /** The body of an answer that is not relayed event by event. */
+  body(): Buffer {
+    return Buffer.concat(this.chunks);
+  }
+
+  onHead(status: number, headers: IncomingHttpHeaders): void {
+    const {protocol, attemptId, isStream} = this.options;
+    const traits = protocol.answerTraits(status, headers);
+    if (traits.attemptId !== undefined && traits.attemptId !== attemptId) {
+      throw new Error('the answer belongs to another request');
+    }
+    this.head = {status, headers, traits};
+    if (this.isSuccess && (!traits.isSigned || traits.isEncoded)) {
+      throw new Error('the answer is not signed by the upstream');
+    }
+    this.isRelaying = isStream && this.isSuccess;
+    if (!isStream) this.options.onFirstAnswer();
+  }
+
+  onData(chunk: Buffer, resume: () => void): boolean {
+    if (!this.isRelaying) {
+      this.chunks.push(chunk);
+      return true;
+    }
+    const batch = this.splitter.push(chunk);
+    return batch === undefined ? true : this.relay(batch, resume);
+  }
+
+  /** The upstream ended its answer properly. */
+  finishStream(): void {
+    const {answer} = this.options;
+    this.beginOnce();
+    const rest = this.splitter.takeRest();
+    if (rest.length > 0) answer.write(rest, () => undefined);
+    answer.end();
+  }
+
+  private relay(batch: EventBatch, resume: () => void): boolean {
+    const {answer, progress} = this.options;
+    const expected =
+      progress.lastEventId === undefined ? undefined : progress.lastEventId + 1;
+    if (progress.isStarted && expected !== undefined) {
+      const isNext = batch.firstId === undefined || batch.firstId === expected;
+      if (!isNext) throw new Error('an event of the stream is missing');
+    }
+    this.beginOnce();
+    progress.lastEventId = batch.lastId ?? progress.lastEventId;
+    return answer.write(batch.bytes, resume);
+  }
+
+  private beginOnce(): void {
+    const {answer, protocol, progress, onFirstAnswer} = this.options;
+    if (progress.isStarted || this.head === undefined) return;
+    progress.isStarted = true;
+    onFirstAnswer();
+    answer.begin(this.head.status, protocol.callerHeaders(this.head.headers));
+  }
+}
--- /dev/null
+++ b/src/node/ingress/ingress_entry.ts
@@ -0,0 +1,336 @@
+/** A running ingress entry: its listeners, its scheduling and its stop. */
+import {createServer, type Server} from 'node:http';
+import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
+import {
+  decisionBatchSchema,
+  DECIDE_METHOD,
+  DIGEST_METHOD,
+  digestBatchSchema,
+  SUBMIT_METHOD,
+  submissionSchema,
+} from '../dispatch/messages.js';
+import {DecisionSender} from '../dispatch/decision_sender.js';
+import {RegionLoops} from '../dispatch/region_loops.js';
+import {SchedulerClient} from '../dispatch/scheduler_client.js';
+import {SchedulerHost} from '../dispatch/scheduler_host.js';
+import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
+import {ControlLink} from '../fleet/control_link.js';
+import {FleetMembers} from '../fleet/fleet_members.js';
+import type {EntryInstance} from '../fleet/messages.js';
+import {listen} from '../http/server.js';
+import type {Logger} from '../logging/logger.js';
+import {registerProcessGauges} from '../metrics/process_gauges.js';
+import {MetricsRegistry} from '../metrics/registry.js';
+import {RouteMatcher} from '../routes/route_matcher.js';
+import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
+import {HttpRpcClient} from '../rpc/http_client.js';
+import {InnerServer} from '../rpc/http_server.js';
+import {RpcRouter} from '../rpc/rpc.js';
+import type {DomainId} from '../types/ids.js';
+import {Connections} from './connections.js';
+import {IngressServer} from './ingress_server.js';
+import type {RequestProtocol} from './protocol.js';
+import {Relay, RELAY_PATH} from './relay.js';
+import {RequestLog} from './request_log.js';
+import {seedInnerAddresses, type IngressSettings} from './settings.js';
+
+/** Callers may use an address that they hold for so long after a stop began. */
+const SHORTEST_STOP_MS = 3_000;
+/** Time to close what is left before the process is killed. */
+const STOP_MARGIN_MS = 1_200;
+const STOP_CHECK_MS = 50;
+
+export interface IngressEntryOptions {
+  readonly settings: IngressSettings;
+  readonly protocol: RequestProtocol;
+  readonly feed: UpstreamFeed;
+  readonly logger: Logger;
+}
+
+/** One ingress entry. */
+export class IngressEntry {
+  private readonly metrics = new MetricsRegistry();
+  private readonly client: HttpRpcClient;
+  private readonly members: FleetMembers;
+  private readonly connections = new Connections();
+  private readonly router = new RpcRouter();
+  private readonly host: SchedulerHost;
+  private readonly scheduler: SchedulerClient;
+  private readonly loops: RegionLoops;
+  private readonly link: ControlLink;
+  private readonly ingress: IngressServer;
+  private readonly inner: InnerServer;
+  private readonly sideServers: Server[] = [];
+  private readonly incarnation = wallNowMs();
+  private settings: IngressSettings;
+  private state: ControlState = EMPTY_CONTROL_STATE;
+  private matcher: RouteMatcher | undefined;
+  private isStopping = false;
+
+  constructor(private readonly options: IngressEntryOptions) {
+    const {settings, logger, feed} = options;
+    const {instanceId, clusterSecret, regionId: region} = settings;
+    this.settings = settings;
+    this.client = new HttpRpcClient({self: instanceId, clusterSecret});
+    this.members = new FleetMembers(() => this.describe());
+    this.host = this.createHost();
+    this.scheduler = new SchedulerClient({
+      region,
+      self: instanceId,
+      members: this.members,
+      client: this.client,
+      logger,
+      submitHere: parts => this.host.submit(instanceId, parts),
+    });
+    this.loops = new RegionLoops({
+      region,
+      domains: this.ownDomains(),
+      self: instanceId,
+      members: this.members,
+      host: this.host,
+      feed,
+      client: this.client,
+      logger,
+      metrics: this.metrics,
+      services: () => this.state.table?.services ?? [],
+    });
+    this.link = new ControlLink({
+      members: this.members,
+      client: this.client,
+      logger,
+      seedAddresses: () => seedInnerAddresses(this.settings),
+      heldState: () => this.state,
+      onState: state => this.applyState(state),
+    });
+    this.ingress = this.createIngress();
+    this.inner = this.createInner();
+    this.answerSchedulerCalls();
+  }
+
+  async start(): Promise<void> {
+    const {settings, logger} = this.options;
+    registerProcessGauges(this.metrics);
+    await this.inner.start();
+    await this.ingress.start();
+    await this.serveText(settings.readinessAddress, () => this.isReady());
+    await this.serveText(settings.metricsAddress, () => true);
+    this.link.start();
+    this.loops.start();
+    logger.info(
+      {event: 'started', region: settings.regionId, domain: settings.domainId},
+      'the entry listens',
+    );
+  }
+
+  /** Takes up changed settings; only the seeds may change while it runs. */
+  reload(settings: IngressSettings): void {
+    this.settings = settings;
+    this.options.logger.info(
+      {event: 'reloaded', seedAddresses: settings.seedAddresses},
+      'the settings were read again',
+    );
+  }
+
+  /** Leaves the directory, finishes what is in flight and closes. */
+  async stop(): Promise<void> {
+    const {logger, settings} = this.options;
+    const startedAtMs = monotonicNowMs();
+    this.isStopping = true;
+    this.link.announceToAll();
+    logger.info(
+      {event: 'stopping', requestsInFlight: this.ingress.requestsInFlight},
+      'a planned stop begins',
+    );
+    const latestMs = settings.stopGraceMs - STOP_MARGIN_MS;
+    await waitUntil(() => {
+      const passedMs = monotonicNowMs() - startedAtMs;
+      const isIdle = this.ingress.requestsInFlight === 0;
+      return passedMs >= latestMs || (isIdle && passedMs >= SHORTEST_STOP_MS);
+    });
+    this.link.stop();
+    this.loops.stop();
+    this.host.stop();
+    this.ingress.close();
+    logger.info(
+      {event: 'stopped', requestsInFlight: this.ingress.requestsInFlight},
+      'the entry stopped',
+    );
+  }
+
+  private isReady(): boolean {
+    return this.matcher !== undefined && !this.isStopping;
+  }
+
+  private describe(): EntryInstance {
+    const {settings} = this;
+    return {
+      instanceId: settings.instanceId,
+      incarnation: this.incarnation,
+      domain: settings.domainId,
+      region: settings.regionId,
+      innerAddress: settings.innerAddress,
+      callersAddress: settings.callerAddress,
+      isReady: this.isReady(),
+      isStopping: this.isStopping,
+    };
+  }
+
+  private ownDomains(): readonly DomainId[] {
+    const {regionOfDomain, regionId} = this.options.settings;
+    return Object.entries(regionOfDomain)
+      .filter(([, region]) => region === regionId)
+      .map(([domain]) => domain as DomainId);
+  }
+
+  private createHost(): SchedulerHost {
+    const {settings, logger} = this.options;
+    const regions = new Set(Object.values(settings.regionOfDomain)).size;
+    const sender = new DecisionSender({
+      self: settings.instanceId,
+      members: this.members,
+      client: this.client,
+      deliverHere: decisions =>
+        this.scheduler.deliver(settings.instanceId, decisions),
+      onLost: decisions => this.releaseLost(decisions),
+    });
+    return new SchedulerHost({
+      region: settings.regionId,
+      logger,
+      metrics: this.metrics,
+      // Each region's scheduler may use its share of the common slack.
+      retries: {
+        ratio: settings.retryRatio,
+        windowMs: settings.retryWindowMs,
+        slack: Math.floor(settings.retrySlack / regions),
+      },
+      serviceSpec: service => this.matcher?.service(service),
+      deliver: decision => sender.send(decision),
+    });
+  }
+
+  private createIngress(): IngressServer {
+    const {settings, protocol, logger} = this.options;
+    return new IngressServer({
+      address: settings.callerAddress,
+      matcher: () => this.matcher,
+      isStopping: () => this.isStopping,
+      context: {
+        region: settings.regionId,
+        self: settings.instanceId,
+        protocol,
+        members: this.members,
+        scheduler: this.scheduler,
+        connections: this.connections,
+        relay: new Relay({
+          self: settings.instanceId,
+          clusterSecret: settings.clusterSecret,
+          members: this.members,
+          connections: this.connections,
+        }),
+        log: new RequestLog(logger, this.metrics),
+        metrics: this.metrics,
+      },
+    });
+  }
+
+  private createInner(): InnerServer {
+    const {innerAddress, clusterSecret} = this.options.settings;
+    return new InnerServer({
+      address: innerAddress,
+      clusterSecret,
+      router: this.router,
+      handlers: new Map([
+        [
+          RELAY_PATH,
+          (body, _request, response) =>
+            this.ingress.receiveRelayed(body, response),
+        ],
+      ]),
+    });
+  }
+
+  private answerSchedulerCalls(): void {
+    const {router, incarnation} = this;
+    router.register(SUBMIT_METHOD, submissionSchema, ({parts}, {sender}) => {
+      this.host.submit(sender, parts);
+      return {incarnation};
+    });
+    router.register(
+      DECIDE_METHOD,
+      decisionBatchSchema,
+      ({decisions}, {sender}) => {
+        this.scheduler.deliver(sender, decisions);
+        return {};
+      },
+    );
+    router.register(DIGEST_METHOD, digestBatchSchema, ({digests}) => {
+      this.host.recordDigests(digests);
+      return {};
+    });
+  }
+
+  private applyState(state: ControlState): void {
+    const before = this.state;
+    this.state = state;
+    const {table} = state;
+    if (table !== undefined && table.version !== before.table?.version) {
+      this.matcher = new RouteMatcher(table);
+      this.ingress.applyLimits(table.limits);
+    }
+    this.host.applyControl(state.evacuatedDomains);
+    void this.loops.refresh();
+    this.link.announceToAll();
+    this.options.logger.info(
+      {
+        event: 'state_in_force',
+        revision: state.revision,
+        version: table?.version ?? 0,
+        evacuatedDomains: state.evacuatedDomains,
+      },
+      'a newer control state is in force',
+    );
+  }
+
+  private releaseLost(
+    decisions: Parameters<SchedulerClient['deliver']>[1],
+  ): void {
+    decisions.forEach(decision => {
+      if (decision.kind !== 'grant') return;
+      const {requestId, upstreamId, service, entry} = decision;
+      this.host.submit(entry, [
+        {
+          kind: 'release',
+          service,
+          release: {
+            requestId,
+            upstreamId,
+            outcome: 'cancelled',
+            firstAnswerMs: 0,
+            totalMs: 0,
+          },
+        },
+      ]);
+    });
+  }
+
+  private async serveText(address: string, isOk: () => boolean): Promise<void> {
+    const server = createServer((request, response) => {
+      const isMetrics = address === this.options.settings.metricsAddress;
+      request.resume();
+      response.writeHead(isOk() ? 200 : 503, {'content-type': 'text/plain'});
+      response.end(isMetrics ? this.metrics.toText() : '');
+    });
+    this.sideServers.push(server);
+    await listen(server, address);
+  }
+}
+
+function waitUntil(isDone: () => boolean): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setInterval(() => {
+      if (!isDone()) return;
+      clearInterval(timer);
+      resolve();
+    }, STOP_CHECK_MS);
+  });
+}
--- /dev/null
+++ b/src/node/ingress/request_log.ts
@@ -0,0 +1,107 @@
+/**
+ * Log lines about requests, kept within a number of bytes a second. Lines on
+ * failures have a share of their own, so that a flood of calm lines does not
+ * push them out; what is dropped is counted.
+ */
+import {monotonicNowMs} from '../clock/clock.js';
+import type {Logger} from '../logging/logger.js';
+import type {MetricsRegistry} from '../metrics/registry.js';
+import type {Decision} from '../scheduling/types.js';
+import type {InboundRequest, TryResult} from './types.js';
+
+const LINES_PER_S = 150;
+/** Lines on successes stop at this share of the budget. */
+const CALM_SHARE = 0.4;
+const MS_PER_S = 1_000;
+
+export type RequestEvent =
+  'granted' | 'offloaded' | 'refused' | 'retry' | 'upstream_outcome' | 'ended';
+
+/** Figures of a request at its end. */
+export interface EndFigures {
+  readonly status: number;
+  readonly totalMs: number;
+  readonly firstAnswerMs: number;
+  readonly runs: number;
+  readonly triesNotRun: number;
+}
+
+/** Writes the lines of one process. */
+export class RequestLog {
+  private second = 0;
+  private lines = 0;
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly metrics: MetricsRegistry,
+  ) {}
+
+  decision(request: InboundRequest, decision: Decision): void {
+    const {requestId: _id, entry: _entry, kind, ...inputs} = decision;
+    const events = {
+      grant: 'granted',
+      offload: 'offloaded',
+      refuse: 'refused',
+    } as const;
+    this.write(events[kind], request, rounded(inputs), kind !== 'grant');
+  }
+
+  /** The end of a request. */
+  end(request: InboundRequest, result: TryResult, figures: EndFigures): void {
+    const isCalm = result.kind === 'delivered' && figures.runs <= 1;
+    const cause = 'cause' in result ? result.cause : undefined;
+    this.write(
+      'ended',
+      request,
+      {result: result.kind, cause, ...rounded({...figures})},
+      !isCalm,
+    );
+  }
+
+  write(
+    event: RequestEvent,
+    request: InboundRequest,
+    inputs: Readonly<Record<string, unknown>>,
+    isUrgent = true,
+  ): void {
+    if (!this.hasRoom(isUrgent)) {
+      this.metrics.count('log_lines_dropped', {event});
+      return;
+    }
+    this.logger.info(
+      {
+        event,
+        requestId: request.requestId,
+        route: request.route.name,
+        service: request.service,
+        tableVersion: request.tableVersion,
+        ageMs: Math.round(monotonicNowMs() - request.receivedAtMs),
+        ...inputs,
+      },
+      event,
+    );
+  }
+
+  private hasRoom(isUrgent: boolean): boolean {
+    const second = Math.floor(monotonicNowMs() / MS_PER_S);
+    if (second !== this.second) {
+      this.second = second;
+      this.lines = 0;
+    }
+    const limit = isUrgent ? LINES_PER_S : LINES_PER_S * CALM_SHARE;
+    if (this.lines >= limit) return false;
+    this.lines += 1;
+    return true;
+  }
+}
+
+function rounded(
+  figures: Readonly<Record<string, unknown>>,
+): Readonly<Record<string, unknown>> {
+  return Object.fromEntries(
+    Object.entries(figures).map(([name, value]) => [
+      name,
+      typeof value === 'number' ? Math.round(value) : value,
+    ]),
+  );
+}
--- a/src/node/logging/logger.ts
+++ b/src/node/logging/logger.ts
@@ -15,6 +15,22 @@
   readonly level?: string;
 }
 
+/**
+ * Creates a logger whose lines go to standard output without waiting for it:
+ * a reader that falls behind must not hold up the process.
+ */
+export function createProcessLogger(options: LoggerOptions): Logger {
+  return pino(
+    {
+      name: options.name,
+      level: options.level ?? 'info',
+      base: {instance: options.instanceId},
+      redact: ['authorization', 'headers.authorization', 'body'],
+    },
+    pino.destination({fd: 1, sync: false}),
+  );
+}
+
 /** Creates the logger of one process; lines go to standard error as JSON. */
 export function createLogger(options: LoggerOptions): Logger {
   return pino(
--- /dev/null
+++ b/src/node/routes/control_plane.ts
@@ -0,0 +1,269 @@
+/**
+ * A control member: holds the replicated route table, answers announcements of
+ * entries, and carries out the operators' changes and reads.
+ */
+import {okAsync, type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
+import {
+  ANNOUNCE_METHOD,
+  announcementSchema,
+  FETCH_STATE_METHOD,
+  type Announcement,
+  type AnnouncementReply,
+  type ControlInstance,
+} from '../fleet/messages.js';
+import {
+  InstanceRegistry,
+  type CallerPlace,
+} from '../fleet/instance_registry.js';
+import type {Logger} from '../logging/logger.js';
+import {createForwarder} from '../replication/forwarding.js';
+import {
+  createGroupMember,
+  type GroupMember,
+} from '../replication/group_member.js';
+import type {ReplicaStorage} from '../replication/replica_storage.js';
+import {instanceOf} from '../replication/peer_transport.js';
+import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
+import type {GatewayError} from '../types/errors.js';
+import {asId, type InstanceId} from '../types/ids.js';
+import {MemberWatch} from './member_watch.js';
+import {
+  EMPTY_CONTROL_STATE,
+  type ControlState,
+  type RouteTable,
+} from './route_table.js';
+import {
+  RouteTableMachine,
+  type ControlChange,
+  type ControlChangeResult,
+} from './route_table_machine.js';
+
+const METHOD_PREFIX = 'routes.raft';
+const MEMBER_WEIGHT = 1;
+const EXPIRY_CHECK_MS = 250;
+/** Whole tables are the entries of the log, so a snapshot comes early. */
+const SNAPSHOT_EVERY_ENTRIES = 64;
+const KEEP_ENTRIES = 16;
+/** Callers of the operators' interface wait little longer than a second. */
+const PROPOSE_TIMEOUT_MS = 2_500;
+
+/** What a control member is built from. */
+export interface ControlPlaneOptions {
+  readonly instanceId: InstanceId;
+  /** Address for other instances, `host:port`. */
+  readonly innerAddress: string;
+  /** Inner addresses of the first members, the same on all of them. */
+  readonly founderAddresses: readonly string[];
+  /** Whether this may be the first start of the whole system. */
+  readonly mayFound: boolean;
+  readonly storage: ReplicaStorage;
+  readonly client: RpcClient;
+  readonly router: RpcRouter;
+  readonly logger: Logger;
+}
+
+/** One running control member. */
+export class ControlPlane {
+  private readonly machine: RouteTableMachine;
+  private readonly registry: InstanceRegistry;
+  private readonly aborting = new AbortController();
+  private member: GroupMember<ControlChange, ControlChangeResult> | undefined;
+  private forward:
+    | ((
+        change: ControlChange,
+      ) => ResultAsync<ControlChangeResult, GatewayError>)
+    | undefined;
+  private watch: MemberWatch | undefined;
+  private expiryTimer: ReturnType<typeof setInterval> | undefined;
+  private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
+
+  constructor(private readonly options: ControlPlaneOptions) {
+    const {logger, router} = options;
+    this.machine = new RouteTableMachine(state => this.noteState(state));
+    this.registry = new InstanceRegistry(String(wallNowMs()), change =>
+      logger.info(
+        {
+          event: `entry_${change.kind}`,
+          peer: change.entry.instanceId,
+          incarnation: change.entry.incarnation,
+          isReady: change.entry.isReady,
+          isStopping: change.entry.isStopping,
+          silentMs: Math.round(change.silentMs),
+        },
+        'the set of entries changed',
+      ),
+    );
+    router.register(ANNOUNCE_METHOD, announcementSchema, announcement =>
+      this.answer(announcement),
+    );
+    router.register(
+      FETCH_STATE_METHOD,
+      z.object({}),
+      () => this.stateForEntries,
+    );
+  }
+
+  /** Founds or joins the group; resolves when the member runs. */
+  async start(): Promise<void> {
+    const {options} = this;
+    this.expiryTimer = setInterval(
+      () => this.registry.expire(monotonicNowMs()),
+      EXPIRY_CHECK_MS,
+    );
+    const founders = options.founderAddresses
+      .map(address => ({
+        instance: asId<InstanceId>(address.slice(0, address.lastIndexOf(':'))),
+        address,
+        weight: MEMBER_WEIGHT,
+      }))
+      .filter(each => options.mayFound || each.address !== options.innerAddress)
+      .sort((left, right) => (left.address < right.address ? -1 : 1));
+    this.member = await createGroupMember<ControlChange, ControlChangeResult>({
+      instance: options.instanceId,
+      address: options.innerAddress,
+      founders: options.mayFound ? founders : [unknownFounder(), ...founders],
+      weight: MEMBER_WEIGHT,
+      methodPrefix: METHOD_PREFIX,
+      stateMachine: this.machine,
+      storage: options.storage,
+      client: options.client,
+      router: options.router,
+      signal: this.aborting.signal,
+      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+      keepEntries: KEEP_ENTRIES,
+      proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
+      onFailure: error =>
+        options.logger.error(
+          {event: 'log_failed', err: error},
+          'the replicated log stopped',
+        ),
+    });
+    this.startServices(this.member);
+  }
+
+  /** Hands leadership over and closes the log. */
+  async stop(): Promise<void> {
+    clearInterval(this.expiryTimer);
+    this.watch?.stop();
+    this.aborting.abort();
+    await this.member?.stop();
+  }
+
+  /** Replaces the route table unless a version at or above it is held. */
+  replaceTable(
+    table: RouteTable,
+  ): ResultAsync<ControlChangeResult, GatewayError> | undefined {
+    return this.forward?.({kind: 'replace_table', table});
+  }
+
+  /** Sets or lifts the evacuation of a domain. */
+  setEvacuation(
+    domain: ControlState['evacuatedDomains'][number],
+    isEvacuated: boolean,
+  ): ResultAsync<ControlChangeResult, GatewayError> | undefined {
+    return this.forward?.({kind: 'set_evacuation', domain, isEvacuated});
+  }
+
+  /** The newest committed state, or an error if that cannot be confirmed. */
+  readState(): ResultAsync<ControlState, GatewayError> | undefined {
+    return this.member?.replica
+      .readBarrier()
+      .andThen(() => okAsync(this.machine.state));
+  }
+
+  /** The version applied here; it may be behind. */
+  appliedVersion(): number {
+    return this.machine.state.table?.version ?? 0;
+  }
+
+  /** Addresses of entries for a caller. */
+  addressesFor(place: CallerPlace, limit: number): readonly string[] {
+    return this.registry.addressesFor(place, limit);
+  }
+
+  private startServices(
+    member: GroupMember<ControlChange, ControlChangeResult>,
+  ): void {
+    const {client, router, logger, instanceId, innerAddress, founderAddresses} =
+      this.options;
+    this.forward = createForwarder({
+      log: member.replica,
+      methodPrefix: METHOD_PREFIX,
+      client,
+      router,
+      commandSchema: z.custom<ControlChange>(
+        value => typeof value === 'object' && value !== null,
+      ),
+      timeoutMs: PROPOSE_TIMEOUT_MS,
+    });
+    this.watch = new MemberWatch({
+      log: member.replica,
+      client,
+      router,
+      logger,
+      self: {
+        memberId: member.replica.status().memberId,
+        address: innerAddress,
+        weight: MEMBER_WEIGHT,
+      },
+      instanceId,
+      methodPrefix: METHOD_PREFIX,
+      founderAddresses,
+    });
+    this.watch.start();
+  }
+
+  private answer(announcement: Announcement): AnnouncementReply {
+    this.registry.record(announcement.entry, monotonicNowMs());
+    const view = this.registry.currentView(this.controlMembers());
+    return {
+      revision: this.stateForEntries.revision,
+      ...(view.viewId === announcement.viewId ? {} : {view}),
+    };
+  }
+
+  private controlMembers(): readonly ControlInstance[] {
+    const {instanceId, innerAddress} = this.options;
+    const others = (this.member?.replica.status().members ?? [])
+      .map(each => ({
+        instanceId: instanceOf(each.memberId),
+        innerAddress: each.address,
+      }))
+      .filter(each => each.instanceId !== instanceId);
+    return [{instanceId, innerAddress}, ...others];
+  }
+
+  // Entries do not need the operator's text.
+  private noteState(state: ControlState): void {
+    const {table} = state;
+    this.stateForEntries = {
+      ...state,
+      table: table === undefined ? undefined : {...table, source: ''},
+    };
+    this.options.logger.info(
+      {
+        event: 'state_applied',
+        revision: state.revision,
+        version: table?.version ?? 0,
+        evacuatedDomains: state.evacuatedDomains,
+      },
+      'a committed change was applied',
+    );
+  }
+}
+
+// Only the first founder forms a group; this one exists nowhere, so that a
+// member that must not found one waits for an existing group.
+function unknownFounder(): {
+  instance: InstanceId;
+  address: string;
+  weight: number;
+} {
+  return {
+    instance: asId<InstanceId>('none'),
+    address: '127.0.0.1:9',
+    weight: 0,
+  };
+}
--- /dev/null
+++ b/src/node/routes/member_watch.ts
@@ -0,0 +1,141 @@
+/**
+ * Keeps the voters of the control group to instances that answer: the leader
+ * removes a silent member once another one has taken its place, and a member
+ * that was removed while it was away asks to join again.
+ */
+import {z} from 'zod';
+import {monotonicNowMs} from '../clock/clock.js';
+import type {Logger} from '../logging/logger.js';
+import {startJoining} from '../replication/joining.js';
+import {instanceOf} from '../replication/peer_transport.js';
+import type {
+  ReplicaMember,
+  ReplicatedLog,
+} from '../replication/replicated_log.js';
+import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
+import type {InstanceId, MemberId} from '../types/ids.js';
+
+const CHECK_INTERVAL_MS = 500;
+const PING_TIMEOUT_MS = 1_000;
+/** Longer than an election, shorter than a replacement may take to catch up. */
+const SILENT_AFTER_MS = 2_500;
+const MISSING_CHECKS_TO_REJOIN = 6;
+
+export interface MemberWatchOptions {
+  readonly log: ReplicatedLog<never, unknown>;
+  readonly client: RpcClient;
+  readonly router: RpcRouter;
+  readonly logger: Logger;
+  readonly self: ReplicaMember;
+  readonly instanceId: InstanceId;
+  readonly methodPrefix: string;
+  readonly founderAddresses: readonly string[];
+}
+
+/** Watches the members of one group. */
+export class MemberWatch {
+  private readonly answeredAtMs = new Map<MemberId, number>();
+  private timer: ReturnType<typeof setInterval> | undefined;
+  private largestLiveCount: number;
+  private isRemoving = false;
+  private missingChecks = 0;
+  private endJoining: (() => void) | undefined;
+
+  constructor(private readonly options: MemberWatchOptions) {
+    this.largestLiveCount = options.founderAddresses.length;
+    options.router.register(
+      `${options.methodPrefix}.ping`,
+      z.object({}),
+      () => ({}),
+    );
+  }
+
+  start(): void {
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.endJoining?.();
+  }
+
+  private check(): void {
+    const {members, role} = this.options.log.status();
+    const nowMs = monotonicNowMs();
+    members.forEach(member => this.pingMember(member, nowMs));
+    const live = members.filter(member => !this.isSilent(member, nowMs));
+    this.largestLiveCount = Math.max(this.largestLiveCount, live.length);
+    if (role === 'leader') this.removeReplaced(members, live.length, nowMs);
+    this.rejoinIfRemoved(members);
+  }
+
+  private pingMember(member: ReplicaMember, nowMs: number): void {
+    const {client, methodPrefix, self} = this.options;
+    if (!this.answeredAtMs.has(member.memberId)) {
+      this.answeredAtMs.set(member.memberId, nowMs);
+    }
+    if (member.memberId === self.memberId) {
+      this.answeredAtMs.set(member.memberId, nowMs);
+      return;
+    }
+    void client
+      .call(member.address, `${methodPrefix}.ping`, {}, PING_TIMEOUT_MS)
+      .map(() => this.answeredAtMs.set(member.memberId, monotonicNowMs()));
+  }
+
+  private isSilent(member: ReplicaMember, nowMs: number): boolean {
+    const answeredAtMs = this.answeredAtMs.get(member.memberId) ?? nowMs;
+    return nowMs - answeredAtMs > SILENT_AFTER_MS;
+  }
+
+  private removeReplaced(
+    members: readonly ReplicaMember[],
+    liveCount: number,
+    nowMs: number,
+  ): void {
+    const silent = members.find(member => this.isSilent(member, nowMs));
+    const isReplaced = liveCount >= this.largestLiveCount;
+    if (silent === undefined || !isReplaced || this.isRemoving) return;
+    const {log, logger} = this.options;
+    const {memberId} = silent;
+    logger.info(
+      {event: 'member_removed', peer: memberId, liveCount},
+      'a silent member is removed, another one has its place',
+    );
+    this.isRemoving = true;
+    void log.changeMembership({kind: 'remove', memberId}).match(
+      () => {
+        this.isRemoving = false;
+      },
+      error => {
+        this.isRemoving = false;
+        logger.warn(
+          {event: 'member_removal_failed', peer: memberId, err: error},
+          'a silent member could not be removed',
+        );
+      },
+    );
+  }
+
+  private rejoinIfRemoved(members: readonly ReplicaMember[]): void {
+    const {log, client, self, methodPrefix, logger, instanceId} = this.options;
+    const isMember = members.some(
+      member => instanceOf(member.memberId) === instanceId,
+    );
+    this.missingChecks = isMember ? 0 : this.missingChecks + 1;
+    if (this.missingChecks < MISSING_CHECKS_TO_REJOIN) return;
+    this.missingChecks = 0;
+    logger.info({event: 'rejoining'}, 'this member is not in its group');
+    this.endJoining?.();
+    this.endJoining = startJoining({
+      log,
+      client,
+      methodPrefix,
+      member: self,
+      contacts: [
+        ...members.map(member => member.address),
+        ...this.options.founderAddresses,
+      ].filter(address => address !== self.address),
+    });
+  }
+}
--- /dev/null
+++ b/src/node/routes/route_table_machine.ts
@@ -0,0 +1,84 @@
+/** The replicated state of the control group: route table and evacuations. */
+import {StateMachine, type JsonValue} from '../replication/replicated_log.js';
+import type {DomainId, LogIndex} from '../types/ids.js';
+import {
+  EMPTY_CONTROL_STATE,
+  type ControlState,
+  type RouteTable,
+} from './route_table.js';
+
+/** A change of the control state. */
+export type ControlChange =
+  | {readonly kind: 'replace_table'; readonly table: RouteTable}
+  | {
+      readonly kind: 'set_evacuation';
+      readonly domain: DomainId;
+      readonly isEvacuated: boolean;
+    };
+
+/** What became of a change. */
+export interface ControlChangeResult {
+  /** False if the state already was at or past what the change asks for. */
+  readonly isChanged: boolean;
+  /** The version in force afterwards; 0 if there is none. */
+  readonly version: number;
+}
+
+/**
+ * Applies changes in the order of the log. A table whose version is not above
+ * the one in force changes nothing, whatever its content, so that a repeated or
+ * overtaken change can be confirmed at any time.
+ */
+export class RouteTableMachine extends StateMachine<
+  ControlChange,
+  ControlChangeResult
+> {
+  private current = EMPTY_CONTROL_STATE;
+
+  /** `onChange` runs after each change that had an effect. */
+  constructor(private readonly onChange: (state: ControlState) => void) {
+    super();
+  }
+
+  get state(): ControlState {
+    return this.current;
+  }
+
+  override apply(change: ControlChange, index: LogIndex): ControlChangeResult {
+    const next =
+      change.kind === 'replace_table'
+        ? this.withTable(change.table)
+        : this.withEvacuation(change.domain, change.isEvacuated);
+    const isChanged = next !== this.current;
+    if (isChanged) {
+      this.current = {...next, revision: index};
+      this.onChange(this.current);
+    }
+    return {isChanged, version: this.current.table?.version ?? 0};
+  }
+
+  override snapshot(): JsonValue {
+    return this.current as unknown as JsonValue;
+  }
+
+  override restore(snapshot: JsonValue): void {
+    this.current = snapshot as unknown as ControlState;
+    this.onChange(this.current);
+  }
+
+  private withTable(table: RouteTable): ControlState {
+    const held = this.current.table?.version ?? 0;
+    return table.version > held ? {...this.current, table} : this.current;
+  }
+
+  private withEvacuation(domain: DomainId, isEvacuated: boolean): ControlState {
+    const {evacuatedDomains} = this.current;
+    if (evacuatedDomains.includes(domain) === isEvacuated) return this.current;
+    return {
+      ...this.current,
+      evacuatedDomains: isEvacuated
+        ? [...evacuatedDomains, domain]
+        : evacuatedDomains.filter(each => each !== domain),
+    };
+  }
+}
--- /dev/null
+++ b/src/node/scheduling/choose_upstream.ts
@@ -0,0 +1,44 @@
+/** Chooses the upstream of one request among those that may take it. */
+import type {UpstreamState} from './upstream_state.js';
+import type {WorkItem} from './types.js';
+
+/** What a full set of slots adds to the cost of an upstream. */
+const OCCUPANCY_COST_MS = 60;
+/** What an upstream that failed all its latest requests costs. */
+const FAILURE_COST_MS = 1_500;
+
+/**
+ * The upstream with the lowest expected time to the first answer, corrected by
+ * its occupancy and by how many of its latest requests failed.
+ */
+export function chooseUpstream(
+  item: WorkItem,
+  upstreams: readonly UpstreamState[],
+  nowMs: number,
+): UpstreamState | undefined {
+  const open = upstreams.filter(each => each.canTake(item, nowMs));
+  const fresh = open.filter(
+    each => !item.avoidUpstreams.includes(each.listed.upstreamId),
+  );
+  const candidates = fresh.length > 0 ? fresh : open;
+  return candidates
+    .map(upstream => ({upstream, costMs: costMs(item, upstream, nowMs)}))
+    .reduce<{upstream: UpstreamState; costMs: number} | undefined>(
+      (best, each) =>
+        best === undefined || each.costMs < best.costMs ? each : best,
+      undefined,
+    )?.upstream;
+}
+
+function costMs(
+  item: WorkItem,
+  upstream: UpstreamState,
+  nowMs: number,
+): number {
+  const occupancy = upstream.running / Math.max(1, upstream.listed.slots);
+  return (
+    upstream.expectedMs(item, nowMs) +
+    occupancy * OCCUPANCY_COST_MS +
+    upstream.recentFailureShare * FAILURE_COST_MS
+  );
+}
--- /dev/null
+++ b/src/node/scheduling/scheduler.ts
@@ -0,0 +1,312 @@
+/**
+ * Schedules the requests of one service in one region: who gets which
+ * upstream, who waits, who is sent to another region and who is refused. It
+ * has no I/O; time comes with each call.
+ */
+import type {DomainId, InstanceId, RegionId, RequestId} from '../types/ids.js';
+import {CapacityBoard} from './capacity_board.js';
+import {chooseUpstream} from './choose_upstream.js';
+import {
+  ADMISSION_SHARE_OF_TARGET,
+  FEED_BACKLOG_MS,
+  LONGEST_RETRY_AFTER_MS,
+  NO_UPSTREAM_WAIT_MS,
+  OFFLOAD_GAIN_MS,
+  SHORTEST_RETRY_AFTER_MS,
+  WAIT_SHARE_OF_TARGET,
+} from './constants.js';
+import {RetryAllowance, type RetryAllowanceOptions} from './retry_allowance.js';
+import type {
+  CapacityDigest,
+  Decision,
+  RefusalReason,
+  Release,
+  RunningPlacement,
+  ServiceTraits,
+  WorkItem,
+} from './types.js';
+import {UpstreamPool, type PoolChange} from './upstream_pool.js';
+import type {UpstreamState} from './upstream_state.js';
+import {WorkQueue, type QueuedItem} from './work_queue.js';
+
+export interface SchedulerOptions {
+  readonly region: RegionId;
+  readonly traits: ServiceTraits;
+  readonly retries: RetryAllowanceOptions;
+  readonly onPoolChange: (change: PoolChange) => void;
+}
+
+/** What a request has to expect here. */
+interface Forecast {
+  /** Until an upstream is free for it. */
+  readonly waitMs: number;
+  /** From then to its first answer. */
+  readonly answerMs: number;
+}
+
+/** The scheduler of one service. Decisions are taken out with `decide`. */
+export class Scheduler {
+  readonly pool: UpstreamPool;
+  readonly board = new CapacityBoard();
+  private readonly queue = new WorkQueue();
+  private readonly retries: RetryAllowance;
+  private decisions: Decision[] = [];
+
+  constructor(private readonly options: SchedulerOptions) {
+    this.pool = new UpstreamPool(options.traits, options.onPoolChange);
+    this.retries = new RetryAllowance(options.retries);
+  }
+
+  get queueLength(): number {
+    return this.queue.size;
+  }
+
+  /** Takes in a request; its decision follows at once or later. */
+  submit(item: WorkItem, nowMs: number): void {
+    if (this.queue.has(item.requestId)) return;
+    if (item.isRepeat) {
+      if (!this.retries.allowsRepeat(nowMs)) {
+        this.refuse(item, 'retry_budget', 0);
+        return;
+      }
+    } else {
+      this.retries.noteRequest(nowMs);
+    }
+    const isTooLarge = this.pool
+      .all()
+      .every(each => each.isEngine && tokensOf(item) > each.capacityTokens);
+    if (isTooLarge && this.pool.all().length > 0) {
+      this.refuse(item, 'too_large', 0);
+      return;
+    }
+    this.admit(item, nowMs);
+  }
+
+  /** Ends placements. */
+  release(releases: readonly Release[]): void {
+    releases.forEach(each => this.pool.end(each));
+  }
+
+  /** The caller left before a decision was used. */
+  cancel(requestId: RequestId): void {
+    this.queue.remove(requestId);
+  }
+
+  /**
+   * Takes over all that an entry runs, whoever granted it, and forgets what it
+   * does not run any more.
+   */
+  syncRunning(
+    entry: InstanceId,
+    placements: readonly RunningPlacement[],
+    nowMs: number,
+  ): void {
+    this.pool.all().forEach(each => each.forgetEntry(entry));
+    placements.forEach(({item, upstreamId}) =>
+      this.pool.get(upstreamId)?.adopt(item, nowMs),
+    );
+  }
+
+  /** An entry is gone with all that it ran. */
+  forgetEntry(entry: InstanceId): void {
+    this.queue.removeEntry(entry);
+    this.pool.all().forEach(each => each.forgetEntry(entry));
+  }
+
+  setEvacuated(domains: readonly DomainId[], nowMs: number): void {
+    this.pool.setEvacuated(domains, nowMs);
+  }
+
+  /** Goes over the queue and returns what was decided since the last call. */
+  decide(nowMs: number): readonly Decision[] {
+    this.pool.all().forEach(each => each.expire(nowMs));
+    this.queue.inOrder().forEach(queued => this.serve(queued, nowMs));
+    const decided = this.decisions;
+    this.decisions = [];
+    return decided;
+  }
+
+  /** What other regions are told. */
+  digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
+    const usable = this.pool.usable().filter(each => !each.isCold(nowMs));
+    return {
+      region: this.options.region,
+      service,
+      upstreams: usable.length,
+      freeSlots:
+        usable.reduce((sum, each) => sum + each.freeSlots, 0) - this.queue.size,
+      freeTokens: usable.reduce(
+        (most, each) => Math.max(most, each.freeTokens),
+        0,
+      ),
+      waitMs: this.queueWaitMs(Number.MAX_SAFE_INTEGER, usable, nowMs),
+    };
+  }
+
+  private admit(item: WorkItem, nowMs: number): void {
+    if (!item.isAllowedHere) {
+      if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      return;
+    }
+    const usable = this.pool.usable();
+    if (usable.length === 0) {
+      if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
+      // A list that was never read may still name upstreams.
+      if (this.pool.all().length === 0) this.queue.add(item, nowMs);
+      else this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      return;
+    }
+    const forecast = this.forecast(item, usable, nowMs);
+    if (isInTime(item, forecast)) {
+      this.queue.add(item, nowMs);
+      return;
+    }
+    const expectedMs = forecast.waitMs + forecast.answerMs;
+    if (this.offload(item, expectedMs, nowMs)) return;
+    this.refuse(item, 'overloaded', forecast.waitMs);
+  }
+
+  private serve({item, queuedAtMs}: QueuedItem, nowMs: number): void {
+    const queuedMs = nowMs - queuedAtMs;
+    const usable = this.pool.usable();
+    const upstream = chooseUpstream(item, usable, nowMs);
+    if (upstream !== undefined) {
+      this.grant(item, upstream, queuedMs, nowMs);
+      return;
+    }
+    const isLost = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
+    const waitedMs = item.ageMs + queuedMs;
+    const isLate = waitedMs > item.targetLatencyMs * ADMISSION_SHARE_OF_TARGET;
+    if (!isLost && !isLate) return;
+    this.queue.remove(item.requestId);
+    const aged = {...item, ageMs: waitedMs};
+    if (this.offload(aged, Number.POSITIVE_INFINITY, nowMs)) return;
+    const waitMs = this.queueWaitMs(item.priority, usable, nowMs);
+    this.refuse(item, isLost ? 'no_upstream' : 'overloaded', waitMs);
+  }
+
+  private grant(
+    item: WorkItem,
+    upstream: UpstreamState,
+    queuedMs: number,
+    nowMs: number,
+  ): void {
+    this.queue.remove(item.requestId);
+    this.queue.noteGrant();
+    if (item.isRepeat) this.retries.noteRepeat(nowMs);
+    const expectedMs = upstream.expectedMs(item, nowMs);
+    upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
+    this.decisions.push({
+      kind: 'grant',
+      requestId: item.requestId,
+      entry: item.entry,
+      service: item.service,
+      upstreamId: upstream.listed.upstreamId,
+      address: upstream.listed.address,
+      queuedMs,
+      expectedMs,
+    });
+  }
+
+  private offload(
+    item: WorkItem,
+    localExpectedMs: number,
+    nowMs: number,
+  ): boolean {
+    const offer = this.board.bestOffer(item, nowMs);
+    if (offer === undefined) return false;
+    const isBetter = offer.expectedMs + OFFLOAD_GAIN_MS < localExpectedMs;
+    const isInTimeThere =
+      item.ageMs + offer.expectedMs <= longestWaitMs(item, offer.expectedMs);
+    if (!isBetter || !isInTimeThere) return false;
+    this.board.noteSent(offer.region, item);
+    this.decisions.push({
+      kind: 'offload',
+      requestId: item.requestId,
+      entry: item.entry,
+      region: offer.region,
+      localWaitMs: Number.isFinite(localExpectedMs) ? localExpectedMs : -1,
+      remoteWaitMs: offer.expectedMs,
+    });
+    return true;
+  }
+
+  private refuse(
+    item: WorkItem,
+    reason: RefusalReason,
+    predictedWaitMs: number,
+  ): void {
+    this.decisions.push({
+      kind: 'refuse',
+      requestId: item.requestId,
+      entry: item.entry,
+      reason,
+      predictedWaitMs,
+      retryAfterMs: Math.min(
+        LONGEST_RETRY_AFTER_MS,
+        Math.max(SHORTEST_RETRY_AFTER_MS, predictedWaitMs),
+      ),
+    });
+  }
+
+  private forecast(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): Forecast {
+    const answerMs = Math.min(
+      ...usable.map(each =>
+        each.isEngine
+          ? each.expectedMs(item, nowMs) - each.backlogMs(nowMs)
+          : each.meanServiceMs,
+      ),
+    );
+    return {
+      waitMs: this.queueWaitMs(item.priority, usable, nowMs),
+      answerMs,
+    };
+  }
+
+  /** Wait behind everything of this rank or a more urgent one. */
+  private queueWaitMs(
+    priority: number,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): number {
+    const [first] = usable;
+    if (first === undefined) return NO_UPSTREAM_WAIT_MS;
+    const ahead = this.queue.ahead(priority);
+    const slotsWaitMs =
+      (Math.min(...usable.map(each => each.slotWaitMs())) / usable.length) *
+      (ahead.length + 1);
+    if (!first.isEngine) return slotsWaitMs;
+    const unreadMs = ahead.reduce((sum, item) => sum + first.readMs(item), 0);
+    const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
+    const feedWaitMs = Math.max(0, backlogMs - FEED_BACKLOG_MS);
+    return Math.max(slotsWaitMs, feedWaitMs + unreadMs / usable.length);
+  }
+}
+
+function tokensOf({prompt}: WorkItem): number {
+  return prompt === undefined
+    ? 0
+    : prompt.promptTokens + prompt.expectedOutputTokens;
+}
+
+/** A large prompt may take longer than its target if it does not wait. */
+function longestWaitMs(item: WorkItem, answerMs: number): number {
+  const {targetLatencyMs, remainingMs} = item;
+  return Math.min(
+    remainingMs,
+    Math.max(
+      targetLatencyMs * ADMISSION_SHARE_OF_TARGET,
+      targetLatencyMs * WAIT_SHARE_OF_TARGET + answerMs,
+    ),
+  );
+}
+
+function isInTime(item: WorkItem, {waitMs, answerMs}: Forecast): boolean {
+  const totalMs = item.ageMs + waitMs + answerMs;
+  return totalMs <= longestWaitMs(item, answerMs);
+}
--- /dev/null
+++ b/src/node/scheduling/upstream_pool.ts
@@ -0,0 +1,159 @@
+/** The upstreams of one service in one region, kept current by the list. */
+import type {DomainId, UpstreamId} from '../types/ids.js';
+import type {ListedUpstream, Release, ServiceTraits} from './types.js';
+import {UpstreamState} from './upstream_state.js';
+
+/** One reading of the platform's list. */
+export interface ListReading {
+  readonly upstreams: readonly ListedUpstream[];
+  /** When the reading was asked for. */
+  readonly readAtMs: number;
+  /** How old the list may be when it is read. */
+  readonly lagMs: number;
+}
+
+/** A change of belief about one upstream, for the log. */
+export interface PoolChange {
+  readonly kind: 'listed' | 'unlisted' | 'reborn' | 'draining' | 'down' | 'up';
+  readonly upstreamId: UpstreamId;
+  readonly cause: string;
+}
+
+/** How long an upstream that came back may turn out to be cold. */
+const DOUBT_MS = 3_000;
+
+/** Holds the state of each upstream. */
+export class UpstreamPool {
+  private readonly states = new Map<UpstreamId, UpstreamState>();
+  private evacuated: readonly DomainId[] = [];
+
+  constructor(
+    private traits: ServiceTraits,
+    private readonly onChange: (change: PoolChange) => void,
+  ) {}
+
+  /** Upstreams that may get work, in touch with the list and the operator. */
+  usable(): readonly UpstreamState[] {
+    return this.all().filter(
+      each =>
+        !each.isDown &&
+        !each.listed.isDraining &&
+        !this.evacuated.includes(each.listed.domain),
+    );
+  }
+
+  all(): readonly UpstreamState[] {
+    return [...this.states.values()];
+  }
+
+  get(upstreamId: UpstreamId): UpstreamState | undefined {
+    return this.states.get(upstreamId);
+  }
+
+  setTraits(traits: ServiceTraits): void {
+    this.traits = traits;
+    this.states.forEach(each => {
+      each.traits = traits;
+    });
+  }
+
+  /** Upstreams of a domain that is taken back may have become cold. */
+  setEvacuated(domains: readonly DomainId[], nowMs: number): void {
+    const lifted = this.evacuated.filter(each => !domains.includes(each));
+    this.all()
+      .filter(each => lifted.includes(each.listed.domain))
+      .forEach(each => doubt(each, nowMs));
+    this.evacuated = domains;
+  }
+
+  applyReading(reading: ListReading): void {
+    const listedIds = new Set(reading.upstreams.map(each => each.upstreamId));
+    this.all()
+      .filter(each => !listedIds.has(each.listed.upstreamId))
+      .forEach(each => {
+        this.states.delete(each.listed.upstreamId);
+        this.note('unlisted', each, 'list');
+      });
+    reading.upstreams.forEach(listed => this.applyEntry(listed, reading));
+  }
+
+  /** Ends a placement and draws conclusions about the upstream. */
+  end(release: Release): void {
+    const state = this.states.get(release.upstreamId);
+    if (state === undefined) return;
+    state.end(release);
+    const isSuspect =
+      release.outcome === 'unreachable' || release.outcome === 'silent';
+    if (isSuspect && !state.isDown) {
+      state.isDown = true;
+      this.note('down', state, release.outcome);
+    }
+  }
+
+  /** Upstreams that must answer a probe before they get work again. */
+  toProbe(): readonly UpstreamState[] {
+    return this.all().filter(each => each.isDown && !each.listed.isDraining);
+  }
+
+  /** A probe succeeded; `coldRemainingMs` as the upstream itself says. */
+  noteProbe(
+    upstreamId: UpstreamId,
+    coldRemainingMs: number | undefined,
+    nowMs: number,
+  ): void {
+    const state = this.states.get(upstreamId);
+    if (state === undefined) return;
+    if (coldRemainingMs === undefined) doubt(state, nowMs);
+    else state.coldUntilMs = nowMs + coldRemainingMs;
+    if (!state.isDown) return;
+    state.isDown = false;
+    this.note('up', state, 'probe');
+  }
+
+  private applyEntry(listed: ListedUpstream, reading: ListReading): void {
+    const known = this.states.get(listed.upstreamId);
+    if (known === undefined) {
+      const created = new UpstreamState(listed, this.traits);
+      this.states.set(listed.upstreamId, created);
+      applyCold(created, listed, reading);
+      this.note('listed', created, 'list');
+      return;
+    }
+    const before = known.listed;
+    known.listed = listed;
+    if (listed.bornAtMs > before.bornAtMs) {
+      known.reset();
+      this.note('reborn', known, 'list');
+    }
+    if (listed.isDraining && !before.isDraining) {
+      this.note('draining', known, 'list');
+    }
+    applyCold(known, listed, reading);
+  }
+
+  private note(
+    kind: PoolChange['kind'],
+    state: UpstreamState,
+    cause: string,
+  ): void {
+    this.onChange({kind, upstreamId: state.listed.upstreamId, cause});
+  }
+}
+
+function doubt(state: UpstreamState, nowMs: number): void {
+  state.coldUntilMs = Math.max(state.coldUntilMs, nowMs + DOUBT_MS);
+  state.doubtedUntilReadAtMs = nowMs;
+}
+
+// A reading that may be older than the doubt does not lift it.
+function applyCold(
+  state: UpstreamState,
+  listed: ListedUpstream,
+  reading: ListReading,
+): void {
+  const untilMs = reading.readAtMs + listed.coldRemainingMs;
+  const isCurrent =
+    reading.readAtMs - reading.lagMs >= state.doubtedUntilReadAtMs;
+  if (isCurrent) state.coldUntilMs = untilMs;
+  else state.coldUntilMs = Math.max(state.coldUntilMs, untilMs);
+}
--- /dev/null
+++ b/src/node/scheduling/upstream_state.ts
@@ -0,0 +1,242 @@
+/** What the scheduler believes about one upstream. */
+import type {RequestId} from '../types/ids.js';
+import {
+  AVERAGE_WEIGHT,
+  BASE_FIRST_ANSWER_MS,
+  DECODE_MS_PER_TOKEN,
+  FEED_BACKLOG_MS,
+  INITIAL_SERVICE_MS,
+  PLACEMENT_GRACE_MS,
+  PREFILL_TOKENS_PER_MS,
+  USABLE_CACHE_SHARE,
+} from './constants.js';
+import {PrefixCache} from './prefix_cache.js';
+import {StartPacer} from './start_pacer.js';
+import type {
+  ListedUpstream,
+  PlacementOutcome,
+  Release,
+  ServiceTraits,
+  WorkItem,
+} from './types.js';
+
+interface Placement {
+  readonly item: WorkItem;
+  readonly expiresAtMs: number;
+  readonly expectedMs: number;
+  /** Tokens that it alone occupies. */
+  readonly ownTokens: number;
+}
+
+/** Outcomes that tell on the upstream's health. */
+const FAILURES: ReadonlySet<PlacementOutcome> = new Set([
+  'failed',
+  'unreachable',
+  'silent',
+]);
+const SLOWEST_FACTOR = 6;
+const FASTEST_FACTOR = 0.6;
+
+/** One upstream with the requests that run on it. */
+export class UpstreamState {
+  readonly cache = new PrefixCache();
+  readonly pacer = new StartPacer();
+  /** Down until a probe succeeds. */
+  isDown = false;
+  /** Cold, or not known to be warm, until then. */
+  coldUntilMs = 0;
+  /** A list read before this time does not tell that it is warm. */
+  doubtedUntilReadAtMs = 0;
+  private readonly placements = new Map<RequestId, Placement>();
+  private readUntilMs = 0;
+  private usedTokens = 0;
+  private failureShare = 0;
+  private slowness = 1;
+  private serviceMs = INITIAL_SERVICE_MS;
+
+  constructor(
+    public listed: ListedUpstream,
+    public traits: ServiceTraits,
+  ) {}
+
+  get running(): number {
+    return this.placements.size;
+  }
+
+  get freeSlots(): number {
+    return Math.max(0, this.listed.slots - this.placements.size);
+  }
+
+  get freeTokens(): number {
+    return Math.max(0, this.capacityTokens - this.usedTokens);
+  }
+
+  get capacityTokens(): number {
+    return this.traits.kvCacheTokens * USABLE_CACHE_SHARE;
+  }
+
+  get isEngine(): boolean {
+    return this.traits.kvCacheTokens > 0;
+  }
+
+  /** Share of the latest requests that failed, 0 to 1. */
+  get recentFailureShare(): number {
+    return this.failureShare;
+  }
+
+  /** Mean time of a plain call. */
+  get meanServiceMs(): number {
+    return this.serviceMs;
+  }
+
+  /** Time until all prompts that it got are read. */
+  backlogMs(nowMs: number): number {
+    return Math.max(0, this.readUntilMs - nowMs);
+  }
+
+  isCold(nowMs: number): boolean {
+    return this.traits.coldRequestsPerS > 0 && this.coldUntilMs > nowMs;
+  }
+
+  /** Whether it may get the request now. */
+  canTake(item: WorkItem, nowMs: number): boolean {
+    if (this.isDown || this.listed.isDraining || this.freeSlots === 0) {
+      return false;
+    }
+    if (this.isCold(nowMs) && this.pacer.readyAtMs() > nowMs) return false;
+    if (!this.isEngine) return true;
+    const isFed = this.backlogMs(nowMs) <= FEED_BACKLOG_MS;
+    return isFed && this.ownTokens(item) <= this.freeTokens;
+  }
+
+  /** Time to read what the cache lacks of a prompt. */
+  readMs(item: WorkItem): number {
+    const {prompt} = item;
+    if (prompt === undefined) return 0;
+    const missing = Math.max(
+      0,
+      prompt.promptTokens - this.cache.cachedTokens(prompt.parts),
+    );
+    return (missing / PREFILL_TOKENS_PER_MS) * this.slowness;
+  }
+
+  /** Expected time to the first answer if it gets the request now. */
+  expectedMs(item: WorkItem, nowMs: number): number {
+    if (!this.isEngine) return this.serviceMs;
+    return (
+      BASE_FIRST_ANSWER_MS * this.slowness +
+      this.backlogMs(nowMs) +
+      this.readMs(item)
+    );
+  }
+
+  /** A request is sent to it now. */
+  start(item: WorkItem, nowMs: number): void {
+    const expectedMs = this.expectedMs(item, nowMs);
+    this.readUntilMs = Math.max(this.readUntilMs, nowMs) + this.readMs(item);
+    if (this.isCold(nowMs)) {
+      this.pacer.noteStart(this.traits.coldRequestsPerS, nowMs);
+    }
+    this.hold(item, expectedMs, nowMs);
+  }
+
+  /** A request runs on it that another scheduler sent there. */
+  adopt(item: WorkItem, nowMs: number): void {
+    this.hold(item, this.expectedMs(item, nowMs), nowMs);
+  }
+
+  /** Ends a placement; an unknown one changes nothing. */
+  end(release: Release): void {
+    const placement = this.placements.get(release.requestId);
+    if (placement === undefined) return;
+    this.placements.delete(release.requestId);
+    this.usedTokens -= placement.ownTokens;
+    if (release.outcome === 'cancelled') return;
+    const failure = FAILURES.has(release.outcome) ? 1 : 0;
+    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
+    if (release.outcome === 'answered') this.observe(placement, release);
+  }
+
+  /** Forgets placements whose entry never told their end. */
+  expire(nowMs: number): void {
+    [...this.placements.values()]
+      .filter(each => each.expiresAtMs <= nowMs)
+      .forEach(each => this.forget(each));
+  }
+
+  /** Forgets the placements of an entry that is gone. */
+  forgetEntry(entry: WorkItem['entry']): void {
+    [...this.placements.values()]
+      .filter(each => each.item.entry === entry)
+      .forEach(each => this.forget(each));
+  }
+
+  /** It began a new lifetime: it holds and runs nothing. */
+  reset(): void {
+    this.placements.clear();
+    this.cache.clear();
+    this.usedTokens = 0;
+    this.readUntilMs = 0;
+    this.failureShare = 0;
+  }
+
+  /** Mean time until a slot is freed when all are taken. */
+  slotWaitMs(): number {
+    if (this.freeSlots > 0) return 0;
+    const meanMs = this.isEngine ? this.meanStreamMs() : this.serviceMs;
+    return meanMs / Math.max(1, this.listed.slots);
+  }
+
+  private hold(item: WorkItem, expectedMs: number, nowMs: number): void {
+    const ownTokens = this.ownTokens(item);
+    this.placements.set(item.requestId, {
+      item,
+      ownTokens,
+      expectedMs,
+      expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
+    });
+    this.usedTokens += ownTokens;
+    if (item.prompt === undefined) return;
+    this.cache.use(item.prompt.parts);
+    this.cache.shrinkTo(Math.max(0, this.capacityTokens - this.usedTokens));
+  }
+
+  private meanStreamMs(): number {
+    const outputTokens = [...this.placements.values()].reduce(
+      (sum, each) => sum + (each.item.prompt?.expectedOutputTokens ?? 0),
+      0,
+    );
+    const mean = outputTokens / Math.max(1, this.placements.size);
+    return mean * DECODE_MS_PER_TOKEN * this.slowness;
+  }
+
+  private observe(placement: Placement, release: Release): void {
+    if (!this.isEngine) {
+      this.serviceMs += AVERAGE_WEIGHT * (release.totalMs - this.serviceMs);
+      return;
+    }
+    if (release.firstAnswerMs <= 0) return;
+    const ratio =
+      (this.slowness * release.firstAnswerMs) /
+      Math.max(1, placement.expectedMs);
+    const bounded = Math.min(SLOWEST_FACTOR, Math.max(FASTEST_FACTOR, ratio));
+    this.slowness += AVERAGE_WEIGHT * (bounded - this.slowness);
+  }
+
+  private forget(placement: Placement): void {
+    this.placements.delete(placement.item.requestId);
+    this.usedTokens -= placement.ownTokens;
+  }
+
+  // Shared parts are counted by the cache; what a request alone occupies is
+  // its last part, what no part names, and its output.
+  private ownTokens(item: WorkItem): number {
+    const {prompt} = item;
+    if (prompt === undefined) return 0;
+    const shared = prompt.parts
+      .slice(0, -1)
+      .reduce((sum, part) => sum + part.tokens, 0);
+    const own = Math.max(0, prompt.promptTokens - shared);
+    return own + prompt.expectedOutputTokens;
+  }
+}
--- a/src/node/types/ids.ts
+++ b/src/node/types/ids.ts
@@ -26,6 +26,10 @@
 export type ModelId = Branded<string, 'ModelId'>;
 /** A workload: one kind of call of a workspace. */
 export type WorkloadId = Branded<string, 'WorkloadId'>;
+/** A route of the route table. */
+export type RouteId = Branded<string, 'RouteId'>;
+/** A service: upstreams that answer the same requests. */
+export type ServiceId = Branded<string, 'ServiceId'>;
 /** A rank of urgency. */
 export type RankId = Branded<string, 'RankId'>;
 /** One request, unique over the whole system. */
