--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -10,7 +10,13 @@
 import type {RpcClient} from '../rpc/rpc.js';
 import type {ListedUpstream} from '../scheduling/types.js';
 import {toGatewayError} from '../types/errors.js';
-import type {DomainId, InstanceId, RegionId, ServiceId} from '../types/ids.js';
+import type {
+  DomainId,
+  InstanceId,
+  RegionId,
+  ServiceId,
+  UpstreamId,
+} from '../types/ids.js';
 import {BATCH_TIMEOUT_MS} from './batch_link.js';
 import {DIGEST_METHOD} from './messages.js';
 import type {ProbeTarget, SchedulerHost} from './scheduler_host.js';
@@ -40,6 +46,7 @@
   private readonly lastLists = new Map<DomainId, readonly ListedUpstream[]>();
   private isListLost = false;
   private isReading = false;
+  private readonly probing = new Set<UpstreamId>();
 
   constructor(private readonly options: RegionLoopsOptions) {}
 
@@ -133,20 +140,32 @@
       );
   }
 
-  private probeAll(): void {
+  /** Probes every upstream that is down, each once at a time. */
+  probeAll(): void {
     this.options.host.probeTargets().forEach(target => void this.probe(target));
   }
 
   private async probe(target: ProbeTarget): Promise<void> {
-    const {feed, host, services, metrics} = this.options;
+    const {feed, host, services, metrics, logger} = this.options;
     const spec = services().find(each => each.name === target.service);
     if (spec === undefined) return;
     metrics.count('health_probes', {service: target.service});
+    this.probing.add(target.upstreamId);
     const answer = await feed.health(target.address, spec.healthPath);
+    this.probing.delete(target.upstreamId);
     if (answer === undefined) return;
     const isOther =
       answer.upstreamId !== undefined &&
       answer.upstreamId !== target.upstreamId;
-    if (!isOther) host.noteProbe(target, answer.coldRemainingMs);
+    if (isOther) return;
+    logger.info(
+      {
+        event: 'probe_answered',
+        upstream: target.upstreamId,
+        coldRemainingMs: answer.coldRemainingMs,
+      },
+      'an upstream that was down is healthy',
+    );
+    host.noteProbe(target, answer.coldRemainingMs);
   }
 }
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -37,6 +37,8 @@
   readonly metrics: MetricsRegistry;
   readonly serviceSpec: (service: ServiceId) => ServiceSpec | undefined;
   readonly deliver: (decision: Decision) => void;
+  /** An upstream must be probed before it gets further work. */
+  readonly onDown: () => void;
 }
 
 /** One reading of the platform's list, for all services. */
@@ -160,7 +162,7 @@
     );
   }
 
-  noteProbe(target: ProbeTarget, coldRemainingMs: number | undefined): void {
+  noteProbe(target: ProbeTarget, coldRemainingMs: number): void {
     this.hosted
       .get(target.service)
       ?.scheduler.pool.noteProbe(
@@ -243,6 +245,11 @@
       retries,
       traits: this.traitsOf(service),
       onPoolChange: change => this.notePoolChange(service, change),
+      onLaneChange: (members, demand) =>
+        logger.info(
+          {event: 'long_prompt_lane', service, members, demand},
+          'other engines read the long prompts',
+        ),
     });
     scheduler.setEvacuated(this.evacuated, nowMs);
     if (this.reading !== undefined) applyTo(scheduler, service, this.reading);
@@ -275,6 +282,7 @@
       },
       'the belief about an upstream changed',
     );
+    if (change.kind === 'down') this.options.onDown();
   }
 }
 
--- a/src/node/dispatch/upstream_feed.ts
+++ b/src/node/dispatch/upstream_feed.ts
@@ -6,8 +6,8 @@
 export interface HealthAnswer {
   /** Who answered; another one may use the address by now. */
   readonly upstreamId: UpstreamId | undefined;
-  /** How long it stays cold; `undefined` if it does not say. */
-  readonly coldRemainingMs: number | undefined;
+  /** How long it stays cold; 0 if it is warm. */
+  readonly coldRemainingMs: number;
 }
 
 /** Reads the platform's list and the upstreams' health. */
--- a/src/node/ingress/answer_reader.ts
+++ b/src/node/ingress/answer_reader.ts
@@ -3,6 +3,7 @@
  * streams event by event.
  */
 import type {IncomingHttpHeaders} from 'node:http';
+import {monotonicNowMs} from '../clock/clock.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {EventSplitter, type EventBatch} from './event_splitter.js';
 import type {AnswerSink} from './exchange.js';
@@ -14,6 +15,9 @@
   lastEventId: number | undefined;
   /** Whether the caller has got any event. */
   isStarted: boolean;
+  lastEventAtMs: number;
+  /** Longest pause between two events so far. */
+  longestGapMs: number;
 }
 
 export interface AnswerReaderOptions {
@@ -103,6 +107,7 @@
       if (!isNext) throw new Error('an event of the stream is missing');
     }
     this.beginOnce();
+    noteEvent(progress, monotonicNowMs());
     progress.lastEventId = batch.lastId ?? progress.lastEventId;
     return answer.write(batch.bytes, resume);
   }
@@ -115,3 +120,11 @@
     answer.begin(this.head.status, protocol.callerHeaders(this.head.headers));
   }
 }
+
+function noteEvent(progress: StreamProgress, nowMs: number): void {
+  if (progress.lastEventAtMs > 0) {
+    const gapMs = nowMs - progress.lastEventAtMs;
+    progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
+  }
+  progress.lastEventAtMs = nowMs;
+}
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -205,6 +205,7 @@
       },
       serviceSpec: service => this.matcher?.service(service),
       deliver: decision => sender.send(decision),
+      onDown: () => setImmediate(() => this.loops.probeAll()),
     });
   }
 
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -22,6 +22,8 @@
   readonly status: number;
   readonly totalMs: number;
   readonly firstAnswerMs: number;
+  /** Longest pause between events of a stream. */
+  readonly longestGapMs: number;
   readonly runs: number;
   readonly triesNotRun: number;
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -25,6 +25,7 @@
 
 /** Tries that certainly did not run, beyond those that the route allows. */
 const MAX_TRIES_NOT_RUN = 2;
+const NO_ANSWER = 'no answer in time';
 /** An upstream without any answer for so long beyond what was expected. */
 const SILENCE_MS = 1_500;
 
@@ -62,7 +63,12 @@
     /** Aborts when the caller leaves or the time is up. */
     private readonly signal: AbortSignal,
   ) {
-    this.progress = {lastEventId: request.lastEventId, isStarted: false};
+    this.progress = {
+      lastEventId: request.lastEventId,
+      isStarted: false,
+      lastEventAtMs: 0,
+      longestGapMs: 0,
+    };
     this.avoid = [...request.avoidUpstreams];
   }
 
@@ -191,7 +197,7 @@
     const end = await exchange(pool, sent, reader, signal);
     clearTimeout(timer);
     const isSilent = end.kind === 'aborted' && !this.signal.aborted;
-    return isSilent ? {kind: 'broken', cause: 'no answer in time'} : end;
+    return isSilent ? {kind: 'broken', cause: NO_ANSWER} : end;
   }
 
   private async sendToRegion(region: RegionId): Promise<TryResult> {
@@ -308,6 +314,7 @@
       status,
       totalMs,
       firstAnswerMs: this.firstAnswerMs,
+      longestGapMs: this.progress.longestGapMs,
       runs: this.runs,
       triesNotRun: this.triesNotRun,
     });
@@ -341,7 +348,7 @@
   if (end.kind === 'not_sent') return 'unreachable';
   if (result.kind === 'not_run') return 'rejected';
   if (end.kind === 'broken') {
-    return end.cause === 'no answer in time' ? 'silent' : 'failed';
+    return end.cause === NO_ANSWER ? 'silent' : 'broken';
   }
   return reader.isSuccess || (reader.head?.status ?? 0) < 500
     ? 'answered'
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -21,6 +21,8 @@
   /** Expected time to the first answer, the way there included. */
   readonly expectedMs: number;
   readonly digestAgeMs: number;
+  /** Share of its engines' time that reading takes, this request included. */
+  readonly readShare: number;
 }
 
 /** Digests of one service by region. */
@@ -74,6 +76,8 @@
       (sentTokens / digest.upstreams + tokens) / PREFILL_TOKENS_PER_MS;
     const expectedMs =
       digest.waitMs + readMs + BASE_FIRST_ANSWER_MS + OFFLOAD_COST_MS;
-    return [{region, expectedMs, digestAgeMs}];
+    const sentShare = readMs / Math.max(1, digestAgeMs + DIGEST_EXPIRY_MS);
+    const readShare = digest.readShare + sentShare;
+    return [{region, expectedMs, digestAgeMs, readShare}];
   }
 }
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -27,6 +27,13 @@
 export const OFFLOAD_COST_MS = 130;
 /** A region must be better than this one by so much to get work of it. */
 export const OFFLOAD_GAIN_MS = 50;
+/**
+ * Long prompts leave a region whose engines spend more of their time reading:
+ * above it the pauses of streams grow beyond what their callers accept.
+ */
+export const OFFLOAD_READ_SHARE = 0.55;
+/** The other region must be less loaded by so much. */
+export const OFFLOAD_READ_SHARE_GAIN = 0.2;
 /** A digest older than this says nothing. */
 export const DIGEST_EXPIRY_MS = 1_500;
 /** Failures in a row after which an upstream is probed before further use. */
--- /dev/null
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps long prompts apart from streams: an engine reads prompts in chunks
+ * between the tokens of its streams, so a run of long prompts stretches the
+ * pauses of every stream beside them. As many engines as the long prompts
+ * need take all of them; streams with short prompts prefer the others.
+ */
+import type {UpstreamId} from '../types/ids.js';
+import type {WorkItem} from './types.js';
+import type {UpstreamState} from './upstream_state.js';
+
+/** A prompt is long if an engine reads it for more than two chunks. */
+const LONG_READ_MS = 55;
+/** Engines of the lane are sized to be busy for this share of the time. */
+const LANE_OCCUPANCY = 0.7;
+/** Demand is averaged over about this time. */
+const DEMAND_WINDOW_MS = 2_000;
+/** The lane shrinks only when the smaller size has been enough for so long. */
+const SHRINK_AFTER_MS = 4_000;
+/** An engine leaves the lane for one that is faster by more than this. */
+const SLOWNESS_MARGIN = 0.2;
+/** Share of its slots that the streams beside the lane may fill. */
+const STREAM_OCCUPANCY = 0.75;
+
+/** The lane of one service. */
+export class LongPromptLane {
+  private members: readonly UpstreamId[] = [];
+
+  /** `onChange` gets the new members and the demand in engines. */
+  constructor(
+    private readonly onChange: (
+      members: readonly UpstreamId[],
+      demand: number,
+    ) => void,
+  ) {}
+  private demand = 0;
+  private demandAtMs = 0;
+  private neededSinceMs = 0;
+
+  /** Notes a new request, so that the lane grows with the demand. */
+  noteArrival(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): void {
+    const readMs = longReadMs(item, usable);
+    const elapsedMs = Math.max(0, nowMs - this.demandAtMs);
+    const kept = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
+    this.demand = this.demand * kept + readMs / DEMAND_WINDOW_MS;
+    this.demandAtMs = nowMs;
+    this.resize(usable, nowMs);
+  }
+
+  /** Whether the request belongs into the lane. */
+  isLong(item: WorkItem, usable: readonly UpstreamState[]): boolean {
+    return longReadMs(item, usable) > 0;
+  }
+
+  has(upstream: UpstreamState): boolean {
+    return this.members.includes(upstream.listed.upstreamId);
+  }
+
+  /** The engines that may get the request. */
+  eligible(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+  ): readonly UpstreamState[] {
+    if (!this.isLong(item, usable)) return usable;
+    const inLane = usable.filter(each => this.has(each));
+    return inLane.length > 0 ? inLane : usable;
+  }
+
+  private resize(usable: readonly UpstreamState[], nowMs: number): void {
+    const size = this.sizeFor(usable);
+    const current = this.members.filter(member =>
+      usable.some(each => each.listed.upstreamId === member),
+    );
+    if (size >= current.length) this.neededSinceMs = nowMs;
+    const isTooLarge =
+      size < current.length && nowMs - this.neededSinceMs > SHRINK_AFTER_MS;
+    const target = isTooLarge ? size : Math.max(size, current.length);
+    const isSame =
+      current.length === this.members.length && current.length === target;
+    if (isSame && !this.hasSlowMember(usable)) return;
+    const members = fastest(usable, current, target);
+    if (members.join() === this.members.join()) return;
+    this.members = members;
+    this.onChange(members, this.demand);
+  }
+
+  private sizeFor(usable: readonly UpstreamState[]): number {
+    if (usable.length < 2) return 0;
+    const needed = Math.ceil(this.demand / LANE_OCCUPANCY);
+    const slots = usable[0]?.listed.slots ?? 1;
+    const streams = usable
+      .filter(each => !this.has(each))
+      .reduce((sum, each) => sum + each.running, 0);
+    const forStreams = Math.ceil(streams / (slots * STREAM_OCCUPANCY));
+    const most = usable.length - Math.max(1, forStreams);
+    return Math.max(1, Math.min(needed, most));
+  }
+
+  private hasSlowMember(usable: readonly UpstreamState[]): boolean {
+    const inLane = usable.filter(each => this.has(each));
+    const others = usable.filter(each => !this.has(each));
+    const slowest = Math.max(...inLane.map(each => each.slownessFactor));
+    const fastestOther = Math.min(...others.map(each => each.slownessFactor));
+    return slowest > fastestOther + SLOWNESS_MARGIN;
+  }
+}
+
+function longReadMs(item: WorkItem, usable: readonly UpstreamState[]): number {
+  if (item.prompt === undefined || usable.length === 0) return 0;
+  const readMs = Math.min(...usable.map(each => each.nominalReadMs(item)));
+  return readMs > LONG_READ_MS ? readMs : 0;
+}
+
+// Members stay members unless another engine is clearly faster.
+function fastest(
+  usable: readonly UpstreamState[],
+  members: readonly UpstreamId[],
+  count: number,
+): readonly UpstreamId[] {
+  const cost = (upstream: UpstreamState): number =>
+    upstream.slownessFactor -
+    (members.includes(upstream.listed.upstreamId) ? SLOWNESS_MARGIN : 0);
+  return [...usable]
+    .sort((left, right) => cost(left) - cost(right))
+    .slice(0, count)
+    .map(upstream => upstream.listed.upstreamId)
+    .sort();
+}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -3,7 +3,13 @@
  * upstream, who waits, who is sent to another region and who is refused. It
  * has no I/O; time comes with each call.
  */
-import type {DomainId, InstanceId, RegionId, RequestId} from '../types/ids.js';
+import type {
+  DomainId,
+  InstanceId,
+  RegionId,
+  RequestId,
+  UpstreamId,
+} from '../types/ids.js';
 import {CapacityBoard} from './capacity_board.js';
 import {chooseUpstream} from './choose_upstream.js';
 import {
@@ -12,10 +18,14 @@
   LONGEST_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_GAIN_MS,
+  OFFLOAD_READ_SHARE,
+  OFFLOAD_READ_SHARE_GAIN,
   SHORTEST_RETRY_AFTER_MS,
   WAIT_SHARE_OF_TARGET,
 } from './constants.js';
+import {ReadLoad} from './read_load.js';
 import {RetryAllowance, type RetryAllowanceOptions} from './retry_allowance.js';
+import {LongPromptLane} from './long_prompt_lane.js';
 import type {
   CapacityDigest,
   Decision,
@@ -34,6 +44,11 @@
   readonly traits: ServiceTraits;
   readonly retries: RetryAllowanceOptions;
   readonly onPoolChange: (change: PoolChange) => void;
+  /** Other engines read the long prompts; `demand` is in engines. */
+  readonly onLaneChange: (
+    members: readonly UpstreamId[],
+    demand: number,
+  ) => void;
 }
 
 /** What a request has to expect here. */
@@ -49,12 +64,15 @@
   readonly pool: UpstreamPool;
   readonly board = new CapacityBoard();
   private readonly queue = new WorkQueue();
+  private readonly lane: LongPromptLane;
+  private readonly readLoad = new ReadLoad();
   private readonly retries: RetryAllowance;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
     this.pool = new UpstreamPool(options.traits, options.onPoolChange);
     this.retries = new RetryAllowance(options.retries);
+    this.lane = new LongPromptLane(options.onLaneChange);
   }
 
   get queueLength(): number {
@@ -140,6 +158,7 @@
         0,
       ),
       waitMs: this.queueWaitMs(Number.MAX_SAFE_INTEGER, usable, nowMs),
+      readShare: this.readLoad.share(usable, nowMs),
     };
   }
 
@@ -150,6 +169,9 @@
       return;
     }
     const usable = this.pool.usable();
+    this.lane.noteArrival(item, usable, nowMs);
+    this.readLoad.noteArrival(item, usable, nowMs);
+    if (this.relieve(item, usable, nowMs)) return;
     if (usable.length === 0) {
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
       // A list that was never read may still name upstreams.
@@ -157,7 +179,8 @@
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
       return;
     }
-    const forecast = this.forecast(item, usable, nowMs);
+    const eligible = this.lane.eligible(item, usable);
+    const forecast = this.forecast(item, eligible, nowMs);
     if (isInTime(item, forecast)) {
       this.queue.add(item, nowMs);
       return;
@@ -167,10 +190,28 @@
     this.refuse(item, 'overloaded', forecast.waitMs);
   }
 
+  /** Sends a long prompt to a region whose engines read less. */
+  private relieve(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): boolean {
+    const readShare = this.readLoad.share(usable, nowMs);
+    const isPressed =
+      readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, usable);
+    if (!isPressed) return false;
+    const offer = this.board.bestOffer(item, nowMs);
+    const isRelief =
+      offer !== undefined &&
+      offer.readShare + OFFLOAD_READ_SHARE_GAIN < readShare;
+    return isRelief && this.offload(item, Number.POSITIVE_INFINITY, nowMs);
+  }
+
   private serve({item, queuedAtMs}: QueuedItem, nowMs: number): void {
     const queuedMs = nowMs - queuedAtMs;
     const usable = this.pool.usable();
-    const upstream = chooseUpstream(item, usable, nowMs);
+    const eligible = this.lane.eligible(item, usable);
+    const upstream = chooseUpstream(item, eligible, this.lane, nowMs);
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
       return;
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -118,8 +118,10 @@
 export type PlacementOutcome =
   /** The upstream answered with a success. */
   | 'answered'
-  /** The upstream ran it and answered with a failure, or broke off. */
+  /** The upstream ran it and answered with a failure. */
   | 'failed'
+  /** The connection ended before the answer did. */
+  | 'broken'
   /** The upstream said that it did not run it. */
   | 'rejected'
   /** No connection could be opened. */
@@ -156,4 +158,6 @@
   readonly freeTokens: number;
   /** Wait of a new request of the least urgent kind. */
   readonly waitMs: number;
+  /** Share of the engines' time that reading prompts takes; 0 to 1 and more. */
+  readonly readShare: number;
 }
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,6 +1,11 @@
 /** The upstreams of one service in one region, kept current by the list. */
 import type {DomainId, UpstreamId} from '../types/ids.js';
-import type {ListedUpstream, Release, ServiceTraits} from './types.js';
+import type {
+  ListedUpstream,
+  PlacementOutcome,
+  Release,
+  ServiceTraits,
+} from './types.js';
 import {UpstreamState} from './upstream_state.js';
 
 /** One reading of the platform's list. */
@@ -19,6 +24,12 @@
   readonly cause: string;
 }
 
+/** Outcomes after which an upstream may have restarted, cold or not at all. */
+const SUSPICIOUS: ReadonlySet<PlacementOutcome> = new Set([
+  'broken',
+  'unreachable',
+  'silent',
+]);
 /** How long an upstream that came back may turn out to be cold. */
 const DOUBT_MS = 3_000;
 
@@ -82,9 +93,7 @@
     const state = this.states.get(release.upstreamId);
     if (state === undefined) return;
     state.end(release);
-    const isSuspect =
-      release.outcome === 'unreachable' || release.outcome === 'silent';
-    if (isSuspect && !state.isDown) {
+    if (SUSPICIOUS.has(release.outcome) && !state.isDown) {
       state.isDown = true;
       this.note('down', state, release.outcome);
     }
@@ -98,13 +107,13 @@
   /** A probe succeeded; `coldRemainingMs` as the upstream itself says. */
   noteProbe(
     upstreamId: UpstreamId,
-    coldRemainingMs: number | undefined,
+    coldRemainingMs: number,
     nowMs: number,
   ): void {
     const state = this.states.get(upstreamId);
     if (state === undefined) return;
-    if (coldRemainingMs === undefined) doubt(state, nowMs);
-    else state.coldUntilMs = nowMs + coldRemainingMs;
+    state.coldUntilMs = nowMs + coldRemainingMs;
+    state.doubtedUntilReadAtMs = nowMs;
     if (!state.isDown) return;
     state.isDown = false;
     this.note('up', state, 'probe');
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -31,9 +31,13 @@
 /** Outcomes that tell on the upstream's health. */
 const FAILURES: ReadonlySet<PlacementOutcome> = new Set([
   'failed',
+  'broken',
   'unreachable',
   'silent',
 ]);
+/** Weight of one first answer in the estimate of an engine's speed. */
+const SLOWNESS_WEIGHT = 0.05;
+const TELLING_READ_MS = 70;
 const SLOWEST_FACTOR = 6;
 const FASTEST_FACTOR = 0.6;
 
@@ -109,15 +113,21 @@
     return isFed && this.ownTokens(item) <= this.freeTokens;
   }
 
+  /** How much slower it answers than an engine of nominal speed. */
+  get slownessFactor(): number {
+    return this.slowness;
+  }
+
   /** Time to read what the cache lacks of a prompt. */
   readMs(item: WorkItem): number {
-    const {prompt} = item;
+    return this.nominalReadMs(item) * this.slowness;
+  }
+
+  /** The same for an engine of nominal speed. */
+  nominalReadMs({prompt}: WorkItem): number {
     if (prompt === undefined) return 0;
-    const missing = Math.max(
-      0,
-      prompt.promptTokens - this.cache.cachedTokens(prompt.parts),
-    );
-    return (missing / PREFILL_TOKENS_PER_MS) * this.slowness;
+    const cached = this.cache.cachedTokens(prompt.parts);
+    return Math.max(0, prompt.promptTokens - cached) / PREFILL_TOKENS_PER_MS;
   }
 
   /** Expected time to the first answer if it gets the request now. */
@@ -215,12 +225,12 @@
       this.serviceMs += AVERAGE_WEIGHT * (release.totalMs - this.serviceMs);
       return;
     }
-    if (release.firstAnswerMs <= 0) return;
-    const ratio =
-      (this.slowness * release.firstAnswerMs) /
-      Math.max(1, placement.expectedMs);
+    // The first answer to a short prompt tells of the network, not of reading.
+    const {expectedMs} = placement;
+    if (release.firstAnswerMs <= 0 || expectedMs < TELLING_READ_MS) return;
+    const ratio = (this.slowness * release.firstAnswerMs) / expectedMs;
     const bounded = Math.min(SLOWEST_FACTOR, Math.max(FASTEST_FACTOR, ratio));
-    this.slowness += AVERAGE_WEIGHT * (bounded - this.slowness);
+    this.slowness += SLOWNESS_WEIGHT * (bounded - this.slowness);
   }
 
   private forget(placement: Placement): void {
