Pace cold upstreams one second beyond their cold time; count slots ahead

A spec found two further faults: requests that are submitted together were all admitted while one slot was free, and repeats were checked before the earlier ones were counted.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -279,6 +279,8 @@
         service,
         upstream: change.upstreamId,
         cause: change.cause,
+        coldRemainingMs: change.coldRemainingMs,
+        coldRequestsPerS: this.traitsOf(service).coldRequestsPerS,
       },
       'the belief about an upstream changed',
     );
--- /dev/null
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {matchSnapshot} from '../../__tests__/support/snapshot.js';
+import {
+  asId,
+  type DomainId,
+  type InstanceId,
+  type RegionId,
+} from '../../types/ids.js';
+import {FleetMembers} from '../fleet_members.js';
+import {InstanceRegistry} from '../instance_registry.js';
+import type {EntryInstance, FleetView} from '../messages.js';
+
+function entry(
+  name: string,
+  region: string,
+  fields: Partial<EntryInstance> = {},
+): EntryInstance {
+  return {
+    instanceId: asId<InstanceId>(name),
+    incarnation: 1,
+    domain: asId<DomainId>(`${region}-a`),
+    region: asId<RegionId>(region),
+    innerAddress: `${name}:1`,
+    callersAddress: `${name}:2`,
+    isReady: true,
+    isStopping: false,
+    ...fields,
+  };
+}
+
+function view(viewId: string, entries: readonly EntryInstance[]): FleetView {
+  return {viewId, entries, controlMembers: []};
+}
+
+// Guards against callers that are sent to another region, to an entry that is
+// not ready, or to one that is gone.
+test('callers get the ready entries of their region', () => {
+  const registry = new InstanceRegistry('1', () => undefined);
+  registry.record(entry('n1', 'north'), 0);
+  registry.record(entry('n2', 'north', {isReady: false}), 0);
+  registry.record(entry('n3', 'north'), 0);
+  registry.record(entry('s1', 'south'), 0);
+  registry.record(entry('n3', 'north', {isStopping: true}), 100);
+  const ask = (region: string): readonly string[] =>
+    registry.addressesFor(
+      {region: asId<RegionId>(region), domain: undefined},
+      64,
+    );
+  const atStart = {north: ask('north'), south: ask('south'), west: ask('west')};
+  registry.record(entry('s1', 'south'), 2_000);
+  registry.expire(3_000);
+  matchSnapshot(import.meta.url, 'addresses for callers', {
+    atStart,
+    northGone: ask('north'),
+  });
+});
+
+// Guards against an announcement of a process that has been replaced.
+test('an older process does not bring an entry back', () => {
+  const registry = new InstanceRegistry('1', () => undefined);
+  registry.record(entry('n1', 'north', {incarnation: 5}), 0);
+  registry.record(entry('n1', 'north', {incarnation: 4, isReady: false}), 10);
+  assert.equal(
+    registry.addressesFor({region: undefined, domain: undefined}, 9).length,
+    1,
+  );
+});
+
+// Guards against a service without a scheduler when its instance is lost, and
+// against all services moving when one instance is.
+test('a job falls to the next entry while the first is suspect', () => {
+  const self = entry('n1', 'north');
+  const members = new FleetMembers(() => self);
+  const names = ['n1', 'n2', 'n3'];
+  members.renew(
+    asId<InstanceId>('c1'),
+    view(
+      '1',
+      names.map(name => entry(name, 'north')),
+    ),
+    0,
+  );
+  const ranked = (nowMs: number): readonly string[] =>
+    members
+      .rankedEntries(asId<RegionId>('north'), 'service', nowMs)
+      .map(each => each.instanceId);
+  const before = ranked(0);
+  const [first] = before;
+  members.suspect(asId<InstanceId>(first ?? ''), 0);
+  const during = ranked(100);
+  const expected = first === 'n1' ? before : before.slice(1);
+  assert.deepEqual(during, expected);
+  assert.deepEqual(ranked(5_000), before);
+});
+
+// Guards against a region without any control member that forgets its peers.
+test('the last view holds while no control member answers', () => {
+  const self = entry('n1', 'north');
+  const members = new FleetMembers(() => self);
+  members.renew(
+    asId<InstanceId>('c1'),
+    view('1', [self, entry('n2', 'north')]),
+    0,
+  );
+  members.renew(asId<InstanceId>('c1'), undefined, 60_000);
+  assert.equal(members.liveEntries(asId<RegionId>('north'), 60_000).length, 2);
+});
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -20,6 +20,10 @@
 /** Figures of a request at its end. */
 export interface EndFigures {
   readonly status: number;
+  /** The last upstream that it was granted. */
+  readonly upstream: string | undefined;
+  readonly queuedMs: number;
+  readonly expectedMs: number;
   readonly totalMs: number;
   readonly firstAnswerMs: number;
   /** Longest pause between events of a stream. */
@@ -45,7 +49,9 @@
       offload: 'offloaded',
       refuse: 'refused',
     } as const;
-    this.write(events[kind], request, rounded(inputs), kind !== 'grant');
+    // A calm grant is told by the line on the request's end.
+    const isCalm = kind === 'grant' && !decision.isCold;
+    if (!isCalm) this.write(events[kind], request, rounded(inputs));
   }
 
   /** The end of a request. */
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -55,6 +55,7 @@
   private arrivals = 0;
   private refusedRegions: RegionId[] = [];
   private firstAnswerMs = 0;
+  private lastGrant: Grant | undefined;
 
   constructor(
     private readonly context: RequestRunContext,
@@ -142,6 +143,7 @@
   private async sendToUpstream(grant: Grant): Promise<TryResult> {
     const {context, request} = this;
     const {upstreamId, address} = grant;
+    this.lastGrant = grant;
     const sentAtMs = monotonicNowMs();
     this.firstAnswerMs = 0;
     const reader = this.createReader(sentAtMs, false);
@@ -312,6 +314,9 @@
     });
     context.log.end(this.request, result, {
       status,
+      upstream: this.lastGrant?.upstreamId,
+      queuedMs: this.lastGrant?.queuedMs ?? 0,
+      expectedMs: this.lastGrant?.expectedMs ?? 0,
       totalMs,
       firstAnswerMs: this.firstAnswerMs,
       longestGapMs: this.progress.longestGapMs,
--- /dev/null
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {matchSnapshot} from '../../__tests__/support/snapshot.js';
+import type {Scheduler} from '../scheduler.js';
+import type {Decision, ListedUpstream, WorkItem} from '../types.js';
+import {
+  AWAY,
+  brief,
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  line,
+  PLAIN_TRAITS,
+  upstream,
+} from './scheduling_fixture.js';
+
+function schedulerWith(
+  traits: Parameters<typeof createScheduler>[0],
+  upstreams: readonly ListedUpstream[],
+): Scheduler {
+  const scheduler = createScheduler(traits);
+  scheduler.pool.applyReading({upstreams, readAtMs: 0, lagMs: 800});
+  return scheduler;
+}
+
+function submitAll(
+  scheduler: Scheduler,
+  items: readonly WorkItem[],
+  nowMs: number,
+): readonly Decision[] {
+  items.forEach(item => scheduler.submit(item, nowMs));
+  return scheduler.decide(nowMs);
+}
+
+function plain(name: string, fields: Partial<WorkItem> = {}): WorkItem {
+  const {prompt: _prompt, ...rest} = chat(name, {targetLatencyMs: 400});
+  return {...rest, ...fields};
+}
+
+// Guards against more requests at an upstream than it has slots.
+test('requests beyond the slots wait, and go on in turn', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 2})]);
+  const items = ['p1', 'p2', 'p3'].map(name => plain(name));
+  const first = submitAll(scheduler, items, 0).map(line);
+  scheduler.release([
+    {
+      requestId: plain('p1').requestId,
+      upstreamId: upstream('a').upstreamId,
+      outcome: 'answered',
+      firstAnswerMs: 30,
+      totalMs: 30,
+    },
+  ]);
+  const afterRelease = scheduler.decide(30).map(line);
+  matchSnapshot(import.meta.url, 'waits for a slot', {first, afterRelease});
+});
+
+// Guards against a request that waits although it is certain to be late.
+test('a request behind too long a queue is refused at once', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 1})]);
+  const items = Array.from({length: 20}, (_, number) => plain(`p${number}`));
+  const decisions = submitAll(scheduler, items, 0);
+  const refused = decisions.filter(each => each.kind === 'refuse');
+  assert.ok(refused.length >= 8);
+  assert.ok(refused.every(each => each.reason === 'overloaded'));
+});
+
+// Guards against urgent work behind a backlog of less urgent prompts.
+test('a chat overtakes the briefs that wait', () => {
+  const scheduler = schedulerWith(ENGINE_TRAITS, [upstream('a')]);
+  const flood = ['b1', 'b2', 'b3', 'b4'].map(name => brief(name));
+  const first = submitAll(scheduler, flood, 0).map(line);
+  scheduler.submit(chat('urgent'), 10);
+  const laterMs = [10, 100, 200, 300, 400];
+  const later = laterMs.flatMap(atMs => scheduler.decide(atMs).map(line));
+  matchSnapshot(import.meta.url, 'urgent first', {first, later});
+});
+
+// Guards against long prompts between the tokens of every stream: with the
+// floods of both kinds at once, chats stay off the engines that read briefs.
+test('a flood of briefs leaves engines without long prompts to chats', () => {
+  const engines = ['a', 'b', 'c', 'd'].map(name => upstream(name));
+  const scheduler = schedulerWith(ENGINE_TRAITS, engines);
+  const steps = Array.from({length: 100}, (_, step) => step);
+  const grants = steps.flatMap(step => {
+    const items = [
+      chat(`c${step}`),
+      ...(step % 4 === 0 ? [brief(`b${step}`)] : []),
+    ];
+    return submitAll(scheduler, items, step * 20);
+  });
+  const upstreamsOf = (initial: string): ReadonlySet<string> =>
+    new Set(
+      grants
+        .filter(each => each.kind === 'grant')
+        .filter(each => each.requestId.startsWith(initial))
+        .map(each => each.upstreamId),
+    );
+  const ofBriefs = upstreamsOf('b');
+  const shared = [...upstreamsOf('c')].filter(each => ofBriefs.has(each));
+  assert.ok(ofBriefs.size < engines.length);
+  assert.ok(shared.length < ofBriefs.size || shared.length === 0);
+});
+
+// Guards against a region that refuses while another one is idle, and against
+// work sent to a region in which its route must not run.
+test('an overloaded region sends work only where it may go', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 1})]);
+  const service = plain('x').service;
+  scheduler.board.record(
+    {
+      region: AWAY,
+      service,
+      upstreams: 1,
+      freeSlots: 4,
+      freeTokens: 0,
+      waitMs: 0,
+      readShare: 0,
+    },
+    0,
+  );
+  const bound = Array.from({length: 12}, (_, number) => plain(`h${number}`));
+  const free = Array.from({length: 6}, (_, number) =>
+    plain(`f${number}`, {otherRegions: [AWAY]}),
+  );
+  const decisions = submitAll(scheduler, [...bound, ...free], 0).map(line);
+  matchSnapshot(import.meta.url, 'offload of free work only', decisions);
+});
+
+// Guards against a scheduler that takes over and counts what has ended, or
+// counts twice what it granted itself.
+test('what an entry runs replaces what was believed of it', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 3})]);
+  submitAll(scheduler, [plain('p1'), plain('p2')], 0);
+  const {upstreamId} = upstream('a');
+  scheduler.syncRunning(
+    plain('p1').entry,
+    [{item: plain('p2'), upstreamId}],
+    10,
+  );
+  assert.equal(scheduler.pool.get(upstreamId)?.running, 1);
+});
+
+// Guards against more repeats than all instances together may send.
+test('repeats stop at the allowance', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a')]);
+  const repeats = Array.from({length: 40}, (_, number) =>
+    plain(`r${number}`, {isRepeat: true}),
+  );
+  const decisions = submitAll(scheduler, repeats, 0);
+  const grants = decisions.filter(each => each.kind === 'grant');
+  assert.equal(grants.length, 18);
+});
--- /dev/null
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -0,0 +1,114 @@
+/** Builders for the specs of scheduling. */
+import {
+  asId,
+  type DomainId,
+  type InstanceId,
+  type RegionId,
+  type RequestId,
+  type ServiceId,
+  type UpstreamId,
+} from '../../types/ids.js';
+import {Scheduler} from '../scheduler.js';
+import type {
+  Decision,
+  ListedUpstream,
+  ServiceTraits,
+  WorkItem,
+} from '../types.js';
+
+export const ENGINE_TRAITS: ServiceTraits = {
+  coldRequestsPerS: 2.9,
+  kvCacheTokens: 246_518,
+  tokensPerEvent: 7,
+};
+
+export const PLAIN_TRAITS: ServiceTraits = {
+  coldRequestsPerS: 0,
+  kvCacheTokens: 0,
+  tokensPerEvent: 1,
+};
+
+export const HOME = asId<RegionId>('home');
+export const AWAY = asId<RegionId>('away');
+
+export function createScheduler(traits: ServiceTraits): Scheduler {
+  return new Scheduler({
+    region: HOME,
+    traits,
+    retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
+    onPoolChange: () => undefined,
+    onLaneChange: () => undefined,
+  });
+}
+
+export function upstream(
+  name: string,
+  fields: Partial<ListedUpstream> = {},
+): ListedUpstream {
+  return {
+    upstreamId: asId<UpstreamId>(name),
+    service: asId<ServiceId>('service'),
+    address: `${name}:1`,
+    domain: asId<DomainId>('home-a'),
+    slots: 64,
+    isDraining: false,
+    coldRemainingMs: 0,
+    bornAtMs: 1,
+    ...fields,
+  };
+}
+
+/** A short urgent request of a chat. */
+export function chat(name: string, fields: Partial<WorkItem> = {}): WorkItem {
+  return {
+    requestId: asId<RequestId>(name),
+    entry: asId<InstanceId>('entry'),
+    service: asId<ServiceId>('service'),
+    priority: 0,
+    targetLatencyMs: 500,
+    ageMs: 0,
+    remainingMs: 10_000,
+    prompt: {
+      promptTokens: 800,
+      maxOutputTokens: 400,
+      expectedOutputTokens: 294,
+      parts: [
+        {partId: 'rules', tokens: 120},
+        {partId: `${name}-own`, tokens: 680},
+      ],
+    },
+    avoidUpstreams: [],
+    isRepeat: false,
+    isAllowedHere: true,
+    otherRegions: [],
+    ...fields,
+  };
+}
+
+/** A long, less urgent request. */
+export function brief(name: string, fields: Partial<WorkItem> = {}): WorkItem {
+  return {
+    ...chat(name),
+    priority: 2,
+    targetLatencyMs: 1_500,
+    remainingMs: 4_000,
+    prompt: {
+      promptTokens: 9_000,
+      maxOutputTokens: 60,
+      expectedOutputTokens: 50,
+      parts: [
+        {partId: 'manual', tokens: 6_000},
+        {partId: `${name}-own`, tokens: 3_000},
+      ],
+    },
+    ...fields,
+  };
+}
+
+/** A decision as a line of a snapshot. */
+export function line(decision: Decision): string {
+  const {kind, requestId} = decision;
+  if (kind === 'grant') return `${requestId} -> ${decision.upstreamId}`;
+  if (kind === 'offload') return `${requestId} to region ${decision.region}`;
+  return `${requestId} refused: ${decision.reason}`;
+}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -212,6 +212,12 @@
     const usable = this.pool.usable();
     const eligible = this.lane.eligible(item, usable);
     const upstream = chooseUpstream(item, eligible, this.lane, nowMs);
+    const isOverAllowance = item.isRepeat && !this.retries.allowsRepeat(nowMs);
+    if (isOverAllowance) {
+      this.queue.remove(item.requestId);
+      this.refuse(item, 'retry_budget', 0);
+      return;
+    }
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
       return;
@@ -247,6 +253,7 @@
       address: upstream.listed.address,
       queuedMs,
       expectedMs,
+      isCold: upstream.isCold(nowMs),
     });
   }
 
@@ -318,9 +325,7 @@
     const [first] = usable;
     if (first === undefined) return NO_UPSTREAM_WAIT_MS;
     const ahead = this.queue.ahead(priority);
-    const slotsWaitMs =
-      (Math.min(...usable.map(each => each.slotWaitMs())) / usable.length) *
-      (ahead.length + 1);
+    const slotsWaitMs = waitForSlotMs(usable, ahead.length + 1);
     if (!first.isEngine) return slotsWaitMs;
     const unreadMs = ahead.reduce((sum, item) => sum + first.readMs(item), 0);
     const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
@@ -329,6 +334,21 @@
   }
 }
 
+/** Until so many requests have a slot, the last one included. */
+function waitForSlotMs(
+  usable: readonly UpstreamState[],
+  requests: number,
+): number {
+  const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
+  const missing = requests - freeSlots;
+  if (missing <= 0) return 0;
+  const freedPerMs = usable.reduce(
+    (sum, each) => sum + each.slotsFreedPerMs,
+    0,
+  );
+  return missing / freedPerMs;
+}
+
 function tokensOf({prompt}: WorkItem): number {
   return prompt === undefined
     ? 0
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -96,6 +96,8 @@
       readonly queuedMs: number;
       /** First answer expected after this time. */
       readonly expectedMs: number;
+      /** Whether the upstream counts as cold. */
+      readonly isCold: boolean;
     }
   | {
       readonly kind: 'offload';
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -22,6 +22,7 @@
   readonly kind: 'listed' | 'unlisted' | 'reborn' | 'draining' | 'down' | 'up';
   readonly upstreamId: UpstreamId;
   readonly cause: string;
+  readonly coldRemainingMs: number;
 }
 
 /** Outcomes after which an upstream may have restarted, cold or not at all. */
@@ -30,6 +31,11 @@
   'unreachable',
   'silent',
 ]);
+/**
+ * The bound on requests to a cold upstream holds for any second, so also for
+ * one that begins just before it is warm.
+ */
+const COLD_MARGIN_MS = 1_050;
 /** How long an upstream that came back may turn out to be cold. */
 const DOUBT_MS = 3_000;
 
@@ -112,7 +118,7 @@
   ): void {
     const state = this.states.get(upstreamId);
     if (state === undefined) return;
-    state.coldUntilMs = nowMs + coldRemainingMs;
+    state.coldUntilMs = coldUntil(nowMs, coldRemainingMs);
     state.doubtedUntilReadAtMs = nowMs;
     if (!state.isDown) return;
     state.isDown = false;
@@ -145,10 +151,19 @@
     state: UpstreamState,
     cause: string,
   ): void {
-    this.onChange({kind, upstreamId: state.listed.upstreamId, cause});
+    const {upstreamId, coldRemainingMs} = state.listed;
+    this.onChange({kind, upstreamId, cause, coldRemainingMs});
   }
 }
 
+function withinMargin(state: UpstreamState, reading: ListReading): number {
+  return Math.min(state.coldUntilMs, reading.readAtMs + COLD_MARGIN_MS);
+}
+
+function coldUntil(atMs: number, coldRemainingMs: number): number {
+  return coldRemainingMs > 0 ? atMs + coldRemainingMs + COLD_MARGIN_MS : atMs;
+}
+
 function doubt(state: UpstreamState, nowMs: number): void {
   state.coldUntilMs = Math.max(state.coldUntilMs, nowMs + DOUBT_MS);
   state.doubtedUntilReadAtMs = nowMs;
@@ -160,9 +175,11 @@
   listed: ListedUpstream,
   reading: ListReading,
 ): void {
-  const untilMs = reading.readAtMs + listed.coldRemainingMs;
+  const untilMs = coldUntil(reading.readAtMs, listed.coldRemainingMs);
   const isCurrent =
     reading.readAtMs - reading.lagMs >= state.doubtedUntilReadAtMs;
-  if (isCurrent) state.coldUntilMs = untilMs;
+  // A reading that no longer calls it cold does not cut the margin short.
+  if (isCurrent && listed.coldRemainingMs > 0) state.coldUntilMs = untilMs;
+  else if (isCurrent) state.coldUntilMs = withinMargin(state, reading);
   else state.coldUntilMs = Math.max(state.coldUntilMs, untilMs);
 }
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -190,11 +190,10 @@
     this.failureShare = 0;
   }
 
-  /** Mean time until a slot is freed when all are taken. */
-  slotWaitMs(): number {
-    if (this.freeSlots > 0) return 0;
+  /** How many slots become free in a millisecond when all are taken. */
+  get slotsFreedPerMs(): number {
     const meanMs = this.isEngine ? this.meanStreamMs() : this.serviceMs;
-    return meanMs / Math.max(1, this.listed.slots);
+    return this.listed.slots / Math.max(1, meanMs);
   }
 
   private hold(item: WorkItem, expectedMs: number, nowMs: number): void {
@@ -217,7 +216,7 @@
       0,
     );
     const mean = outputTokens / Math.max(1, this.placements.size);
-    return mean * DECODE_MS_PER_TOKEN * this.slowness;
+    return Math.max(1, mean) * DECODE_MS_PER_TOKEN * this.slowness;
   }
 
   private observe(placement: Placement, release: Release): void {
