--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['dist/', 'node_modules/', 'data/']},
+  {ignores: ['dist/', 'node_modules/', 'data/', 'target/']},
   eslint.configs.recommended,
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.recommended],
     languageOptions: {
       parserOptions: {
--- a/scripts/check_layout.mjs
+++ b/scripts/check_layout.mjs
@@ -11,10 +11,13 @@
   readFileSync('scripts/layout_exceptions.json', 'utf8'),
 );
 
-const files = readdirSync('src', {recursive: true})
-  .map(String)
+const files = ['src', 'platform']
+  .flatMap(folder =>
+    readdirSync(folder, {recursive: true}).map(file =>
+      join(folder, String(file)),
+    ),
+  )
   .filter(file => file.endsWith('.ts') && !file.includes('__tests__'))
-  .map(file => join('src', file))
   .sort();
 
 function functionName(node) {
--- a/src/node/__tests__/support/snapshot.ts
+++ b/src/node/__tests__/support/snapshot.ts
@@ -12,7 +12,10 @@
 
 function snapshotFile(specUrl: string, name: string): string {
   const compiled = fileURLToPath(specUrl);
-  const source = compiled.replace(`${sep}dist${sep}`, `${sep}src${sep}`);
+  // The adapter is compiled into a folder of its own, beside what it imports.
+  const source = compiled
+    .replace(`${sep}dist${sep}platform_build${sep}`, sep)
+    .replace(`${sep}dist${sep}`, `${sep}src${sep}`);
   const fileName = `${name.replace(/[^a-zA-Z0-9]+/g, '_')}.json`;
   return join(dirname(source), '__snapshots__', fileName);
 }
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -7,12 +7,24 @@
   RunningPlacement,
   WorkItem,
 } from '../scheduling/types.js';
-import type {RequestId, ServiceId} from '../types/ids.js';
+import {
+  asId,
+  type DomainId,
+  type RequestId,
+  type ServiceId,
+} from '../types/ids.js';
 
 export const SUBMIT_METHOD = 'schedule.submit';
 export const DECIDE_METHOD = 'schedule.decide';
 export const DIGEST_METHOD = 'schedule.digest';
 
+/** Asks an entry of another region to read the platform's list. */
+export const READ_LIST_METHOD = 'list.read';
+
+export const readListSchema = z.object({
+  domain: z.string().transform(value => asId<DomainId>(value)),
+});
+
 /** One thing that an entry tells a scheduler. */
 export type SubmissionPart =
   | {readonly kind: 'item'; readonly item: WorkItem}
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -9,7 +9,7 @@
 import type {ServiceSpec} from '../routes/route_table.js';
 import type {RpcClient} from '../rpc/rpc.js';
 import type {ListedUpstream} from '../scheduling/types.js';
-import {toGatewayError} from '../types/errors.js';
+import {toGatewayError, type GatewayError} from '../types/errors.js';
 import type {
   DomainId,
   InstanceId,
@@ -18,7 +18,7 @@
   UpstreamId,
 } from '../types/ids.js';
 import {BATCH_TIMEOUT_MS} from './batch_link.js';
-import {DIGEST_METHOD} from './messages.js';
+import {DIGEST_METHOD, READ_LIST_METHOD} from './messages.js';
 import type {ProbeTarget, SchedulerHost} from './scheduler_host.js';
 import type {UpstreamFeed} from './upstream_feed.js';
 
@@ -26,6 +26,8 @@
 const LIST_INTERVAL_MS = 1_000;
 const DIGEST_INTERVAL_MS = 250;
 const PROBE_INTERVAL_MS = 500;
+/** Two round trips between regions and the reading itself. */
+const DETOUR_TIMEOUT_MS = 900;
 
 export interface RegionLoopsOptions {
   readonly region: RegionId;
@@ -96,29 +98,65 @@
   }
 
   private async readDomain(domain: DomainId): Promise<boolean> {
-    const {feed, logger, metrics} = this.options;
+    const {feed, metrics} = this.options;
     metrics.count('list_reads');
+    const direct = feed.list(domain);
+    // While the list is lost both ways are tried, so that the way through
+    // another region does not wait for the time limit of the direct one.
+    const detour = this.isListLost ? this.readThroughPeer(domain) : undefined;
     try {
-      this.lastLists.set(domain, await feed.list(domain));
-      if (this.isListLost) {
-        logger.info({event: 'list_regained', domain}, 'the list answers again');
-      }
-      this.isListLost = false;
+      this.lastLists.set(domain, await direct);
+      this.noteList(domain, undefined);
       return true;
     } catch (thrown) {
-      metrics.count('list_read_failures');
-      if (!this.isListLost) {
-        const error = toGatewayError(thrown, 'list.read', domain);
-        logger.warn(
-          {event: 'list_lost', domain, err: error},
-          'the list of upstreams cannot be read; the last one holds',
-        );
-      }
-      this.isListLost = true;
-      return false;
+      this.noteList(domain, toGatewayError(thrown, 'list.read', domain));
+      const upstreams = await (detour ?? this.readThroughPeer(domain));
+      if (upstreams === undefined) return false;
+      this.lastLists.set(domain, upstreams);
+      return true;
     }
   }
 
+  // A partition may cut this region from the list but not from other regions.
+  private async readThroughPeer(
+    domain: DomainId,
+  ): Promise<readonly ListedUpstream[] | undefined> {
+    const {members, region, client, metrics} = this.options;
+    const nowMs = monotonicNowMs();
+    const peers = members
+      .regions()
+      .filter(each => each !== region)
+      .flatMap(each => members.rankedEntries(each, domain, nowMs).slice(0, 1));
+    const answers = await Promise.all(
+      peers.map(peer =>
+        client.call<readonly ListedUpstream[]>(
+          peer.innerAddress,
+          READ_LIST_METHOD,
+          {domain},
+          DETOUR_TIMEOUT_MS,
+        ),
+      ),
+    );
+    metrics.count('list_reads_through_peers');
+    return answers.find(answer => answer.isOk())?.unwrapOr([]);
+  }
+
+  private noteList(domain: DomainId, error: GatewayError | undefined): void {
+    const {logger, metrics} = this.options;
+    const isLost = error !== undefined;
+    if (isLost) metrics.count('list_read_failures');
+    if (isLost === this.isListLost) return;
+    this.isListLost = isLost;
+    if (!isLost) {
+      logger.info({event: 'list_regained', domain}, 'the list answers again');
+      return;
+    }
+    logger.warn(
+      {event: 'list_lost', domain, err: error},
+      'the list cannot be read directly; other regions are asked for it',
+    );
+  }
+
   private sendDigests(): void {
     const {members, region, host, client} = this.options;
     const nowMs = monotonicNowMs();
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -105,8 +105,9 @@
   }
 
   submit(from: InstanceId, parts: readonly SubmissionPart[]): void {
-    if (!this.isStopped)
+    if (!this.isStopped) {
       dispatch(this.actor, {kind: 'submission', from, parts});
+    }
   }
 
   /** Begins to schedule a service before its first request. */
@@ -267,6 +268,7 @@
       coldRequestsPerS: spec?.coldRequestsPerS ?? 0,
       kvCacheTokens: spec?.engine?.kvCacheTokens ?? 0,
       tokensPerEvent: spec?.engine?.tokensPerEvent ?? 1,
+      fetchMsPerToken: spec?.engine?.fetchMsPerToken ?? 0,
     };
   }
 
--- /dev/null
+++ b/src/node/ingress/__tests__/exchange.spec.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {createServer, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {Connections} from '../connections.js';
+import {exchange, type ExchangeEnd} from '../exchange.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nx-signed: 1\r\n';
+
+interface Seen {
+  readonly end: ExchangeEnd;
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Sends one request to a server that handles its connection by hand. */
+async function exchangeWith(
+  onRequest: (socket: Socket) => void,
+): Promise<Seen> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => onRequest(socket));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const connections = new Connections();
+  const seen = {status: 0, body: ''};
+  const end = await exchange(
+    connections.pool(`127.0.0.1:${port}`),
+    {method: 'POST', path: '/', headers: [], body: Buffer.from('x')},
+    {
+      onHead: status => {
+        seen.status = status;
+      },
+      onData: chunk => {
+        seen.body += chunk.toString();
+        return true;
+      },
+    },
+    new AbortController().signal,
+  );
+  await connections.close();
+  server.close();
+  return {end, ...seen};
+}
+
+// Guards against half an answer that is passed on as a whole one: an answer
+// without a length ends with its connection, but not with a reset.
+test('a reset breaks an answer without a length', async () => {
+  const reset = await exchangeWith(socket => {
+    socket.write(`${HEAD}connection: close\r\n\r\nhalf`);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  assert.equal(reset.end.kind, 'broken');
+  const closed = await exchangeWith(socket => {
+    socket.end(`${HEAD}connection: close\r\n\r\nwhole`);
+  });
+  assert.deepEqual(
+    [closed.end.kind, closed.status, closed.body],
+    ['complete', 200, 'whole'],
+  );
+});
+
+// Guards against a request that is called "not run" after it was written.
+test('a connection lost before any answer is not "not sent"', async () => {
+  const lost = await exchangeWith(socket => socket.destroy());
+  assert.equal(lost.end.kind, 'broken');
+});
+
+// Guards against an answer shorter than its length that looks complete.
+test('a body shorter than its length is broken', async () => {
+  const short = await exchangeWith(socket => {
+    socket.end(`${HEAD}content-length: 10\r\n\r\nshort`);
+  });
+  assert.equal(short.end.kind, 'broken');
+});
+
+// Guards against a refused connection that is taken for an unknown outcome.
+test('a refused connection is "not sent"', async () => {
+  const connections = new Connections();
+  const end = await exchange(
+    connections.pool('127.0.0.1:9'),
+    {method: 'GET', path: '/', headers: [], body: Buffer.alloc(0)},
+    {onHead: () => undefined, onData: () => true},
+    new AbortController().signal,
+  );
+  await connections.close();
+  assert.equal(end.kind, 'not_sent');
+});
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -1,5 +1,5 @@
 /** Connections to upstreams and to other entries, one pool for each address. */
-import {Pool} from 'undici';
+import {buildConnector, Pool} from 'undici';
 import {monotonicNowMs} from '../clock/clock.js';
 import {CONNECT_TIMEOUT_MS} from './exchange.js';
 
@@ -14,6 +14,28 @@
   usedAtMs: number;
 }
 
+const connectPlain = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+const RESET_CODE = 'ECONNRESET';
+const REPORTED_RESET_CODE = 'ERR_ANSWER_RESET';
+
+/**
+ * Connects so that a reset always counts as an error. The client library takes
+ * a reset for the proper end of an answer that has no length, although the
+ * rest of the answer may be missing; it goes by the code of the error.
+ */
+const connectReportingResets: buildConnector.connector = (options, callback) =>
+  connectPlain(options, (...result) => {
+    const [error, socket] = result;
+    if (error !== null) {
+      callback(error, null);
+      return;
+    }
+    socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
+      if (cause.code === RESET_CODE) cause.code = REPORTED_RESET_CODE;
+    });
+    callback(null, socket);
+  });
+
 /** The pools of one process. */
 export class Connections {
   private readonly held = new Map<string, HeldPool>();
@@ -34,7 +56,7 @@
     }
     const pool = new Pool(`http://${address}`, {
       pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: connectReportingResets,
       keepAliveTimeout: IDLE_CONNECTION_MS,
       keepAliveMaxTimeout: IDLE_CONNECTION_MS,
       keepAliveTimeoutThreshold: 1_000,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -6,6 +6,8 @@
   DECIDE_METHOD,
   DIGEST_METHOD,
   digestBatchSchema,
+  READ_LIST_METHOD,
+  readListSchema,
   SUBMIT_METHOD,
   submissionSchema,
 } from '../dispatch/messages.js';
@@ -264,6 +266,9 @@
         return {};
       },
     );
+    router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
+      this.options.feed.list(domain),
+    );
     router.register(DIGEST_METHOD, digestBatchSchema, ({digests}) => {
       this.host.recordDigests(digests);
       return {};
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -23,6 +23,8 @@
   readonly remainingMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Address of the upstream that holds the beginning of the prompt. */
+  readonly fetchFrom?: string;
   /** The last event that was relayed, when a stream goes on. */
   readonly lastEventId?: number;
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -151,6 +151,7 @@
       upstreamId,
       remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
       priority: request.route.priority,
+      ...(grant.fetchFrom === undefined ? {} : {fetchFrom: grant.fetchFrom}),
       ...(this.progress.lastEventId === undefined
         ? {}
         : {lastEventId: this.progress.lastEventId}),
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -59,6 +59,8 @@
   /** Tokens in one event of a stream. */
   readonly tokensPerEvent: number;
   readonly models: readonly ModelId[];
+  /** Time in which an engine fetches one token from another; 0 if it cannot. */
+  readonly fetchMsPerToken: number;
 }
 
 /** A service: the upstreams that answer the same requests. */
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -20,12 +20,14 @@
   coldRequestsPerS: 2.9,
   kvCacheTokens: 246_518,
   tokensPerEvent: 7,
+  fetchMsPerToken: 0.0012,
 };
 
 export const PLAIN_TRAITS: ServiceTraits = {
   coldRequestsPerS: 0,
   kvCacheTokens: 0,
   tokensPerEvent: 1,
+  fetchMsPerToken: 0,
 };
 
 export const HOME = asId<RegionId>('home');
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -38,6 +38,11 @@
     });
   }
 
+  /** Whether a region has told of its capacity since this process started. */
+  knows(region: RegionId): boolean {
+    return this.held.has(region);
+  }
+
   /** The best region for a request among those that it may go to. */
   bestOffer(item: WorkItem, nowMs: number): RemoteOffer | undefined {
     return item.otherRegions
--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -18,6 +18,8 @@
 const SHRINK_AFTER_MS = 4_000;
 /** An engine leaves the lane for one that is faster by more than this. */
 const SLOWNESS_MARGIN = 0.2;
+/** Estimates of speed are noisy, and a new member has a cold cache. */
+const SWAP_INTERVAL_MS = 10_000;
 /** Share of its slots that the streams beside the lane may fill. */
 const STREAM_OCCUPANCY = 0.75;
 
@@ -35,6 +37,7 @@
   private demand = 0;
   private demandAtMs = 0;
   private neededSinceMs = 0;
+  private swappedAtMs = 0;
 
   /** Notes a new request, so that the lane grows with the demand. */
   noteArrival(
@@ -42,7 +45,7 @@
     usable: readonly UpstreamState[],
     nowMs: number,
   ): void {
-    const readMs = longReadMs(item, usable);
+    const readMs = longReadMs(item, usable, nowMs);
     const elapsedMs = Math.max(0, nowMs - this.demandAtMs);
     const kept = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
     this.demand = this.demand * kept + readMs / DEMAND_WINDOW_MS;
@@ -51,8 +54,12 @@
   }
 
   /** Whether the request belongs into the lane. */
-  isLong(item: WorkItem, usable: readonly UpstreamState[]): boolean {
-    return longReadMs(item, usable) > 0;
+  isLong(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): boolean {
+    return longReadMs(item, usable, nowMs) > 0;
   }
 
   has(upstream: UpstreamState): boolean {
@@ -63,8 +70,9 @@
   eligible(
     item: WorkItem,
     usable: readonly UpstreamState[],
+    nowMs: number,
   ): readonly UpstreamState[] {
-    if (!this.isLong(item, usable)) return usable;
+    if (!this.isLong(item, usable, nowMs)) return usable;
     const inLane = usable.filter(each => this.has(each));
     return inLane.length > 0 ? inLane : usable;
   }
@@ -80,7 +88,10 @@
     const target = isTooLarge ? size : Math.max(size, current.length);
     const isSame =
       current.length === this.members.length && current.length === target;
-    if (isSame && !this.hasSlowMember(usable)) return;
+    const maySwap =
+      nowMs - this.swappedAtMs > SWAP_INTERVAL_MS && this.hasSlowMember(usable);
+    if (isSame && !maySwap) return;
+    this.swappedAtMs = nowMs;
     const members = fastest(usable, current, target);
     if (members.join() === this.members.join()) return;
     this.members = members;
@@ -108,9 +119,15 @@
   }
 }
 
-function longReadMs(item: WorkItem, usable: readonly UpstreamState[]): number {
+function longReadMs(
+  item: WorkItem,
+  usable: readonly UpstreamState[],
+  nowMs: number,
+): number {
   if (item.prompt === undefined || usable.length === 0) return 0;
-  const readMs = Math.min(...usable.map(each => each.nominalReadMs(item)));
+  const readMs = Math.min(
+    ...usable.map(each => each.readMs(item, nowMs) / each.slownessFactor),
+  );
   return readMs > LONG_READ_MS ? readMs : 0;
 }
 
--- a/src/node/scheduling/read_load.ts
+++ b/src/node/scheduling/read_load.ts
@@ -16,7 +16,9 @@
     nowMs: number,
   ): void {
     if (item.prompt === undefined || usable.length === 0) return;
-    const readMs = Math.min(...usable.map(each => each.nominalReadMs(item)));
+    const readMs = Math.min(
+      ...usable.map(each => each.readMs(item, nowMs) / each.slownessFactor),
+    );
     this.demand = this.current(nowMs) + readMs / WINDOW_MS;
     this.atMs = nowMs;
   }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -164,8 +164,7 @@
 
   private admit(item: WorkItem, nowMs: number): void {
     if (!item.isAllowedHere) {
-      if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      this.sendHome(item, nowMs);
       return;
     }
     const usable = this.pool.usable();
@@ -179,7 +178,7 @@
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
       return;
     }
-    const eligible = this.lane.eligible(item, usable);
+    const eligible = this.lane.eligible(item, usable, nowMs);
     const forecast = this.forecast(item, eligible, nowMs);
     if (isInTime(item, forecast)) {
       this.queue.add(item, nowMs);
@@ -190,6 +189,38 @@
     this.refuse(item, 'overloaded', forecast.waitMs);
   }
 
+  /**
+   * Sends a request to a region in which it may run, whose own scheduler
+   * decides. Without any digest, as after a start, the region is drawn.
+   */
+  private sendHome(item: WorkItem, nowMs: number): void {
+    const offer = this.board.bestOffer(item, nowMs);
+    const unknown = item.otherRegions.filter(each => !this.board.knows(each));
+    const region = offer?.region ?? unknown[0];
+    if (region === undefined) {
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      return;
+    }
+    this.sendTo(region, item, -1, offer?.expectedMs ?? -1);
+  }
+
+  private sendTo(
+    region: RegionId,
+    item: WorkItem,
+    localWaitMs: number,
+    remoteWaitMs: number,
+  ): void {
+    this.board.noteSent(region, item);
+    this.decisions.push({
+      kind: 'offload',
+      requestId: item.requestId,
+      entry: item.entry,
+      region,
+      localWaitMs,
+      remoteWaitMs,
+    });
+  }
+
   /** Sends a long prompt to a region whose engines read less. */
   private relieve(
     item: WorkItem,
@@ -198,7 +229,7 @@
   ): boolean {
     const readShare = this.readLoad.share(usable, nowMs);
     const isPressed =
-      readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, usable);
+      readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, usable, nowMs);
     if (!isPressed) return false;
     const offer = this.board.bestOffer(item, nowMs);
     const isRelief =
@@ -210,7 +241,7 @@
   private serve({item, queuedAtMs}: QueuedItem, nowMs: number): void {
     const queuedMs = nowMs - queuedAtMs;
     const usable = this.pool.usable();
-    const eligible = this.lane.eligible(item, usable);
+    const eligible = this.lane.eligible(item, usable, nowMs);
     const upstream = chooseUpstream(item, eligible, this.lane, nowMs);
     const isOverAllowance = item.isRepeat && !this.retries.allowsRepeat(nowMs);
     if (isOverAllowance) {
@@ -243,6 +274,7 @@
     this.queue.noteGrant();
     if (item.isRepeat) this.retries.noteRepeat(nowMs);
     const expectedMs = upstream.expectedMs(item, nowMs);
+    const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
     upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
     this.decisions.push({
       kind: 'grant',
@@ -254,6 +286,7 @@
       queuedMs,
       expectedMs,
       isCold: upstream.isCold(nowMs),
+      ...(fetchFrom === undefined ? {} : {fetchFrom}),
     });
   }
 
@@ -268,15 +301,8 @@
     const isInTimeThere =
       item.ageMs + offer.expectedMs <= longestWaitMs(item, offer.expectedMs);
     if (!isBetter || !isInTimeThere) return false;
-    this.board.noteSent(offer.region, item);
-    this.decisions.push({
-      kind: 'offload',
-      requestId: item.requestId,
-      entry: item.entry,
-      region: offer.region,
-      localWaitMs: Number.isFinite(localExpectedMs) ? localExpectedMs : -1,
-      remoteWaitMs: offer.expectedMs,
-    });
+    const localWaitMs = Number.isFinite(localExpectedMs) ? localExpectedMs : -1;
+    this.sendTo(offer.region, item, localWaitMs, offer.expectedMs);
     return true;
   }
 
@@ -327,7 +353,10 @@
     const ahead = this.queue.ahead(priority);
     const slotsWaitMs = waitForSlotMs(usable, ahead.length + 1);
     if (!first.isEngine) return slotsWaitMs;
-    const unreadMs = ahead.reduce((sum, item) => sum + first.readMs(item), 0);
+    const unreadMs = ahead.reduce(
+      (sum, item) => sum + first.readMs(item, nowMs),
+      0,
+    );
     const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
     const feedWaitMs = Math.max(0, backlogMs - FEED_BACKLOG_MS);
     return Math.max(slotsWaitMs, feedWaitMs + unreadMs / usable.length);
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -72,6 +72,8 @@
   /** Tokens that one engine holds; 0 for plain services. */
   readonly kvCacheTokens: number;
   readonly tokensPerEvent: number;
+  /** Time in which an engine fetches one token from another; 0 if it cannot. */
+  readonly fetchMsPerToken: number;
 }
 
 /** Why a request was not given an upstream. */
@@ -96,6 +98,8 @@
       readonly queuedMs: number;
       /** First answer expected after this time. */
       readonly expectedMs: number;
+      /** Address of the engine from which it fetches the prompt's beginning. */
+      readonly fetchFrom?: string;
       /** Whether the upstream counts as cold. */
       readonly isCold: boolean;
     }
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,5 +1,6 @@
 /** The upstreams of one service in one region, kept current by the list. */
 import type {DomainId, UpstreamId} from '../types/ids.js';
+import {PrefixHolders} from './prefix_holders.js';
 import type {
   ListedUpstream,
   PlacementOutcome,
@@ -43,6 +44,7 @@
 export class UpstreamPool {
   private readonly states = new Map<UpstreamId, UpstreamState>();
   private evacuated: readonly DomainId[] = [];
+  private readonly holders = new PrefixHolders(() => this.usable());
 
   constructor(
     private traits: ServiceTraits,
@@ -128,7 +130,7 @@
   private applyEntry(listed: ListedUpstream, reading: ListReading): void {
     const known = this.states.get(listed.upstreamId);
     if (known === undefined) {
-      const created = new UpstreamState(listed, this.traits);
+      const created = new UpstreamState(listed, this.traits, this.holders);
       this.states.set(listed.upstreamId, created);
       applyCold(created, listed, reading);
       this.note('listed', created, 'list');
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -11,6 +11,7 @@
   USABLE_CACHE_SHARE,
 } from './constants.js';
 import {PrefixCache} from './prefix_cache.js';
+import type {PrefixHolders} from './prefix_holders.js';
 import {StartPacer} from './start_pacer.js';
 import type {
   ListedUpstream,
@@ -38,6 +39,8 @@
 /** Weight of one first answer in the estimate of an engine's speed. */
 const SLOWNESS_WEIGHT = 0.05;
 const TELLING_READ_MS = 70;
+/** Reading fewer tokens is as quick as fetching them. */
+const LEAST_FETCH_TOKENS = 300;
 const SLOWEST_FACTOR = 6;
 const FASTEST_FACTOR = 0.6;
 
@@ -61,6 +64,7 @@
   constructor(
     public listed: ListedUpstream,
     public traits: ServiceTraits,
+    private readonly holders: PrefixHolders,
   ) {}
 
   get running(): number {
@@ -118,16 +122,19 @@
     return this.slowness;
   }
 
-  /** Time to read what the cache lacks of a prompt. */
-  readMs(item: WorkItem): number {
-    return this.nominalReadMs(item) * this.slowness;
-  }
-
-  /** The same for an engine of nominal speed. */
-  nominalReadMs({prompt}: WorkItem): number {
+  /** Time to read a prompt less what the cache or another engine holds. */
+  readMs(item: WorkItem, nowMs: number): number {
+    const {prompt} = item;
     if (prompt === undefined) return 0;
     const cached = this.cache.cachedTokens(prompt.parts);
-    return Math.max(0, prompt.promptTokens - cached) / PREFILL_TOKENS_PER_MS;
+    const held = this.holders.find(item, nowMs)?.tokens ?? 0;
+    const fetched = this.traits.fetchMsPerToken > 0 ? held - cached : 0;
+    const known = cached + Math.max(0, fetched);
+    const missing = Math.max(0, prompt.promptTokens - known);
+    return (
+      (missing / PREFILL_TOKENS_PER_MS) * this.slowness +
+      Math.max(0, fetched) * this.traits.fetchMsPerToken
+    );
   }
 
   /** Expected time to the first answer if it gets the request now. */
@@ -136,14 +143,25 @@
     return (
       BASE_FIRST_ANSWER_MS * this.slowness +
       this.backlogMs(nowMs) +
-      this.readMs(item)
+      this.readMs(item, nowMs)
     );
   }
 
+  /** The engine from which it should fetch the beginning of a prompt. */
+  fetchSource(item: WorkItem, nowMs: number): UpstreamState | undefined {
+    if (this.traits.fetchMsPerToken === 0) return undefined;
+    const holder = this.holders.find(item, nowMs);
+    const cached = this.cache.cachedTokens(item.prompt?.parts ?? []);
+    const isWorth =
+      holder !== undefined && holder.tokens - cached >= LEAST_FETCH_TOKENS;
+    return isWorth ? holder.upstream : undefined;
+  }
+
   /** A request is sent to it now. */
   start(item: WorkItem, nowMs: number): void {
     const expectedMs = this.expectedMs(item, nowMs);
-    this.readUntilMs = Math.max(this.readUntilMs, nowMs) + this.readMs(item);
+    this.readUntilMs =
+      Math.max(this.readUntilMs, nowMs) + this.readMs(item, nowMs);
     if (this.isCold(nowMs)) {
       this.pacer.noteStart(this.traits.coldRequestsPerS, nowMs);
     }
