--- a/src/node/ingress/answer_reader.ts
+++ b/src/node/ingress/answer_reader.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
-import type {CallerAnswer} from './caller_answer.js';
+import type {CallerAnswer, Framing} from './caller_answer.js';
 import {EventSplitter, type EventBatch} from './event_splitter.js';
 import type {AnswerSink} from './exchange.js';
 import {NOT_RUN_HEADER} from './final_answers.js';
@@ -55,6 +55,15 @@
     return status >= MIN_SUCCESS && status < MIN_REDIRECT;
   }
 
+  /** How the end of the answer is marked. */
+  get framing(): Framing {
+    const headers = this.head?.headers ?? {};
+    const isFramed =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+    return isFramed ? 'framed' : 'until_close';
+  }
+
   /** Another entry refused the request before it reached an upstream. */
   get isRefusedByPeer(): boolean {
     const {isFromPeer} = this.options;
@@ -117,7 +126,8 @@
     if (progress.isStarted || this.head === undefined) return;
     progress.isStarted = true;
     onFirstAnswer();
-    answer.begin(this.head.status, protocol.callerHeaders(this.head.headers));
+    const headers = protocol.callerHeaders(this.head.headers);
+    answer.begin(this.head.status, headers, this.framing);
   }
 }
 
--- a/src/node/ingress/caller_answer.ts
+++ b/src/node/ingress/caller_answer.ts
@@ -2,6 +2,12 @@
 import type {ServerResponse} from 'node:http';
 import type {HeaderPair} from './protocol.js';
 
+/**
+ * How a caller finds the end of an answer. One that reached us without a length
+ * goes on without one: nobody can tell whether it is whole.
+ */
+export type Framing = 'framed' | 'until_close';
+
 /** An answer is sent whole, or begun once and then ended or broken off. */
 export class CallerAnswer {
   private hasBegun = false;
@@ -26,19 +32,29 @@
     status: number,
     headers: readonly HeaderPair[],
     body: Buffer,
+    framing: Framing = 'framed',
   ): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.isOver = true;
     this.setHeaders(headers);
-    this.response.setHeader('content-length', String(body.length));
+    if (framing === 'framed') {
+      this.response.setHeader('content-length', String(body.length));
+    } else {
+      this.endWithConnection();
+    }
     this.response.writeHead(status);
     this.response.end(body);
   }
 
-  begin(status: number, headers: readonly HeaderPair[]): void {
+  begin(
+    status: number,
+    headers: readonly HeaderPair[],
+    framing: Framing,
+  ): void {
     this.hasBegun = true;
     this.setHeaders(headers);
+    if (framing === 'until_close') this.endWithConnection();
     this.response.writeHead(status);
   }
 
@@ -60,6 +76,13 @@
     this.response.destroy();
   }
 
+  // Without a length and without chunks the connection's end is the answer's.
+  private endWithConnection(): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+    this.response.setHeader('connection', 'close');
+  }
+
   private setHeaders(headers: readonly HeaderPair[]): void {
     if (this.mustClose()) this.response.setHeader('connection', 'close');
     headers.forEach(([name, value]) => this.response.appendHeader(name, value));
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -276,7 +276,7 @@
       const headers = context.protocol.callerHeaders(
         reader.head?.headers ?? {},
       );
-      answer.sendWhole(status, headers, reader.body());
+      answer.sendWhole(status, headers, reader.body(), reader.framing);
     }
     return {kind: 'delivered', status};
   }
