--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -12,6 +12,7 @@
   type DomainId,
   type RequestId,
   type ServiceId,
+  type UpstreamId,
 } from '../types/ids.js';
 
 export const SUBMIT_METHOD = 'schedule.submit';
@@ -38,6 +39,12 @@
       readonly service: ServiceId;
       readonly requestId: RequestId;
     }
+  /** An upstream has sent nothing for longer than it should. */
+  | {
+      readonly kind: 'stalled';
+      readonly service: ServiceId;
+      readonly upstreamId: UpstreamId;
+    }
   /** All that the entry runs on a service, for a scheduler new to it. */
   | {
       readonly kind: 'running';
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -71,11 +71,12 @@
   }
 
   private claimServices(): void {
-    const {host, services} = this.options;
+    const {host, services, members} = this.options;
     services()
       .filter(({name}) => this.isOwn(name))
       .forEach(({name}) => host.ensure(name));
     host.dropIdle(service => this.isOwn(service));
+    host.forgetMissing(entry => members.entry(entry) !== undefined);
   }
 
   private isOwn(service: ServiceId): boolean {
@@ -191,7 +192,10 @@
     this.probing.add(target.upstreamId);
     const answer = await feed.health(target.address, spec.healthPath);
     this.probing.delete(target.upstreamId);
-    if (answer === undefined) return;
+    if (answer === undefined) {
+      host.noteProbeFailure(target);
+      return;
+    }
     const isOther =
       answer.upstreamId !== undefined &&
       answer.upstreamId !== target.upstreamId;
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -14,7 +14,13 @@
   WorkItem,
 } from '../scheduling/types.js';
 import type {GatewayError} from '../types/errors.js';
-import type {InstanceId, RegionId, RequestId, ServiceId} from '../types/ids.js';
+import type {
+  InstanceId,
+  RegionId,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+} from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
 import {
   SUBMIT_METHOD,
@@ -100,6 +106,12 @@
     this.send(target, {kind: 'release', service, release});
   }
 
+  /** An upstream has sent nothing for longer than it should. */
+  reportStalled(service: ServiceId, upstreamId: UpstreamId): void {
+    const target = this.schedulerOf(service);
+    this.send(target, {kind: 'stalled', service, upstreamId});
+  }
+
   /** Takes decisions that a scheduler made. */
   deliver(from: InstanceId, decisions: readonly Decision[]): void {
     decisions.forEach(decision => this.take(from, decision));
@@ -257,14 +269,14 @@
       {event: 'scheduler_moved', service, from: before, to: target},
       'another entry schedules a service',
     );
-    if (before !== undefined) this.sync(service, target);
+    // Also with nothing running: a former process of this entry may have been.
+    this.sync(service, target);
   }
 
   private sync(service: ServiceId, target: InstanceId): void {
     const placements = [...this.running.values()]
       .filter(each => each.item.service === service)
       .map(({item, upstreamId}) => ({item, upstreamId}));
-    if (placements.length === 0) return;
     this.send(target, {kind: 'running', service, placements});
   }
 }
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -25,6 +25,10 @@
 } from '../types/ids.js';
 import type {SubmissionPart} from './messages.js';
 
+const MUST_BE_PROBED: ReadonlySet<PoolChange['kind']> = new Set([
+  'down',
+  'suspected',
+]);
 /** Queued requests are looked at again this often. */
 const QUEUE_CHECK_MS = 8;
 /** A service without messages for so long is no longer scheduled here. */
@@ -174,10 +178,15 @@
     this.check();
   }
 
-  /** An entry is gone. */
-  forgetEntry(entry: InstanceId): void {
-    this.hosted.forEach(({scheduler}) => scheduler.forgetEntry(entry));
-    this.check();
+  noteProbeFailure(target: ProbeTarget): void {
+    this.hosted
+      .get(target.service)
+      ?.scheduler.pool.noteProbeFailure(target.upstreamId, monotonicNowMs());
+  }
+
+  /** Forgets entries that are gone. */
+  forgetMissing(isKnown: (entry: InstanceId) => boolean): void {
+    this.hosted.forEach(({scheduler}) => scheduler.forgetMissing(isKnown));
   }
 
   /** Drops services that nobody asks for any more. */
@@ -211,9 +220,11 @@
       case 'item':
         return scheduler.submit(part.item, nowMs);
       case 'release':
-        return scheduler.release([part.release]);
+        return scheduler.release([part.release], nowMs);
       case 'cancel':
         return scheduler.cancel(part.requestId);
+      case 'stalled':
+        return scheduler.pool.suspect(part.upstreamId);
       case 'running':
         return scheduler.syncRunning(from, part.placements, nowMs);
     }
@@ -286,7 +297,7 @@
       },
       'the belief about an upstream changed',
     );
-    if (change.kind === 'down') this.options.onDown();
+    if (MUST_BE_PROBED.has(change.kind)) this.options.onDown();
   }
 }
 
--- a/src/node/fleet/constants.ts
+++ b/src/node/fleet/constants.ts
@@ -2,6 +2,8 @@
 
 /** Bounds how long a change of state or table stays unknown to an entry. */
 export const ANNOUNCE_INTERVAL_MS = 400;
+/** The same while an entry holds no state at all. */
+export const STARTING_INTERVAL_MS = 150;
 /** Several round trips between regions. */
 export const ANNOUNCE_TIMEOUT_MS = 800;
 /** Six announcements lost in a row: the entry counts as gone. */
--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -12,6 +12,7 @@
   ANNOUNCE_INTERVAL_MS,
   ANNOUNCE_TIMEOUT_MS,
   FETCH_TIMEOUT_MS,
+  STARTING_INTERVAL_MS,
 } from './constants.js';
 import type {FleetMembers} from './fleet_members.js';
 import {
@@ -35,20 +36,24 @@
 
 /** The running link of one entry. */
 export class ControlLink {
-  private timer: ReturnType<typeof setInterval> | undefined;
+  private timer: ReturnType<typeof setTimeout> | undefined;
   private readonly isCalling = new Set<InstanceId>();
   private readonly isReachable = new Map<InstanceId, boolean>();
   private isFetching = false;
 
   constructor(private readonly options: ControlLinkOptions) {}
 
+  /** Announces this entry now and from now on. */
   start(): void {
-    this.timer = setInterval(() => this.announceToAll(), ANNOUNCE_INTERVAL_MS);
     this.announceToAll();
+    // Without any state every request is refused, so the first is urgent.
+    const hasState = this.options.heldState().revision > 0;
+    const intervalMs = hasState ? ANNOUNCE_INTERVAL_MS : STARTING_INTERVAL_MS;
+    this.timer = setTimeout(() => this.start(), intervalMs);
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
   }
 
   /** Announces at once, for changes that must not wait for the next turn. */
--- a/src/node/ingress/answer_reader.ts
+++ b/src/node/ingress/answer_reader.ts
@@ -44,6 +44,8 @@
 /** The sink of one try. */
 export class AnswerReader implements AnswerSink {
   head: AnswerHead | undefined;
+  /** When the last bytes of the answer arrived; 0 before the first ones. */
+  lastBytesAtMs = 0;
   private readonly splitter = new EventSplitter();
   private readonly chunks: Buffer[] = [];
   private isRelaying = false;
@@ -90,6 +92,7 @@
   }
 
   onData(chunk: Buffer, resume: () => void): boolean {
+    this.lastBytesAtMs = monotonicNowMs();
     if (!this.isRelaying) {
       this.chunks.push(chunk);
       return true;
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -27,7 +27,7 @@
   idleTimeoutMs: 15_000,
 };
 /** A caller that is told to come back while there is no route table. */
-const NOT_READY_RETRY_MS = 500;
+const NOT_READY_RETRY_MS = 1_000;
 const ID_BYTES = 6;
 
 export interface IngressServerOptions {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -21,13 +21,12 @@
 import type {RequestProtocol} from './protocol.js';
 import type {Relay} from './relay.js';
 import {sendFailure, sendRefusal} from './final_answers.js';
+import {StallWatch} from './stall_watch.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 /** Tries that certainly did not run, beyond those that the route allows. */
 const MAX_TRIES_NOT_RUN = 2;
 const NO_ANSWER = 'no answer in time';
-/** An upstream without any answer for so long beyond what was expected. */
-const SILENCE_MS = 1_500;
 
 export interface RequestRunContext {
   readonly region: RegionId;
@@ -158,11 +157,9 @@
     });
     const {method, path, body} = request;
     const end = await this.exchangeUntilSilent(
-      address,
-      upstreamId,
+      grant,
       {method, path, body, headers: headers.flat()},
       reader,
-      grant.expectedMs,
     );
     const result = this.interpret(end, reader);
     const outcome = outcomeOf(end, result, reader);
@@ -181,24 +178,24 @@
 
   // A request that can be repeated leaves an upstream that stays silent.
   private async exchangeUntilSilent(
-    address: string,
-    upstreamId: UpstreamId,
+    grant: Grant,
     sent: Parameters<typeof exchange>[1],
     reader: AnswerReader,
-    expectedMs: number,
   ): Promise<ExchangeEnd> {
-    const {route} = this.request;
-    const pool = this.context.connections.pool(address, upstreamId);
-    if (!isRepeatable(route) || this.runs + 1 >= route.maxUpstreams) {
-      return exchange(pool, sent, reader, this.signal);
-    }
+    const {connections, scheduler} = this.context;
+    const {upstreamId, address, service, expectedMs} = grant;
     const silence = new AbortController();
-    const timer = setTimeout(() => {
-      if (this.firstAnswerMs === 0) silence.abort();
-    }, expectedMs + SILENCE_MS);
+    const mayRepeat = this.runs + 1 < this.maxRuns();
+    const watch = new StallWatch({
+      expectedMs,
+      lastBytesAtMs: () => reader.lastBytesAtMs,
+      onSuspect: () => scheduler.reportStalled(service, upstreamId),
+      ...(mayRepeat ? {onGiveUp: () => silence.abort()} : {}),
+    });
+    const pool = connections.pool(address, upstreamId);
     const signal = AbortSignal.any([this.signal, silence.signal]);
     const end = await exchange(pool, sent, reader, signal);
-    clearTimeout(timer);
+    watch.stop();
     const isSilent = end.kind === 'aborted' && !this.signal.aborted;
     return isSilent ? {kind: 'broken', cause: NO_ANSWER} : end;
   }
@@ -282,9 +279,13 @@
   }
 
   private hasTryLeft(): boolean {
+    return this.runs < this.maxRuns();
+  }
+
+  // The entry that relayed a request repeats it itself.
+  private maxRuns(): number {
     const {route, isRelayed} = this.request;
-    const isRepeated = !isRelayed && isRepeatable(route);
-    return isRepeated && this.runs < route.maxUpstreams;
+    return !isRelayed && isRepeatable(route) ? route.maxUpstreams : 1;
   }
 
   private mayTryAgain(result: TryResult): boolean {
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -46,6 +46,9 @@
 /** Whole tables are the entries of the log, so a snapshot comes early. */
 const SNAPSHOT_EVERY_ENTRIES = 64;
 const KEEP_ENTRIES = 16;
+/** Several heartbeats between regions; callers wait while there is no leader. */
+const ELECTION_MIN_MS = 700;
+const ELECTION_MAX_MS = 1_300;
 /** Callers of the operators' interface wait little longer than a second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
 
@@ -134,6 +137,8 @@
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
       keepEntries: KEEP_ENTRIES,
       proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
+      electionMinMs: ELECTION_MIN_MS,
+      electionMaxMs: ELECTION_MAX_MS,
       onFailure: error =>
         options.logger.error(
           {event: 'log_failed', err: error},
--- a/src/node/scheduling/__tests__/cold_upstreams.spec.ts
+++ b/src/node/scheduling/__tests__/cold_upstreams.spec.ts
@@ -75,9 +75,10 @@
   scheduler.submit(chat('lost'), 0);
   scheduler.decide(0);
   const {upstreamId} = upstream('engine');
-  scheduler.release([
-    {requestId, upstreamId, outcome: 'broken', firstAnswerMs: 0, totalMs: 9},
-  ]);
+  scheduler.release(
+    [{requestId, upstreamId, outcome: 'broken', firstAnswerMs: 0, totalMs: 9}],
+    9,
+  );
   assert.equal(scheduler.pool.toProbe().length, 1);
   scheduler.pool.noteProbe(upstreamId, 2_900, 1_000);
   read(scheduler, 1_200, warm);
--- a/src/node/scheduling/__tests__/scheduler.spec.ts
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -42,15 +42,18 @@
   const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 2})]);
   const items = ['p1', 'p2', 'p3'].map(name => plain(name));
   const first = submitAll(scheduler, items, 0).map(line);
-  scheduler.release([
-    {
-      requestId: plain('p1').requestId,
-      upstreamId: upstream('a').upstreamId,
-      outcome: 'answered',
-      firstAnswerMs: 30,
-      totalMs: 30,
-    },
-  ]);
+  scheduler.release(
+    [
+      {
+        requestId: plain('p1').requestId,
+        upstreamId: upstream('a').upstreamId,
+        outcome: 'answered',
+        firstAnswerMs: 30,
+        totalMs: 30,
+      },
+    ],
+    30,
+  );
   const afterRelease = scheduler.decide(30).map(line);
   matchSnapshot(import.meta.url, 'waits for a slot', {first, afterRelease});
 });
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -14,17 +14,22 @@
 import {chooseUpstream} from './choose_upstream.js';
 import {
   ADMISSION_SHARE_OF_TARGET,
-  FEED_BACKLOG_MS,
   LONGEST_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_GAIN_MS,
   OFFLOAD_READ_SHARE,
   OFFLOAD_READ_SHARE_GAIN,
   SHORTEST_RETRY_AFTER_MS,
-  WAIT_SHARE_OF_TARGET,
 } from './constants.js';
 import {ReadLoad} from './read_load.js';
 import {RetryAllowance, type RetryAllowanceOptions} from './retry_allowance.js';
+import {
+  forecast,
+  isInTime,
+  longestWaitMs,
+  queueWaitMs,
+  tokensOf,
+} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
 import type {
   CapacityDigest,
@@ -51,14 +56,6 @@
   ) => void;
 }
 
-/** What a request has to expect here. */
-interface Forecast {
-  /** Until an upstream is free for it. */
-  readonly waitMs: number;
-  /** From then to its first answer. */
-  readonly answerMs: number;
-}
-
 /** The scheduler of one service. Decisions are taken out with `decide`. */
 export class Scheduler {
   readonly pool: UpstreamPool;
@@ -101,8 +98,8 @@
   }
 
   /** Ends placements. */
-  release(releases: readonly Release[]): void {
-    releases.forEach(each => this.pool.end(each));
+  release(releases: readonly Release[], nowMs: number): void {
+    releases.forEach(each => this.pool.end(each, nowMs));
   }
 
   /** The caller left before a decision was used. */
@@ -125,10 +122,15 @@
     );
   }
 
-  /** An entry is gone with all that it ran. */
-  forgetEntry(entry: InstanceId): void {
-    this.queue.removeEntry(entry);
-    this.pool.all().forEach(each => each.forgetEntry(entry));
+  /** Forgets entries that are gone, with all that they ran. */
+  forgetMissing(isKnown: (entry: InstanceId) => boolean): void {
+    this.queue.removeEntries(entry => !isKnown(entry));
+    this.pool.all().forEach(upstream =>
+      upstream
+        .entries()
+        .filter(entry => !isKnown(entry))
+        .forEach(entry => upstream.forgetEntry(entry)),
+    );
   }
 
   setEvacuated(domains: readonly DomainId[], nowMs: number): void {
@@ -157,7 +159,7 @@
         (most, each) => Math.max(most, each.freeTokens),
         0,
       ),
-      waitMs: this.queueWaitMs(Number.MAX_SAFE_INTEGER, usable, nowMs),
+      waitMs: queueWaitMs(this.queue.all(), usable, nowMs),
       readShare: this.readLoad.share(usable, nowMs),
     };
   }
@@ -179,14 +181,19 @@
       return;
     }
     const eligible = this.lane.eligible(item, usable, nowMs);
-    const forecast = this.forecast(item, eligible, nowMs);
-    if (isInTime(item, forecast)) {
+    const expected = forecast(
+      item,
+      this.queue.ahead(item.priority),
+      eligible,
+      nowMs,
+    );
+    if (isInTime(item, expected)) {
       this.queue.add(item, nowMs);
       return;
     }
-    const expectedMs = forecast.waitMs + forecast.answerMs;
+    const expectedMs = expected.waitMs + expected.answerMs;
     if (this.offload(item, expectedMs, nowMs)) return;
-    this.refuse(item, 'overloaded', forecast.waitMs);
+    this.refuse(item, 'overloaded', expected.waitMs);
   }
 
   /**
@@ -260,7 +267,7 @@
     this.queue.remove(item.requestId);
     const aged = {...item, ageMs: waitedMs};
     if (this.offload(aged, Number.POSITIVE_INFINITY, nowMs)) return;
-    const waitMs = this.queueWaitMs(item.priority, usable, nowMs);
+    const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
     this.refuse(item, isLost ? 'no_upstream' : 'overloaded', waitMs);
   }
 
@@ -323,80 +330,4 @@
       ),
     });
   }
-
-  private forecast(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): Forecast {
-    const answerMs = Math.min(
-      ...usable.map(each =>
-        each.isEngine
-          ? each.expectedMs(item, nowMs) - each.backlogMs(nowMs)
-          : each.meanServiceMs,
-      ),
-    );
-    return {
-      waitMs: this.queueWaitMs(item.priority, usable, nowMs),
-      answerMs,
-    };
-  }
-
-  /** Wait behind everything of this rank or a more urgent one. */
-  private queueWaitMs(
-    priority: number,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): number {
-    const [first] = usable;
-    if (first === undefined) return NO_UPSTREAM_WAIT_MS;
-    const ahead = this.queue.ahead(priority);
-    const slotsWaitMs = waitForSlotMs(usable, ahead.length + 1);
-    if (!first.isEngine) return slotsWaitMs;
-    const unreadMs = ahead.reduce(
-      (sum, item) => sum + first.readMs(item, nowMs),
-      0,
-    );
-    const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
-    const feedWaitMs = Math.max(0, backlogMs - FEED_BACKLOG_MS);
-    return Math.max(slotsWaitMs, feedWaitMs + unreadMs / usable.length);
-  }
-}
-
-/** Until so many requests have a slot, the last one included. */
-function waitForSlotMs(
-  usable: readonly UpstreamState[],
-  requests: number,
-): number {
-  const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
-  const missing = requests - freeSlots;
-  if (missing <= 0) return 0;
-  const freedPerMs = usable.reduce(
-    (sum, each) => sum + each.slotsFreedPerMs,
-    0,
-  );
-  return missing / freedPerMs;
-}
-
-function tokensOf({prompt}: WorkItem): number {
-  return prompt === undefined
-    ? 0
-    : prompt.promptTokens + prompt.expectedOutputTokens;
-}
-
-/** A large prompt may take longer than its target if it does not wait. */
-function longestWaitMs(item: WorkItem, answerMs: number): number {
-  const {targetLatencyMs, remainingMs} = item;
-  return Math.min(
-    remainingMs,
-    Math.max(
-      targetLatencyMs * ADMISSION_SHARE_OF_TARGET,
-      targetLatencyMs * WAIT_SHARE_OF_TARGET + answerMs,
-    ),
-  );
-}
-
-function isInTime(item: WorkItem, {waitMs, answerMs}: Forecast): boolean {
-  const totalMs = item.ageMs + waitMs + answerMs;
-  return totalMs <= longestWaitMs(item, answerMs);
 }
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -20,7 +20,8 @@
 
 /** A change of belief about one upstream, for the log. */
 export interface PoolChange {
-  readonly kind: 'listed' | 'unlisted' | 'reborn' | 'draining' | 'down' | 'up';
+  readonly kind:
+    'listed' | 'unlisted' | 'reborn' | 'draining' | 'suspected' | 'down' | 'up';
   readonly upstreamId: UpstreamId;
   readonly cause: string;
   readonly coldRemainingMs: number;
@@ -37,6 +38,7 @@
  * one that begins just before it is warm.
  */
 const COLD_MARGIN_MS = 1_050;
+const ANSWERED_LATELY_MS = 700;
 /** How long an upstream that came back may turn out to be cold. */
 const DOUBT_MS = 3_000;
 
@@ -97,19 +99,42 @@
   }
 
   /** Ends a placement and draws conclusions about the upstream. */
-  end(release: Release): void {
+  end(release: Release, nowMs: number): void {
     const state = this.states.get(release.upstreamId);
     if (state === undefined) return;
-    state.end(release);
+    state.end(release, nowMs);
     if (SUSPICIOUS.has(release.outcome) && !state.isDown) {
       state.isDown = true;
       this.note('down', state, release.outcome);
     }
   }
 
-  /** Upstreams that must answer a probe before they get work again. */
+  /** An entry waits for an upstream in vain; a probe tells whether it runs. */
+  suspect(upstreamId: UpstreamId): void {
+    const state = this.states.get(upstreamId);
+    if (state === undefined || state.isDown || state.isSuspected) return;
+    state.isSuspected = true;
+    this.note('suspected', state, 'stalled');
+  }
+
+  /** Upstreams that must answer a probe. */
   toProbe(): readonly UpstreamState[] {
-    return this.all().filter(each => each.isDown && !each.listed.isDraining);
+    return this.all().filter(
+      each => (each.isDown || each.isSuspected) && !each.listed.isDraining,
+    );
+  }
+
+  /**
+   * No answer to a probe: a suspected upstream is down, unless it answered
+   * requests lately. A probe waits for a slot like any request.
+   */
+  noteProbeFailure(upstreamId: UpstreamId, nowMs: number): void {
+    const state = this.states.get(upstreamId);
+    if (state === undefined || state.isDown) return;
+    state.isSuspected = false;
+    if (nowMs - state.answeredAtMs < ANSWERED_LATELY_MS) return;
+    state.isDown = true;
+    this.note('down', state, 'probe');
   }
 
   /** A probe succeeded; `coldRemainingMs` as the upstream itself says. */
@@ -120,8 +145,11 @@
   ): void {
     const state = this.states.get(upstreamId);
     if (state === undefined) return;
-    state.coldUntilMs = coldUntil(nowMs, coldRemainingMs);
-    state.doubtedUntilReadAtMs = nowMs;
+    if (state.isDown || coldRemainingMs > 0) {
+      state.coldUntilMs = coldUntil(nowMs, coldRemainingMs);
+      state.doubtedUntilReadAtMs = nowMs;
+    }
+    state.isSuspected = false;
     if (!state.isDown) return;
     state.isDown = false;
     this.note('up', state, 'probe');
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -1,5 +1,5 @@
 /** What the scheduler believes about one upstream. */
-import type {RequestId} from '../types/ids.js';
+import type {InstanceId, RequestId} from '../types/ids.js';
 import {
   AVERAGE_WEIGHT,
   BASE_FIRST_ANSWER_MS,
@@ -50,6 +50,10 @@
   readonly pacer = new StartPacer();
   /** Down until a probe succeeds. */
   isDown = false;
+  /** An entry waits for it in vain; a probe is under way. */
+  isSuspected = false;
+  /** When it last ended a request with an answer. */
+  answeredAtMs = Number.NEGATIVE_INFINITY;
   /** Cold, or not known to be warm, until then. */
   coldUntilMs = 0;
   /** A list read before this time does not tell that it is warm. */
@@ -174,7 +178,7 @@
   }
 
   /** Ends a placement; an unknown one changes nothing. */
-  end(release: Release): void {
+  end(release: Release, nowMs: number): void {
     const placement = this.placements.get(release.requestId);
     if (placement === undefined) return;
     this.placements.delete(release.requestId);
@@ -182,7 +186,9 @@
     if (release.outcome === 'cancelled') return;
     const failure = FAILURES.has(release.outcome) ? 1 : 0;
     this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
-    if (release.outcome === 'answered') this.observe(placement, release);
+    if (release.outcome !== 'answered') return;
+    this.answeredAtMs = nowMs;
+    this.observe(placement, release);
   }
 
   /** Forgets placements whose entry never told their end. */
@@ -192,6 +198,11 @@
       .forEach(each => this.forget(each));
   }
 
+  /** Entries that run something on it. */
+  entries(): readonly InstanceId[] {
+    return [...new Set([...this.placements.values()].map(e => e.item.entry))];
+  }
+
   /** Forgets the placements of an entry that is gone. */
   forgetEntry(entry: WorkItem['entry']): void {
     [...this.placements.values()]
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -34,8 +34,8 @@
     this.items = this.items.filter(each => each.item.requestId !== requestId);
   }
 
-  removeEntry(entry: InstanceId): void {
-    this.items = this.items.filter(each => each.item.entry !== entry);
+  removeEntries(isGone: (entry: InstanceId) => boolean): void {
+    this.items = this.items.filter(each => !isGone(each.item.entry));
   }
 
   has(requestId: RequestId): boolean {
@@ -56,6 +56,10 @@
     this.grants += 1;
   }
 
+  all(): readonly WorkItem[] {
+    return this.items.map(each => each.item);
+  }
+
   /** Requests that go before a new one of this priority. */
   ahead(priority: number): readonly WorkItem[] {
     return this.items
