--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -149,16 +149,24 @@
       const isIdle = this.ingress.requestsInFlight === 0;
       return passedMs >= latestMs || (isIdle && passedMs >= SHORTEST_STOP_MS);
     });
-    this.link.stop();
-    this.loops.stop();
-    this.host.stop();
-    this.ingress.close();
+    await this.abort();
     logger.info(
       {event: 'stopped', requestsInFlight: this.ingress.requestsInFlight},
       'the entry stopped',
     );
   }
 
+  /** Closes everything at once. */
+  async abort(): Promise<void> {
+    this.link.stop();
+    this.loops.stop();
+    this.host.stop();
+    this.ingress.close();
+    this.sideServers.forEach(server => server.close());
+    await Promise.all([this.connections.close(), this.client.close()]);
+    await this.inner.stop();
+  }
+
   private isReady(): boolean {
     return this.matcher !== undefined && !this.isStopping;
   }
