--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -4,6 +4,7 @@
  * one.
  */
 import {monotonicNowMs} from '../clock/clock.js';
+import {unpack, type Packed} from '../control/packing.js';
 import type {Logger} from '../logging/logger.js';
 import type {ControlState} from '../routes/route_table.js';
 import type {RpcClient} from '../rpc/rpc.js';
@@ -109,12 +110,9 @@
   private async fetchState(address: string): Promise<void> {
     if (this.isFetching) return;
     this.isFetching = true;
-    const fetched = await this.options.client.call<ControlState>(
-      address,
-      FETCH_STATE_METHOD,
-      {},
-      FETCH_TIMEOUT_MS,
-    );
+    const fetched = await this.options.client
+      .call<Packed>(address, FETCH_STATE_METHOD, {}, FETCH_TIMEOUT_MS)
+      .map(packed => unpack(packed) as ControlState);
     this.isFetching = false;
     if (fetched.isErr()) {
       this.options.logger.warn(
--- a/src/node/ingress/answer_reader.ts
+++ b/src/node/ingress/answer_reader.ts
@@ -25,6 +25,8 @@
   readonly answer: CallerAnswer;
   readonly attemptId: string;
   readonly isStream: boolean;
+  /** Whether the stream may go on elsewhere after a whole event. */
+  readonly isResumable: boolean;
   readonly progress: StreamProgress;
   /** Whether another entry answers, which may refuse for itself. */
   readonly isFromPeer: boolean;
@@ -97,6 +99,7 @@
       this.chunks.push(chunk);
       return true;
     }
+    if (!this.options.isResumable) return this.relayBytes(chunk, resume);
     const batch = this.splitter.push(chunk);
     return batch === undefined ? true : this.relay(batch, resume);
   }
@@ -110,18 +113,23 @@
     answer.end();
   }
 
-  private relay(batch: EventBatch, resume: () => void): boolean {
+  private relayBytes(bytes: Buffer, resume: () => void): boolean {
     const {answer, progress} = this.options;
+    this.beginOnce();
+    noteEvent(progress, monotonicNowMs());
+    return answer.write(bytes, resume);
+  }
+
+  private relay(batch: EventBatch, resume: () => void): boolean {
+    const {progress} = this.options;
     const expected =
       progress.lastEventId === undefined ? undefined : progress.lastEventId + 1;
     if (progress.isStarted && expected !== undefined) {
       const isNext = batch.firstId === undefined || batch.firstId === expected;
       if (!isNext) throw new Error('an event of the stream is missing');
     }
-    this.beginOnce();
-    noteEvent(progress, monotonicNowMs());
     progress.lastEventId = batch.lastId ?? progress.lastEventId;
-    return answer.write(batch.bytes, resume);
+    return this.relayBytes(batch.bytes, resume);
   }
 
   private beginOnce(): void {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -226,6 +226,7 @@
       answer,
       attemptId: request.traits.attemptId,
       isStream: request.route.kind === 'stream',
+      isResumable: request.route.isResumable,
       progress,
       isFromPeer,
       onFirstAnswer: () => {
--- a/src/node/routes/__tests__/route_table.spec.ts
+++ b/src/node/routes/__tests__/route_table.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {pack} from '../../control/packing.js';
 import {matchSnapshot} from '../../__tests__/support/snapshot.js';
 import {
   asId,
@@ -62,7 +63,11 @@
   const results = versions.map((version, position) => ({
     proposed: version,
     ...machine.apply(
-      {kind: 'replace_table', table: table(version, [route(`r${position}`)])},
+      {
+        kind: 'replace_table',
+        version,
+        table: pack(table(version, [route(`r${position}`)])),
+      },
       asNumber<LogIndex>(position + 1),
     ),
     inForce: machine.state.table?.routes[0]?.name,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -4,6 +4,7 @@
  */
 import {okAsync, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {pack, type Packed} from '../control/packing.js';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
 import {
   ANNOUNCE_METHOD,
@@ -81,6 +82,7 @@
   private watch: MemberWatch | undefined;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
+  private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
@@ -104,7 +106,7 @@
     router.register(
       FETCH_STATE_METHOD,
       z.object({}),
-      () => this.stateForEntries,
+      () => this.packedForEntries,
     );
   }
 
@@ -160,7 +162,12 @@
   replaceTable(
     table: RouteTable,
   ): ResultAsync<ControlChangeResult, GatewayError> | undefined {
-    return this.forward?.({kind: 'replace_table', table});
+    const {version} = table;
+    return this.forward?.({
+      kind: 'replace_table',
+      version,
+      table: pack(table),
+    });
   }
 
   /** Sets or lifts the evacuation of a domain. */
@@ -247,6 +254,7 @@
       ...state,
       table: table === undefined ? undefined : {...table, source: ''},
     };
+    this.packedForEntries = pack(this.stateForEntries);
     this.options.logger.info(
       {
         event: 'state_applied',
--- a/src/node/routes/route_table_machine.ts
+++ b/src/node/routes/route_table_machine.ts
@@ -1,4 +1,5 @@
 /** The replicated state of the control group: route table and evacuations. */
+import {pack, unpack, type Packed} from '../control/packing.js';
 import {StateMachine, type JsonValue} from '../replication/replicated_log.js';
 import type {DomainId, LogIndex} from '../types/ids.js';
 import {
@@ -9,7 +10,12 @@
 
 /** A change of the control state. */
 export type ControlChange =
-  | {readonly kind: 'replace_table'; readonly table: RouteTable}
+  | {
+      readonly kind: 'replace_table';
+      readonly version: number;
+      /** A `RouteTable`; tables are large and differ little. */
+      readonly table: Packed;
+    }
   | {
       readonly kind: 'set_evacuation';
       readonly domain: DomainId;
@@ -47,7 +53,7 @@
   override apply(change: ControlChange, index: LogIndex): ControlChangeResult {
     const next =
       change.kind === 'replace_table'
-        ? this.withTable(change.table)
+        ? this.withTable(change.version, change.table)
         : this.withEvacuation(change.domain, change.isEvacuated);
     const isChanged = next !== this.current;
     if (isChanged) {
@@ -58,17 +64,18 @@
   }
 
   override snapshot(): JsonValue {
-    return this.current as unknown as JsonValue;
+    return pack(this.current);
   }
 
   override restore(snapshot: JsonValue): void {
-    this.current = snapshot as unknown as ControlState;
+    this.current = unpack(String(snapshot)) as ControlState;
     this.onChange(this.current);
   }
 
-  private withTable(table: RouteTable): ControlState {
+  private withTable(version: number, packed: Packed): ControlState {
     const held = this.current.table?.version ?? 0;
-    return table.version > held ? {...this.current, table} : this.current;
+    if (version <= held) return this.current;
+    return {...this.current, table: unpack(packed) as RouteTable};
   }
 
   private withEvacuation(domain: DomainId, isEvacuated: boolean): ControlState {
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -155,10 +155,7 @@
       upstreams: usable.length,
       freeSlots:
         usable.reduce((sum, each) => sum + each.freeSlots, 0) - this.queue.size,
-      freeTokens: usable.reduce(
-        (most, each) => Math.max(most, each.freeTokens),
-        0,
-      ),
+      freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
       waitMs: queueWaitMs(this.queue.all(), usable, nowMs),
       readShare: this.readLoad.share(usable, nowMs),
     };
