--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -48,8 +48,8 @@
 const SNAPSHOT_EVERY_ENTRIES = 64;
 const KEEP_ENTRIES = 16;
 /** Several heartbeats between regions; callers wait while there is no leader. */
-const ELECTION_MIN_MS = 700;
-const ELECTION_MAX_MS = 1_300;
+const ELECTION_MIN_MS = 500;
+const ELECTION_MAX_MS = 900;
 /** Callers of the operators' interface wait little longer than a second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
 
--- a/src/node/scheduling/__tests__/scheduler.spec.ts
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -154,3 +154,14 @@
   const grants = decisions.filter(each => each.kind === 'grant');
   assert.equal(grants.length, 18);
 });
+
+// Guards against callers that return while the region still has nothing, and
+// are refused a second time.
+test('without any upstream callers are told to come back after seconds', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [
+    upstream('a', {isDraining: true}),
+  ]);
+  const [decision] = submitAll(scheduler, [plain('p1')], 0);
+  assert.equal(decision?.kind, 'refuse');
+  assert.ok(decision?.kind === 'refuse' && decision.retryAfterMs >= 2_000);
+});
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -38,8 +38,11 @@
 export const DIGEST_EXPIRY_MS = 1_500;
 /** Failures in a row after which an upstream is probed before further use. */
 export const SILENCES_TO_SUSPECT = 1;
-export const SHORTEST_RETRY_AFTER_MS = 150;
-export const LONGEST_RETRY_AFTER_MS = 2_000;
+/** Long enough for the load of a moment to change. */
+export const SHORTEST_RETRY_AFTER_MS = 300;
+export const LONGEST_RETRY_AFTER_MS = 3_000;
+/** Lost upstreams and regions are back after seconds rather than at once. */
+export const NO_UPSTREAM_RETRY_AFTER_MS = 2_000;
 /** Cold upstreams get this share of what they tolerate. */
 export const COLD_PACE_SHARE = 0.85;
 /** Longest wait for an upstream that is known but not usable yet. */
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
 import {
   ADMISSION_SHARE_OF_TARGET,
   LONGEST_RETRY_AFTER_MS,
+  NO_UPSTREAM_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_GAIN_MS,
   OFFLOAD_READ_SHARE,
@@ -174,7 +175,7 @@
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
       // A list that was never read may still name upstreams.
       if (this.pool.all().length === 0) this.queue.add(item, nowMs);
-      else this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
       return;
     }
     const eligible = this.lane.eligible(item, usable, nowMs);
@@ -202,7 +203,7 @@
     const unknown = item.otherRegions.filter(each => !this.board.knows(each));
     const region = offer?.region ?? unknown[0];
     if (region === undefined) {
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_WAIT_MS);
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
       return;
     }
     this.sendTo(region, item, -1, offer?.expectedMs ?? -1);
@@ -264,8 +265,12 @@
     this.queue.remove(item.requestId);
     const aged = {...item, ageMs: waitedMs};
     if (this.offload(aged, Number.POSITIVE_INFINITY, nowMs)) return;
+    if (isLost) {
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
+      return;
+    }
     const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
-    this.refuse(item, isLost ? 'no_upstream' : 'overloaded', waitMs);
+    this.refuse(item, 'overloaded', waitMs);
   }
 
   private grant(
