--- /dev/null
+++ b/src/node/routes/__tests__/member_watch.spec.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import {mock, test} from 'node:test';
+import {okAsync, type ResultAsync} from 'neverthrow';
+import {pino} from 'pino';
+import {setMonotonicSource} from '../../clock/clock.js';
+import {
+  ReplicatedLog,
+  type ReplicaMember,
+  type ReplicaStatus,
+} from '../../replication/replicated_log.js';
+import {RpcClient, RpcRouter} from '../../rpc/rpc.js';
+import {GatewayError} from '../../types/errors.js';
+import {
+  asId,
+  asNumber,
+  type InstanceId,
+  type LogIndex,
+  type MemberId,
+  type Term,
+} from '../../types/ids.js';
+import {MemberWatch} from '../member_watch.js';
+
+function member(instance: string): ReplicaMember {
+  return {
+    memberId: asId<MemberId>(`${instance}#1`),
+    address: `${instance}:1`,
+    weight: 1,
+  };
+}
+
+/** A leader whose members the spec sets. */
+class LeaderLog extends ReplicatedLog<never, never> {
+  readonly removed: string[] = [];
+
+  constructor(public members: readonly ReplicaMember[]) {
+    super();
+  }
+
+  override propose(): ResultAsync<never, GatewayError> {
+    throw new Error('not used');
+  }
+
+  override readBarrier(): ResultAsync<void, GatewayError> {
+    return okAsync(undefined);
+  }
+
+  override changeMembership(change: {
+    readonly kind: string;
+    readonly memberId?: MemberId;
+  }): ResultAsync<void, GatewayError> {
+    this.removed.push(change.memberId ?? '');
+    this.members = this.members.filter(
+      each => each.memberId !== change.memberId,
+    );
+    return okAsync(undefined);
+  }
+
+  override status(): ReplicaStatus {
+    return {
+      memberId: member('a').memberId,
+      role: 'leader',
+      term: asNumber<Term>(1),
+      commitIndex: asNumber<LogIndex>(1),
+      appliedIndex: asNumber<LogIndex>(1),
+      members: this.members,
+    };
+  }
+
+  override stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** Answers for the instances that are reachable. */
+class PartialNetwork extends RpcClient {
+  constructor(public reachable: readonly string[]) {
+    super();
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  protected override send(address: string): Promise<unknown> {
+    if (this.reachable.includes(address)) return Promise.resolve({});
+    const error = new GatewayError({
+      code: 'unreachable',
+      message: 'silent',
+      step: 'ping',
+      peer: address,
+    });
+    return Promise.reject(error);
+  }
+}
+
+async function pass(totalMs: number): Promise<void> {
+  const steps = Array.from({length: totalMs / 100}, (_, step) => step);
+  await steps.reduce(async before => {
+    await before;
+    mock.timers.tick(100);
+    await new Promise(resolve => process.nextTick(resolve));
+  }, Promise.resolve());
+}
+
+// Guards against a lost member that counts for the quorum for ever, and
+// against the removal of one that nobody has replaced.
+test('a silent member is removed only when another took its place', async () => {
+  mock.timers.enable({apis: ['setInterval', 'setTimeout', 'Date']});
+  const clock = setMonotonicSource(Date.now);
+  const log = new LeaderLog(['a', 'b', 'c'].map(member));
+  const network = new PartialNetwork(['b:1', 'c:1']);
+  const watch = new MemberWatch({
+    log: log as unknown as ReplicatedLog<never, unknown>,
+    client: network,
+    router: new RpcRouter(),
+    logger: pino({level: 'silent'}),
+    self: member('a'),
+    instanceId: asId<InstanceId>('a'),
+    methodPrefix: 'test',
+    founderAddresses: ['a:1', 'b:1', 'c:1'],
+  });
+  watch.start();
+  await pass(2_000);
+  network.reachable = ['b:1'];
+  await pass(10_000);
+  const removedWithoutReplacement = [...log.removed];
+  log.members = [...log.members, member('d')];
+  network.reachable = ['b:1', 'd:1'];
+  await pass(4_000);
+  watch.stop();
+  clock.restore();
+  mock.timers.reset();
+  assert.deepEqual(removedWithoutReplacement, []);
+  assert.deepEqual(log.removed, ['c#1']);
+});
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -66,6 +66,8 @@
   readonly client: RpcClient;
   readonly router: RpcRouter;
   readonly logger: Logger;
+  /** The log cannot go on, for example because its disk refuses writes. */
+  readonly onFailure: (error: GatewayError) => void;
 }
 
 /** One running control member. */
@@ -141,11 +143,7 @@
       proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
-      onFailure: error =>
-        options.logger.error(
-          {event: 'log_failed', err: error},
-          'the replicated log stopped',
-        ),
+      onFailure: options.onFailure,
     });
     this.startServices(this.member);
   }
--- /dev/null
+++ b/src/node/scheduling/__tests__/stalled_upstreams.spec.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  upstream,
+} from './scheduling_fixture.js';
+
+const {upstreamId} = upstream('dark');
+
+function withUpstreams() {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  const upstreams = [upstream('dark'), upstream('sound')];
+  scheduler.pool.applyReading({upstreams, readAtMs: 0, lagMs: 800});
+  return scheduler;
+}
+
+// Guards against requests that go on to an upstream that has gone dark until
+// its own requests time out.
+test('an upstream that stalls and fails a probe gets nothing more', () => {
+  const scheduler = withUpstreams();
+  scheduler.pool.suspect(upstreamId);
+  assert.deepEqual(
+    scheduler.pool.toProbe().map(each => each.listed.upstreamId),
+    ['dark'],
+  );
+  scheduler.pool.noteProbeFailure(upstreamId, 1_000);
+  Array.from({length: 20}, (_, number) => chat(`c${number}`)).forEach(item =>
+    scheduler.submit(item, 1_000),
+  );
+  const used = scheduler
+    .decide(1_000)
+    .flatMap(each => (each.kind === 'grant' ? [each.upstreamId] : []));
+  assert.deepEqual([...new Set(used)], ['sound']);
+});
+
+// Guards against a busy upstream that is taken for dark: a probe waits for a
+// slot like any request.
+test('an upstream that answers requests survives a failed probe', () => {
+  const scheduler = withUpstreams();
+  scheduler.submit(chat('c1'), 0);
+  const [grant] = scheduler.decide(0);
+  assert.equal(grant?.kind, 'grant');
+  if (grant?.kind !== 'grant') return;
+  const {requestId} = grant;
+  scheduler.release(
+    [
+      {
+        requestId,
+        upstreamId: grant.upstreamId,
+        outcome: 'answered',
+        firstAnswerMs: 30,
+        totalMs: 900,
+      },
+    ],
+    900,
+  );
+  scheduler.pool.suspect(grant.upstreamId);
+  scheduler.pool.noteProbeFailure(grant.upstreamId, 1_000);
+  assert.equal(scheduler.pool.get(grant.upstreamId)?.isDown, false);
+});
