--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -2,7 +2,6 @@
  * Sends a request to an entry of another region, which runs it on an upstream
  * there. It is relayed at most once: the receiver never relays it again.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import {
@@ -86,14 +85,6 @@
   }
 }
 
-/** Answers one relayed request; aborts when the sender closes. */
-export type RelayedHandler = (
-  head: RelayedHead,
-  body: Buffer,
-  request: IncomingMessage,
-  response: ServerResponse,
-) => Promise<void>;
-
 /** Puts the head in front of the body, after its length. */
 export function encodeRelayed(head: RelayedHead, body: Buffer): Buffer {
   const headBytes = Buffer.from(JSON.stringify(head));
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -74,12 +74,10 @@
 
   /** Resolves when the caller has its final answer. */
   async run(): Promise<void> {
-    const result = await this.tryOnce();
-    if (result === undefined) return;
-    this.conclude(result);
+    this.conclude(await this.tryUntilFinal());
   }
 
-  private async tryOnce(): Promise<TryResult | undefined> {
+  private async tryUntilFinal(): Promise<TryResult> {
     const result = await this.attempt();
     if (!this.mayTryAgain(result)) return result;
     this.context.log.write('retry', this.request, {
@@ -87,7 +85,7 @@
       runs: this.runs,
       lastEventId: this.progress.lastEventId,
     });
-    return this.tryOnce();
+    return this.tryUntilFinal();
   }
 
   private async attempt(): Promise<TryResult> {
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -36,8 +36,6 @@
 export const OFFLOAD_READ_SHARE_GAIN = 0.2;
 /** A digest older than this says nothing. */
 export const DIGEST_EXPIRY_MS = 1_500;
-/** Failures in a row after which an upstream is probed before further use. */
-export const SILENCES_TO_SUSPECT = 1;
 /** Long enough for the load of a moment to change. */
 export const SHORTEST_RETRY_AFTER_MS = 300;
 export const LONGEST_RETRY_AFTER_MS = 3_000;
