Explain a failed request from the logs of all processes

explain-request joins the lines of an id with the beliefs of the time. Lines on requests now carry the scheduler, usable upstreams, queue length, the cause of a broken try and whether another entry relayed the request; rejected is new. Before: 503 without a line.

--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -9,8 +9,10 @@
 import type {RpcClient} from '../rpc/rpc.js';
 import type {
   Decision,
+  RefusalReason,
   Release,
   RunningPlacement,
+  SchedulerAnswer,
   WorkItem,
 } from '../scheduling/types.js';
 import type {GatewayError} from '../types/errors.js';
@@ -45,7 +47,7 @@
 interface Pending {
   item: WorkItem;
   readonly submittedAtMs: number;
-  readonly resolve: (decision: Decision) => void;
+  readonly resolve: (answer: SchedulerAnswer) => void;
   scheduler: InstanceId;
   submissions: number;
   timer: ReturnType<typeof setTimeout>;
@@ -72,7 +74,7 @@
   constructor(private readonly options: SchedulerClientOptions) {}
 
   /** Resolves with the decision on a request; it never rejects. */
-  acquire(item: WorkItem, signal: AbortSignal): Promise<Decision> {
+  acquire(item: WorkItem, signal: AbortSignal): Promise<SchedulerAnswer> {
     return new Promise(resolve => {
       const pending: Pending = {
         item,
@@ -131,7 +133,7 @@
         scheduler: from,
       });
     }
-    pending.resolve(decision);
+    pending.resolve({...decision, scheduler: from});
   }
 
   // A grant for a request that is served elsewhere, or whose caller left.
@@ -173,14 +175,7 @@
       pending.submissions >= MAX_SUBMISSIONS;
     if (isHopeless) {
       this.close(requestId);
-      pending.resolve({
-        kind: 'refuse',
-        requestId,
-        entry: item.entry,
-        reason: 'unscheduled',
-        predictedWaitMs: 0,
-        retryAfterMs: DECISION_GRACE_MS,
-      });
+      pending.resolve(ownRefusal(pending, 'unscheduled', DECISION_GRACE_MS));
       return;
     }
     pending.item = {...item, ageMs: item.ageMs + waitedMs};
@@ -193,14 +188,7 @@
     this.close(requestId);
     const {item, scheduler} = pending;
     this.send(scheduler, {kind: 'cancel', service: item.service, requestId});
-    pending.resolve({
-      kind: 'refuse',
-      requestId,
-      entry: item.entry,
-      reason: 'expired',
-      predictedWaitMs: 0,
-      retryAfterMs: 0,
-    });
+    pending.resolve(ownRefusal(pending, 'expired', 0));
   }
 
   private close(requestId: RequestId): void {
@@ -280,3 +268,22 @@
     this.send(target, {kind: 'running', service, placements});
   }
 }
+
+/** A refusal without a scheduler's decision. */
+function ownRefusal(
+  {item, scheduler}: Pending,
+  reason: RefusalReason,
+  retryAfterMs: number,
+): SchedulerAnswer {
+  return {
+    kind: 'refuse',
+    requestId: item.requestId,
+    entry: item.entry,
+    scheduler,
+    reason,
+    retryAfterMs,
+    predictedWaitMs: 0,
+    usableUpstreams: 0,
+    queueLength: 0,
+  };
+}
--- /dev/null
+++ b/src/node/explain/__tests__/explain.spec.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {test, type TestContext} from 'node:test';
+import {matchSnapshot} from '../../__tests__/support/snapshot.js';
+import {runCli} from '../../operator/cli.js';
+
+const STARTED_AT_MS = 1_700_000_000_000;
+
+type Line = Readonly<Record<string, unknown>> & {
+  readonly atMs: number;
+  readonly instance: string;
+  readonly event: string;
+};
+
+function write({atMs, ...line}: Line): string {
+  return JSON.stringify({level: 30, time: STARTED_AT_MS + atMs, ...line});
+}
+
+const CHAT = {route: 'chat', service: 'svc', tableVersion: 4};
+
+const BELIEFS: readonly Line[] = [
+  {atMs: 0, instance: 'e1', event: 'started', region: 'north'},
+  {atMs: 5, instance: 'e1', event: 'control_lost', peer: 'c1'},
+  {atMs: 50, instance: 'e1', event: 'control_regained', peer: 'c1'},
+  {atMs: 60, instance: 'e1', event: 'control_lost', peer: 'c2'},
+  {
+    atMs: 70,
+    instance: 'e2',
+    event: 'upstream_down',
+    service: 'svc',
+    upstream: 'u1',
+    cause: 'stalled',
+    coldRemainingMs: 0,
+  },
+  {
+    atMs: 80,
+    instance: 'e9',
+    event: 'upstream_down',
+    service: 'other',
+    upstream: 'u7',
+    cause: 'broken',
+    coldRemainingMs: 0,
+  },
+];
+
+const REQUESTS: readonly Line[] = [
+  {
+    atMs: 100,
+    instance: 'e1',
+    event: 'refused',
+    requestId: 'flood.x',
+    ...CHAT,
+    ageMs: 2,
+    scheduler: 'e2',
+    reason: 'overloaded',
+    predictedWaitMs: 900,
+    retryAfterMs: 900,
+    usableUpstreams: 2,
+    queueLength: 31,
+  },
+  {
+    atMs: 101,
+    instance: 'e1',
+    event: 'ended',
+    requestId: 'flood.x',
+    ...CHAT,
+    ageMs: 3,
+    result: 'not_run',
+    cause: 'overloaded',
+    status: 503,
+    isRelayed: false,
+  },
+  {
+    atMs: 110,
+    instance: 'e3',
+    event: 'upstream_outcome',
+    requestId: 'cut.y',
+    ...CHAT,
+    ageMs: 40,
+    upstream: 'u1',
+    outcome: 'broken',
+    cause: 'other side closed',
+    totalMs: 40,
+  },
+  {
+    atMs: 111,
+    instance: 'e3',
+    event: 'ended',
+    requestId: 'cut.y',
+    ...CHAT,
+    ageMs: 41,
+    result: 'failed',
+    status: 0,
+    isRelayed: true,
+  },
+  {
+    atMs: 112,
+    instance: 'e1',
+    event: 'ended',
+    requestId: 'cut.y',
+    ...CHAT,
+    ageMs: 45,
+    result: 'failed',
+    status: 0,
+    isRelayed: false,
+  },
+  {
+    atMs: 120,
+    instance: 'e1',
+    event: 'rejected',
+    requestId: 'early.z',
+    tableVersion: 0,
+    reason: 'no_route_table',
+    status: 503,
+  },
+  {
+    atMs: 130,
+    instance: 'e1',
+    event: 'offloaded',
+    requestId: 'lost.w',
+    ...CHAT,
+    ageMs: 1,
+    scheduler: 'e2',
+    region: 'south',
+    localWaitMs: -1,
+    remoteWaitMs: 80,
+  },
+  {atMs: 140, instance: 'e1', event: 'started', region: 'north'},
+];
+
+async function explainFrom(t: TestContext, id: string, ...options: string[]) {
+  const folder = mkdtempSync(join(tmpdir(), 'explain-'));
+  t.after(() => rmSync(folder, {recursive: true}));
+  const lines = [...BELIEFS, ...REQUESTS].map(write);
+  const [first = '', ...others] = lines;
+  // Two processes' files, one with a collector's prefix and a torn line.
+  writeFileSync(join(folder, 'a.log'), `  0.1 e1 ${first}\n${first.slice(9)}`);
+  writeFileSync(join(folder, 'b.log'), `${others.join('\n')}\n{"level":3`);
+  const out: string[] = [];
+  const err: string[] = [];
+  const words = ['explain-request', id, '--logs', folder, ...options];
+  const exitCode = await runCli(words, {
+    out: line => out.push(line),
+    err: line => err.push(line),
+    env: {},
+  });
+  return {exitCode, out, err};
+}
+
+// Guards against an explanation that names the wrong decision or leaves out
+// the belief behind it.
+test('explanations of failed requests', async t => {
+  const explained = await Promise.all(
+    ['flood', 'cut', 'early', 'lost'].map(id => explainFrom(t, id)),
+  );
+  matchSnapshot(import.meta.url, 'explanations of failed requests', explained);
+});
+
+// Guards against programs that read the result and find other names in it.
+test('an explanation as JSON names ending, decision and reasons', async t => {
+  const {out} = await explainFrom(t, 'flood', '--json');
+  const value = JSON.parse(out.join('\n')) as Record<string, unknown>;
+  assert.deepEqual(
+    [value['ending'], Object.keys(value)],
+    ['refused', ['ending', 'decision', 'reasons', 'timeline']],
+  );
+});
+
+// Guards against an empty explanation that looks like a success.
+test('an id without a line and a missing path are failures', async t => {
+  const unknown = await explainFrom(t, 'nobody');
+  const missing = await runCli(['explain-request', 'a', '--logs', '/none'], {
+    out: () => undefined,
+    err: () => undefined,
+    env: {},
+  });
+  assert.deepEqual([unknown.exitCode, missing], [1, 2]);
+});
--- /dev/null
+++ b/src/node/explain/findings.ts
@@ -0,0 +1,297 @@
+/** Says how a request ended, which decision led to it and on what belief. */
+import {numberField, textField, type LogLine} from './log_line.js';
+import {LIFE_EVENTS, type Timeline} from './timeline.js';
+
+/** How the caller's request ended. */
+export type RequestEnding =
+  /** The caller got an upstream's answer. */
+  | 'served'
+  /** It did not run and the caller was told so. */
+  | 'refused'
+  /** It was answered before it was matched to a service. */
+  | 'rejected'
+  /** The answer began and broke off. */
+  | 'broken_off'
+  /** The caller was told that it failed or may have run. */
+  | 'outcome_unknown'
+  /** The caller left or the time was up. */
+  | 'given_up'
+  /** The logs hold no line on its end. */
+  | 'not_logged';
+
+/** The explanation of one request. */
+export interface Findings {
+  readonly ending: RequestEnding;
+  /** The line that decided it, if there is one. */
+  readonly decision: LogLine | undefined;
+  /** What it followed from, in sentences. */
+  readonly reasons: readonly string[];
+}
+
+/** Explains a request from its timeline. */
+export function explain(timeline: Timeline): Findings {
+  const {request} = timeline;
+  const rejection = request.find(line => line.event === 'rejected');
+  const end = endOf(timeline);
+  if (end === undefined && rejection !== undefined) {
+    return {
+      ending: 'rejected',
+      decision: rejection,
+      reasons: rejectionReasons(timeline, rejection),
+    };
+  }
+  const ending = end === undefined ? 'not_logged' : endingOf(end);
+  if (ending === 'served') {
+    return {ending, decision: end, reasons: slowReasons(timeline, end)};
+  }
+  if (ending === 'not_logged') {
+    const decision = request.at(-1);
+    return {ending, decision, reasons: lostProcessReasons(timeline)};
+  }
+  if (ending === 'refused') {
+    const refusal = request.findLast(line => line.event === 'refused');
+    const rejected = request.findLast(
+      line => line.event === 'upstream_outcome',
+    );
+    const decision = refusal ?? rejected ?? end;
+    return {
+      ending,
+      decision,
+      reasons: refusalReasons(timeline, refusal, rejected),
+    };
+  }
+  const outcome = request.findLast(line => line.event === 'upstream_outcome');
+  const decision = outcome ?? end;
+  return {ending, decision, reasons: upstreamReasons(timeline, outcome, end)};
+}
+
+/** The end at the entry that the caller was connected to. */
+function endOf({request, instances}: Timeline): LogLine | undefined {
+  const ends = request.filter(line => line.event === 'ended');
+  const first = ends.findLast(line => line.fields['isRelayed'] === false);
+  return first ?? ends.findLast(line => line.instance === instances[0]);
+}
+
+function endingOf(end: LogLine): RequestEnding {
+  switch (textField(end, 'result')) {
+    case 'delivered':
+      return 'served';
+    case 'not_run':
+      return 'refused';
+    case 'aborted':
+      return numberField(end, 'status') === 504
+        ? 'outcome_unknown'
+        : 'given_up';
+    default:
+      return numberField(end, 'status') === 0
+        ? 'broken_off'
+        : 'outcome_unknown';
+  }
+}
+
+function slowReasons(
+  {request}: Timeline,
+  end: LogLine | undefined,
+): readonly string[] {
+  if (end === undefined) return [];
+  const retries = request.filter(line => line.event === 'retry').length;
+  const queuedMs = numberField(end, 'queuedMs') ?? 0;
+  const firstAnswerMs = numberField(end, 'firstAnswerMs') ?? 0;
+  const longestGapMs = numberField(end, 'longestGapMs') ?? 0;
+  return [
+    `of ${numberField(end, 'totalMs') ?? 0} ms it waited ${queuedMs} ms for an ` +
+      `upstream; the first answer took ${firstAnswerMs} ms, ` +
+      `the longest pause ${longestGapMs} ms`,
+    ...(retries > 0 ? [`it was tried again ${retries} times`] : []),
+  ];
+}
+
+const REFUSAL_TEXTS: Readonly<Record<string, string>> = {
+  overloaded: 'the wait for an upstream would have passed its target',
+  no_upstream: 'no upstream was usable and no other region had room',
+  too_large: 'it is larger than the memory of every upstream',
+  expired: 'its time was up before an upstream was free',
+  retry_budget: 'it is a repeat and the service has used up its repeats',
+  unscheduled: 'no scheduler of its region decided in time',
+};
+
+function refusalReasons(
+  timeline: Timeline,
+  refusal: LogLine | undefined,
+  rejected: LogLine | undefined,
+): readonly string[] {
+  if (refusal === undefined) {
+    return rejected === undefined
+      ? []
+      : [`upstream ${textField(rejected, 'upstream')} did not run it`];
+  }
+  const reason = textField(refusal, 'reason') ?? '';
+  const scheduler = textField(refusal, 'scheduler');
+  return [
+    REFUSAL_TEXTS[reason] ?? reason,
+    ...inputsOf(refusal),
+    ...lostCapacity(timeline, scheduler, refusal.timeMs),
+    ...lostPeers(timeline, refusal),
+    ...evacuationReasons(timeline),
+  ];
+}
+
+const REJECTION_TEXTS: Readonly<Record<string, string>> = {
+  no_route_table: 'the entry knew no route table yet',
+  no_route: 'no route of the table in force matches its host and path',
+  no_service: 'its route leads to no service',
+  headers_too_large: 'its headers are larger than the limit',
+  body_too_large: 'its body is larger than the limit',
+  body_incomplete: 'the caller did not send its whole body',
+};
+
+function rejectionReasons(
+  timeline: Timeline,
+  rejection: LogLine,
+): readonly string[] {
+  const reason = textField(rejection, 'reason') ?? '';
+  return [
+    `${REJECTION_TEXTS[reason] ?? reason} ` +
+      `(version ${numberField(rejection, 'tableVersion') ?? 0})`,
+    ...startReasons(timeline, rejection),
+    ...lostPeers(timeline, rejection),
+  ];
+}
+
+/** An entry that has just started knows little. */
+function startReasons(
+  {beliefs}: Timeline,
+  {instance, timeMs}: LogLine,
+): readonly string[] {
+  const start = beliefs.findLast(
+    line =>
+      line.event === 'started' &&
+      line.instance === instance &&
+      line.timeMs <= timeMs,
+  );
+  if (start === undefined) return [];
+  return [`${instance} had started ${timeMs - start.timeMs} ms before`];
+}
+
+function inputsOf(refusal: LogLine): readonly string[] {
+  const inputs = [
+    'predictedWaitMs',
+    'usableUpstreams',
+    'queueLength',
+    'ageMs',
+    'tableVersion',
+  ]
+    .map(name => ({name, value: refusal.fields[name]}))
+    .filter(({value}) => value !== undefined)
+    .map(({name, value}) => `${name} ${String(value)}`);
+  return inputs.length === 0 ? [] : [`decided on ${inputs.join(', ')}`];
+}
+
+/** Upstreams whose last change before the decision took them out. */
+function lostCapacity(
+  {beliefs, services}: Timeline,
+  scheduler: string | undefined,
+  decidedAtMs: number,
+): readonly string[] {
+  const changes = beliefs
+    .filter(line => line.timeMs <= decidedAtMs)
+    .filter(line => scheduler === undefined || line.instance === scheduler)
+    .filter(line => services.includes(textField(line, 'service') ?? ''))
+    .filter(line => line.event.startsWith('upstream_'));
+  const latest = new Map(
+    changes.map(line => [textField(line, 'upstream') ?? '', line]),
+  );
+  return [...latest.values()]
+    .filter(({event}) => LOSS_EVENTS.has(event))
+    .map(
+      line =>
+        `${line.instance} held upstream ${textField(line, 'upstream')} for ` +
+        `${line.event.replace('upstream_', '')} ` +
+        `(${textField(line, 'cause') ?? 'no cause'})`,
+    );
+}
+
+const LOSS_EVENTS = new Set([
+  'upstream_down',
+  'upstream_suspected',
+  'upstream_draining',
+  'upstream_unlisted',
+]);
+
+function evacuationReasons({beliefs}: Timeline): readonly string[] {
+  const state = beliefs.findLast(line => line.event === 'state_in_force');
+  const domains = state?.fields['evacuatedDomains'];
+  if (!Array.isArray(domains) || domains.length === 0) return [];
+  return [`evacuated at the time: ${domains.join(', ')}`];
+}
+
+/** What the deciding process could not reach at the time. */
+function lostPeers(
+  {beliefs}: Timeline,
+  {instance, timeMs}: LogLine,
+): readonly string[] {
+  const changes = beliefs
+    .filter(line => line.instance === instance && line.timeMs <= timeMs)
+    .filter(line => /^(list|control)_(lost|regained)$/.test(line.event))
+    .map(line => {
+      const peer = textField(line, 'peer') ?? textField(line, 'domain') ?? '';
+      const [kind = '', change] = line.event.split('_');
+      return {name: `${kind} ${peer}`, isLost: change === 'lost'};
+    });
+  const latest = new Map(changes.map(({name, isLost}) => [name, isLost]));
+  return [...latest]
+    .filter(([, isLost]) => isLost)
+    .map(([name]) => `${instance} had lost ${name}`);
+}
+
+const OUTCOME_TEXTS: Readonly<Record<string, string>> = {
+  failed: 'ran it and answered with a failure',
+  broken: 'broke the connection off before the answer was complete',
+  rejected: 'said that it did not run it',
+  unreachable: 'could not be reached',
+  silent: 'sent nothing in time',
+  cancelled: 'was still at work when the caller left or the time was up',
+};
+
+function upstreamReasons(
+  timeline: Timeline,
+  outcome: LogLine | undefined,
+  end: LogLine | undefined,
+): readonly string[] {
+  if (outcome === undefined) {
+    const cause = end === undefined ? undefined : textField(end, 'cause');
+    return cause === undefined ? [] : [cause];
+  }
+  const upstream = textField(outcome, 'upstream') ?? '';
+  const kind = textField(outcome, 'outcome') ?? '';
+  const cause = textField(outcome, 'cause');
+  const losses = timeline.beliefs
+    .filter(line => textField(line, 'upstream') === upstream)
+    .map(
+      line =>
+        `${line.instance}: ${line.event} ` +
+        `(${textField(line, 'cause') ?? 'no cause'})`,
+    );
+  return [
+    `upstream ${upstream} ${OUTCOME_TEXTS[kind] ?? kind}` +
+      (cause === undefined ? '' : `: ${cause}`),
+    ...losses,
+  ];
+}
+
+/** Why an entry wrote nothing more on a request that it had. */
+function lostProcessReasons({
+  beliefs,
+  instances,
+  request,
+}: Timeline): readonly string[] {
+  const lastMs = request.at(-1)?.timeMs ?? 0;
+  const lives = beliefs
+    .filter(line => LIFE_EVENTS.includes(line.event))
+    .filter(line => instances.includes(line.instance))
+    .filter(line => line.timeMs >= lastMs)
+    .map(line => `${line.instance}: ${line.event} after the last line`);
+  return lives.length > 0
+    ? lives
+    : ['its end may be among the lines that were dropped'];
+}
--- a/src/node/ingress/final_answers.ts
+++ b/src/node/ingress/final_answers.ts
@@ -5,6 +5,12 @@
 /** Tells another entry that a relayed request did not run. */
 export const NOT_RUN_HEADER = 'x-cyclamenfall-not-run';
 
+const REJECTION_CODES = {
+  404: 'not_found',
+  413: 'too_large',
+  431: 'headers_too_large',
+} as const;
+
 const MS_PER_S = 1_000;
 const SPREAD = 0.3;
 
@@ -45,14 +51,14 @@
 /** Answers a request that is not proper, or that no route allows. */
 export function sendRejection(
   answer: CallerAnswer,
-  status: 400 | 404 | 413 | 431,
-  code: string,
-): void {
+  status: keyof typeof REJECTION_CODES,
+): number {
   answer.sendWhole(
     status,
     [['content-type', 'application/json']],
-    errorBody(code, 'not_run'),
+    errorBody(REJECTION_CODES[status], 'not_run'),
   );
+  return status;
 }
 
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -15,6 +15,7 @@
 import {CallerAnswer} from './caller_answer.js';
 import {sendRefusal, sendRejection} from './final_answers.js';
 import {decodeRelayed, type RelayedHead} from './relay.js';
+import type {RejectionReason} from './request_log.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
 import type {InboundRequest} from './types.js';
 
@@ -86,7 +87,14 @@
     const matcher = this.options.matcher();
     const route = matcher?.match(head.host, head.path);
     if (matcher === undefined || route === undefined) {
-      sendRefusal(answer, NOT_READY_RETRY_MS, true);
+      const reason = matcher === undefined ? 'no_route_table' : 'no_route';
+      const status = sendRefusal(answer, NOT_READY_RETRY_MS, true);
+      this.options.context.log.rejected(
+        asId<RequestId>(head.requestId),
+        reason,
+        status,
+        matcher?.table.version ?? 0,
+      );
       return;
     }
     const version = matcher.table.version;
@@ -102,26 +110,28 @@
     const answer = new CallerAnswer(response, isStopping);
     const receivedAtMs = monotonicNowMs();
     const matcher = currentMatcher();
+    const version = matcher?.table.version ?? 0;
+    const note = (reason: RejectionReason, status: number): void =>
+      this.noteRejection(request, reason, status, version);
     if (matcher === undefined) {
-      sendRefusal(answer, NOT_READY_RETRY_MS);
+      note('no_route_table', sendRefusal(answer, NOT_READY_RETRY_MS));
       return;
     }
     if (headerBytes(request) > this.limits.maxHeaderBytes) {
-      sendRejection(answer, 431, 'headers_too_large');
+      note('headers_too_large', sendRejection(answer, 431));
       return;
     }
     const path = request.url ?? '/';
     const route = matcher.match(request.headers.host ?? '', path);
     if (route === undefined) {
-      sendRejection(answer, 404, 'not_found');
+      note('no_route', sendRejection(answer, 404));
       return;
     }
-    const body = await this.bodyOf(request, answer);
+    const body = await this.bodyOf(request, answer, note);
     if (body === undefined) return;
-    const version = matcher.table.version;
     const service = matcher.pickService(route, Math.random());
     if (service === undefined) {
-      sendRefusal(answer, NOT_READY_RETRY_MS);
+      note('no_service', sendRefusal(answer, NOT_READY_RETRY_MS));
       return;
     }
     const inbound = this.fromCaller(request, body, route, receivedAtMs, {
@@ -134,20 +144,33 @@
   private async bodyOf(
     request: IncomingMessage,
     answer: CallerAnswer,
+    note: (reason: RejectionReason, status: number) => void,
   ): Promise<Buffer | undefined> {
     try {
       return await readBody(request, this.limits.maxBodyBytes);
     } catch (thrown) {
       const error = toGatewayError(thrown, 'ingress.read_body', 'caller');
       if (error.code === 'too_large') {
-        sendRejection(answer, 413, 'too_large');
+        note('body_too_large', sendRejection(answer, 413));
       } else {
         answer.breakOff();
+        note('body_incomplete', 0);
       }
       return undefined;
     }
   }
 
+  private noteRejection(
+    request: IncomingMessage,
+    reason: RejectionReason,
+    status: number,
+    tableVersion: number,
+  ): void {
+    const {log, protocol} = this.options.context;
+    const {attemptId} = protocol.traitsOf(request.headers);
+    log.rejected(createRequestId(attemptId), reason, status, tableVersion);
+  }
+
   private fromCaller(
     request: IncomingMessage,
     body: Buffer,
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -6,7 +6,8 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
-import type {Decision} from '../scheduling/types.js';
+import type {SchedulerAnswer} from '../scheduling/types.js';
+import type {RequestId} from '../types/ids.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 const LINES_PER_S = 150;
@@ -15,7 +16,22 @@
 const MS_PER_S = 1_000;
 
 export type RequestEvent =
-  'granted' | 'offloaded' | 'refused' | 'retry' | 'upstream_outcome' | 'ended';
+  | 'granted'
+  | 'offloaded'
+  | 'refused'
+  | 'retry'
+  | 'upstream_outcome'
+  | 'ended'
+  | 'rejected';
+
+/** Why a request was answered before it was matched to a service. */
+export type RejectionReason =
+  | 'no_route_table'
+  | 'no_route'
+  | 'no_service'
+  | 'headers_too_large'
+  | 'body_too_large'
+  | 'body_incomplete';
 
 /** Figures of a request at its end. */
 export interface EndFigures {
@@ -42,7 +58,7 @@
     private readonly metrics: MetricsRegistry,
   ) {}
 
-  decision(request: InboundRequest, decision: Decision): void {
+  decision(request: InboundRequest, decision: SchedulerAnswer): void {
     const {requestId: _id, entry: _entry, kind, ...inputs} = decision;
     const events = {
       grant: 'granted',
@@ -61,33 +77,54 @@
     this.write(
       'ended',
       request,
-      {result: result.kind, cause, ...rounded({...figures})},
+      {
+        result: result.kind,
+        cause,
+        isRelayed: request.isRelayed,
+        ...rounded({...figures}),
+      },
       !isCalm,
     );
   }
 
+  /** A request that was answered without a service; `tableVersion` 0 is none. */
+  rejected(
+    requestId: RequestId,
+    reason: RejectionReason,
+    status: number,
+    tableVersion: number,
+  ): void {
+    this.metrics.count('requests_rejected', {reason});
+    this.writeLine('rejected', {requestId, tableVersion, reason, status}, true);
+  }
+
   write(
     event: RequestEvent,
     request: InboundRequest,
     inputs: Readonly<Record<string, unknown>>,
     isUrgent = true,
+  ): void {
+    const fields = {
+      requestId: request.requestId,
+      route: request.route.name,
+      service: request.service,
+      tableVersion: request.tableVersion,
+      ageMs: Math.round(monotonicNowMs() - request.receivedAtMs),
+      ...inputs,
+    };
+    this.writeLine(event, fields, isUrgent);
+  }
+
+  private writeLine(
+    event: RequestEvent,
+    fields: Readonly<Record<string, unknown>>,
+    isUrgent: boolean,
   ): void {
     if (!this.hasRoom(isUrgent)) {
       this.metrics.count('log_lines_dropped', {event});
       return;
     }
-    this.logger.info(
-      {
-        event,
-        requestId: request.requestId,
-        route: request.route.name,
-        service: request.service,
-        tableVersion: request.tableVersion,
-        ageMs: Math.round(monotonicNowMs() - request.receivedAtMs),
-        ...inputs,
-      },
-      event,
-    );
+    this.logger.info({event, ...fields}, event);
   }
 
   private hasRoom(isUrgent: boolean): boolean {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -168,7 +168,7 @@
       firstAnswerMs: this.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
     });
-    this.noteOutcome(grant, outcome, sentAtMs);
+    this.noteOutcome(grant, outcome, sentAtMs, causeOf(end, reader));
     if (outcome === 'silent') context.connections.renew(address, upstreamId);
     if (result.kind !== 'delivered') this.avoid.push(upstreamId);
     return result;
@@ -330,6 +330,7 @@
     grant: Grant,
     outcome: PlacementOutcome,
     sentAtMs: number,
+    cause: string | undefined,
   ): void {
     const {context, request} = this;
     context.metrics.count('upstream_tries', {
@@ -340,6 +341,8 @@
     context.log.write('upstream_outcome', request, {
       upstream: grant.upstreamId,
       outcome,
+      cause,
+      firstAnswerMs: Math.round(this.firstAnswerMs),
       totalMs: Math.round(monotonicNowMs() - sentAtMs),
     });
   }
@@ -361,6 +364,11 @@
     : 'failed';
 }
 
+function causeOf(end: ExchangeEnd, reader: AnswerReader): string | undefined {
+  if ('cause' in end) return end.cause;
+  return reader.head === undefined ? undefined : `status ${reader.head.status}`;
+}
+
 function sendFinal(
   result: TryResult,
   answer: CallerAnswer,
--- /dev/null
+++ b/src/node/logging/event_schema.ts
@@ -0,0 +1,152 @@
+/**
+ * The events of the regional programs' logs and the fields that readers rely
+ * on. Lines may carry more fields; `explain-request` and `docs/OPERATIONS.md`
+ * use no others.
+ */
+import {z} from 'zod';
+
+const timedLineSchema = z.looseObject({
+  /** Unix milliseconds. */
+  time: z.number(),
+  instance: z.string(),
+  event: z.string(),
+});
+
+const upstreamChange = {
+  service: z.string(),
+  upstream: z.string(),
+  /** What the belief follows from. */
+  cause: z.string(),
+  coldRemainingMs: z.number(),
+};
+const peerChange = {peer: z.string()};
+const change = {order: z.looseObject({kind: z.string()})};
+
+/** Fields that every line on a matched request has. */
+const matched = {
+  requestId: z.string(),
+  route: z.string(),
+  service: z.string(),
+  /** Version of the route table that it was matched with. */
+  tableVersion: z.number(),
+  /** Since the request was received. */
+  ageMs: z.number(),
+};
+
+const FIELDS = {
+  // Life of a process.
+  started: {},
+  stopping: {},
+  stopped: {},
+  start_failed: {},
+  stop_failed: {},
+  reloaded: {seedAddresses: z.array(z.string())},
+  reload_failed: {problems: z.string()},
+  settings_unreadable: {},
+  log_failed: {},
+  // Dependencies.
+  control_lost: peerChange,
+  control_regained: peerChange,
+  list_lost: {domain: z.string()},
+  list_regained: {domain: z.string()},
+  state_fetch_failed: peerChange,
+  // Beliefs of entries.
+  state_in_force: {
+    revision: z.number(),
+    version: z.number(),
+    evacuatedDomains: z.array(z.string()),
+  },
+  scheduler_moved: {service: z.string(), to: z.string()},
+  scheduler_started: {service: z.string()},
+  scheduler_silent: {
+    requestId: z.string(),
+    scheduler: z.string(),
+    waitedMs: z.number(),
+    cause: z.string(),
+  },
+  scheduler_failed: {},
+  long_prompt_lane: {service: z.string(), members: z.array(z.string())},
+  upstream_listed: upstreamChange,
+  upstream_unlisted: upstreamChange,
+  upstream_draining: upstreamChange,
+  upstream_reborn: upstreamChange,
+  upstream_suspected: upstreamChange,
+  upstream_down: upstreamChange,
+  upstream_up: upstreamChange,
+  probe_answered: {upstream: z.string(), coldRemainingMs: z.number()},
+  // Decisions on requests.
+  rejected: {
+    requestId: z.string(),
+    reason: z.string(),
+    status: z.number(),
+    tableVersion: z.number(),
+  },
+  granted: {...matched, scheduler: z.string(), upstreamId: z.string()},
+  offloaded: {
+    ...matched,
+    scheduler: z.string(),
+    region: z.string(),
+    localWaitMs: z.number(),
+    remoteWaitMs: z.number(),
+  },
+  refused: {
+    ...matched,
+    scheduler: z.string(),
+    reason: z.string(),
+    predictedWaitMs: z.number(),
+    retryAfterMs: z.number(),
+    usableUpstreams: z.number(),
+    queueLength: z.number(),
+  },
+  retry: {...matched, cause: z.string(), runs: z.number()},
+  upstream_outcome: {
+    ...matched,
+    upstream: z.string(),
+    outcome: z.string(),
+    totalMs: z.number(),
+  },
+  ended: {
+    ...matched,
+    result: z.string(),
+    status: z.number(),
+    isRelayed: z.boolean(),
+    queuedMs: z.number(),
+    totalMs: z.number(),
+    firstAnswerMs: z.number(),
+    longestGapMs: z.number(),
+    runs: z.number(),
+    triesNotRun: z.number(),
+  },
+  // Control members.
+  entry_joined: peerChange,
+  entry_changed: peerChange,
+  entry_expired: peerChange,
+  state_applied: {revision: z.number(), version: z.number()},
+  change_confirmed: change,
+  change_not_confirmed: change,
+  change_rejected: {problems: z.array(z.unknown())},
+  operator_call_failed: {},
+  member_removed: peerChange,
+  member_removal_failed: peerChange,
+  rejoining: {},
+} as const satisfies Record<string, z.ZodRawShape>;
+
+/** The name of an event. */
+export type LogEvent = keyof typeof FIELDS;
+
+/** All events, in the order of the table in `docs/OPERATIONS.md`. */
+export const LOG_EVENTS = Object.keys(FIELDS) as readonly LogEvent[];
+
+/** What is wrong with one parsed line; empty if it is as documented. */
+export function checkLogLine(value: unknown): readonly string[] {
+  const line = timedLineSchema.safeParse(value);
+  if (!line.success) return [z.prettifyError(line.error)];
+  const {event} = line.data;
+  if (!isLogEvent(event)) return [`unknown event ${event}`];
+  const fields = z.looseObject(FIELDS[event]).safeParse(value);
+  return fields.success ? [] : [`${event}: ${z.prettifyError(fields.error)}`];
+}
+
+function isLogEvent(event: string): event is LogEvent {
+  return event in FIELDS;
+}
--- a/src/node/operator/cli.ts
+++ b/src/node/operator/cli.ts
@@ -4,6 +4,7 @@
 import {ANSWERS_COMMANDS} from './answers_commands.js';
 import type {Command, ParsedOptions} from './command.js';
 import {CONFIG_COMMANDS} from './config_commands.js';
+import {EXPLAIN_COMMANDS} from './explain_commands.js';
 import {EXIT_SUCCESS, failureOf, usageFailure} from './failures.js';
 import {FLEET_COMMANDS} from './fleet_commands.js';
 import {MEMBER_COMMANDS} from './member_commands.js';
@@ -14,12 +15,13 @@
   ...CONFIG_COMMANDS,
   ...FLEET_COMMANDS,
   ...MEMBER_COMMANDS,
+  ...EXPLAIN_COMMANDS,
 ];
 
 /** Flags without a value; without this list they would take the next word. */
 const SWITCHES = ['json', 'wait', 'local', 'answers'];
 /** Flags with text; without this list digits would become numbers. */
-const TEXTS = ['settings', 'operation-id', 'against'];
+const TEXTS = ['settings', 'operation-id', 'against', 'logs'];
 
 function nameOf(command: Command): string {
   return command.usage.replace(/ \[.*$/, '');
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -326,6 +326,8 @@
       entry: item.entry,
       reason,
       predictedWaitMs,
+      usableUpstreams: this.pool.usable().length,
+      queueLength: this.queue.size,
       retryAfterMs: Math.min(
         LONGEST_RETRY_AFTER_MS,
         Math.max(SHORTEST_RETRY_AFTER_MS, predictedWaitMs),
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -118,8 +118,18 @@
       readonly reason: RefusalReason;
       readonly retryAfterMs: number;
       readonly predictedWaitMs: number;
+      /** Upstreams that the decision could choose from. */
+      readonly usableUpstreams: number;
+      /** Requests that waited at the time. */
+      readonly queueLength: number;
     };
 
+/** A decision, as the entry that asked for it got it. */
+export type SchedulerAnswer = Decision & {
+  /** The entry whose scheduler decided. */
+  readonly scheduler: InstanceId;
+};
+
 /** How a granted request ended. */
 export type PlacementOutcome =
   /** The upstream answered with a success. */
