Keep the scheduler of a large region within its processor

Each look at a queued request compared its prompt with every cache several times, on every message; a decision went out as a call of its own.

Estimates of a prompt are kept for 40 ms, a pass asks only engines that are open, sums replace scans of placements, and what is decided at once travels in the reply to the submission.

The decisions of the scheduling specs did not change.

--- a/src/node/dispatch/decision_sender.ts
+++ b/src/node/dispatch/decision_sender.ts
@@ -23,6 +23,8 @@
 /** One link for each entry that waits for decisions. */
 export class DecisionSender {
   private readonly links = new Map<InstanceId, PeerLink>();
+  /** Replies under way that can carry decisions, by entry. */
+  private readonly replies = new Map<InstanceId, Decision[][]>();
 
   constructor(private readonly options: DecisionSenderOptions) {}
 
@@ -32,11 +34,33 @@
       deliverHere([decision]);
       return;
     }
+    const reply = this.replies.get(decision.entry)?.at(-1);
+    if (reply !== undefined) {
+      reply.push(decision);
+      return;
+    }
     const address = members.entry(decision.entry)?.innerAddress;
     if (address === undefined) onLost([decision]);
     else this.linkTo(decision.entry, address).push(decision);
   }
 
+  /** Collects the decisions on an entry's requests while `work` runs. */
+  async collect(
+    entry: InstanceId,
+    work: () => Promise<void>,
+  ): Promise<readonly Decision[]> {
+    const decisions: Decision[] = [];
+    const open = this.replies.get(entry) ?? [];
+    this.replies.set(entry, [...open, decisions]);
+    await work();
+    const left = (this.replies.get(entry) ?? []).filter(
+      each => each !== decisions,
+    );
+    if (left.length > 0) this.replies.set(entry, left);
+    else this.replies.delete(entry);
+    return decisions;
+  }
+
   private linkTo(entry: InstanceId, address: string): BatchLink<Decision> {
     const known = this.links.get(entry);
     if (known?.address === address) return known.link;
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -59,6 +59,8 @@
 /** Tells an entry whether the scheduler still has its state. */
 export interface SubmissionReply {
   readonly incarnation: number;
+  /** What was decided at once; later decisions come as calls of their own. */
+  readonly decisions: readonly Decision[];
 }
 
 export interface DecisionBatch {
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -229,6 +229,7 @@
 
   private noteReply(scheduler: InstanceId, reply: SubmissionReply): void {
     this.options.members.clearSuspicion(scheduler);
+    this.deliver(scheduler, reply.decisions);
     if (this.syncedWith.get(scheduler) === reply.incarnation) return;
     this.syncedWith.set(scheduler, reply.incarnation);
     [...this.lastScheduler]
@@ -242,6 +243,8 @@
     error: GatewayError,
   ): void {
     this.options.members.suspect(scheduler, monotonicNowMs());
+    // Decisions in a lost reply leave placements that nobody uses.
+    this.syncedWith.delete(scheduler);
     parts.forEach(part => {
       if (part.kind === 'item') {
         this.resubmit(part.item.requestId, error.message);
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -69,6 +69,8 @@
       readonly kind: 'submission';
       readonly from: InstanceId;
       readonly parts: readonly SubmissionPart[];
+      /** Called when all that can be decided at once is decided. */
+      readonly onHandled: () => void;
     }
   | {readonly kind: 'check'};
 
@@ -88,7 +90,7 @@
       (_state: undefined, message: HostMessage) => this.handle(message),
       'scheduler_host',
       {
-        onCrash: (_message, error, context) => {
+        onCrash: (message, error, context) => {
           options.logger.error(
             {
               event: 'scheduler_failed',
@@ -96,6 +98,7 @@
             },
             'a message to the scheduler failed and was dropped',
           );
+          if (message?.kind === 'submission') message.onHandled();
           return context.resume;
         },
       },
@@ -108,10 +111,12 @@
     stop(this.system);
   }
 
-  submit(from: InstanceId, parts: readonly SubmissionPart[]): void {
-    if (!this.isStopped) {
-      dispatch(this.actor, {kind: 'submission', from, parts});
-    }
+  /** Resolves once the parts are handled and first decisions are delivered. */
+  submit(from: InstanceId, parts: readonly SubmissionPart[]): Promise<void> {
+    if (this.isStopped) return Promise.resolve();
+    return new Promise(onHandled =>
+      dispatch(this.actor, {kind: 'submission', from, parts, onHandled}),
+    );
   }
 
   /** Begins to schedule a service before its first request. */
@@ -209,6 +214,7 @@
       message.parts.forEach(part => this.take(message.from, part));
     }
     this.decideAll();
+    if (message.kind === 'submission') message.onHandled();
     return undefined;
   }
 
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -9,6 +9,7 @@
   READ_LIST_METHOD,
   readListSchema,
   SUBMIT_METHOD,
+  type SubmissionReply,
   submissionSchema,
 } from '../dispatch/messages.js';
 import {DecisionSender} from '../dispatch/decision_sender.js';
@@ -57,6 +58,7 @@
   private readonly connections = new Connections();
   private readonly router = new RpcRouter();
   private readonly host: SchedulerHost;
+  private readonly decisions: DecisionSender;
   private readonly scheduler: SchedulerClient;
   private readonly loops: RegionLoops;
   private readonly link: ControlLink;
@@ -75,6 +77,7 @@
     this.settings = settings;
     this.client = new HttpRpcClient({self: instanceId, clusterSecret});
     this.members = new FleetMembers(() => this.describe());
+    this.decisions = this.createDecisionSender();
     this.host = this.createHost();
     this.scheduler = new SchedulerClient({
       region,
@@ -82,7 +85,7 @@
       members: this.members,
       client: this.client,
       logger,
-      submitHere: parts => this.host.submit(instanceId, parts),
+      submitHere: parts => void this.host.submit(instanceId, parts),
     });
     this.loops = new RegionLoops({
       region,
@@ -178,7 +181,7 @@
       incarnation: this.incarnation,
       domain: settings.domainId,
       region: settings.regionId,
-      innerAddress: settings.innerAddress,
+      innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
       callersAddress: settings.callerAddress,
       isReady: this.isReady(),
       isStopping: this.isStopping,
@@ -192,17 +195,20 @@
       .map(([domain]) => domain as DomainId);
   }
 
-  private createHost(): SchedulerHost {
-    const {settings, logger} = this.options;
-    const regions = new Set(Object.values(settings.regionOfDomain)).size;
-    const sender = new DecisionSender({
-      self: settings.instanceId,
+  private createDecisionSender(): DecisionSender {
+    const {instanceId: self} = this.options.settings;
+    return new DecisionSender({
+      self,
       members: this.members,
       client: this.client,
-      deliverHere: decisions =>
-        this.scheduler.deliver(settings.instanceId, decisions),
+      deliverHere: decisions => this.scheduler.deliver(self, decisions),
       onLost: decisions => this.releaseLost(decisions),
     });
+  }
+
+  private createHost(): SchedulerHost {
+    const {settings, logger} = this.options;
+    const regions = new Set(Object.values(settings.regionOfDomain)).size;
     return new SchedulerHost({
       region: settings.regionId,
       logger,
@@ -214,7 +220,7 @@
         slack: Math.floor(settings.retrySlack / regions),
       },
       serviceSpec: service => this.matcher?.service(service),
-      deliver: decision => sender.send(decision),
+      deliver: decision => this.decisions.send(decision),
       onDown: () => setImmediate(() => this.loops.probeAll()),
     });
   }
@@ -262,10 +268,16 @@
 
   private answerSchedulerCalls(): void {
     const {router, incarnation} = this;
-    router.register(SUBMIT_METHOD, submissionSchema, ({parts}, {sender}) => {
-      this.host.submit(sender, parts);
-      return {incarnation};
-    });
+    router.register(
+      SUBMIT_METHOD,
+      submissionSchema,
+      async ({parts}, {sender}): Promise<SubmissionReply> => {
+        const decisions = await this.decisions.collect(sender, () =>
+          this.host.submit(sender, parts),
+        );
+        return {incarnation, decisions};
+      },
+    );
     router.register(
       DECIDE_METHOD,
       decisionBatchSchema,
@@ -311,7 +323,7 @@
     decisions.forEach(decision => {
       if (decision.kind !== 'grant') return;
       const {requestId, upstreamId, service, entry} = decision;
-      this.host.submit(entry, [
+      void this.host.submit(entry, [
         {
           kind: 'release',
           service,
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -14,6 +14,8 @@
   regionOfDomain: z.record(z.string(), z.string()),
   /** Address for other instances. */
   innerAddress: addressSchema,
+  /** Where others reach the inner address, if not there, as behind a proxy. */
+  advertisedInnerAddress: addressSchema.optional(),
   /** Addresses of the operators' interface of some control members. */
   seedAddresses: z.array(addressSchema),
   /** Port of the inner listener on every control member. */
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -21,7 +21,7 @@
   lane: LongPromptLane,
   nowMs: number,
 ): UpstreamState | undefined {
-  const isLong = lane.isLong(item, upstreams, nowMs);
+  const isLong = lane.isLong(item, nowMs);
   const laneCostMs = (each: UpstreamState): number =>
     !isLong && lane.has(each) ? LANE_COST_MS : 0;
   const open = upstreams.filter(each => each.canTake(item, nowMs));
--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -5,6 +5,7 @@
  * need take all of them; streams with short prompts prefer the others.
  */
 import type {UpstreamId} from '../types/ids.js';
+import type {PromptEstimates} from './prompt_estimates.js';
 import type {WorkItem} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
@@ -25,19 +26,21 @@
 
 /** The lane of one service. */
 export class LongPromptLane {
-  private members: readonly UpstreamId[] = [];
+  private members: ReadonlySet<UpstreamId> = new Set();
 
   /** `onChange` gets the new members and the demand in engines. */
+  private demand = 0;
+  private demandAtMs = 0;
+  private neededSinceMs = 0;
+  private swappedAtMs = 0;
+
   constructor(
+    private readonly estimates: PromptEstimates,
     private readonly onChange: (
       members: readonly UpstreamId[],
       demand: number,
     ) => void,
   ) {}
-  private demand = 0;
-  private demandAtMs = 0;
-  private neededSinceMs = 0;
-  private swappedAtMs = 0;
 
   /** Notes a new request, so that the lane grows with the demand. */
   noteArrival(
@@ -45,7 +48,7 @@
     usable: readonly UpstreamState[],
     nowMs: number,
   ): void {
-    const readMs = longReadMs(item, usable, nowMs);
+    const readMs = this.longReadMs(item, nowMs);
     const elapsedMs = Math.max(0, nowMs - this.demandAtMs);
     const kept = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
     this.demand = this.demand * kept + readMs / DEMAND_WINDOW_MS;
@@ -54,47 +57,55 @@
   }
 
   /** Whether the request belongs into the lane. */
-  isLong(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): boolean {
-    return longReadMs(item, usable, nowMs) > 0;
+  isLong(item: WorkItem, nowMs: number): boolean {
+    return this.longReadMs(item, nowMs) > 0;
   }
 
   has(upstream: UpstreamState): boolean {
-    return this.members.includes(upstream.listed.upstreamId);
+    return this.members.has(upstream.listed.upstreamId);
   }
 
-  /** The engines that may get the request. */
+  /**
+   * Those of `upstreams` that may get the request. While no usable engine is in
+   * the lane, all may.
+   */
   eligible(
     item: WorkItem,
+    upstreams: readonly UpstreamState[],
     usable: readonly UpstreamState[],
     nowMs: number,
   ): readonly UpstreamState[] {
-    if (!this.isLong(item, usable, nowMs)) return usable;
-    const inLane = usable.filter(each => this.has(each));
-    return inLane.length > 0 ? inLane : usable;
+    const isFree =
+      !this.isLong(item, nowMs) || !usable.some(each => this.has(each));
+    return isFree ? upstreams : upstreams.filter(each => this.has(each));
+  }
+
+  private longReadMs(item: WorkItem, nowMs: number): number {
+    const readMs = this.estimates.leastReadMs(item, nowMs);
+    return readMs > LONG_READ_MS ? readMs : 0;
   }
 
   private resize(usable: readonly UpstreamState[], nowMs: number): void {
     const size = this.sizeFor(usable);
-    const current = this.members.filter(member =>
-      usable.some(each => each.listed.upstreamId === member),
-    );
+    const current = usable
+      .map(each => each.listed.upstreamId)
+      .filter(each => this.members.has(each));
     if (size >= current.length) this.neededSinceMs = nowMs;
     const isTooLarge =
       size < current.length && nowMs - this.neededSinceMs > SHRINK_AFTER_MS;
     const target = isTooLarge ? size : Math.max(size, current.length);
     const isSame =
-      current.length === this.members.length && current.length === target;
+      current.length === this.members.size && current.length === target;
     const maySwap =
       nowMs - this.swappedAtMs > SWAP_INTERVAL_MS && this.hasSlowMember(usable);
     if (isSame && !maySwap) return;
     this.swappedAtMs = nowMs;
     const members = fastest(usable, current, target);
-    if (members.join() === this.members.join()) return;
-    this.members = members;
+    const isUnchanged =
+      members.length === this.members.size &&
+      members.every(each => this.members.has(each));
+    if (isUnchanged) return;
+    this.members = new Set(members);
     this.onChange(members, this.demand);
   }
 
@@ -119,18 +130,6 @@
   }
 }
 
-function longReadMs(
-  item: WorkItem,
-  usable: readonly UpstreamState[],
-  nowMs: number,
-): number {
-  if (item.prompt === undefined || usable.length === 0) return 0;
-  const readMs = Math.min(
-    ...usable.map(each => each.readMs(item, nowMs) / each.slownessFactor),
-  );
-  return readMs > LONG_READ_MS ? readMs : 0;
-}
-
 // Members stay members unless another engine is clearly faster.
 function fastest(
   usable: readonly UpstreamState[],
--- /dev/null
+++ b/src/node/scheduling/prompt_estimates.ts
@@ -0,0 +1,94 @@
+/**
+ * What the engines of a region would have to do for a prompt. An estimate
+ * compares a prompt with the cache of every engine, so it is kept for a short
+ * time: a queued request is looked at many times a second.
+ */
+import {PREFILL_TOKENS_PER_MS} from './constants.js';
+import type {PromptPart, PromptSize, WorkItem} from './types.js';
+import type {UpstreamState} from './upstream_state.js';
+
+/** Caches change little in this time. */
+const REUSE_MS = 40;
+
+/** An engine with what it holds of a prompt. */
+export interface PrefixHolder {
+  readonly upstream: UpstreamState;
+  readonly tokens: number;
+}
+
+interface PromptEstimate {
+  readonly atMs: number;
+  /** Tokens that need not be read, by engine. */
+  readonly cachedTokens: ReadonlyMap<UpstreamState, number>;
+  /** The engine that holds most; `undefined` if none holds anything. */
+  readonly holder: PrefixHolder | undefined;
+  /** Reading time on the best engine, at nominal speed. */
+  leastReadMs?: number;
+}
+
+/** Estimates for the engines of one service. */
+export class PromptEstimates {
+  private readonly known = new WeakMap<PromptSize, PromptEstimate>();
+
+  constructor(private readonly upstreams: () => readonly UpstreamState[]) {}
+
+  /** The engine from which others would fetch the prompt's beginning. */
+  holder(prompt: PromptSize, nowMs: number): PrefixHolder | undefined {
+    return this.of(prompt, nowMs).holder;
+  }
+
+  /** Tokens that an engine holds already. */
+  cachedTokens(
+    prompt: PromptSize,
+    upstream: UpstreamState,
+    nowMs: number,
+  ): number {
+    return (
+      this.of(prompt, nowMs).cachedTokens.get(upstream) ??
+      upstream.cache.cachedTokens(prompt.parts)
+    );
+  }
+
+  /** Shortest reading time among the engines, 0 without a prompt. */
+  leastReadMs(item: WorkItem, nowMs: number): number {
+    const {prompt} = item;
+    if (prompt === undefined) return 0;
+    const estimate = this.of(prompt, nowMs);
+    estimate.leastReadMs ??= Math.min(
+      ...[...estimate.cachedTokens.keys()].map(
+        each => each.readMs(item, nowMs) / each.slownessFactor,
+      ),
+      prompt.promptTokens / PREFILL_TOKENS_PER_MS,
+    );
+    return estimate.leastReadMs;
+  }
+
+  private of(prompt: PromptSize, nowMs: number): PromptEstimate {
+    const known = this.known.get(prompt);
+    if (known !== undefined && nowMs - known.atMs < REUSE_MS) return known;
+    const cachedTokens = new Map(
+      this.upstreams().map(upstream => [
+        upstream,
+        upstream.cache.cachedTokens(prompt.parts),
+      ]),
+    );
+    const estimate = {atMs: nowMs, cachedTokens, holder: mostOf(cachedTokens)};
+    this.known.set(prompt, estimate);
+    return estimate;
+  }
+}
+
+function mostOf(
+  cachedTokens: ReadonlyMap<UpstreamState, number>,
+): PrefixHolder | undefined {
+  return [...cachedTokens].reduce<PrefixHolder | undefined>(
+    (best, [upstream, tokens]) =>
+      tokens > (best?.tokens ?? 0) ? {upstream, tokens} : best,
+    undefined,
+  );
+}
+
+/** Tokens of the parts that other requests share; the last part is its own. */
+export function sharedTokens(parts: readonly PromptPart[]): number {
+  return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
--- a/src/node/scheduling/read_load.ts
+++ b/src/node/scheduling/read_load.ts
@@ -1,4 +1,5 @@
 /** How much of the engines' time goes into reading prompts. */
+import type {PromptEstimates} from './prompt_estimates.js';
 import type {WorkItem} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
@@ -10,15 +11,8 @@
   private demand = 0;
   private atMs = 0;
 
-  noteArrival(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): void {
-    if (item.prompt === undefined || usable.length === 0) return;
-    const readMs = Math.min(
-      ...usable.map(each => each.readMs(item, nowMs) / each.slownessFactor),
-    );
+  noteArrival(item: WorkItem, estimates: PromptEstimates, nowMs: number): void {
+    const readMs = estimates.leastReadMs(item, nowMs);
     this.demand = this.current(nowMs) + readMs / WINDOW_MS;
     this.atMs = nowMs;
   }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -70,7 +70,7 @@
   constructor(private readonly options: SchedulerOptions) {
     this.pool = new UpstreamPool(options.traits, options.onPoolChange);
     this.retries = new RetryAllowance(options.retries);
-    this.lane = new LongPromptLane(options.onLaneChange);
+    this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
   }
 
   get queueLength(): number {
@@ -141,7 +141,12 @@
   /** Goes over the queue and returns what was decided since the last call. */
   decide(nowMs: number): readonly Decision[] {
     this.pool.all().forEach(each => each.expire(nowMs));
-    this.queue.inOrder().forEach(queued => this.serve(queued, nowMs));
+    const usable = this.pool.usable();
+    let open = openOf(usable, nowMs);
+    this.queue.inOrder().forEach(queued => {
+      const isGranted = this.serve(queued, usable, open, nowMs);
+      if (isGranted) open = openOf(open, nowMs);
+    });
     const decided = this.decisions;
     this.decisions = [];
     return decided;
@@ -169,7 +174,7 @@
     }
     const usable = this.pool.usable();
     this.lane.noteArrival(item, usable, nowMs);
-    this.readLoad.noteArrival(item, usable, nowMs);
+    this.readLoad.noteArrival(item, this.pool.estimates, nowMs);
     if (this.relieve(item, usable, nowMs)) return;
     if (usable.length === 0) {
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
@@ -178,7 +183,7 @@
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
       return;
     }
-    const eligible = this.lane.eligible(item, usable, nowMs);
+    const eligible = this.lane.eligible(item, usable, usable, nowMs);
     const expected = forecast(
       item,
       this.queue.ahead(item.priority),
@@ -234,7 +239,7 @@
   ): boolean {
     const readShare = this.readLoad.share(usable, nowMs);
     const isPressed =
-      readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, usable, nowMs);
+      readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, nowMs);
     if (!isPressed) return false;
     const offer = this.board.bestOffer(item, nowMs);
     const isRelief =
@@ -243,21 +248,48 @@
     return isRelief && this.offload(item, Number.POSITIVE_INFINITY, nowMs);
   }
 
-  private serve({item, queuedAtMs}: QueuedItem, nowMs: number): void {
+  /** Decides on a queued request if it is time to; true if it got an upstream. */
+  private serve(
+    {item, queuedAtMs}: QueuedItem,
+    usable: readonly UpstreamState[],
+    open: readonly UpstreamState[],
+    nowMs: number,
+  ): boolean {
     const queuedMs = nowMs - queuedAtMs;
-    const usable = this.pool.usable();
-    const eligible = this.lane.eligible(item, usable, nowMs);
-    const upstream = chooseUpstream(item, eligible, this.lane, nowMs);
     const isOverAllowance = item.isRepeat && !this.retries.allowsRepeat(nowMs);
     if (isOverAllowance) {
       this.queue.remove(item.requestId);
       this.refuse(item, 'retry_budget', 0);
-      return;
+      return false;
     }
+    const upstream = this.choose(item, usable, open, nowMs);
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
-      return;
+      return true;
     }
+    this.giveUpLate(item, usable, queuedMs, nowMs);
+    return false;
+  }
+
+  private choose(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    open: readonly UpstreamState[],
+    nowMs: number,
+  ): UpstreamState | undefined {
+    // In a flood nothing is open most of the time; the queue is long then.
+    if (open.length === 0) return undefined;
+    const eligible = this.lane.eligible(item, open, usable, nowMs);
+    return chooseUpstream(item, eligible, this.lane, nowMs);
+  }
+
+  /** Ends a wait that has become too long. */
+  private giveUpLate(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    queuedMs: number,
+    nowMs: number,
+  ): void {
     const isLost = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
     const waitedMs = item.ageMs + queuedMs;
     const isLate = waitedMs > item.targetLatencyMs * ADMISSION_SHARE_OF_TARGET;
@@ -335,3 +367,10 @@
     });
   }
 }
+
+function openOf(
+  upstreams: readonly UpstreamState[],
+  nowMs: number,
+): readonly UpstreamState[] {
+  return upstreams.filter(each => each.isOpen(nowMs));
+}
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,6 +1,6 @@
 /** The upstreams of one service in one region, kept current by the list. */
 import type {DomainId, UpstreamId} from '../types/ids.js';
-import {PrefixHolders} from './prefix_holders.js';
+import {PromptEstimates} from './prompt_estimates.js';
 import type {
   ListedUpstream,
   PlacementOutcome,
@@ -46,7 +46,7 @@
 export class UpstreamPool {
   private readonly states = new Map<UpstreamId, UpstreamState>();
   private evacuated: readonly DomainId[] = [];
-  private readonly holders = new PrefixHolders(() => this.usable());
+  readonly estimates = new PromptEstimates(() => this.usable());
 
   constructor(
     private traits: ServiceTraits,
@@ -158,7 +158,7 @@
   private applyEntry(listed: ListedUpstream, reading: ListReading): void {
     const known = this.states.get(listed.upstreamId);
     if (known === undefined) {
-      const created = new UpstreamState(listed, this.traits, this.holders);
+      const created = new UpstreamState(listed, this.traits, this.estimates);
       this.states.set(listed.upstreamId, created);
       applyCold(created, listed, reading);
       this.note('listed', created, 'list');
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -11,7 +11,7 @@
   USABLE_CACHE_SHARE,
 } from './constants.js';
 import {PrefixCache} from './prefix_cache.js';
-import type {PrefixHolders} from './prefix_holders.js';
+import {sharedTokens, type PromptEstimates} from './prompt_estimates.js';
 import {StartPacer} from './start_pacer.js';
 import type {
   ListedUpstream,
@@ -39,6 +39,8 @@
 /** Weight of one first answer in the estimate of an engine's speed. */
 const SLOWNESS_WEIGHT = 0.05;
 const TELLING_READ_MS = 70;
+/** Placements whose end nobody told are rare. */
+const EXPIRY_CHECK_MS = 200;
 /** Reading fewer tokens is as quick as fetching them. */
 const LEAST_FETCH_TOKENS = 300;
 const SLOWEST_FACTOR = 6;
@@ -61,6 +63,9 @@
   private readonly placements = new Map<RequestId, Placement>();
   private readUntilMs = 0;
   private usedTokens = 0;
+  /** Sum over the placements. */
+  private outputTokens = 0;
+  private expireAtMs = 0;
   private failureShare = 0;
   private slowness = 1;
   private serviceMs = INITIAL_SERVICE_MS;
@@ -68,7 +73,7 @@
   constructor(
     public listed: ListedUpstream,
     public traits: ServiceTraits,
-    private readonly holders: PrefixHolders,
+    private readonly estimates: PromptEstimates,
   ) {}
 
   get running(): number {
@@ -112,13 +117,17 @@
 
   /** Whether it may get the request now. */
   canTake(item: WorkItem, nowMs: number): boolean {
+    if (!this.isOpen(nowMs)) return false;
+    return !this.isEngine || this.ownTokens(item) <= this.freeTokens;
+  }
+
+  /** Whether it may get any request now. */
+  isOpen(nowMs: number): boolean {
     if (this.isDown || this.listed.isDraining || this.freeSlots === 0) {
       return false;
     }
     if (this.isCold(nowMs) && this.pacer.readyAtMs() > nowMs) return false;
-    if (!this.isEngine) return true;
-    const isFed = this.backlogMs(nowMs) <= FEED_BACKLOG_MS;
-    return isFed && this.ownTokens(item) <= this.freeTokens;
+    return !this.isEngine || this.backlogMs(nowMs) <= FEED_BACKLOG_MS;
   }
 
   /** How much slower it answers than an engine of nominal speed. */
@@ -130,8 +139,8 @@
   readMs(item: WorkItem, nowMs: number): number {
     const {prompt} = item;
     if (prompt === undefined) return 0;
-    const cached = this.cache.cachedTokens(prompt.parts);
-    const held = this.holders.find(item, nowMs)?.tokens ?? 0;
+    const cached = this.estimates.cachedTokens(prompt, this, nowMs);
+    const held = this.estimates.holder(prompt, nowMs)?.tokens ?? 0;
     const fetched = this.traits.fetchMsPerToken > 0 ? held - cached : 0;
     const known = cached + Math.max(0, fetched);
     const missing = Math.max(0, prompt.promptTokens - known);
@@ -153,9 +162,12 @@
 
   /** The engine from which it should fetch the beginning of a prompt. */
   fetchSource(item: WorkItem, nowMs: number): UpstreamState | undefined {
-    if (this.traits.fetchMsPerToken === 0) return undefined;
-    const holder = this.holders.find(item, nowMs);
-    const cached = this.cache.cachedTokens(item.prompt?.parts ?? []);
+    const {prompt} = item;
+    if (this.traits.fetchMsPerToken === 0 || prompt === undefined) {
+      return undefined;
+    }
+    const holder = this.estimates.holder(prompt, nowMs);
+    const cached = this.cache.cachedTokens(prompt.parts);
     const isWorth =
       holder !== undefined && holder.tokens - cached >= LEAST_FETCH_TOKENS;
     return isWorth ? holder.upstream : undefined;
@@ -181,8 +193,7 @@
   end(release: Release, nowMs: number): void {
     const placement = this.placements.get(release.requestId);
     if (placement === undefined) return;
-    this.placements.delete(release.requestId);
-    this.usedTokens -= placement.ownTokens;
+    this.forget(placement);
     if (release.outcome === 'cancelled') return;
     const failure = FAILURES.has(release.outcome) ? 1 : 0;
     this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
@@ -193,6 +204,8 @@
 
   /** Forgets placements whose entry never told their end. */
   expire(nowMs: number): void {
+    if (nowMs < this.expireAtMs) return;
+    this.expireAtMs = nowMs + EXPIRY_CHECK_MS;
     [...this.placements.values()]
       .filter(each => each.expiresAtMs <= nowMs)
       .forEach(each => this.forget(each));
@@ -215,6 +228,7 @@
     this.placements.clear();
     this.cache.clear();
     this.usedTokens = 0;
+    this.outputTokens = 0;
     this.readUntilMs = 0;
     this.failureShare = 0;
   }
@@ -227,6 +241,8 @@
 
   private hold(item: WorkItem, expectedMs: number, nowMs: number): void {
     const ownTokens = this.ownTokens(item);
+    const replaced = this.placements.get(item.requestId);
+    if (replaced !== undefined) this.forget(replaced);
     this.placements.set(item.requestId, {
       item,
       ownTokens,
@@ -235,16 +251,13 @@
     });
     this.usedTokens += ownTokens;
     if (item.prompt === undefined) return;
+    this.outputTokens += item.prompt.expectedOutputTokens;
     this.cache.use(item.prompt.parts);
     this.cache.shrinkTo(Math.max(0, this.capacityTokens - this.usedTokens));
   }
 
   private meanStreamMs(): number {
-    const outputTokens = [...this.placements.values()].reduce(
-      (sum, each) => sum + (each.item.prompt?.expectedOutputTokens ?? 0),
-      0,
-    );
-    const mean = outputTokens / Math.max(1, this.placements.size);
+    const mean = this.outputTokens / Math.max(1, this.placements.size);
     return Math.max(1, mean) * DECODE_MS_PER_TOKEN * this.slowness;
   }
 
@@ -264,6 +277,7 @@
   private forget(placement: Placement): void {
     this.placements.delete(placement.item.requestId);
     this.usedTokens -= placement.ownTokens;
+    this.outputTokens -= placement.item.prompt?.expectedOutputTokens ?? 0;
   }
 
   // Shared parts are counted by the cache; what a request alone occupies is
@@ -271,10 +285,7 @@
   private ownTokens(item: WorkItem): number {
     const {prompt} = item;
     if (prompt === undefined) return 0;
-    const shared = prompt.parts
-      .slice(0, -1)
-      .reduce((sum, part) => sum + part.tokens, 0);
-    const own = Math.max(0, prompt.promptTokens - shared);
+    const own = Math.max(0, prompt.promptTokens - sharedTokens(prompt.parts));
     return own + prompt.expectedOutputTokens;
   }
 }
