Move the soak out of the adapter's folder

platform/ only translates; the soak is a program of its own that uses the adapter's names for headers and calls. Stand-ins stay beside the adapter.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
   {ignores: ['dist/', 'node_modules/', 'data/', 'target/']},
   eslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'soak/**/*.ts'],
     extends: [...tseslint.configs.recommended],
     languageOptions: {
       parserOptions: {
--- a/scripts/check_layout.mjs
+++ b/scripts/check_layout.mjs
@@ -11,7 +11,7 @@
   readFileSync('scripts/layout_exceptions.json', 'utf8'),
 );
 
-const files = ['src', 'platform']
+const files = ['src', 'platform', 'soak']
   .flatMap(folder =>
     readdirSync(folder, {recursive: true}).map(file =>
       join(folder, String(file)),
--- a/platform/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -1,6 +1,6 @@
 /** Draws the faults of one run from its seed. They overlap as they come. */
-import {seededRandom} from '../../src/node/__tests__/support/random.js';
-import type {Behaviour} from '../standin/stand_in.js';
+import {seededRandom} from '../src/node/__tests__/support/random.js';
+import type {Behaviour} from '../platform/standin/stand_in.js';
 import {domainOf, REGIONS, type Layout} from './layout.js';
 import type {LinkState} from './tcp_proxy.js';
 import {pick} from './traffic.js';
--- a/platform/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -1,7 +1,12 @@
 /** All processes, proxies and stand-ins of one run. */
 import {mkdirSync} from 'node:fs';
-import {StandInList, StandInUpstream} from '../standin/stand_in.js';
-import {createLayout, type Layout, type UpstreamPlace} from './layout.js';
+import {StandInList, StandInUpstream} from '../platform/standin/stand_in.js';
+import {
+  createLayout,
+  SERVICE,
+  type Layout,
+  type UpstreamPlace,
+} from './layout.js';
 import {
   MemberProcess,
   STOP_GRACE_MS,
@@ -110,11 +115,16 @@
   private async addUpstream(place: UpstreamPlace): Promise<void> {
     const {name, domain, address, proxyAddress} = place;
     const lifetime = this.past.filter(each => each.address === address).length;
-    const upstream = new StandInUpstream(`${name}-${lifetime}`, 'svc', domain, {
-      address,
-      listedAddress: proxyAddress,
-      eventPauseMs: EVENT_PAUSE_MS,
-    });
+    const upstream = new StandInUpstream(
+      `${name}-${lifetime}`,
+      SERVICE,
+      domain,
+      {
+        address,
+        listedAddress: proxyAddress,
+        eventPauseMs: EVENT_PAUSE_MS,
+      },
+    );
     upstream.bornAtMs = lifetime + 1;
     this.current.set(name, upstream);
     this.listed.push(upstream);
--- a/platform/soak/history.ts
+++ b/soak/history.ts
@@ -51,9 +51,9 @@
 export const ROUTES = {
   chat: {kind: 'streaming', attempts: 2, resumable: true, path: '/chat/'},
   once: {kind: 'streaming', attempts: 1, resumable: false, path: '/chat/once/'},
-  lookup: {kind: 'safe', attempts: 2, path: '/lookup/'},
-  order: {kind: 'unsafe', attempts: 1, path: '/order/'},
-  homed: {kind: 'safe', attempts: 2, path: '/homed/'},
+  lookup: {kind: 'safe', attempts: 2, resumable: false, path: '/lookup/'},
+  order: {kind: 'unsafe', attempts: 1, resumable: false, path: '/order/'},
+  homed: {kind: 'safe', attempts: 2, resumable: false, path: '/homed/'},
 } as const;
 
 export type RouteName = keyof typeof ROUTES;
--- a/platform/soak/layout.ts
+++ b/soak/layout.ts
@@ -1,5 +1,7 @@
 /** Addresses of the processes of one soak run, all on loopback. */
 
+/** The service that all routes lead to. */
+export const SERVICE = 'svc';
 export const REGIONS: readonly string[] = ['north', 'south', 'west'];
 const ENTRIES_PER_REGION = 2;
 const UPSTREAMS_PER_REGION = 2;
--- a/platform/soak/main.ts
+++ b/soak/main.ts
@@ -3,7 +3,7 @@
 import {tmpdir} from 'node:os';
 import {mkdtempSync, rmSync} from 'node:fs';
 import sade from 'sade';
-import {wallNowMs} from '../../src/node/clock/clock.js';
+import {wallNowMs} from '../src/node/clock/clock.js';
 import {runSoak, type SoakResult} from './soak_run.js';
 
 const SEED_LIMIT = 1_000_000_000;
--- a/platform/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -12,8 +12,10 @@
 import type {Layout, ProcessPlace} from './layout.js';
 
 const PROGRAMS = {
-  entry: fileURLToPath(new URL('../entry_main.js', import.meta.url)),
-  control: fileURLToPath(new URL('../control_main.js', import.meta.url)),
+  entry: fileURLToPath(new URL('../platform/entry_main.js', import.meta.url)),
+  control: fileURLToPath(
+    new URL('../platform/control_main.js', import.meta.url),
+  ),
 } as const;
 /** Longest planned stop that the settings allow. */
 export const STOP_GRACE_MS = 4_500;
--- a/platform/soak/operator.ts
+++ b/soak/operator.ts
@@ -1,6 +1,14 @@
 /** The operator of one run: changes, evacuations and readings. */
 import {request} from 'undici';
+import {
+  EVACUATE_PREFIX,
+  READ_PATH,
+  REPLACE_PATH,
+  RETURN_PREFIX,
+  standInConfiguration,
+} from '../platform/standin/operator_calls.js';
 import {HOMES, ROUTES, type OperatorRecord} from './history.js';
+import {SERVICE} from './layout.js';
 import {HOST, pick, TIMEOUT_MS} from './traffic.js';
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -10,28 +18,11 @@
 /** The configuration of a version. */
 export function configurationText(version: number): string {
   const routes = Object.entries(ROUTES).map(([name, route]) => ({
+    ...route,
     name,
-    host: HOST,
-    pathPrefix: route.path,
-    kind: route.kind,
-    attempts: route.attempts,
-    resumable: route.kind === 'streaming' && route.resumable,
-    timeoutMs: TIMEOUT_MS,
-    targetLatencyMs: 1_000,
-    service: 'svc',
     homeRegions: name === 'homed' ? HOMES : [],
   }));
-  return JSON.stringify({
-    version,
-    routes,
-    services: [{name: 'svc', healthCheckPath: '/health'}],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  });
+  return standInConfiguration(version, HOST, SERVICE, TIMEOUT_MS, routes);
 }
 
 /** Calls the control members, each time another one. */
@@ -62,23 +53,23 @@
     this.version += 3;
     const {version} = this;
     const text = configurationText(version);
-    return this.send('replace', '/Configuration.Replace', version, text);
+    return this.send('replace', REPLACE_PATH, version, text);
   }
 
   async read(): Promise<boolean> {
     const sentAtMs = performance.now();
-    const {status, body} = await this.call('GET', '/Configuration.Read');
+    const {status, body} = await this.call('GET', READ_PATH);
     const {version} = parsedOrEmpty(body);
     this.note('read', sentAtMs, status, version ?? 0, body);
     return status === 200;
   }
 
   evacuate(domain: string): Promise<boolean> {
-    return this.send('evacuate', `/Evacuation.Start/${domain}`, 0, domain);
+    return this.send('evacuate', `${EVACUATE_PREFIX}${domain}`, 0, domain);
   }
 
   takeBack(domain: string): Promise<boolean> {
-    return this.send('return', `/Evacuation.Finish/${domain}`, 0, domain);
+    return this.send('return', `${RETURN_PREFIX}${domain}`, 0, domain);
   }
 
   private async send(
--- a/platform/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -1,6 +1,7 @@
 /** Callers of one run: they keep connections and note what they get. */
 import {Agent, request} from 'undici';
-import type {CallResult, RouteName} from './history.js';
+import {HEADER} from '../platform/headers.js';
+import {ROUTES, type CallResult, type RouteName} from './history.js';
 import {REGIONS} from './layout.js';
 
 export const HOST = 'soak.example';
@@ -83,7 +84,7 @@
     route: RouteName,
     attemptId: string,
   ): Promise<Pick<CallResult, 'status' | 'isComplete' | 'stamp' | 'text'>> {
-    const path = route === 'once' ? '/chat/once/' : `/${route}/`;
+    const {path} = ROUTES[route];
     const seen = {status: 0, stamp: undefined as string | undefined, text: ''};
     try {
       const answer = await request(`http://${address}${path}${attemptId}`, {
@@ -91,8 +92,8 @@
         dispatcher: this.agent,
         headers: {
           host: HOST,
-          'attempt-id': attemptId,
-          'deadline-milliseconds': String(PATIENCE_MS),
+          [HEADER.attemptId]: attemptId,
+          [HEADER.waitsMs]: String(PATIENCE_MS),
         },
         body: attemptId,
         signal: AbortSignal.timeout(PATIENCE_MS),
@@ -111,7 +112,7 @@
 function stampOf(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): string | undefined {
-  const stamp = headers['response-stamp'];
+  const stamp = headers[HEADER.signature];
   return typeof stamp === 'string' ? stamp : undefined;
 }
 
