Share readings of the list, and leave failing upstreams out for a time

An upstream whose health check is good while it answers nothing stayed in use, since only a failed probe took it out, and a failing one kept its bad mark until it got work again.

One entry of a region reads, the others ask it and count the reading as no younger than it is. A stall counts as a failure, the share of failures fades, and above one half an upstream is left out while most others are sound. Specs: calls to the list, loss of the reader, age of a shared reading, stalls with good health.

--- /dev/null
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {pino} from 'pino';
+import {z} from 'zod';
+import {MemoryNetwork} from '../../__tests__/support/memory_network.js';
+import {FleetMembers} from '../../fleet/fleet_members.js';
+import type {EntryInstance} from '../../fleet/messages.js';
+import {MetricsRegistry} from '../../metrics/registry.js';
+import {RpcRouter} from '../../rpc/rpc.js';
+import type {ListedUpstream} from '../../scheduling/types.js';
+import {
+  asId,
+  type DomainId,
+  type InstanceId,
+  type RegionId,
+} from '../../types/ids.js';
+import {ListReader} from '../list_reader.js';
+import {READ_REGION_METHOD} from '../messages.js';
+import {UpstreamFeed, type HealthAnswer} from '../upstream_feed.js';
+
+const REGION = asId<RegionId>('home');
+const CONTROL = asId<InstanceId>('control');
+const NAMES = ['e1', 'e2', 'e3', 'e4'];
+
+class CountingFeed extends UpstreamFeed {
+  override readonly lagMs = 100;
+  calls = 0;
+  isLost = false;
+
+  override list(): Promise<readonly ListedUpstream[]> {
+    this.calls += 1;
+    return this.isLost
+      ? Promise.reject(new Error('the list is lost'))
+      : Promise.resolve([]);
+  }
+
+  override health(): Promise<HealthAnswer | undefined> {
+    return Promise.resolve(undefined);
+  }
+}
+
+function entry(name: string): EntryInstance {
+  return {
+    instanceId: asId<InstanceId>(name),
+    innerAddress: `${name}:1`,
+    callersAddress: `${name}:2`,
+    region: REGION,
+    domain: asId<DomainId>('home-a'),
+    incarnation: 1,
+    isReady: true,
+    isStopping: false,
+  };
+}
+
+function startEntries(network: MemoryNetwork) {
+  const feed = new CountingFeed();
+  const entries = NAMES.map(entry);
+  const readers = entries.map(self => {
+    const members = new FleetMembers(() => self);
+    const view = {viewId: 'v', entries, controlMembers: []};
+    members.renew(CONTROL, view, performance.now());
+    const router = new RpcRouter();
+    const client = network.attach(self.innerAddress, self.instanceId, router);
+    const reader = new ListReader({
+      region: REGION,
+      domains: [asId<DomainId>('home-a')],
+      self: self.instanceId,
+      members,
+      feed,
+      client,
+      bulkClient: client,
+      logger: pino({level: 'silent'}),
+      metrics: new MetricsRegistry(),
+    });
+    router.register(READ_REGION_METHOD, z.object({}), () => reader.share());
+    return reader;
+  });
+  return {feed, readers};
+}
+
+// Guards against a call to the platform for each service of a region.
+test('the entries of a region share one reading', async () => {
+  const {feed, readers} = startEntries(new MemoryNetwork());
+  const readings = await Promise.all(readers.map(each => each.read()));
+  assert.equal(feed.calls, 1);
+  assert.ok(readings.every(each => each !== undefined));
+});
+
+// Guards against a region that loses the list with the entry that reads it.
+test('without the reading entry each reads for itself', async () => {
+  const network = new MemoryNetwork();
+  const {feed, readers} = startEntries(network);
+  NAMES.forEach(name => network.isolate(`${name}:1`));
+  const readings = await Promise.all(readers.map(each => each.read()));
+  assert.equal(feed.calls, NAMES.length);
+  assert.ok(readings.every(each => each !== undefined));
+});
+
+// Guards against a reading that is taken for younger than it is: it would
+// call an upstream warm that was found cold meanwhile.
+test('a shared reading is never taken for younger than it is', async () => {
+  const {readers} = startEntries(new MemoryNetwork());
+  const startedAtMs = performance.now();
+  await Promise.all(readers.map(each => each.read()));
+  const readAtMs = performance.now();
+  const later = await Promise.all(readers.map(each => each.read()));
+  later.forEach(each => {
+    assert.ok((each?.readAtMs ?? 0) <= readAtMs);
+    assert.ok((each?.readAtMs ?? 0) >= startedAtMs - 5);
+  });
+});
--- /dev/null
+++ b/src/node/dispatch/list_reader.ts
@@ -0,0 +1,168 @@
+/**
+ * Reads the platform's list for a region. One entry of the region reads it and
+ * the others ask that one, since every reading is a call to the platform. An
+ * entry that gets no answer reads the list itself.
+ */
+import {monotonicNowMs} from '../clock/clock.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {Logger} from '../logging/logger.js';
+import type {MetricsRegistry} from '../metrics/registry.js';
+import type {RpcClient} from '../rpc/rpc.js';
+import type {ListedUpstream} from '../scheduling/types.js';
+import {toGatewayError, type GatewayError} from '../types/errors.js';
+import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
+import {READ_LIST_METHOD, READ_REGION_METHOD} from './messages.js';
+import type {RegionReading} from './scheduler_host.js';
+import type {UpstreamFeed} from './upstream_feed.js';
+
+/** The job that falls to the entry that reads for its region. */
+const READER_JOB = 'list.reader';
+/** A reading that is younger than this is passed on. */
+const REUSE_MS = 700;
+/** Shorter than the interval of readings, so that a turn is never missed. */
+const READER_TIMEOUT_MS = 400;
+/** Two round trips between regions and the reading itself. */
+const DETOUR_TIMEOUT_MS = 900;
+
+/** What the reading entry answers; `undefined` if it could not read either. */
+export interface SharedReading {
+  readonly upstreams: readonly ListedUpstream[];
+  /** Time since the list was asked for it. */
+  readonly ageMs: number;
+}
+
+export interface ListReaderOptions {
+  readonly region: RegionId;
+  readonly domains: readonly DomainId[];
+  readonly self: InstanceId;
+  readonly members: FleetMembers;
+  readonly feed: UpstreamFeed;
+  readonly client: RpcClient;
+  /** For readings through another region. */
+  readonly bulkClient: RpcClient;
+  readonly logger: Logger;
+  readonly metrics: MetricsRegistry;
+}
+
+/** The readings of one entry. */
+export class ListReader {
+  private readonly lastLists = new Map<DomainId, readonly ListedUpstream[]>();
+  private isListLost = false;
+  private reading: RegionReading | undefined;
+  private readingUnderWay: Promise<RegionReading | undefined> | undefined;
+
+  constructor(private readonly options: ListReaderOptions) {}
+
+  /** The upstreams of the region; `undefined` if nobody can read the list. */
+  async read(): Promise<RegionReading | undefined> {
+    const {members, region, self} = this.options;
+    const nowMs = monotonicNowMs();
+    const [reader] = members.rankedEntries(region, READER_JOB, nowMs);
+    if (reader === undefined || reader.instanceId === self) {
+      return this.current();
+    }
+    const shared = await this.options.client.call<SharedReading | null>(
+      reader.innerAddress,
+      READ_REGION_METHOD,
+      {},
+      READER_TIMEOUT_MS,
+    );
+    const value = shared.unwrapOr(null);
+    if (value === null) return this.current();
+    // It was read before the answer left, so at the latest this long ago.
+    const readAtMs = nowMs - value.ageMs;
+    const {upstreams} = value;
+    return {upstreams, readAtMs, lagMs: this.options.feed.lagMs};
+  }
+
+  /** Answers an entry that asks for the reading of the region. */
+  async share(): Promise<SharedReading | null> {
+    const askedAtMs = monotonicNowMs();
+    const reading = await this.current();
+    if (reading === undefined) return null;
+    const ageMs = Math.max(0, askedAtMs - reading.readAtMs);
+    return {upstreams: reading.upstreams, ageMs};
+  }
+
+  /** The last reading of this entry if it is young, else a new one. */
+  private async current(): Promise<RegionReading | undefined> {
+    const {reading} = this;
+    const isYoung =
+      reading !== undefined && monotonicNowMs() - reading.readAtMs < REUSE_MS;
+    if (isYoung) return reading;
+    this.readingUnderWay ??= this.readAll().finally(() => {
+      this.readingUnderWay = undefined;
+    });
+    return this.readingUnderWay;
+  }
+
+  private async readAll(): Promise<RegionReading | undefined> {
+    const {domains, feed} = this.options;
+    const readAtMs = monotonicNowMs();
+    const read = await Promise.all(domains.map(each => this.readDomain(each)));
+    if (!read.includes(true)) return undefined;
+    const upstreams = [...this.lastLists.values()].flat();
+    this.reading = {upstreams, readAtMs, lagMs: feed.lagMs};
+    return this.reading;
+  }
+
+  private async readDomain(domain: DomainId): Promise<boolean> {
+    const {feed, metrics} = this.options;
+    metrics.count('list_reads');
+    const direct = feed.list(domain);
+    // While the list is lost both ways are tried, so that the way through
+    // another region does not wait for the time limit of the direct one.
+    const detour = this.isListLost ? this.readThroughPeer(domain) : undefined;
+    try {
+      this.lastLists.set(domain, await direct);
+      this.noteList(domain, undefined);
+      return true;
+    } catch (thrown) {
+      this.noteList(domain, toGatewayError(thrown, 'list.read', domain));
+      const upstreams = await (detour ?? this.readThroughPeer(domain));
+      if (upstreams === undefined) return false;
+      this.lastLists.set(domain, upstreams);
+      return true;
+    }
+  }
+
+  // A partition may cut this region from the list but not from other regions.
+  private async readThroughPeer(
+    domain: DomainId,
+  ): Promise<readonly ListedUpstream[] | undefined> {
+    const {members, region, bulkClient, metrics} = this.options;
+    const nowMs = monotonicNowMs();
+    const peers = members
+      .regions()
+      .filter(each => each !== region)
+      .flatMap(each => members.rankedEntries(each, domain, nowMs).slice(0, 1));
+    const answers = await Promise.all(
+      peers.map(peer =>
+        bulkClient.call<readonly ListedUpstream[]>(
+          peer.innerAddress,
+          READ_LIST_METHOD,
+          {domain},
+          DETOUR_TIMEOUT_MS,
+        ),
+      ),
+    );
+    metrics.count('list_reads_through_peers');
+    return answers.find(answer => answer.isOk())?.unwrapOr([]);
+  }
+
+  private noteList(domain: DomainId, error: GatewayError | undefined): void {
+    const {logger, metrics} = this.options;
+    const isLost = error !== undefined;
+    if (isLost) metrics.count('list_read_failures');
+    if (isLost === this.isListLost) return;
+    this.isListLost = isLost;
+    if (!isLost) {
+      logger.info({event: 'list_regained', domain}, 'the list answers again');
+      return;
+    }
+    logger.warn(
+      {event: 'list_lost', domain, err: error},
+      'the list cannot be read directly; other regions are asked for it',
+    );
+  }
+}
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -22,6 +22,9 @@
 /** Asks an entry of another region to read the platform's list. */
 export const READ_LIST_METHOD = 'list.read';
 
+/** Asks the entry that reads the list for its region. */
+export const READ_REGION_METHOD = 'list.region';
+
 export const readListSchema = z.object({
   domain: z.string().transform(value => asId<DomainId>(value)),
 });
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -230,7 +230,7 @@
       case 'cancel':
         return scheduler.cancel(part.requestId);
       case 'stalled':
-        return scheduler.pool.suspect(part.upstreamId);
+        return scheduler.pool.suspect(part.upstreamId, nowMs);
       case 'running':
         return scheduler.syncRunning(from, part.placements, nowMs);
     }
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -1,5 +1,6 @@
 /** A running ingress entry: its listeners, its scheduling and its stop. */
 import {createServer, type Server} from 'node:http';
+import {z} from 'zod';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
 import {
   decisionBatchSchema,
@@ -7,6 +8,7 @@
   DIGEST_METHOD,
   digestBatchSchema,
   READ_LIST_METHOD,
+  READ_REGION_METHOD,
   readListSchema,
   SUBMIT_METHOD,
   type SubmissionReply,
@@ -14,6 +16,7 @@
 } from '../dispatch/messages.js';
 import {DecisionSender} from '../dispatch/decision_sender.js';
 import {Rehearsal} from '../dispatch/rehearsal.js';
+import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
 import {SchedulerHost} from '../dispatch/scheduler_host.js';
@@ -64,6 +67,7 @@
   private readonly host: SchedulerHost;
   private readonly decisions: DecisionSender;
   private readonly scheduler: SchedulerClient;
+  private readonly listReader: ListReader;
   private readonly loops: RegionLoops;
   private readonly link: ControlLink;
   private readonly ingress: IngressServer;
@@ -93,17 +97,27 @@
       logger,
       submitHere: parts => void this.host.submit(instanceId, parts),
     });
-    this.loops = new RegionLoops({
+    this.listReader = new ListReader({
       region,
       domains: this.ownDomains(),
       self: instanceId,
       members: this.members,
-      host: this.host,
       feed,
       client: this.client,
       bulkClient: this.bulkClient,
       logger,
       metrics: this.metrics,
+    });
+    this.loops = new RegionLoops({
+      region,
+      reader: this.listReader,
+      self: instanceId,
+      members: this.members,
+      host: this.host,
+      feed,
+      client: this.client,
+      logger,
+      metrics: this.metrics,
       services: () => this.state.table?.services ?? [],
     });
     this.link = new ControlLink({
@@ -300,6 +314,9 @@
         return {};
       },
     );
+    router.register(READ_REGION_METHOD, z.object({}), () =>
+      this.listReader.share(),
+    );
     router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
       this.options.feed.list(domain),
     );
--- a/src/node/scheduling/__tests__/stalled_upstreams.spec.ts
+++ b/src/node/scheduling/__tests__/stalled_upstreams.spec.ts
@@ -20,7 +20,7 @@
 // its own requests time out.
 test('an upstream that stalls and fails a probe gets nothing more', () => {
   const scheduler = withUpstreams();
-  scheduler.pool.suspect(upstreamId);
+  scheduler.pool.suspect(upstreamId, 0);
   assert.deepEqual(
     scheduler.pool.toProbe().map(each => each.listed.upstreamId),
     ['dark'],
@@ -56,7 +56,29 @@
     ],
     900,
   );
-  scheduler.pool.suspect(grant.upstreamId);
+  scheduler.pool.suspect(grant.upstreamId, 0);
   scheduler.pool.noteProbeFailure(grant.upstreamId, 1_000);
   assert.equal(scheduler.pool.get(grant.upstreamId)?.isDown, false);
 });
+
+// Guards against an upstream whose health check is good while it answers
+// nothing: streams that may not be repeated would go on to wait there.
+test('an upstream that stalls with good health is avoided, for a time', () => {
+  const scheduler = withUpstreams();
+  const place = (name: string, nowMs: number): string => {
+    scheduler.submit(chat(name), nowMs);
+    const [decision] = scheduler.decide(nowMs);
+    return decision?.kind === 'grant' ? decision.upstreamId : 'none';
+  };
+  const stalls = Array.from({length: 12}, (_, number) => number * 50);
+  stalls.forEach(nowMs => {
+    scheduler.pool.suspect(upstreamId, nowMs);
+    scheduler.pool.noteProbe(upstreamId, 0, nowMs);
+  });
+  const names = Array.from({length: 20}, (_, number) => `c${number}`);
+  const during = names.map(name => place(name, 700));
+  const later = names.map(name => place(`${name} later`, 90_000));
+  // The others wait for the sound one.
+  assert.ok(during.includes('sound') && !during.includes('dark'));
+  assert.ok(later.includes('dark'));
+});
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -50,6 +50,6 @@
   return (
     upstream.expectedMs(item, nowMs) +
     occupancy * OCCUPANCY_COST_MS +
-    upstream.recentFailureShare * FAILURE_COST_MS
+    upstream.recentFailureShare(nowMs) * FAILURE_COST_MS
   );
 }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -82,7 +82,7 @@
     if (this.queue.has(item.requestId)) return;
     if (item.isRepeat) {
       if (!this.retries.allowsRepeat(nowMs)) {
-        this.refuse(item, 'retry_budget', 0);
+        this.refuse(item, 'retry_budget', 0, nowMs);
         return;
       }
     } else {
@@ -92,7 +92,7 @@
       .all()
       .every(each => each.isEngine && tokensOf(item) > each.capacityTokens);
     if (isTooLarge && this.pool.all().length > 0) {
-      this.refuse(item, 'too_large', 0);
+      this.refuse(item, 'too_large', 0, nowMs);
       return;
     }
     this.admit(item, nowMs);
@@ -141,7 +141,7 @@
   /** Goes over the queue and returns what was decided since the last call. */
   decide(nowMs: number): readonly Decision[] {
     this.pool.all().forEach(each => each.expire(nowMs));
-    const usable = this.pool.usable();
+    const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
     this.queue.inOrder().forEach(queued => {
       const isGranted = this.serve(queued, usable, open, nowMs);
@@ -154,7 +154,7 @@
 
   /** What other regions are told. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const usable = this.pool.usable().filter(each => !each.isCold(nowMs));
+    const usable = this.pool.usable(nowMs).filter(each => !each.isCold(nowMs));
     return {
       region: this.options.region,
       service,
@@ -172,7 +172,7 @@
       this.sendHome(item, nowMs);
       return;
     }
-    const usable = this.pool.usable();
+    const usable = this.pool.usable(nowMs);
     this.lane.noteArrival(item, usable, nowMs);
     this.readLoad.noteArrival(item, this.pool.estimates, nowMs);
     if (this.relieve(item, usable, nowMs)) return;
@@ -180,7 +180,7 @@
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
       // A list that was never read may still name upstreams.
       if (this.pool.all().length === 0) this.queue.add(item, nowMs);
-      else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
+      else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
       return;
     }
     const eligible = this.lane.eligible(item, usable, usable, nowMs);
@@ -196,7 +196,7 @@
     }
     const expectedMs = expected.waitMs + expected.answerMs;
     if (this.offload(item, expectedMs, nowMs)) return;
-    this.refuse(item, 'overloaded', expected.waitMs);
+    this.refuse(item, 'overloaded', expected.waitMs, nowMs);
   }
 
   /**
@@ -208,7 +208,7 @@
     const unknown = item.otherRegions.filter(each => !this.board.knows(each));
     const region = offer?.region ?? unknown[0];
     if (region === undefined) {
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
       return;
     }
     this.sendTo(region, item, -1, offer?.expectedMs ?? -1);
@@ -259,7 +259,7 @@
     const isOverAllowance = item.isRepeat && !this.retries.allowsRepeat(nowMs);
     if (isOverAllowance) {
       this.queue.remove(item.requestId);
-      this.refuse(item, 'retry_budget', 0);
+      this.refuse(item, 'retry_budget', 0, nowMs);
       return false;
     }
     const upstream = this.choose(item, usable, open, nowMs);
@@ -298,11 +298,11 @@
     const aged = {...item, ageMs: waitedMs};
     if (this.offload(aged, Number.POSITIVE_INFINITY, nowMs)) return;
     if (isLost) {
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
+      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
       return;
     }
     const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
-    this.refuse(item, 'overloaded', waitMs);
+    this.refuse(item, 'overloaded', waitMs, nowMs);
   }
 
   private grant(
@@ -351,6 +351,7 @@
     item: WorkItem,
     reason: RefusalReason,
     predictedWaitMs: number,
+    nowMs: number,
   ): void {
     this.decisions.push({
       kind: 'refuse',
@@ -358,7 +359,7 @@
       entry: item.entry,
       reason,
       predictedWaitMs,
-      usableUpstreams: this.pool.usable().length,
+      usableUpstreams: this.pool.usable(nowMs).length,
       queueLength: this.queue.size,
       retryAfterMs: Math.min(
         LONGEST_RETRY_AFTER_MS,
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -39,6 +39,8 @@
  */
 const COLD_MARGIN_MS = 1_050;
 const ANSWERED_LATELY_MS = 700;
+/** An upstream that fails more of its requests is left out. */
+const MOST_FAILURES = 0.5;
 /** How long an upstream that came back may turn out to be cold. */
 const DOUBT_MS = 3_000;
 
@@ -46,21 +48,23 @@
 export class UpstreamPool {
   private readonly states = new Map<UpstreamId, UpstreamState>();
   private evacuated: readonly DomainId[] = [];
-  readonly estimates = new PromptEstimates(() => this.usable());
+  readonly estimates = new PromptEstimates(() => this.inTouch());
 
   constructor(
     private traits: ServiceTraits,
     private readonly onChange: (change: PoolChange) => void,
   ) {}
 
-  /** Upstreams that may get work, in touch with the list and the operator. */
-  usable(): readonly UpstreamState[] {
-    return this.all().filter(
-      each =>
-        !each.isDown &&
-        !each.listed.isDraining &&
-        !this.evacuated.includes(each.listed.domain),
+  /**
+   * Upstreams that may get work. Those that fail most of their requests are
+   * left out for a time, unless that is true of most of them.
+   */
+  usable(nowMs: number): readonly UpstreamState[] {
+    const inTouch = this.inTouch();
+    const sound = inTouch.filter(
+      each => each.recentFailureShare(nowMs) <= MOST_FAILURES,
     );
+    return sound.length * 2 >= inTouch.length ? sound : inTouch;
   }
 
   all(): readonly UpstreamState[] {
@@ -110,9 +114,12 @@
   }
 
   /** An entry waits for an upstream in vain; a probe tells whether it runs. */
-  suspect(upstreamId: UpstreamId): void {
+  suspect(upstreamId: UpstreamId, nowMs: number): void {
     const state = this.states.get(upstreamId);
-    if (state === undefined || state.isDown || state.isSuspected) return;
+    if (state === undefined || state.isDown) return;
+    // Its health check may be good although it answers nothing.
+    state.noteStall(nowMs);
+    if (state.isSuspected) return;
     state.isSuspected = true;
     this.note('suspected', state, 'stalled');
   }
@@ -155,6 +162,16 @@
     this.note('up', state, 'probe');
   }
 
+  /** Upstreams that neither the list nor the operator keeps from work. */
+  private inTouch(): readonly UpstreamState[] {
+    return this.all().filter(
+      each =>
+        !each.isDown &&
+        !each.listed.isDraining &&
+        !this.evacuated.includes(each.listed.domain),
+    );
+  }
+
   private applyEntry(listed: ListedUpstream, reading: ListReading): void {
     const known = this.states.get(listed.upstreamId);
     if (known === undefined) {
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -39,6 +39,8 @@
 /** Weight of one first answer in the estimate of an engine's speed. */
 const SLOWNESS_WEIGHT = 0.05;
 const TELLING_READ_MS = 70;
+/** An upstream that failed is tried again after some of these. */
+const FAILURE_MEMORY_MS = 10_000;
 /** Placements whose end nobody told are rare. */
 const EXPIRY_CHECK_MS = 200;
 /** Reading fewer tokens is as quick as fetching them. */
@@ -67,6 +69,7 @@
   private outputTokens = 0;
   private expireAtMs = 0;
   private failureShare = 0;
+  private failuresAtMs = 0;
   private slowness = 1;
   private serviceMs = INITIAL_SERVICE_MS;
 
@@ -96,9 +99,15 @@
     return this.traits.kvCacheTokens > 0;
   }
 
-  /** Share of the latest requests that failed, 0 to 1. */
-  get recentFailureShare(): number {
-    return this.failureShare;
+  /** Share of the latest requests that failed, 0 to 1; it fades with time. */
+  recentFailureShare(nowMs: number): number {
+    const elapsedMs = Math.max(0, nowMs - this.failuresAtMs);
+    return this.failureShare * Math.exp(-elapsedMs / FAILURE_MEMORY_MS);
+  }
+
+  /** A request got no answer for longer than it should. */
+  noteStall(nowMs: number): void {
+    this.noteFailure(1, nowMs);
   }
 
   /** Mean time of a plain call. */
@@ -195,8 +204,7 @@
     if (placement === undefined) return;
     this.forget(placement);
     if (release.outcome === 'cancelled') return;
-    const failure = FAILURES.has(release.outcome) ? 1 : 0;
-    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
+    this.noteFailure(FAILURES.has(release.outcome) ? 1 : 0, nowMs);
     if (release.outcome !== 'answered') return;
     this.answeredAtMs = nowMs;
     this.observe(placement, release);
@@ -239,6 +247,12 @@
     return this.listed.slots / Math.max(1, meanMs);
   }
 
+  private noteFailure(failure: 0 | 1, nowMs: number): void {
+    const share = this.recentFailureShare(nowMs);
+    this.failureShare = share + AVERAGE_WEIGHT * (failure - share);
+    this.failuresAtMs = nowMs;
+  }
+
   private hold(item: WorkItem, expectedMs: number, nowMs: number): void {
     const ownTokens = this.ownTokens(item);
     const replaced = this.placements.get(item.requestId);
