Raise an entry's incarnation when its wall clock went back

Cause: incarnations begin as the wall clock. An entry that is killed and starts again after the time of day stepped back looks older than its last process, so control members ignored its announcements until the old ones expired, up to 2.6 s, and kept a stale isStopping or isReady.

Replies to announcements carry the incarnation that is held; an entry below it takes the next one.

--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -36,6 +36,8 @@
   readonly seedAddresses: () => readonly string[];
   readonly heldState: () => ControlState;
   readonly onState: (state: ControlState) => void;
+  /** A control member holds a higher incarnation of this entry. */
+  readonly onOutdated: (heldIncarnation: number) => void;
 }
 
 /** The running link of one entry. */
@@ -104,6 +106,10 @@
     this.isCalling.delete(instanceId);
     this.noteReachable(instanceId, reply.isOk());
     if (reply.isErr()) return;
+    const {incarnation} = reply.value;
+    if (incarnation > members.self().incarnation) {
+      this.options.onOutdated(incarnation);
+    }
     members.renew(instanceId, reply.value.view, monotonicNowMs());
     if (reply.value.revision > heldState().revision) {
       await this.fetchState(innerAddress);
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -33,12 +33,15 @@
     private readonly onChange: (change: RegistryChange) => void,
   ) {}
 
+  /** The incarnation that is held of an instance; 0 if there is none. */
+  incarnationOf(instanceId: EntryInstance['instanceId']): number {
+    return this.announced.get(instanceId)?.entry.incarnation ?? 0;
+  }
+
   /** Takes in an announcement; one of an older process is ignored. */
   record(entry: EntryInstance, nowMs: number): void {
     const known = this.announced.get(entry.instanceId);
-    if (known !== undefined && known.entry.incarnation > entry.incarnation) {
-      return;
-    }
+    if (this.incarnationOf(entry.instanceId) > entry.incarnation) return;
     this.announced.set(entry.instanceId, {entry, atMs: nowMs});
     const isSame =
       known !== undefined &&
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -5,7 +5,7 @@
 /** One running entry, as its announcements describe it. */
 export interface EntryInstance {
   readonly instanceId: InstanceId;
-  /** Grows with each start of the process. */
+  /** Grows with each start of the process; begins as its wall clock. */
   readonly incarnation: number;
   readonly domain: DomainId;
   readonly region: RegionId;
@@ -66,6 +66,12 @@
 export interface AnnouncementReply {
   /** Revision of the control state that this member has applied. */
   readonly revision: number;
+  /**
+   * The incarnation held of the entry. If it is above the announced one, the
+   * wall clock went back between two starts of the entry, which then takes a
+   * higher one.
+   */
+  readonly incarnation: number;
   /** Left out if the entry holds it already. */
   readonly view?: FleetView;
 }
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -74,7 +74,7 @@
   private readonly inner: InnerServer;
   private readonly rehearsal = new Rehearsal();
   private readonly sideServers: Server[] = [];
-  private readonly incarnation = wallNowMs();
+  private incarnation = wallNowMs();
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
   private matcher: RouteMatcher | undefined;
@@ -128,6 +128,7 @@
       seedAddresses: () => seedInnerAddresses(this.settings),
       heldState: () => this.state,
       onState: state => this.applyState(state),
+      onOutdated: held => this.raiseIncarnation(held),
     });
     this.ingress = this.createIngress();
     this.inner = this.createInner();
@@ -295,7 +296,7 @@
   }
 
   private answerSchedulerCalls(): void {
-    const {router, incarnation} = this;
+    const {router} = this;
     router.register(
       SUBMIT_METHOD,
       submissionSchema,
@@ -303,7 +304,7 @@
         const decisions = await this.decisions.collect(sender, () =>
           this.host.submit(sender, parts),
         );
-        return {incarnation, decisions};
+        return {incarnation: this.incarnation, decisions};
       },
     );
     router.register(
@@ -326,6 +327,15 @@
     });
   }
 
+  private raiseIncarnation(held: number): void {
+    this.incarnation = held + 1;
+    this.options.logger.warn(
+      {event: 'incarnation_raised', held},
+      'the wall clock went back since an earlier start of this entry',
+    );
+    this.link.announceToAll();
+  }
+
   private applyState(state: ControlState): void {
     const before = this.state;
     this.state = state;
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -65,6 +65,7 @@
     cause: z.string(),
   },
   scheduler_failed: {},
+  incarnation_raised: {held: z.number()},
   long_prompt_lane: {service: z.string(), members: z.array(z.string())},
   upstream_listed: upstreamChange,
   upstream_unlisted: upstreamChange,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -230,6 +230,7 @@
     const view = this.registry.currentView(this.controlMembers());
     return {
       revision: this.stateForEntries.revision,
+      incarnation: this.registry.incarnationOf(announcement.entry.instanceId),
       ...(view.viewId === announcement.viewId ? {} : {view}),
     };
   }
