Serve sooner after all processes lost power

A member that starts with a log asks for votes after 0.4 of the timeout; beside a live leader it is refused, and founders keep the full time. An entry without a route table lets requests wait unread for up to 500 ms, and then names the time that is left until it usually has one.

Specs: leader within 0.95 of the shortest timeout after all crash (fails with the full timeout), a restart beside a leader changes neither leader nor term, a request before the table is served.

--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -78,6 +78,7 @@
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
   private matcher: RouteMatcher | undefined;
+  private readonly tableWaiters: (() => void)[] = [];
   private isStopping = false;
 
   constructor(private readonly options: IngressEntryOptions) {
@@ -259,6 +260,7 @@
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
+      waitForTable: waitMs => this.waitForTable(waitMs),
       isStopping: () => this.isStopping,
       context: {
         region: settings.regionId,
@@ -327,6 +329,13 @@
     });
   }
 
+  private waitForTable(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.tableWaiters.push(resolve);
+      setTimeout(resolve, waitMs).unref();
+    });
+  }
+
   private raiseIncarnation(held: number): void {
     this.incarnation = held + 1;
     this.options.logger.warn(
@@ -343,6 +352,7 @@
     if (table !== undefined && table.version !== before.table?.version) {
       this.matcher = new RouteMatcher(table);
       this.ingress.applyLimits(table.limits);
+      this.tableWaiters.splice(0).forEach(resume => resume());
     }
     this.host.applyControl(state.evacuatedDomains);
     void this.loops.refresh();
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -27,8 +27,16 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** A caller that is told to come back while there is no route table. */
-const NOT_READY_RETRY_MS = 1_000;
+/**
+ * A request that finds no route table waits for it so long, unread: an entry
+ * that has just started gets the table within seconds.
+ */
+const TABLE_WAIT_MS = 500;
+/** By then after its start an entry usually has a table. */
+const USUAL_START_MS = 1_800;
+const SHORTEST_START_RETRY_MS = 400;
+/** Time to come back to an entry whose table leads to no service. */
+const NO_SERVICE_RETRY_MS = 1_000;
 const ID_BYTES = 6;
 
 export interface IngressServerOptions {
@@ -37,6 +45,8 @@
   readonly context: RequestRunContext;
   /** The table in force; `undefined` until one is known. */
   readonly matcher: () => RouteMatcher | undefined;
+  /** Resolves when there is a table, or after the time. */
+  readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly isStopping: () => boolean;
 }
 
@@ -45,6 +55,7 @@
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
   private openRequests = 0;
+  private readonly startedAtMs = monotonicNowMs();
 
   constructor(private readonly options: IngressServerOptions) {
     this.server = createServer(
@@ -88,7 +99,7 @@
     const route = matcher?.match(head.host, head.path);
     if (matcher === undefined || route === undefined) {
       const reason = matcher === undefined ? 'no_route_table' : 'no_route';
-      const status = sendRefusal(answer, NOT_READY_RETRY_MS, true);
+      const status = sendRefusal(answer, this.startRetryMs(), true);
       this.options.context.log.rejected(
         asId<RequestId>(head.requestId),
         reason,
@@ -109,12 +120,15 @@
     const {isStopping, matcher: currentMatcher} = this.options;
     const answer = new CallerAnswer(response, isStopping);
     const receivedAtMs = monotonicNowMs();
+    if (currentMatcher() === undefined) {
+      await this.options.waitForTable(TABLE_WAIT_MS);
+    }
     const matcher = currentMatcher();
     const version = matcher?.table.version ?? 0;
     const note = (reason: RejectionReason, status: number): void =>
       this.noteRejection(request, reason, status, version);
     if (matcher === undefined) {
-      note('no_route_table', sendRefusal(answer, NOT_READY_RETRY_MS));
+      note('no_route_table', sendRefusal(answer, this.startRetryMs()));
       return;
     }
     if (headerBytes(request) > this.limits.maxHeaderBytes) {
@@ -131,7 +145,7 @@
     if (body === undefined) return;
     const service = matcher.pickService(route, Math.random());
     if (service === undefined) {
-      note('no_service', sendRefusal(answer, NOT_READY_RETRY_MS));
+      note('no_service', sendRefusal(answer, NO_SERVICE_RETRY_MS));
       return;
     }
     const inbound = this.fromCaller(request, body, route, receivedAtMs, {
@@ -160,6 +174,12 @@
     }
   }
 
+  /** When an entry without a table will probably have one. */
+  private startRetryMs(): number {
+    const uptimeMs = monotonicNowMs() - this.startedAtMs;
+    return Math.max(SHORTEST_START_RETRY_MS, USUAL_START_MS - uptimeMs);
+  }
+
   private noteRejection(
     request: IncomingMessage,
     reason: RejectionReason,
--- a/src/node/replication/__tests__/durability.spec.ts
+++ b/src/node/replication/__tests__/durability.spec.ts
@@ -5,6 +5,7 @@
 import {MemoryNetwork} from '../../__tests__/support/memory_network.js';
 import {GatewayError} from '../../types/errors.js';
 import {FileReplicaStorage} from '../replica_storage.js';
+import {instanceOf} from '../peer_transport.js';
 import {founder, ReplicaGroup, type NodeOptions} from './replica_group.js';
 
 // Short timeouts: each crash costs an election of simulated time.
@@ -16,6 +17,9 @@
   heartbeatMs: 20,
 };
 
+/** The default of the group. */
+const SHORTEST_ELECTION_MS = 1_000;
+
 /**
  * Founds a group in which the disk of `a` crashes at one of its operations,
  * restarts it and returns what is lost. `undefined`: it did not crash.
@@ -136,3 +140,35 @@
     );
   }
 });
+
+// Guards against a group that leaves its callers without a leader for a whole
+// election timeout after all members lost power.
+test('a group that restarts as a whole has a leader sooner than after a crash', async context => {
+  pauseClock(context);
+  const group = new ReplicaGroup(context);
+  const members = ['a', 'b', 'c'].map(name => founder(name));
+  await group.found(members);
+  assert.deepEqual(await group.propose(['c1']), ['c1']);
+  group.crashAll();
+  await Promise.all(members.map(member => group.restart(member)));
+  // Shorter than the shortest timeout of a member that has no log.
+  await group.advance(SHORTEST_ELECTION_MS * 0.95);
+  assert.equal(group.leaders().length, 1);
+  assert.deepEqual(await group.propose(['c2']), ['c2']);
+});
+
+// Guards against a member that unseats a working leader when it restarts.
+test('a member that restarts leaves the leader in place', async context => {
+  pauseClock(context);
+  const group = new ReplicaGroup(context);
+  const members = ['a', 'b', 'c'].map(name => founder(name));
+  await group.found(members);
+  const {replica} = await group.leader();
+  const before = replica.status();
+  const other = members.find(each => each.memberId !== before.leader)!;
+  group.crash(instanceOf(other.memberId));
+  await group.restart(other);
+  await group.advance(5 * SHORTEST_ELECTION_MS);
+  const after = (await group.leader()).replica.status();
+  assert.deepEqual([after.leader, after.term], [before.leader, before.term]);
+});
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -223,10 +223,26 @@
 /** A candidate waits only for answers, not for signs of a leader. */
 const CANDIDATE_TIMEOUT_SHARE = 0.5;
 
+/**
+ * A member that starts with a log asks sooner: if there is a leader, the other
+ * members refuse it a vote; if all members start together, as after a loss of
+ * power, nobody is served until one of them leads.
+ */
+const RESTART_TIMEOUT_SHARE = 0.4;
+
 /** Starts a new random election timeout. */
 export function withElectionTimeout(state: ReplicaState): ReplicaState {
-  const {electionMinMs, electionMaxMs} = state.settings;
   const share = state.role === 'follower' ? 1 : CANDIDATE_TIMEOUT_SHARE;
+  return withTimeoutShare(state, share);
+}
+
+/** Starts the first election timeout of a member that has a log. */
+export function withRestartElectionTimeout(state: ReplicaState): ReplicaState {
+  return withTimeoutShare(state, RESTART_TIMEOUT_SHARE);
+}
+
+function withTimeoutShare(state: ReplicaState, share: number): ReplicaState {
+  const {electionMinMs, electionMaxMs} = state.settings;
   const timeoutMs =
     electionMinMs + state.random * (electionMaxMs - electionMinMs);
   return {...state, electionDeadlineMs: state.nowMs + share * timeoutMs};
--- a/src/node/replication/core/step.ts
+++ b/src/node/replication/core/step.ts
@@ -29,6 +29,7 @@
   chain,
   outcome,
   withElectionTimeout,
+  withRestartElectionTimeout,
   type CoreSettings,
   type Effect,
   type Outcome,
@@ -65,7 +66,11 @@
   const laterConfigs = log.entries
     .filter(entry => entry.kind === 'members' && entry.index > snapshotIndex)
     .map(entry => ({index: entry.index, members: membersOf(entry)}));
-  return withElectionTimeout({
+  const isRestart = lastIndex(log) > 0 || snapshotIndex > 0;
+  const withTimeout = isRestart
+    ? withRestartElectionTimeout
+    : withElectionTimeout;
+  return withTimeout({
     settings,
     ...context,
     term: initial.term ?? 0,
