Let entries remember refusals while a scheduler is overloaded

A refusal says for how long a request of its kind would be refused again, and the entry refuses those itself for at most 300 ms. While a scheduler owes an answer for longer than a request may wait, the entry refuses it at once. The spec plays 800 immediate repeats: at most 4 reach the scheduler.

Text listeners of entries and control members are one function.

--- a/src/node/dispatch/__tests__/decision_sender.spec.ts
+++ b/src/node/dispatch/__tests__/decision_sender.spec.ts
@@ -40,6 +40,8 @@
     predictedWaitMs: 700,
     usableUpstreams: 1,
     queueLength: 9,
+    closedForMs: 0,
+    decisionAgeMs: 0,
   };
 }
 
--- a/src/node/dispatch/batch_link.ts
+++ b/src/node/dispatch/batch_link.ts
@@ -1,4 +1,5 @@
 /** Sends many small messages to one peer in few calls. */
+import {monotonicNowMs} from '../clock/clock.js';
 import type {RpcClient} from '../rpc/rpc.js';
 import type {GatewayError} from '../types/errors.js';
 
@@ -29,7 +30,8 @@
  */
 export class BatchLink<Part> {
   private parts: Part[] = [];
-  private callsInFlight = 0;
+  /** When the calls under way were sent. */
+  private readonly sentAtMs = new Set<{readonly atMs: number}>();
   private isScheduled = false;
   private lazyTimer: ReturnType<typeof setTimeout> | undefined;
 
@@ -47,10 +49,16 @@
     this.lazyTimer = setTimeout(() => this.schedule(), delayMs);
   }
 
+  /** For how long the peer has owed the oldest answer. */
+  owedMs(nowMs: number): number {
+    const [oldest] = this.sentAtMs;
+    return oldest === undefined ? 0 : nowMs - oldest.atMs;
+  }
+
   private schedule(): void {
     clearTimeout(this.lazyTimer);
     this.lazyTimer = undefined;
-    if (this.isScheduled || this.callsInFlight >= MAX_CALLS_IN_FLIGHT) return;
+    if (this.isScheduled || this.sentAtMs.size >= MAX_CALLS_IN_FLIGHT) return;
     this.isScheduled = true;
     setImmediate(() => {
       this.isScheduled = false;
@@ -62,14 +70,15 @@
     const parts = this.parts.splice(0, MAX_BATCH_PARTS);
     if (parts.length === 0) return;
     const {client, address, method, pack, onReply, onFailure} = this.options;
-    this.callsInFlight += 1;
+    const call = {atMs: monotonicNowMs()};
+    this.sentAtMs.add(call);
     const reply = await client.call<unknown>(
       address,
       method,
       pack(parts),
       BATCH_TIMEOUT_MS,
     );
-    this.callsInFlight -= 1;
+    this.sentAtMs.delete(call);
     if (this.parts.length > 0) this.schedule();
     if (reply.isOk()) onReply(reply.value);
     else onFailure(parts, reply.error);
--- a/src/node/dispatch/decision_sender.ts
+++ b/src/node/dispatch/decision_sender.ts
@@ -1,10 +1,10 @@
 /** Takes the decisions of the schedulers on this entry to the other entries. */
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {RpcClient} from '../rpc/rpc.js';
-import type {Decision} from '../scheduling/types.js';
+import type {Decision, Release} from '../scheduling/types.js';
 import type {InstanceId} from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
-import {DECIDE_METHOD} from './messages.js';
+import {DECIDE_METHOD, type SubmissionPart} from './messages.js';
 
 export interface DecisionSenderOptions {
   readonly self: InstanceId;
@@ -76,3 +76,21 @@
     return link;
   }
 }
+
+/** The ends of placements whose grants never reached their entries. */
+export function cancelledPlacements(
+  decisions: readonly Decision[],
+): readonly {readonly entry: InstanceId; readonly part: SubmissionPart}[] {
+  return decisions.flatMap(decision => {
+    if (decision.kind !== 'grant') return [];
+    const {requestId, upstreamId, service, entry} = decision;
+    const release: Release = {
+      requestId,
+      upstreamId,
+      outcome: 'cancelled',
+      firstAnswerMs: 0,
+      totalMs: 0,
+    };
+    return [{entry, part: {kind: 'release', service, release}}];
+  });
+}
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -7,6 +7,7 @@
 import type {EntryInstance} from '../fleet/messages.js';
 import type {Logger} from '../logging/logger.js';
 import type {RpcClient} from '../rpc/rpc.js';
+import {OverloadMemory} from '../scheduling/overload_memory.js';
 import type {
   Decision,
   RefusalReason,
@@ -33,6 +34,8 @@
 /** A decision comes at the latest this long after the target has passed. */
 const DECISION_GRACE_MS = 500;
 const MAX_SUBMISSIONS = 3;
+/** A scheduler that falls behind needs about this long to catch up. */
+const BUSY_RETRY_AFTER_MS = 1_000;
 /** Streams last seconds, so a slot may be told free a little later. */
 const STREAM_RELEASE_DELAY_MS = 25;
 
@@ -68,6 +71,7 @@
 export class SchedulerClient {
   private readonly pending = new Map<RequestId, Pending>();
   private readonly running = new Map<RequestId, Running>();
+  private readonly refusals = new OverloadMemory();
   private readonly links = new Map<InstanceId, PeerLink>();
   /** The process of a scheduler that knows what this entry runs. */
   private readonly syncedWith = new Map<InstanceId, number>();
@@ -77,6 +81,8 @@
 
   /** Resolves with the decision on a request; it never rejects. */
   acquire(item: WorkItem, signal: AbortSignal): Promise<SchedulerAnswer> {
+    const refusal = this.refusalAtOnce(item);
+    if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise(resolve => {
       const pending: Pending = {
         item,
@@ -97,6 +103,20 @@
     });
   }
 
+  /** A refusal that needs no question to the scheduler. */
+  private refusalAtOnce(item: WorkItem): SchedulerAnswer | undefined {
+    const nowMs = monotonicNowMs();
+    const remembered = this.refusals.refusalOf(item, nowMs);
+    if (remembered !== undefined) return remembered;
+    const scheduler = this.schedulerOf(item.service);
+    const owedMs = this.links.get(scheduler)?.link.owedMs(nowMs) ?? 0;
+    // The scheduler answers in turn, so this one would wait at least as long.
+    const isHopeless = item.ageMs + owedMs > item.targetLatencyMs;
+    return isHopeless
+      ? ownRefusal({item, scheduler}, 'unscheduled', BUSY_RETRY_AFTER_MS)
+      : undefined;
+  }
+
   /** Ends a granted placement. */
   release(release: Release): void {
     const running = this.running.get(release.requestId);
@@ -136,7 +156,9 @@
         scheduler: from,
       });
     }
-    pending.resolve({...decision, scheduler: from});
+    const answer: SchedulerAnswer = {...decision, scheduler: from};
+    this.refusals.note(pending.item, answer, monotonicNowMs());
+    pending.resolve(answer);
   }
 
   // A grant for a request that is served elsewhere, or whose caller left.
@@ -260,6 +282,7 @@
     const before = this.lastScheduler.get(service);
     if (before === target) return;
     this.lastScheduler.set(service, target);
+    this.refusals.forget(service);
     this.options.logger.info(
       {event: 'scheduler_moved', service, from: before, to: target},
       'another entry schedules a service',
@@ -278,7 +301,7 @@
 
 /** A refusal without a scheduler's decision. */
 function ownRefusal(
-  {item, scheduler}: Pending,
+  {item, scheduler}: Pick<Pending, 'item' | 'scheduler'>,
   reason: RefusalReason,
   retryAfterMs: number,
 ): SchedulerAnswer {
@@ -292,5 +315,7 @@
     predictedWaitMs: 0,
     usableUpstreams: 0,
     queueLength: 0,
+    closedForMs: 0,
+    decisionAgeMs: 0,
   };
 }
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -1,5 +1,5 @@
 /** A running ingress entry: its listeners, its scheduling and its stop. */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {z} from 'zod';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
 import {
@@ -14,7 +14,10 @@
   type SubmissionReply,
   submissionSchema,
 } from '../dispatch/messages.js';
-import {DecisionSender} from '../dispatch/decision_sender.js';
+import {
+  cancelledPlacements,
+  DecisionSender,
+} from '../dispatch/decision_sender.js';
 import {Rehearsal} from '../dispatch/rehearsal.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
@@ -24,13 +27,14 @@
 import {ControlLink} from '../fleet/control_link.js';
 import {FleetMembers} from '../fleet/fleet_members.js';
 import type {EntryInstance} from '../fleet/messages.js';
-import {listen} from '../http/server.js';
+import {startTextServer} from '../http/text_server.js';
 import type {Logger} from '../logging/logger.js';
 import {registerProcessGauges} from '../metrics/process_gauges.js';
 import {MetricsRegistry} from '../metrics/registry.js';
 import {RouteMatcher} from '../routes/route_matcher.js';
 import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
+import type {Decision} from '../scheduling/types.js';
 import {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
@@ -141,8 +145,16 @@
     registerProcessGauges(this.metrics);
     await this.inner.start();
     await this.ingress.start();
-    await this.serveText(settings.readinessAddress, () => this.isReady());
-    await this.serveText(settings.metricsAddress, () => true);
+    this.sideServers.push(
+      await startTextServer(settings.readinessAddress, () => ({
+        isOk: this.isReady(),
+        text: '',
+      })),
+      await startTextServer(settings.metricsAddress, () => ({
+        isOk: true,
+        text: this.metrics.toText(),
+      })),
+    );
     this.link.start();
     this.loops.start();
     this.rehearsal.start();
@@ -368,37 +380,10 @@
     );
   }
 
-  private releaseLost(
-    decisions: Parameters<SchedulerClient['deliver']>[1],
-  ): void {
-    decisions.forEach(decision => {
-      if (decision.kind !== 'grant') return;
-      const {requestId, upstreamId, service, entry} = decision;
-      void this.host.submit(entry, [
-        {
-          kind: 'release',
-          service,
-          release: {
-            requestId,
-            upstreamId,
-            outcome: 'cancelled',
-            firstAnswerMs: 0,
-            totalMs: 0,
-          },
-        },
-      ]);
-    });
-  }
-
-  private async serveText(address: string, isOk: () => boolean): Promise<void> {
-    const server = createServer((request, response) => {
-      const isMetrics = address === this.options.settings.metricsAddress;
-      request.resume();
-      response.writeHead(isOk() ? 200 : 503, {'content-type': 'text/plain'});
-      response.end(isMetrics ? this.metrics.toText() : '');
+  private releaseLost(decisions: readonly Decision[]): void {
+    cancelledPlacements(decisions).forEach(({entry, part}) => {
+      void this.host.submit(entry, [part]);
     });
-    this.sideServers.push(server);
-    await listen(server, address);
   }
 }
 
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -98,6 +98,8 @@
     retryAfterMs: z.number(),
     usableUpstreams: z.number(),
     queueLength: z.number(),
+    /** Above 0 if the entry remembered an earlier refusal. */
+    decisionAgeMs: z.number(),
   },
   retry: {...matched, cause: z.string(), runs: z.number()},
   upstream_outcome: {
--- /dev/null
+++ b/src/node/scheduling/__tests__/overload_memory.spec.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {asId, type InstanceId, type RequestId} from '../../types/ids.js';
+import {OverloadMemory} from '../overload_memory.js';
+import type {Decision, WorkItem} from '../types.js';
+import {
+  brief,
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  upstream,
+} from './scheduling_fixture.js';
+
+const SCHEDULER = asId<InstanceId>('scheduler');
+const SLOTS = 4;
+const REPEATS_PER_CALLER = 20;
+
+function createFullScheduler() {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  const upstreams = ['a', 'b'].map(name => upstream(name, {slots: SLOTS}));
+  scheduler.pool.applyReading({upstreams, readAtMs: 0, lagMs: 0});
+  return scheduler;
+}
+
+// A flood of callers that come back at once when they are refused. Guards
+// against a scheduler that spends its time on saying no to the same callers.
+test('callers that repeat at once ask the scheduler a few times only', () => {
+  const scheduler = createFullScheduler();
+  const memory = new OverloadMemory();
+  let asked = 0;
+  const ask = (item: WorkItem, nowMs: number): Decision | undefined => {
+    const remembered = memory.refusalOf(item, nowMs);
+    if (remembered !== undefined) return remembered;
+    asked += 1;
+    scheduler.submit(item, nowMs);
+    const decisions = scheduler.decide(nowMs);
+    const decision = decisions.find(each => each.requestId === item.requestId);
+    if (decision !== undefined) {
+      memory.note(item, {...decision, scheduler: SCHEDULER}, nowMs);
+    }
+    return decision;
+  };
+  Array.from({length: 200}, (_, index) => ask(chat(`first-${index}`), 0));
+  asked = 0;
+  const repeats = Array.from({length: 40}, (_, caller) =>
+    Array.from({length: REPEATS_PER_CALLER}, (__, time) => ({
+      item: chat(`again-${caller}-${time}`),
+      atMs: 1 + time * 10,
+    })),
+  ).flat();
+  const refused = repeats.filter(
+    ({item, atMs}) => ask(item, atMs)?.kind === 'refuse',
+  );
+  assert.equal(refused.length, repeats.length);
+  assert.ok(asked <= 4, `${asked} of ${repeats.length} reached the scheduler`);
+});
+
+// Guards against a memory that refuses work of another kind, or that outlives
+// the overload.
+test('a refusal holds for its kind and for its time only', () => {
+  const memory = new OverloadMemory();
+  const item = chat('one');
+  memory.note(
+    item,
+    {
+      kind: 'refuse',
+      requestId: item.requestId,
+      entry: item.entry,
+      scheduler: SCHEDULER,
+      reason: 'overloaded',
+      retryAfterMs: 600,
+      predictedWaitMs: 600,
+      usableUpstreams: 2,
+      queueLength: 9,
+      closedForMs: 120,
+      decisionAgeMs: 0,
+    },
+    1_000,
+  );
+  const ids = [
+    memory.refusalOf(chat('two'), 1_100),
+    memory.refusalOf(brief('three'), 1_100),
+    memory.refusalOf(chat('four', {priority: 1}), 1_100),
+    memory.refusalOf(chat('five'), 1_121),
+  ].map(each => [each?.requestId, each?.decisionAgeMs]);
+  assert.deepEqual(ids, [
+    [asId<RequestId>('two'), 100],
+    [undefined, undefined],
+    [undefined, undefined],
+    [undefined, undefined],
+  ]);
+});
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -41,6 +41,8 @@
 export const LONGEST_RETRY_AFTER_MS = 3_000;
 /** Lost upstreams and regions are back after seconds rather than at once. */
 export const NO_UPSTREAM_RETRY_AFTER_MS = 2_000;
+/** Other regions tell of their capacity about this often. */
+export const NO_UPSTREAM_CLOSED_MS = 200;
 /** Cold upstreams get this share of what they tolerate. */
 export const COLD_PACE_SHARE = 0.85;
 /** Longest wait for an upstream that is known but not usable yet. */
--- /dev/null
+++ b/src/node/scheduling/overload_memory.ts
@@ -0,0 +1,79 @@
+/**
+ * What an entry remembers of refusals, so that a flood does not reach the
+ * scheduler: callers that come back at once would be refused again, and each
+ * question costs the scheduler the time in which it decides on others.
+ */
+import type {ServiceId} from '../types/ids.js';
+import type {RefusalReason, SchedulerAnswer, WorkItem} from './types.js';
+
+/** A longer absence would leave engines idle that became free meanwhile. */
+const LONGEST_MS = 300;
+/** Reasons that hold for other requests of the kind as well. */
+const COMMON_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'overloaded',
+  'no_upstream',
+]);
+
+type Refusal = Extract<SchedulerAnswer, {kind: 'refuse'}>;
+
+interface Remembered {
+  readonly refusal: Refusal;
+  readonly atMs: number;
+  readonly untilMs: number;
+}
+
+/** Refusals of one entry, by kind of request. */
+export class OverloadMemory {
+  private readonly remembered = new Map<string, Remembered>();
+
+  /** Notes what a scheduler decided on a request. */
+  note(item: WorkItem, answer: SchedulerAnswer, nowMs: number): void {
+    if (answer.kind !== 'refuse' || !COMMON_REASONS.has(answer.reason)) return;
+    const closedForMs = Math.min(LONGEST_MS, answer.closedForMs);
+    if (closedForMs <= 0) return;
+    const untilMs = nowMs + closedForMs;
+    this.remembered.set(kindOf(item), {refusal: answer, atMs: nowMs, untilMs});
+  }
+
+  /** The refusal that still holds for a request like this one. */
+  refusalOf(item: WorkItem, nowMs: number): Refusal | undefined {
+    const kind = kindOf(item);
+    const known = this.remembered.get(kind);
+    if (known === undefined) return undefined;
+    if (known.untilMs <= nowMs) {
+      this.remembered.delete(kind);
+      return undefined;
+    }
+    const {refusal, atMs} = known;
+    return {
+      ...refusal,
+      requestId: item.requestId,
+      entry: item.entry,
+      decisionAgeMs: nowMs - atMs,
+    };
+  }
+
+  /** Forgets what was decided on a service, as when its scheduler moves. */
+  forget(service: ServiceId): void {
+    [...this.remembered.keys()]
+      .filter(kind => kind.startsWith(`${service} `))
+      .forEach(kind => this.remembered.delete(kind));
+  }
+}
+
+// Requests of a kind differ at most by half in size, and may go to the same
+// regions.
+function kindOf(item: WorkItem): string {
+  const {service, priority, targetLatencyMs, prompt, otherRegions} = item;
+  const tokens = prompt?.promptTokens ?? 0;
+  const sizeClass = Math.floor(Math.log2(1 + tokens) * 2);
+  return [
+    service,
+    priority,
+    targetLatencyMs,
+    sizeClass,
+    item.isRepeat,
+    item.isAllowedHere,
+    otherRegions.join(),
+  ].join(' ');
+}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
 import {
   ADMISSION_SHARE_OF_TARGET,
   LONGEST_RETRY_AFTER_MS,
+  NO_UPSTREAM_CLOSED_MS,
   NO_UPSTREAM_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_GAIN_MS,
@@ -196,7 +197,9 @@
     }
     const expectedMs = expected.waitMs + expected.answerMs;
     if (this.offload(item, expectedMs, nowMs)) return;
-    this.refuse(item, 'overloaded', expected.waitMs, nowMs);
+    const latestMs = longestWaitMs(item, expected.answerMs);
+    const closedForMs = item.ageMs + expectedMs - latestMs;
+    this.refuse(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
   }
 
   /**
@@ -208,7 +211,13 @@
     const unknown = item.otherRegions.filter(each => !this.board.knows(each));
     const region = offer?.region ?? unknown[0];
     if (region === undefined) {
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
+      this.refuse(
+        item,
+        'no_upstream',
+        NO_UPSTREAM_RETRY_AFTER_MS,
+        nowMs,
+        NO_UPSTREAM_CLOSED_MS,
+      );
       return;
     }
     this.sendTo(region, item, -1, offer?.expectedMs ?? -1);
@@ -352,6 +361,7 @@
     reason: RefusalReason,
     predictedWaitMs: number,
     nowMs: number,
+    closedForMs = 0,
   ): void {
     this.decisions.push({
       kind: 'refuse',
@@ -361,6 +371,8 @@
       predictedWaitMs,
       usableUpstreams: this.pool.usable(nowMs).length,
       queueLength: this.queue.size,
+      closedForMs,
+      decisionAgeMs: 0,
       retryAfterMs: Math.min(
         LONGEST_RETRY_AFTER_MS,
         Math.max(SHORTEST_RETRY_AFTER_MS, predictedWaitMs),
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -122,6 +122,10 @@
       readonly usableUpstreams: number;
       /** Requests that waited at the time. */
       readonly queueLength: number;
+      /** A request like this one would be refused again for so long. */
+      readonly closedForMs: number;
+      /** Since the scheduler decided; above 0 if an entry remembered it. */
+      readonly decisionAgeMs: number;
     };
 
 /** A decision, as the entry that asked for it got it. */
