--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -135,10 +135,11 @@
     logger.info(
       {
         event: 'probe_answered',
+        service: target.service,
         upstream: target.upstreamId,
         coldRemainingMs: answer.coldRemainingMs,
       },
-      'an upstream that was down is healthy',
+      'an upstream that was down or suspected answers its health check',
     );
     host.noteProbe(target, answer.coldRemainingMs);
   }
--- a/src/node/explain/timeline.ts
+++ b/src/node/explain/timeline.ts
@@ -34,6 +34,7 @@
   'upstream_suspected',
   'upstream_down',
   'upstream_up',
+  'probe_answered',
   'scheduler_moved',
   'scheduler_started',
   'long_prompt_lane',
--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -106,3 +106,20 @@
   members.renew(asId<InstanceId>('c1'), undefined, 60_000);
   assert.equal(members.liveEntries(asId<RegionId>('north'), 60_000).length, 2);
 });
+
+// Guards against connections between regions that are opened for one request
+// each, and against a region whose relayed requests all fall to one entry.
+test('an entry relays to two entries of a region, others to others', () => {
+  const targets = Array.from({length: 12}, (_, index) =>
+    entry(`south-${index}`, 'south'),
+  );
+  const used = Array.from({length: 24}, (_, index) => {
+    const members = new FleetMembers(() => entry(`north-${index}`, 'north'));
+    members.renew(asId<InstanceId>('c1'), view('1', targets), 0);
+    return members
+      .relayTargets(asId<RegionId>('south'), 10)
+      .map(each => each.instanceId);
+  });
+  assert.ok(used.every(each => each.length === 2));
+  assert.ok(new Set(used.flat()).size >= 10);
+});
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -11,6 +11,7 @@
 
 /** How long a peer that did not answer is passed over. */
 const SUSPICION_MS = 1_500;
+const RELAY_TARGETS = 2;
 
 /**
  * Merges the views of the control members. An entry is live if any current
@@ -91,6 +92,16 @@
     );
   }
 
+  /**
+   * The entries of another region that this one relays to. Few, so that
+   * connections between regions are kept busy instead of being opened anew;
+   * each entry has others, so that the region shares the work.
+   */
+  relayTargets(region: RegionId, nowMs: number): readonly EntryInstance[] {
+    const job = `relay from ${this.self().instanceId}`;
+    return this.rankedEntries(region, job, nowMs).slice(0, RELAY_TARGETS);
+  }
+
   entry(instanceId: InstanceId): EntryInstance | undefined {
     const self = this.self();
     return instanceId === self.instanceId
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -58,7 +58,7 @@
   ): Promise<ExchangeEnd> {
     const {members, connections, self, clusterSecret} = this.options;
     const nowMs = monotonicNowMs();
-    const entries = members.liveEntries(region, nowMs);
+    const entries = members.relayTargets(region, nowMs);
     const entry = entries[Math.floor(Math.random() * entries.length)];
     if (entry === undefined) {
       return {kind: 'not_sent', cause: `no entry in ${region}`};
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -74,7 +74,11 @@
   upstream_suspected: upstreamChange,
   upstream_down: upstreamChange,
   upstream_up: upstreamChange,
-  probe_answered: {upstream: z.string(), coldRemainingMs: z.number()},
+  probe_answered: {
+    service: z.string(),
+    upstream: z.string(),
+    coldRemainingMs: z.number(),
+  },
   // Decisions on requests.
   rejected: {
     requestId: z.string(),
