--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -109,7 +109,7 @@
 
 // Guards against connections between regions that are opened for one request
 // each, and against a region whose relayed requests all fall to one entry.
-test('an entry relays to two entries of a region, others to others', () => {
+test('an entry relays to four entries of a region, others to others', () => {
   const targets = Array.from({length: 12}, (_, index) =>
     entry(`south-${index}`, 'south'),
   );
@@ -120,6 +120,6 @@
       .relayTargets(asId<RegionId>('south'), 10)
       .map(each => each.instanceId);
   });
-  assert.ok(used.every(each => each.length === 2));
+  assert.ok(used.every(each => each.length === 4));
   assert.ok(new Set(used.flat()).size >= 10);
 });
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -11,7 +11,7 @@
 
 /** How long a peer that did not answer is passed over. */
 const SUSPICION_MS = 1_500;
-const RELAY_TARGETS = 2;
+const RELAY_TARGETS = 4;
 
 /**
  * Merges the views of the control members. An entry is live if any current
