Prove the reading of the list through another region

The spec cuts the direct way and expects the reading of an entry of another region; without peers there is none.

--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -15,7 +15,11 @@
   type RegionId,
 } from '../../types/ids.js';
 import {ListReader} from '../list_reader.js';
-import {READ_REGION_METHOD} from '../messages.js';
+import {
+  READ_LIST_METHOD,
+  READ_REGION_METHOD,
+  readListSchema,
+} from '../messages.js';
 import {UpstreamFeed, type HealthAnswer} from '../upstream_feed.js';
 
 const REGION = asId<RegionId>('home');
@@ -52,29 +56,39 @@
   };
 }
 
+/** A reader that knows the given entries. */
+function startReader(
+  network: MemoryNetwork,
+  self: EntryInstance,
+  entries: readonly EntryInstance[],
+  feed: CountingFeed,
+): ListReader {
+  const members = new FleetMembers(() => self);
+  const view = {viewId: 'v', entries, controlMembers: []};
+  members.renew(CONTROL, view, performance.now());
+  const router = new RpcRouter();
+  const client = network.attach(self.innerAddress, self.instanceId, router);
+  const reader = new ListReader({
+    region: REGION,
+    domains: [asId<DomainId>('home-a')],
+    self: self.instanceId,
+    members,
+    feed,
+    client,
+    bulkClient: client,
+    logger: pino({level: 'silent'}),
+    metrics: new MetricsRegistry(),
+  });
+  router.register(READ_REGION_METHOD, z.object({}), () => reader.share());
+  return reader;
+}
+
 function startEntries(network: MemoryNetwork) {
   const feed = new CountingFeed();
   const entries = NAMES.map(entry);
-  const readers = entries.map(self => {
-    const members = new FleetMembers(() => self);
-    const view = {viewId: 'v', entries, controlMembers: []};
-    members.renew(CONTROL, view, performance.now());
-    const router = new RpcRouter();
-    const client = network.attach(self.innerAddress, self.instanceId, router);
-    const reader = new ListReader({
-      region: REGION,
-      domains: [asId<DomainId>('home-a')],
-      self: self.instanceId,
-      members,
-      feed,
-      client,
-      bulkClient: client,
-      logger: pino({level: 'silent'}),
-      metrics: new MetricsRegistry(),
-    });
-    router.register(READ_REGION_METHOD, z.object({}), () => reader.share());
-    return reader;
-  });
+  const readers = entries.map(self =>
+    startReader(network, self, entries, feed),
+  );
   return {feed, readers};
 }
 
@@ -109,3 +123,24 @@
     assert.ok((each?.readAtMs ?? 0) >= startedAtMs - 5);
   });
 });
+
+// Guards against a region that serves from an old list while a partition cuts
+// it from the platform but not from the other regions.
+test('a region that is cut from the list reads it through another one', async () => {
+  const network = new MemoryNetwork();
+  const {feed, readers} = startEntries(network);
+  feed.isLost = true;
+  const [reader] = readers;
+  assert.equal(await reader?.read(), undefined);
+  const peer = {...entry('far'), region: asId<RegionId>('away')};
+  const router = new RpcRouter();
+  const asked: string[] = [];
+  router.register(READ_LIST_METHOD, readListSchema, ({domain}) => {
+    asked.push(domain);
+    return [];
+  });
+  network.attach(peer.innerAddress, peer.instanceId, router);
+  const alone = startReader(network, entry('e9'), [peer], feed);
+  const reading = await alone.read();
+  assert.deepEqual([reading?.upstreams, asked], [[], ['home-a']]);
+});
