--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -57,8 +57,7 @@
         return;
       case 'reload_with_signal':
       case 'reload_silently':
-        member.reload(kind === 'reload_with_signal');
-        return;
+        return member.reload(kind === 'reload_with_signal');
       default:
         await member.kill();
         if (kind === 'wipe_disk') member.wipeDisk();
--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -8,6 +8,7 @@
   writeFileSync,
 } from 'node:fs';
 import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import type {Layout, ProcessPlace} from './layout.js';
 
@@ -20,6 +21,8 @@
 /** Longest planned stop that the settings allow. */
 export const STOP_GRACE_MS = 4_500;
 const HEAP_MB = 128;
+/** No program can handle a signal before the runtime has run its first line. */
+const RUNTIME_START_MS = 250;
 
 /** The end of a process that nobody asked for. */
 export interface UnexpectedExit {
@@ -33,6 +36,7 @@
   private child: ChildProcess | undefined;
   private expectsExit = false;
   private isPaused = false;
+  private startedAtMs = 0;
   private settingsVersion = 0;
   private mayFound = true;
 
@@ -62,6 +66,7 @@
     child.stdout?.pipe(log, {end: false});
     child.stderr?.pipe(log, {end: false});
     this.expectsExit = false;
+    this.startedAtMs = performance.now();
     this.child = child;
     child.once('exit', (code, signal) => {
       log.end();
@@ -98,10 +103,14 @@
   }
 
   /** Changes the settings, with or without a signal. */
-  reload(withSignal: boolean): void {
+  async reload(withSignal: boolean): Promise<void> {
     this.settingsVersion += 1;
     this.writeSettings();
-    if (withSignal) this.child?.kill('SIGHUP');
+    if (!withSignal) return;
+    const child = this.child;
+    const runningMs = performance.now() - this.startedAtMs;
+    await sleep(Math.max(0, RUNTIME_START_MS - runningMs));
+    if (this.child === child) child?.kill('SIGHUP');
   }
 
   /** Empties the disk of a process that does not run. */
