Let a soak end: do not reset sockets that are shutting down

The tests had passed; the process spun in the runtime's cleanup (uv_run below Environment::CleanupHandles, by a debugger) waiting for handles that never close. They are sockets of the proxies that were reset while they shut down.

The proxy destroys such a socket instead. Ruled out: a slow comparison in the assertion, children (none ran any more), a loop in JavaScript.

--- a/soak/tcp_proxy.ts
+++ b/soak/tcp_proxy.ts
@@ -99,14 +99,12 @@
 
   /** Resets every connection. */
   reset(): void {
-    [...this.links].forEach(link =>
-      link.sockets.forEach(socket => socket.resetAndDestroy()),
-    );
+    [...this.links].forEach(link => link.sockets.forEach(resetSocket));
   }
 
   private accept(client: Socket): void {
     if (this.state === 'refusing') {
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const {host, port} = partsOf(this.targetAddress);
@@ -137,7 +135,14 @@
   from.on('data', (chunk: Buffer) => direction.data(chunk));
   from.on('end', () => direction.end());
   // The peer sees the same end that this side saw.
-  from.on('error', () => to.resetAndDestroy());
+  from.on('error', () => resetSocket(to));
+}
+
+// A reset of a socket that is already shutting down leaves a handle of the
+// runtime open, and the process then never ends.
+function resetSocket(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
 }
 
 function partsOf(address: string): {host: string; port: number} {
