--- a/src/node/replication/__tests__/core.spec.ts
+++ b/src/node/replication/__tests__/core.spec.ts
@@ -5,13 +5,8 @@
 import {weightSteps} from '../weight_steps.js';
 import {createInitialState, step} from '../core/step.js';
 import {changedMembers} from '../core/membership.js';
-import {
-  CoreSimulation,
-  SETTINGS,
-  type Checker,
-  type Choice,
-  type SeededFault,
-} from './core_simulation.js';
+import {CoreSimulation, SETTINGS, type Choice} from './core_simulation.js';
+import type {Checker, SeededFault} from './core_simulation_faults.js';
 import {founder} from './replica_group.js';
 
 const RUNS = 500;
--- a/src/node/replication/__tests__/core_simulation.ts
+++ b/src/node/replication/__tests__/core_simulation.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {seededRandom} from '../../__tests__/support/random.js';
 import type {MemberId} from '../../types/ids.js';
-import {entryAt, lastIndex, termAt, type LogState} from '../core/log.js';
+import {entryAt, termAt} from '../core/log.js';
 import type {PeerReply, PeerRequest} from '../core/messages.js';
 import {
   createInitialState,
@@ -21,28 +21,15 @@
   type ReplicaState,
 } from '../core/state.js';
 import {memberIdOf} from '../peer_transport.js';
+import {
+  distort,
+  distortReply,
+  pairedEntries,
+  type Checker,
+  type SeededFault,
+} from './core_simulation_faults.js';
 import {founder} from './replica_group.js';
 
-/** Wrong behaviour of the surroundings that the checkers must notice. */
-export type SeededFault =
-  /** A member loses its vote, as after a restart without its disk. */
-  | 'lost_vote'
-  /** A member whose disk was emptied starts again under its old identity. */
-  | 'reused_identity'
-  /** A sync that did not write reports success. */
-  | 'lost_sync'
-  /** The check of the previous entry always passes. */
-  | 'ignored_mismatch'
-  /** Members acknowledge entries that they refused. */
-  | 'false_acknowledgement';
-
-/** A property that is checked after each event. */
-export type Checker =
-  | 'election safety'
-  | 'log matching'
-  | 'leader completeness'
-  | 'state machine safety';
-
 /** One choice: what happens, and to whom. */
 export type Choice = readonly [action: number, target: number];
 
@@ -319,11 +306,12 @@
     };
     const deliver = (node: SimulatedNode): void => {
       const callId = ++this.lastId;
-      const seen = this.distort(node, request);
+      const seen = distort(this.fault, node.state.log, request);
       this.replies.set(callId, reply =>
         this.inFlight.push({
           to: from.id,
-          deliver: () => isSame() && onReply(this.distortReply(request, reply)),
+          deliver: () =>
+            isSame() && onReply(distortReply(this.fault, request, reply)),
           fail,
         }),
       );
@@ -384,19 +372,10 @@
   private checkLogMatching(node: SimulatedNode): void {
     this.nodes
       .filter(other => other !== node)
-      .forEach(other => this.checkPair(node.state.log, other.state.log));
-  }
-
-  private checkPair(left: LogState, right: LogState): void {
-    const first = Math.max(left.baseIndex, right.baseIndex) + 1;
-    let index = Math.min(lastIndex(left), lastIndex(right));
-    while (index >= first && termAt(left, index) !== termAt(right, index)) {
-      index--;
-    }
-    for (; index >= first; index--) {
-      const entries = [entryAt(left, index), entryAt(right, index)];
-      this.check('log matching', index, entries[0], entries[1]);
-    }
+      .flatMap(other => pairedEntries(node.state.log, other.state.log))
+      .forEach(({index, left, right}) =>
+        this.check('log matching', index, left, right),
+      );
   }
 
   private check(
@@ -408,25 +387,4 @@
     if (this.only !== undefined && this.only !== checker) return;
     assert.deepEqual(actual, expected, `${checker} at ${position}`);
   }
-
-  private distort(node: SimulatedNode, request: PeerRequest): PeerRequest {
-    if (this.fault !== 'ignored_mismatch' || request.kind !== 'append') {
-      return request;
-    }
-    const {log} = node.state;
-    const prevTerm = termAt(log, request.prevIndex) ?? request.prevTerm;
-    return {...request, prevTerm};
-  }
-
-  private distortReply(request: PeerRequest, reply: PeerReply): PeerReply {
-    if (
-      this.fault !== 'false_acknowledgement' ||
-      reply.kind !== 'append_reply' ||
-      request.kind !== 'append'
-    ) {
-      return reply;
-    }
-    const matchIndex = request.prevIndex + request.entries.length;
-    return {...reply, success: true, matchIndex};
-  }
 }
--- /dev/null
+++ b/src/node/replication/__tests__/core_simulation_faults.ts
@@ -0,0 +1,75 @@
+/** The properties that the simulation checks, and faults that break them. */
+import {
+  entryAt,
+  lastIndex,
+  termAt,
+  type LogEntry,
+  type LogState,
+} from '../core/log.js';
+import type {PeerReply, PeerRequest} from '../core/messages.js';
+
+/** Wrong behaviour of the surroundings that the checkers must notice. */
+export type SeededFault =
+  /** A member loses its vote, as after a restart without its disk. */
+  | 'lost_vote'
+  /** A member whose disk was emptied starts again under its old identity. */
+  | 'reused_identity'
+  /** A sync that did not write reports success. */
+  | 'lost_sync'
+  /** The check of the previous entry always passes. */
+  | 'ignored_mismatch'
+  /** Members acknowledge entries that they refused. */
+  | 'false_acknowledgement';
+
+/** A property that is checked after each event. */
+export type Checker =
+  | 'election safety'
+  | 'log matching'
+  | 'leader completeness'
+  | 'state machine safety';
+
+/** The entries of two logs that must be equal, from the last common one down. */
+export function pairedEntries(
+  left: LogState,
+  right: LogState,
+): readonly {
+  readonly index: number;
+  readonly left: LogEntry | undefined;
+  readonly right: LogEntry | undefined;
+}[] {
+  const first = Math.max(left.baseIndex, right.baseIndex) + 1;
+  let last = Math.min(lastIndex(left), lastIndex(right));
+  while (last >= first && termAt(left, last) !== termAt(right, last)) last--;
+  return Array.from({length: Math.max(0, last - first + 1)}, (_, step) => {
+    const index = last - step;
+    return {index, left: entryAt(left, index), right: entryAt(right, index)};
+  });
+}
+
+/** A request as a member sees it that does not check the previous entry. */
+export function distort(
+  fault: SeededFault | undefined,
+  log: LogState,
+  request: PeerRequest,
+): PeerRequest {
+  if (fault !== 'ignored_mismatch' || request.kind !== 'append') return request;
+  const prevTerm = termAt(log, request.prevIndex) ?? request.prevTerm;
+  return {...request, prevTerm};
+}
+
+/** The reply of a member that acknowledges what it refused. */
+export function distortReply(
+  fault: SeededFault | undefined,
+  request: PeerRequest,
+  reply: PeerReply,
+): PeerReply {
+  if (
+    fault !== 'false_acknowledgement' ||
+    reply.kind !== 'append_reply' ||
+    request.kind !== 'append'
+  ) {
+    return reply;
+  }
+  const matchIndex = request.prevIndex + request.entries.length;
+  return {...reply, success: true, matchIndex};
+}
