--- a/src/node/types/ids.ts
+++ b/src/node/types/ids.ts
@@ -10,17 +10,17 @@
   readonly [brand]: Tag;
 };
 
-/** A machine that runs processes of the system. */
+/** A host that runs processes of the system. */
 export type InstanceId = Branded<string, 'InstanceId'>;
 /** An instance id with the incarnation of one process start, `id#n`. */
 export type MemberId = Branded<string, 'MemberId'>;
-/** A failure domain (zone). */
+/** A failure domain: what can fail together. */
 export type DomainId = Branded<string, 'DomainId'>;
 /** A geographic region, made of failure domains. */
 export type RegionId = Branded<string, 'RegionId'>;
 /** A customer. */
 export type WorkspaceId = Branded<string, 'WorkspaceId'>;
-/** A back end: a model engine worker or a plain service worker. */
+/** An upstream: a model engine or a plain service. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
 /** A model that engines can load. */
 export type ModelId = Branded<string, 'ModelId'>;
