Call what the project has: one logger, one reading, one cancelled placement

Read through the change since: two functions built the same logger, a reading of the list had two identical types, the end of an unused grant was built in two places, and the two clients between instances each had the same options and the same transport error. Each is one piece now; behaviour is unchanged.

--- a/src/node/dispatch/list_reader.ts
+++ b/src/node/dispatch/list_reader.ts
@@ -9,10 +9,10 @@
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {RpcClient} from '../rpc/rpc.js';
 import type {ListedUpstream} from '../scheduling/types.js';
+import type {ListReading} from '../scheduling/upstream_pool.js';
 import {toGatewayError, type GatewayError} from '../types/errors.js';
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {READ_LIST_METHOD, READ_REGION_METHOD} from './messages.js';
-import type {RegionReading} from './scheduler_host.js';
 import type {UpstreamFeed} from './upstream_feed.js';
 
 /** The job that falls to the entry that reads for its region. */
@@ -48,13 +48,13 @@
 export class ListReader {
   private readonly lastLists = new Map<DomainId, readonly ListedUpstream[]>();
   private isListLost = false;
-  private reading: RegionReading | undefined;
-  private readingUnderWay: Promise<RegionReading | undefined> | undefined;
+  private reading: ListReading | undefined;
+  private readingUnderWay: Promise<ListReading | undefined> | undefined;
 
   constructor(private readonly options: ListReaderOptions) {}
 
   /** The upstreams of the region; `undefined` if nobody can read the list. */
-  async read(): Promise<RegionReading | undefined> {
+  async read(): Promise<ListReading | undefined> {
     const {members, region, self} = this.options;
     const nowMs = monotonicNowMs();
     const [reader] = members.rankedEntries(region, READER_JOB, nowMs);
@@ -85,7 +85,7 @@
   }
 
   /** The last reading of this entry if it is young, else a new one. */
-  private async current(): Promise<RegionReading | undefined> {
+  private async current(): Promise<ListReading | undefined> {
     const {reading} = this;
     const isYoung =
       reading !== undefined && monotonicNowMs() - reading.readAtMs < REUSE_MS;
@@ -96,7 +96,7 @@
     return this.readingUnderWay;
   }
 
-  private async readAll(): Promise<RegionReading | undefined> {
+  private async readAll(): Promise<ListReading | undefined> {
     const {domains, feed} = this.options;
     const readAtMs = monotonicNowMs();
     const read = await Promise.all(domains.map(each => this.readDomain(each)));
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -25,6 +25,7 @@
   UpstreamId,
 } from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
+import {cancelledPlacements} from './decision_sender.js';
 import {
   SUBMIT_METHOD,
   type SubmissionPart,
@@ -163,16 +164,7 @@
 
   // A grant for a request that is served elsewhere, or whose caller left.
   private giveBack(from: InstanceId, decision: Decision): void {
-    if (decision.kind !== 'grant') return;
-    const {requestId, upstreamId, service} = decision;
-    const release: Release = {
-      requestId,
-      upstreamId,
-      outcome: 'cancelled',
-      firstAnswerMs: 0,
-      totalMs: 0,
-    };
-    this.send(from, {kind: 'release', service, release});
+    cancelledPlacements([decision]).forEach(({part}) => this.send(from, part));
   }
 
   private submit(pending: Pending): void {
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -11,10 +11,9 @@
 import type {
   CapacityDigest,
   Decision,
-  ListedUpstream,
   ServiceTraits,
 } from '../scheduling/types.js';
-import type {PoolChange} from '../scheduling/upstream_pool.js';
+import type {ListReading, PoolChange} from '../scheduling/upstream_pool.js';
 import {toGatewayError} from '../types/errors.js';
 import type {
   DomainId,
@@ -45,13 +44,6 @@
   readonly onDown: () => void;
 }
 
-/** One reading of the platform's list, for all services. */
-export interface RegionReading {
-  readonly upstreams: readonly ListedUpstream[];
-  readonly readAtMs: number;
-  readonly lagMs: number;
-}
-
 /** An upstream that must answer a probe before it gets work. */
 export interface ProbeTarget {
   readonly service: ServiceId;
@@ -79,7 +71,7 @@
   private readonly system = start();
   private readonly hosted = new Map<ServiceId, Hosted>();
   private readonly actor;
-  private reading: RegionReading | undefined;
+  private reading: ListReading | undefined;
   private evacuated: readonly DomainId[] = [];
   private timer: ReturnType<typeof setTimeout> | undefined;
   private isStopped = false;
@@ -129,7 +121,7 @@
     return [...this.hosted.keys()];
   }
 
-  applyReading(reading: RegionReading): void {
+  applyReading(reading: ListReading): void {
     this.reading = reading;
     this.hosted.forEach((hosted, service) =>
       applyTo(hosted.scheduler, service, reading),
@@ -310,7 +302,7 @@
 function applyTo(
   scheduler: Scheduler,
   service: ServiceId,
-  reading: RegionReading,
+  reading: ListReading,
 ): void {
   scheduler.pool.applyReading({
     ...reading,
--- a/src/node/logging/logger.ts
+++ b/src/node/logging/logger.ts
@@ -20,26 +20,25 @@
  * a reader that falls behind must not hold up the process.
  */
 export function createProcessLogger(options: LoggerOptions): Logger {
-  return pino(
-    {
-      name: options.name,
-      level: options.level ?? 'info',
-      base: {instance: options.instanceId},
-      redact: ['authorization', 'headers.authorization', 'body'],
-    },
-    pino.destination({fd: 1, sync: false}),
-  );
+  return createLoggerTo(pino.destination({fd: 1, sync: false}), options);
 }
 
 /** Creates the logger of one process; lines go to standard error as JSON. */
 export function createLogger(options: LoggerOptions): Logger {
+  return createLoggerTo(pino.destination({fd: 2, sync: true}), options);
+}
+
+function createLoggerTo(
+  destination: pino.DestinationStream,
+  {name, instanceId, level = 'info'}: LoggerOptions,
+): Logger {
   return pino(
     {
-      name: options.name,
-      level: options.level ?? 'info',
-      base: {instance: options.instanceId},
+      name,
+      level,
+      base: {instance: instanceId},
       redact: ['authorization', 'headers.authorization', 'body'],
     },
-    pino.destination({fd: 2, sync: true}),
+    destination,
   );
 }
--- a/src/node/rpc/call_errors.ts
+++ b/src/node/rpc/call_errors.ts
@@ -1,6 +1,11 @@
 /** Errors of calls: the peer's own, and those of the way to it. */
 import type {JSONRPCErrorException} from 'json-rpc-2.0';
-import {fromErrorBody, GatewayError, type ErrorBody} from '../types/errors.js';
+import {
+  fromErrorBody,
+  GatewayError,
+  type ErrorBody,
+  type ErrorCode,
+} from '../types/errors.js';
 
 /** The error as it was thrown at the peer. */
 export function toRemoteError(
--- a/src/node/rpc/http_client.ts
+++ b/src/node/rpc/http_client.ts
@@ -5,12 +5,11 @@
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {Agent, request} from 'undici';
-import {GatewayError, type ErrorCode} from '../types/errors.js';
-import type {InstanceId} from '../types/ids.js';
+import {GatewayError} from '../types/errors.js';
 import {AUTHENTICATION_HEADER, createCredentials} from './authentication.js';
 import {timeoutSignal} from '../utils.js';
-import {toRemoteError} from './remote_error.js';
-import {RpcClient} from './rpc.js';
+import {toRemoteError, toTransportError} from './call_errors.js';
+import {RpcClient, type RpcClientOptions} from './rpc.js';
 
 /** The path of the inner listener that answers JSON-RPC calls. */
 export const RPC_PATH = '/rpc';
@@ -19,12 +18,6 @@
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 
-/** What an HTTP client between instances needs. */
-export interface HttpRpcClientOptions {
-  readonly self: InstanceId;
-  readonly clusterSecret: string;
-}
-
 /**
  * One call on its way. The JSON-RPC library turns errors of the transport into
  * error answers, so the original error is kept beside it.
@@ -42,17 +35,8 @@
 }
 
 function transportError(thrown: unknown, address: string): GatewayError {
-  if (thrown instanceof GatewayError) return thrown;
-  const code: ErrorCode = isAbort(thrown) ? 'timeout' : 'unreachable';
-  const message = thrown instanceof Error ? thrown.message : String(thrown);
-  return new GatewayError({
-    code,
-    message,
-    step: 'rpc.send',
-    peer: address,
-    work: 'unknown',
-    cause: thrown,
-  });
+  const code = isAbort(thrown) ? 'timeout' : 'unreachable';
+  return toTransportError(thrown, code, address);
 }
 
 /**
@@ -68,7 +52,7 @@
   });
   private readonly clients = new Map<string, JSONRPCClient<PendingCall>>();
 
-  constructor(private readonly options: HttpRpcClientOptions) {
+  constructor(private readonly options: RpcClientOptions) {
     super();
   }
 
--- a/src/node/rpc/rpc.ts
+++ b/src/node/rpc/rpc.ts
@@ -70,6 +70,12 @@
   }
 }
 
+/** What a client between instances authenticates itself with. */
+export interface RpcClientOptions {
+  readonly self: InstanceId;
+  readonly clusterSecret: string;
+}
+
 /** Sends calls to other processes. */
 export abstract class RpcClient {
   /**
--- a/src/node/rpc/stream_client.ts
+++ b/src/node/rpc/stream_client.ts
@@ -15,11 +15,10 @@
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {monotonicNowMs} from '../clock/clock.js';
-import {GatewayError, type ErrorCode} from '../types/errors.js';
-import type {InstanceId} from '../types/ids.js';
+import type {ErrorCode, GatewayError} from '../types/errors.js';
 import {AUTHENTICATION_HEADER, createCredentials} from './authentication.js';
-import {toRemoteError} from './remote_error.js';
-import {RpcClient} from './rpc.js';
+import {toRemoteError, toTransportError} from './call_errors.js';
+import {RpcClient, type RpcClientOptions} from './rpc.js';
 import {createStreamKey, FrameReader, FrameWriter} from './stream_frames.js';
 
 /** The path of the inner listener that turns into a stream of calls. */
@@ -41,16 +40,11 @@
 ]);
 const EMPTY_BODY = new Uint8Array();
 
-export interface StreamRpcClientOptions {
-  readonly self: InstanceId;
-  readonly clusterSecret: string;
-}
-
 /** Calls other instances over streams. */
 export class StreamRpcClient extends RpcClient {
   private readonly peers = new Map<string, PeerStream>();
 
-  constructor(private readonly options: StreamRpcClientOptions) {
+  constructor(private readonly options: RpcClientOptions) {
     super();
   }
 
@@ -87,28 +81,11 @@
   address: string,
   method: string,
 ): GatewayError {
-  if (thrown instanceof JSONRPCErrorException) {
-    const code = LOCAL_ERRORS.get(thrown.code);
-    if (code === undefined) return toRemoteError(thrown, address, method);
-    const {message} = thrown;
-    const step = 'rpc.send';
-    return new GatewayError({
-      code,
-      message,
-      step,
-      peer: address,
-      work: 'unknown',
-    });
-  }
-  const message = thrown instanceof Error ? thrown.message : String(thrown);
-  return new GatewayError({
-    code: 'unreachable',
-    message,
-    step: 'rpc.send',
-    peer: address,
-    work: 'unknown',
-    cause: thrown,
-  });
+  const isAnswer = thrown instanceof JSONRPCErrorException;
+  const code = isAnswer ? LOCAL_ERRORS.get(thrown.code) : 'unreachable';
+  return isAnswer && code === undefined
+    ? toRemoteError(thrown, address, method)
+    : toTransportError(thrown, code ?? 'unreachable', address);
 }
 
 /** One connection to one peer; once closed it is replaced. */
@@ -128,7 +105,7 @@
 
   constructor(
     private readonly address: string,
-    private readonly options: StreamRpcClientOptions,
+    private readonly options: RpcClientOptions,
   ) {
     this.client = new JSONRPCClient(payload => this.send(payload));
     this.connectTimer = setTimeout(
