Let the soak check evacuations, and keep one copy of the operators' paths

Cause: the check of evacuated domains could not fail in a run. Every evacuation was lifted while faults were in effect, and the check began 11 s after their end, when the run is over. An evacuation that lasts over 2 s now stays until the end, one for each run, and the check begins when everything is in touch again.

Paths of the operators' interface and the small configuration of specs and soaks stood twice; both are one module now.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -4,7 +4,7 @@
 import {drawFaults} from '../fault_plan.js';
 import type {CallResult, History, OperatorRecord} from '../history.js';
 import {createLayout} from '../layout.js';
-import {configurationText} from '../operator.js';
+import {configurationOf} from '../operator.js';
 
 const CALM_AT_MS = 1_000;
 
@@ -44,7 +44,7 @@
     endedAtMs: 110,
     status: 200,
     version,
-    text: configurationText(version),
+    text: configurationOf(version),
     ...fields,
   };
 }
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -127,7 +127,7 @@
   );
 }
 
-/** Nothing runs in an evacuated domain once the faults are over. */
+/** Nothing runs in a domain that is still evacuated once the faults are over. */
 function checkEvacuations({
   operator,
   runs,
@@ -137,8 +137,10 @@
     const lifted = operator.find(
       each => each.kind === 'return' && each.sentAtMs > order.sentAtMs,
     );
-    const fromMs =
-      Math.max(order.endedAtMs, calmAtMs + SETTLE_MS) + EVACUATION_MS;
+    const fromMs = Math.max(
+      order.endedAtMs + EVACUATION_MS,
+      calmAtMs + SETTLE_MS,
+    );
     const untilMs = lifted?.sentAtMs ?? Number.POSITIVE_INFINITY;
     const late = runs.filter(
       run =>
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -36,6 +36,7 @@
   | 'upstream_drain'
   /** The platform's list answers with errors. */
   | 'list_down'
+  /** A domain is evacuated and taken back, or evacuated until the end. */
   | 'evacuate';
 
 /** One fault of a plan. */
@@ -47,6 +48,8 @@
   readonly link?: LinkState;
   readonly delayMs?: number;
   readonly behaviour?: Behaviour;
+  /** Whether an evacuation stays in force until the end of the run. */
+  readonly isKept?: boolean;
 }
 
 export const FAULTS_MS = 9_000;
@@ -55,6 +58,8 @@
 const SHORTEST_MS = 300;
 const LONGEST_MS = 3_500;
 const LONGEST_DELAY_MS = 180;
+/** A longer evacuation stays, so that the calm part of the run checks it. */
+const LONGEST_EVACUATION_MS = 2_000;
 
 const LINK_STATES: readonly LinkState[] = [
   'refusing',
@@ -103,18 +108,28 @@
     FEWEST_FAULTS + Math.floor(random() * (MOST_FAULTS - FEWEST_FAULTS + 1));
   const drawn = Array.from({length: count}, () => drawFault(random, layout));
   return drawn
-    .filter((fault, index) => isFirstWipe(fault, index, drawn))
+    .filter((fault, index) =>
+      [isWipe, isKept].every(kind => isFirst(kind, fault, index, drawn)),
+    )
     .sort((left, right) => left.atMs - right.atMs);
 }
 
-// The system bears the loss of one disk at a time.
-function isFirstWipe(
+// The system bears the loss of one disk at a time, and of one region.
+function isWipe({kind}: Fault): boolean {
+  return kind === 'wipe_disk';
+}
+
+function isKept(fault: Fault): boolean {
+  return fault.isKept === true;
+}
+
+function isFirst(
+  isOfKind: (fault: Fault) => boolean,
   fault: Fault,
   index: number,
   drawn: readonly Fault[],
 ): boolean {
-  if (fault.kind !== 'wipe_disk') return true;
-  return drawn.findIndex(each => each.kind === 'wipe_disk') === index;
+  return !isOfKind(fault) || drawn.findIndex(isOfKind) === index;
 }
 
 function drawFault(random: () => number, layout: Layout): Fault {
@@ -130,6 +145,8 @@
       return {...fault, link: pick(LINK_STATES, random) ?? 'silent'};
     case 'link_delay':
       return {...fault, delayMs: Math.round(random() * LONGEST_DELAY_MS)};
+    case 'evacuate':
+      return {...fault, isKept: fault.durationMs > LONGEST_EVACUATION_MS};
     case 'upstream_behaviour':
       return {...fault, behaviour: pick(BEHAVIOURS, random) ?? 'silent'};
     default:
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -5,6 +5,8 @@
 import type {MemberProcess} from './member_process.js';
 import type {Operator} from './operator.js';
 
+const RESEND_MS = 500;
+
 /** Runs all faults of a plan; resolves when the last one has ended. */
 export async function runFaults(
   faults: readonly Fault[],
@@ -105,17 +107,22 @@
     upstream.behaviour = 'answer';
   }
 
-  private async evacuate({target, durationMs}: Fault): Promise<void> {
-    await this.operator.evacuate(target);
+  private async evacuate({
+    target,
+    durationMs,
+    isKept = false,
+  }: Fault): Promise<void> {
+    await this.confirm(() => this.operator.evacuate(target));
+    if (isKept) return;
     await sleep(durationMs);
-    await this.confirmReturn(target);
+    await this.confirm(() => this.operator.takeBack(target));
   }
 
   // The operator resends an order until it is confirmed.
-  private async confirmReturn(domain: string): Promise<void> {
-    if (await this.operator.takeBack(domain)) return;
-    await sleep(500);
-    await this.confirmReturn(domain);
+  private async confirm(send: () => Promise<boolean>): Promise<void> {
+    if (await send()) return;
+    await sleep(RESEND_MS);
+    await this.confirm(send);
   }
 
   private async failList({durationMs}: Fault): Promise<void> {
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -5,8 +5,8 @@
   READ_PATH,
   REPLACE_PATH,
   RETURN_PREFIX,
-  standInConfiguration,
-} from '../platform/standin/operator_calls.js';
+} from '../platform/operator_paths.js';
+import {configurationText} from '../platform/standin/configuration.js';
 import {HOMES, ROUTES, type OperatorRecord} from './history.js';
 import {SERVICE} from './layout.js';
 import {HOST, pick, TIMEOUT_MS} from './traffic.js';
@@ -16,13 +16,19 @@
 const READ_INTERVAL_MS = 700;
 
 /** The configuration of a version. */
-export function configurationText(version: number): string {
-  const routes = Object.entries(ROUTES).map(([name, route]) => ({
-    ...route,
-    name,
-    homeRegions: name === 'homed' ? HOMES : [],
-  }));
-  return standInConfiguration(version, HOST, SERVICE, TIMEOUT_MS, routes);
+export function configurationOf(version: number): string {
+  return configurationText({
+    version,
+    host: HOST,
+    service: SERVICE,
+    timeoutMs: TIMEOUT_MS,
+    maxBodyBytes: 100_000,
+    routes: Object.entries(ROUTES).map(([name, route]) => ({
+      ...route,
+      name,
+      homeRegions: name === 'homed' ? HOMES : [],
+    })),
+  });
 }
 
 /** Calls the control members, each time another one. */
@@ -52,7 +58,7 @@
   async replace(): Promise<boolean> {
     this.version += 3;
     const {version} = this;
-    const text = configurationText(version);
+    const text = configurationOf(version);
     return this.send('replace', REPLACE_PATH, version, text);
   }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -1,7 +1,6 @@
 /** One run of the soak: start, traffic with faults, calm, checks. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {seededRandom} from '../src/node/__tests__/support/random.js';
-import {READINESS_PATH} from '../platform/standin/operator_calls.js';
 import {checkHistory} from './checks.js';
 import {drawFaults, type Fault} from './fault_plan.js';
 import {runFaults} from './fault_runner.js';
@@ -124,7 +123,7 @@
 
 async function isReady(address: string): Promise<boolean> {
   try {
-    const answer = await fetch(`http://${address}${READINESS_PATH}`);
+    const answer = await fetch(`http://${address}/`);
     return answer.status === 200;
   } catch {
     // It does not listen yet.
