--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -1,6 +1,7 @@
 /** Says how a request ended, which decision led to it and on what belief. */
+import type {LogEvent} from '../logging/event_schema.js';
 import {numberField, textField, type LogLine} from './log_line.js';
-import {LIFE_EVENTS, type Timeline} from './timeline.js';
+import {isLifeEvent, type Timeline} from './timeline.js';
 
 /** How the caller's request ended. */
 export type RequestEnding =
@@ -211,7 +212,7 @@
     );
 }
 
-const LOSS_EVENTS = new Set([
+const LOSS_EVENTS: ReadonlySet<string> = new Set<LogEvent>([
   'upstream_down',
   'upstream_suspected',
   'upstream_draining',
@@ -287,7 +288,7 @@
 }: Timeline): readonly string[] {
   const lastMs = request.at(-1)?.timeMs ?? 0;
   const lives = beliefs
-    .filter(line => LIFE_EVENTS.includes(line.event))
+    .filter(isLifeEvent)
     .filter(line => instances.includes(line.instance))
     .filter(line => line.timeMs >= lastMs)
     .map(line => `${line.instance}: ${line.event} after the last line`);
--- a/src/node/explain/timeline.ts
+++ b/src/node/explain/timeline.ts
@@ -1,4 +1,5 @@
 /** Joins the lines on a request with the beliefs that bore on it. */
+import type {LogEvent} from '../logging/event_schema.js';
 import type {CollectedLines} from './log_files.js';
 import {textField, type LogLine} from './log_line.js';
 
@@ -8,7 +9,7 @@
 const AFTERMATH_MS = 2_000;
 
 /** The events that end or begin the life of a process. */
-export const LIFE_EVENTS: readonly string[] = [
+const LIFE_EVENTS: readonly LogEvent[] = [
   'started',
   'stopping',
   'stopped',
@@ -16,7 +17,7 @@
   'log_failed',
 ];
 /** Events that bear on every request of the process that wrote them. */
-const PROCESS_EVENTS = new Set([
+const PROCESS_EVENTS: ReadonlySet<string> = new Set<LogEvent>([
   ...LIFE_EVENTS,
   'reloaded',
   'state_in_force',
@@ -26,7 +27,7 @@
   'control_regained',
 ]);
 /** Events on one upstream or one service of a region. */
-const SERVICE_EVENTS = new Set([
+const SERVICE_EVENTS: ReadonlySet<string> = new Set<LogEvent>([
   'upstream_listed',
   'upstream_unlisted',
   'upstream_draining',
@@ -40,6 +41,11 @@
   'long_prompt_lane',
 ]);
 
+/** Whether a line tells the end or the beginning of a process. */
+export function isLifeEvent({event}: LogLine): boolean {
+  return LIFE_EVENTS.some(each => each === event);
+}
+
 /** Everything that bears on one request. */
 export interface Timeline {
   readonly requestIds: readonly string[];
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -4,6 +4,7 @@
  * push them out; what is dropped is counted.
  */
 import {monotonicNowMs} from '../clock/clock.js';
+import type {LogEvent} from '../logging/event_schema.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {SchedulerAnswer} from '../scheduling/types.js';
@@ -15,14 +16,16 @@
 const CALM_SHARE = 0.4;
 const MS_PER_S = 1_000;
 
-export type RequestEvent =
+type RequestEvent = Extract<
+  LogEvent,
   | 'granted'
   | 'offloaded'
   | 'refused'
   | 'retry'
   | 'upstream_outcome'
   | 'ended'
-  | 'rejected';
+  | 'rejected'
+>;
 
 /** Why a request was answered before it was matched to a service. */
 export type RejectionReason =
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -141,7 +141,7 @@
 /** The name of an event. */
 export type LogEvent = keyof typeof FIELDS;
 
-/** All events, in the order of the table in `docs/OPERATIONS.md`. */
+/** All events; `docs/OPERATIONS.md` lists them. */
 export const LOG_EVENTS = Object.keys(FIELDS) as readonly LogEvent[];
 
 /** What is wrong with one parsed line; empty if it is as documented. */
