--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -18,7 +18,6 @@
   cancelledPlacements,
   DecisionSender,
 } from '../dispatch/decision_sender.js';
-import {Rehearsal} from '../dispatch/rehearsal.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
@@ -76,7 +75,6 @@
   private readonly link: ControlLink;
   private readonly ingress: IngressServer;
   private readonly inner: InnerServer;
-  private readonly rehearsal = new Rehearsal();
   private readonly sideServers: Server[] = [];
   private incarnation = wallNowMs();
   private settings: IngressSettings;
@@ -157,7 +155,6 @@
     );
     this.link.start();
     this.loops.start();
-    this.rehearsal.start();
     logger.info(
       {event: 'started', region: settings.regionId, domain: settings.domainId},
       'the entry listens',
@@ -200,7 +197,6 @@
   async abort(): Promise<void> {
     this.link.stop();
     this.loops.stop();
-    this.rehearsal.stop();
     this.host.stop();
     this.ingress.close();
     this.sideServers.forEach(server => server.close());
