Find the entry for a job without sorting all of them

Cause: each submission, release and check for a remembered refusal asked which entry schedules a service, and sorted the region's entries by rank for the first one. A spec holds both answers equal.

--- a/src/node/dispatch/list_reader.ts
+++ b/src/node/dispatch/list_reader.ts
@@ -57,7 +57,7 @@
   async read(): Promise<ListReading | undefined> {
     const {members, region, self} = this.options;
     const nowMs = monotonicNowMs();
-    const [reader] = members.rankedEntries(region, READER_JOB, nowMs);
+    const reader = members.assignedEntry(region, READER_JOB, nowMs);
     if (reader === undefined || reader.instanceId === self) {
       return this.current();
     }
@@ -135,7 +135,7 @@
     const peers = members
       .regions()
       .filter(each => each !== region)
-      .flatMap(each => members.rankedEntries(each, domain, nowMs).slice(0, 1));
+      .flatMap(each => members.assignedEntry(each, domain, nowMs) ?? []);
     const answers = await Promise.all(
       peers.map(peer =>
         bulkClient.call<readonly ListedUpstream[]>(
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -75,8 +75,8 @@
 
   private isOwn(service: ServiceId): boolean {
     const {members, region, self} = this.options;
-    const [first] = members.rankedEntries(region, service, monotonicNowMs());
-    return first?.instanceId === self;
+    const assigned = members.assignedEntry(region, service, monotonicNowMs());
+    return assigned?.instanceId === self;
   }
 
   private async readList(): Promise<void> {
@@ -99,7 +99,7 @@
       .filter(each => each !== region)
       .forEach(each =>
         digests.forEach(digest => {
-          const [target] = members.rankedEntries(each, digest.service, nowMs);
+          const target = members.assignedEntry(each, digest.service, nowMs);
           if (target === undefined) return;
           void client.call(
             target.innerAddress,
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -214,8 +214,8 @@
 
   private schedulerOf(service: ServiceId): InstanceId {
     const {members, region, self} = this.options;
-    const [first] = members.rankedEntries(region, service, monotonicNowMs());
-    return first?.instanceId ?? self;
+    const nowMs = monotonicNowMs();
+    return members.assignedEntry(region, service, nowMs)?.instanceId ?? self;
   }
 
   private send(target: InstanceId, part: SubmissionPart, delayMs = 0): void {
--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -123,3 +123,19 @@
   assert.ok(used.every(each => each.length === 4));
   assert.ok(new Set(used.flat()).size >= 10);
 });
+
+// Guards against two ways to say whose job it is: entries that disagree would
+// schedule the same upstreams at the same time.
+test('a job is assigned to the first entry in its order', () => {
+  const members = new FleetMembers(() => entry('n0', 'north'));
+  const others = Array.from({length: 9}, (_, index) =>
+    entry(`n${index + 1}`, 'north'),
+  );
+  members.renew(asId<InstanceId>('c1'), view('1', others), 0);
+  const region = asId<RegionId>('north');
+  const jobs = Array.from({length: 30}, (_, index) => `service-${index}`);
+  const assigned = jobs.map(job => members.assignedEntry(region, job, 10));
+  const first = jobs.map(job => members.rankedEntries(region, job, 10)[0]);
+  assert.deepEqual(assigned, first);
+  assert.ok(new Set(assigned.map(each => each?.instanceId)).size > 5);
+});
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -81,6 +81,22 @@
     return [...new Set([...this.merged.map(each => each.region)])].sort();
   }
 
+  /** The live entry of a region to which a job falls. */
+  assignedEntry(
+    region: RegionId,
+    job: string,
+    nowMs: number,
+  ): EntryInstance | undefined {
+    return this.liveEntries(region, nowMs).reduce<EntryInstance | undefined>(
+      (first, each) =>
+        first === undefined ||
+        rankOf(job, each.instanceId) < rankOf(job, first.instanceId)
+          ? each
+          : first,
+      undefined,
+    );
+  }
+
   /** Live entries of a region in the order in which a job falls to them. */
   rankedEntries(
     region: RegionId,
