Tell how long decisions take and how late event loops run

The logs could not tell whether a late request waited for the decision of its scheduler, for its own entry or for an engine: the lines on requests had the wait in the scheduler's queue only. 'ended' now has decisionMs, from the question to the decision, and an entry that schedules or whose event loop is late writes one 'entry_load' line a second with its loop delay, processor time and queue. The same figures are in the metrics event_loop_delay_ms and decision_ms. explain-request names the time of the decision.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -51,6 +51,14 @@
   readonly address: string;
 }
 
+/** The work of the schedulers on one entry. */
+export interface SchedulerLoad {
+  /** Requests that they were asked about since the start. */
+  readonly itemsTaken: number;
+  /** Requests that wait now. */
+  readonly queueLength: number;
+}
+
 interface Hosted {
   readonly scheduler: Scheduler;
   usedAtMs: number;
@@ -75,6 +83,7 @@
   private evacuated: readonly DomainId[] = [];
   private timer: ReturnType<typeof setTimeout> | undefined;
   private isStopped = false;
+  private itemsTaken = 0;
 
   constructor(private readonly options: SchedulerHostOptions) {
     this.actor = spawn(
@@ -121,6 +130,15 @@
     return [...this.hosted.keys()];
   }
 
+  /** What the schedulers here have to do. */
+  load(): SchedulerLoad {
+    const queued = [...this.hosted.values()].reduce(
+      (sum, {scheduler}) => sum + scheduler.queueLength,
+      0,
+    );
+    return {itemsTaken: this.itemsTaken, queueLength: queued};
+  }
+
   applyReading(reading: ListReading): void {
     this.reading = reading;
     this.hosted.forEach((hosted, service) =>
@@ -216,6 +234,7 @@
     const scheduler = this.schedulerOf(service);
     switch (part.kind) {
       case 'item':
+        this.itemsTaken += 1;
         return scheduler.submit(part.item, nowMs);
       case 'release':
         return scheduler.release([part.release], nowMs);
--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -97,11 +97,12 @@
   if (end === undefined) return [];
   const retries = request.filter(line => line.event === 'retry').length;
   const queuedMs = numberField(end, 'queuedMs') ?? 0;
+  const decisionMs = numberField(end, 'decisionMs') ?? 0;
   const firstAnswerMs = numberField(end, 'firstAnswerMs') ?? 0;
   const longestGapMs = numberField(end, 'longestGapMs') ?? 0;
   return [
-    `of ${numberField(end, 'totalMs') ?? 0} ms it waited ${queuedMs} ms for an ` +
-      `upstream; the first answer took ${firstAnswerMs} ms, ` +
+    `of ${numberField(end, 'totalMs') ?? 0} ms the decision took ${decisionMs} ms, ` +
+      `of which it waited ${queuedMs} ms for an upstream; the first answer took ${firstAnswerMs} ms, ` +
       `the longest pause ${longestGapMs} ms`,
     ...(retries > 0 ? [`it was tried again ${retries} times`] : []),
   ];
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -38,8 +38,10 @@
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import type {DomainId} from '../types/ids.js';
+import {waitUntil} from '../clock/wait_until.js';
 import {Connections} from './connections.js';
 import {IngressServer} from './ingress_server.js';
+import {LoadLog} from './load_log.js';
 import type {RequestProtocol} from './protocol.js';
 import {Relay, RELAY_PATH} from './relay.js';
 import {RequestLog} from './request_log.js';
@@ -49,7 +51,6 @@
 const SHORTEST_STOP_MS = 3_000;
 /** Time to close what is left before the process is killed. */
 const STOP_MARGIN_MS = 1_200;
-const STOP_CHECK_MS = 50;
 
 export interface IngressEntryOptions {
   readonly settings: IngressSettings;
@@ -76,6 +77,7 @@
   private readonly ingress: IngressServer;
   private readonly inner: InnerServer;
   private readonly sideServers: Server[] = [];
+  private readonly load: LoadLog;
   private incarnation = wallNowMs();
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
@@ -134,6 +136,12 @@
       onOutdated: held => this.raiseIncarnation(held),
     });
     this.ingress = this.createIngress();
+    this.load = new LoadLog({
+      host: this.host,
+      metrics: this.metrics,
+      logger,
+      requestsInFlight: () => this.ingress.requestsInFlight,
+    });
     this.inner = this.createInner();
     this.answerSchedulerCalls();
   }
@@ -155,6 +163,7 @@
     );
     this.link.start();
     this.loops.start();
+    this.load.start();
     logger.info(
       {event: 'started', region: settings.regionId, domain: settings.domainId},
       'the entry listens',
@@ -196,6 +205,7 @@
   /** Closes everything at once. */
   async abort(): Promise<void> {
     this.link.stop();
+    this.load.stop();
     this.loops.stop();
     this.host.stop();
     this.ingress.close();
@@ -382,13 +392,3 @@
     });
   }
 }
-
-function waitUntil(isDone: () => boolean): Promise<void> {
-  return new Promise(resolve => {
-    const timer = setInterval(() => {
-      if (!isDone()) return;
-      clearInterval(timer);
-      resolve();
-    }, STOP_CHECK_MS);
-  });
-}
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -41,7 +41,10 @@
   readonly status: number;
   /** The last upstream that it was granted. */
   readonly upstream: string | undefined;
+  /** Wait in the queue of the scheduler that granted it. */
   readonly queuedMs: number;
+  /** From asking schedulers to their decisions, over all tries. */
+  readonly decisionMs: number;
   readonly expectedMs: number;
   readonly totalMs: number;
   readonly firstAnswerMs: number;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -9,6 +9,7 @@
 import type {
   Decision,
   PlacementOutcome,
+  SchedulerAnswer,
   WorkItem,
 } from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
@@ -22,11 +23,11 @@
 import type {Relay} from './relay.js';
 import {sendFailure, sendRefusal} from './final_answers.js';
 import {StallWatch} from './stall_watch.js';
+import {causeOf, NO_ANSWER, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 /** Tries that certainly did not run, beyond those that the route allows. */
 const MAX_TRIES_NOT_RUN = 2;
-const NO_ANSWER = 'no answer in time';
 
 export interface RequestRunContext {
   readonly region: RegionId;
@@ -54,6 +55,8 @@
   private arrivals = 0;
   private refusedRegions: RegionId[] = [];
   private firstAnswerMs = 0;
+  /** From asking for upstreams to the decisions, over all tries. */
+  private decisionMs = 0;
   private lastGrant: Grant | undefined;
 
   constructor(
@@ -89,8 +92,7 @@
   }
 
   private async attempt(): Promise<TryResult> {
-    const item = this.workItem();
-    const decision = await this.context.scheduler.acquire(item, this.signal);
+    const decision = await this.askScheduler();
     if (decision.kind !== 'refuse' || !this.signal.aborted) {
       this.context.log.decision(this.request, decision);
     }
@@ -110,6 +112,16 @@
     }
   }
 
+  private async askScheduler(): Promise<SchedulerAnswer> {
+    const {scheduler, metrics} = this.context;
+    const askedAtMs = monotonicNowMs();
+    const decision = await scheduler.acquire(this.workItem(), this.signal);
+    const waitedMs = monotonicNowMs() - askedAtMs;
+    this.decisionMs += waitedMs;
+    metrics.recordMs('decision_ms', {kind: decision.kind}, waitedMs);
+    return decision;
+  }
+
   private workItem(): WorkItem {
     const {request, context} = this;
     const {route, traits} = request;
@@ -317,6 +329,7 @@
       status,
       upstream: this.lastGrant?.upstreamId,
       queuedMs: this.lastGrant?.queuedMs ?? 0,
+      decisionMs: this.decisionMs,
       expectedMs: this.lastGrant?.expectedMs ?? 0,
       totalMs,
       firstAnswerMs: this.firstAnswerMs,
@@ -348,27 +361,6 @@
   }
 }
 
-function outcomeOf(
-  end: ExchangeEnd,
-  result: TryResult,
-  reader: AnswerReader,
-): PlacementOutcome {
-  if (end.kind === 'aborted') return 'cancelled';
-  if (end.kind === 'not_sent') return 'unreachable';
-  if (result.kind === 'not_run') return 'rejected';
-  if (end.kind === 'broken') {
-    return end.cause === NO_ANSWER ? 'silent' : 'broken';
-  }
-  return reader.isSuccess || (reader.head?.status ?? 0) < 500
-    ? 'answered'
-    : 'failed';
-}
-
-function causeOf(end: ExchangeEnd, reader: AnswerReader): string | undefined {
-  if ('cause' in end) return end.cause;
-  return reader.head === undefined ? undefined : `status ${reader.head.status}`;
-}
-
 function sendFinal(
   result: TryResult,
   answer: CallerAnswer,
--- /dev/null
+++ b/src/node/metrics/load_monitor.ts
@@ -0,0 +1,79 @@
+/**
+ * Watches whether a process keeps up: how late its event loop runs and how much
+ * processor time it uses. An entry that falls behind delays every decision
+ * that others wait for.
+ */
+import {monotonicNowMs} from '../clock/clock.js';
+import type {MetricsRegistry} from './registry.js';
+
+const SAMPLE_INTERVAL_MS = 100;
+const SAMPLES_IN_REPORT = 10;
+const MICROS_PER_MS = 1_000;
+
+/** One second of a process. */
+export interface LoadReport {
+  /** Longest time by which a timer fired late. */
+  readonly loopDelayMs: number;
+  /** Processor time used. */
+  readonly processorMs: number;
+  readonly elapsedMs: number;
+}
+
+/** Samples the load of this process until it is stopped. */
+export class LoadMonitor {
+  private timer: ReturnType<typeof setTimeout> | undefined;
+  private samples = 0;
+  private longestDelayMs = 0;
+  private reportedAtMs = 0;
+  private reportedProcessorMs = 0;
+
+  constructor(
+    private readonly metrics: MetricsRegistry,
+    private readonly onReport: (report: LoadReport) => void,
+  ) {}
+
+  start(): void {
+    this.reportedAtMs = monotonicNowMs();
+    this.reportedProcessorMs = processorMs();
+    this.schedule();
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  private schedule(): void {
+    const dueAtMs = monotonicNowMs() + SAMPLE_INTERVAL_MS;
+    this.timer = setTimeout(() => {
+      this.sample(Math.max(0, monotonicNowMs() - dueAtMs));
+      this.schedule();
+    }, SAMPLE_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  private sample(delayMs: number): void {
+    this.metrics.recordMs('event_loop_delay_ms', {}, delayMs);
+    this.longestDelayMs = Math.max(this.longestDelayMs, delayMs);
+    this.samples += 1;
+    if (this.samples >= SAMPLES_IN_REPORT) this.report();
+  }
+
+  private report(): void {
+    const nowMs = monotonicNowMs();
+    const usedMs = processorMs();
+    this.onReport({
+      loopDelayMs: Math.round(this.longestDelayMs),
+      processorMs: Math.round(usedMs - this.reportedProcessorMs),
+      elapsedMs: Math.round(nowMs - this.reportedAtMs),
+    });
+    this.samples = 0;
+    this.longestDelayMs = 0;
+    this.reportedAtMs = nowMs;
+    this.reportedProcessorMs = usedMs;
+  }
+}
+
+function processorMs(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / MICROS_PER_MS;
+}
