--- /dev/null
+++ b/src/node/dispatch/__tests__/scheduler_backlog.spec.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {setMonotonicSource} from '../../clock/clock.js';
+import {MetricsRegistry} from '../../metrics/registry.js';
+import type {ServiceSpec} from '../../routes/route_table.js';
+import {
+  brief,
+  chat,
+  HOME,
+  upstream,
+} from '../../scheduling/__tests__/scheduling_fixture.js';
+import {PromptEstimates} from '../../scheduling/prompt_estimates.js';
+import type {Decision, WorkItem} from '../../scheduling/types.js';
+import {UpstreamState} from '../../scheduling/upstream_state.js';
+import {asId, type InstanceId, type ServiceId} from '../../types/ids.js';
+import {SchedulerHost} from '../scheduler_host.js';
+
+const ENGINES = 28;
+/** A message may look at each engine a few times, whatever waits. */
+const MAX_LOOKS = 5 * ENGINES;
+const BACKLOG = 150;
+const MESSAGES = 40;
+const ENTRY = asId<InstanceId>('entry');
+const SERVICE = asId<ServiceId>('service');
+const PATIENT = {targetLatencyMs: 60_000, remainingMs: 60_000};
+const SPEC = {
+  coldRequestsPerS: 0,
+  engine: {kvCacheTokens: 243_790, tokensPerEvent: 9, fetchMsPerToken: 0},
+} as unknown as ServiceSpec;
+const SILENT = {info: () => undefined, error: () => undefined} as never;
+
+interface Bench {
+  readonly host: SchedulerHost;
+  readonly decisions: Decision[];
+}
+
+// The clock and the timers stand still, so that only messages cause work.
+function createBench(t: TestContext): Bench {
+  const {restore} = setMonotonicSource(() => 1_000);
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const decisions: Decision[] = [];
+  const host = new SchedulerHost({
+    region: HOME,
+    retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
+    logger: SILENT,
+    metrics: new MetricsRegistry(),
+    serviceSpec: () => SPEC,
+    deliver: decision => decisions.push(decision),
+    onDown: () => undefined,
+  });
+  t.after(() => {
+    host.stop();
+    restore();
+  });
+  host.ensure(SERVICE);
+  host.applyReading({
+    readAtMs: 1_000,
+    lagMs: 0,
+    upstreams: Array.from({length: ENGINES}, (_, index) =>
+      upstream(`engine-${index}`, {slots: 64}),
+    ),
+  });
+  return {host, decisions};
+}
+
+/** Long prompts that no cache holds, until so many wait. */
+async function fillQueue(host: SchedulerHost): Promise<void> {
+  await host.submit(
+    ENTRY,
+    Array.from({length: BACKLOG + 2 * ENGINES}, (_, index) => ({
+      kind: 'item' as const,
+      item: uncached(brief(`waiting-${index}`, PATIENT)),
+    })),
+  );
+}
+
+function uncached(item: WorkItem): WorkItem {
+  const {prompt, requestId} = item;
+  if (prompt === undefined) return item;
+  const parts = [{partId: `${requestId}-all`, tokens: prompt.promptTokens}];
+  return {...item, prompt: {...prompt, parts}};
+}
+
+/** A chat whose prompt is read at once, so that it leaves its engine open. */
+function shortChat(name: string): WorkItem {
+  const item = chat(name);
+  const prompt = {
+    promptTokens: 1,
+    maxOutputTokens: 9,
+    expectedOutputTokens: 9,
+    parts: [{partId: `${name}-own`, tokens: 1}],
+  };
+  return {...item, prompt};
+}
+
+async function looksPerMessage(
+  t: TestContext,
+  host: SchedulerHost,
+  create: (index: number) => WorkItem,
+): Promise<number> {
+  const spies = [
+    t.mock.method(PromptEstimates.prototype, 'leastReadMs'),
+    t.mock.method(UpstreamState.prototype, 'readMs'),
+  ];
+  const messages = Array.from({length: MESSAGES}, (_, index) => create(index));
+  await messages.reduce(
+    (sent, item) => sent.then(() => host.submit(ENTRY, [{kind: 'item', item}])),
+    Promise.resolve(),
+  );
+  const looks = spies.reduce((sum, {mock}) => sum + mock.callCount(), 0);
+  spies.forEach(({mock}) => mock.restore());
+  return looks / MESSAGES;
+}
+
+// Guards against a scheduler that goes over its whole queue for each message:
+// in the first seconds of a region's peak prompts are in no cache, so requests
+// wait, and each message then cost so much that the scheduler fell behind and
+// the queue grew further.
+test('a message to the scheduler costs the same behind a long queue', async t => {
+  const {host, decisions} = createBench(t);
+  await fillQueue(host);
+  assert.ok(host.load().queueLength >= BACKLOG, 'the queue is long');
+  const before = decisions.length;
+  const chats = await looksPerMessage(t, host, index =>
+    shortChat(`chat-${index}`),
+  );
+  assert.equal(decisions.length - before, MESSAGES, 'chats need not wait');
+  const briefs = await looksPerMessage(t, host, index =>
+    uncached(brief(`late-${index}`, PATIENT)),
+  );
+  assert.ok(chats <= MAX_LOOKS, `${chats} looks for a chat`);
+  assert.ok(briefs <= MAX_LOOKS, `${briefs} looks for a brief`);
+});
