Decide on a message without going over the whole queue

The scheduler went over its whole queue for each request, each end of a placement and each cancellation, and the forecast of a new request read the prompts of all that waited. While caches are cold requests wait, so each message cost more, the scheduler fell behind, callers came back, and the queue grew further.

A message is now decided on by itself: a new request is granted at once if nothing goes before it and an engine is open, else it is queued; the queue keeps the reading time of its prompts; the queue is gone over every 8 ms as before, and not in between. The turn of the least urgent request is kept when urgent ones are granted as they arrive (new spec). What concerns other regions moves into offload_planner.ts.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -220,11 +220,14 @@
   }
 
   private handle(message: HostMessage): undefined {
-    if (message.kind === 'submission') {
-      message.parts.forEach(part => this.take(message.from, part));
+    if (message.kind === 'check') {
+      this.checkQueues();
+      return undefined;
     }
-    this.decideAll();
-    if (message.kind === 'submission') message.onHandled();
+    message.parts.forEach(part => this.take(message.from, part));
+    this.deliver(this.schedulers().flatMap(each => each.takeDecisions()));
+    this.watchQueues();
+    message.onHandled();
     return undefined;
   }
 
@@ -247,13 +250,14 @@
     }
   }
 
-  private decideAll(): void {
+  private checkQueues(): void {
     const nowMs = monotonicNowMs();
-    const schedulers = [...this.hosted.values()].map(each => each.scheduler);
-    schedulers
-      .flatMap(scheduler => scheduler.decide(nowMs))
-      .forEach(decision => this.options.deliver(decision));
-    const hasQueue = schedulers.some(scheduler => scheduler.queueLength > 0);
+    this.deliver(this.schedulers().flatMap(each => each.decide(nowMs)));
+    this.watchQueues();
+  }
+
+  private watchQueues(): void {
+    const hasQueue = this.schedulers().some(each => each.queueLength > 0);
     if (!hasQueue || this.timer !== undefined) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
@@ -261,6 +265,14 @@
     }, QUEUE_CHECK_MS);
   }
 
+  private schedulers(): readonly Scheduler[] {
+    return [...this.hosted.values()].map(each => each.scheduler);
+  }
+
+  private deliver(decisions: readonly Decision[]): void {
+    decisions.forEach(decision => this.options.deliver(decision));
+  }
+
   private schedulerOf(service: ServiceId): Scheduler {
     const known = this.hosted.get(service);
     const nowMs = monotonicNowMs();
--- a/src/node/scheduling/__tests__/regional_flood.ts
+++ b/src/node/scheduling/__tests__/regional_flood.ts
@@ -81,7 +81,7 @@
       counts.arrivals += 1;
       items.set(item.requestId, item);
       scheduler.submit(item, nowMs);
-      take(scheduler.decide(nowMs), nowMs);
+      take(scheduler.takeDecisions(), nowMs);
     });
     if (nowMs % options.checkMs === 0) take(scheduler.decide(nowMs), nowMs);
   });
@@ -135,6 +135,6 @@
   running.splice(0, running.length, ...others);
   ended.forEach(each => {
     scheduler.release([each.release], nowMs);
-    take(scheduler.decide(nowMs));
+    take(scheduler.takeDecisions());
   });
 }
--- a/src/node/scheduling/__tests__/scheduler.spec.ts
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {matchSnapshot} from '../../__tests__/support/snapshot.js';
 import type {Scheduler} from '../scheduler.js';
-import type {Decision, ListedUpstream, WorkItem} from '../types.js';
+import type {Decision, ListedUpstream, Release, WorkItem} from '../types.js';
 import {
   AWAY,
   brief,
@@ -37,6 +37,16 @@
   return {...rest, ...fields};
 }
 
+function ended(decision: Decision): Release {
+  return {
+    requestId: decision.requestId,
+    upstreamId: upstream('a').upstreamId,
+    outcome: 'answered',
+    firstAnswerMs: 9,
+    totalMs: 9,
+  };
+}
+
 // Guards against more requests at an upstream than it has slots.
 test('requests beyond the slots wait, and go on in turn', () => {
   const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 2})]);
@@ -79,6 +89,23 @@
   matchSnapshot(import.meta.url, 'urgent first', {first, later});
 });
 
+// Guards against urgent requests that are granted as they arrive and so never
+// leave the turn that is due to the less urgent ones that wait.
+test('a flood of urgent calls leaves some turns to the rest', () => {
+  const scheduler = schedulerWith(PLAIN_TRAITS, [upstream('a', {slots: 1})]);
+  scheduler.submit(plain('running'), 0);
+  scheduler.submit(plain('waiting', {priority: 2}), 0);
+  const steps = Array.from({length: 12}, (_, step) => step);
+  const order = steps.flatMap(step => {
+    const [last] = scheduler.takeDecisions();
+    if (last === undefined) return scheduler.decide(step * 10).map(line);
+    scheduler.release([ended(last)], step * 10);
+    scheduler.submit(plain(`urgent-${step}`), step * 10);
+    return [line(last)];
+  });
+  assert.ok(order.includes('waiting -> a'), order.join(', '));
+});
+
 // Guards against long prompts between the tokens of every stream: with the
 // floods of both kinds at once, chats stay off the engines that read briefs.
 test('a flood of briefs leaves engines without long prompts to chats', () => {
--- a/src/node/scheduling/forecast.ts
+++ b/src/node/scheduling/forecast.ts
@@ -8,6 +8,7 @@
 } from './constants.js';
 import type {WorkItem} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
+import type {QueueLoad} from './work_queue.js';
 
 const MS_PER_S = 1_000;
 
@@ -19,10 +20,10 @@
   readonly answerMs: number;
 }
 
-/** Forecasts a request behind the requests `ahead` of it. */
+/** Forecasts a request behind those `ahead` of it. */
 export function forecast(
   item: WorkItem,
-  ahead: readonly WorkItem[],
+  ahead: QueueLoad,
   usable: readonly UpstreamState[],
   nowMs: number,
 ): Forecast {
@@ -38,25 +39,21 @@
 
 /** The wait of one more request behind those `ahead` of it. */
 export function queueWaitMs(
-  ahead: readonly WorkItem[],
+  ahead: QueueLoad,
   usable: readonly UpstreamState[],
   nowMs: number,
 ): number {
   const [first] = usable;
   if (first === undefined) return NO_UPSTREAM_WAIT_MS;
-  const requests = ahead.length + 1;
+  const requests = ahead.requests + 1;
   const startWaitMs = Math.max(
     waitForSlotMs(usable, requests),
     waitForColdMs(usable, requests, nowMs),
   );
   if (!first.isEngine) return startWaitMs;
-  const unreadMs = ahead.reduce(
-    (sum, item) => sum + first.readMs(item, nowMs),
-    0,
-  );
   const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
   const feedWaitMs = Math.max(0, backlogMs - FEED_BACKLOG_MS);
-  return Math.max(startWaitMs, feedWaitMs + unreadMs / usable.length);
+  return Math.max(startWaitMs, feedWaitMs + ahead.readMs / usable.length);
 }
 
 /** Until so many requests were started while all upstreams are cold. */
--- /dev/null
+++ b/src/node/scheduling/offload_planner.ts
@@ -0,0 +1,76 @@
+/** Decides whether a request is better served in another region. */
+import type {RegionId} from '../types/ids.js';
+import type {CapacityBoard, RemoteOffer} from './capacity_board.js';
+import {OFFLOAD_GAIN_MS, OFFLOAD_READ_SHARE_GAIN} from './constants.js';
+import {longestWaitMs} from './forecast.js';
+import type {WorkItem} from './types.js';
+
+/** A wait that nobody expects, as the log has it. */
+const UNKNOWN_MS = -1;
+
+/** Where a request is sent, with the waits that led to it. */
+export interface OffloadTarget {
+  readonly region: RegionId;
+  readonly localWaitMs: number;
+  readonly remoteWaitMs: number;
+}
+
+/** Goes by what other regions last said of their capacity. */
+export class OffloadPlanner {
+  constructor(private readonly board: CapacityBoard) {}
+
+  /**
+   * A region in which the request may run, whose own scheduler decides. Without
+   * any digest, as after a start, it is one that has not told anything yet.
+   */
+  home(item: WorkItem, nowMs: number): OffloadTarget | undefined {
+    const offer = this.board.bestOffer(item, nowMs);
+    if (offer !== undefined) return targetOf(offer, UNKNOWN_MS);
+    const region = item.otherRegions.find(each => !this.board.knows(each));
+    return region === undefined
+      ? undefined
+      : {region, localWaitMs: UNKNOWN_MS, remoteWaitMs: UNKNOWN_MS};
+  }
+
+  /** A region whose engines spend clearly less of their time reading. */
+  relief(
+    item: WorkItem,
+    readShare: number,
+    nowMs: number,
+  ): OffloadTarget | undefined {
+    const offer = this.board.bestOffer(item, nowMs);
+    const isRelief =
+      offer !== undefined &&
+      offer.readShare + OFFLOAD_READ_SHARE_GAIN < readShare &&
+      isInTimeThere(item, offer);
+    return isRelief ? targetOf(offer, UNKNOWN_MS) : undefined;
+  }
+
+  /** A region that answers clearly sooner, and in time. */
+  better(
+    item: WorkItem,
+    localExpectedMs: number,
+    nowMs: number,
+  ): OffloadTarget | undefined {
+    const offer = this.board.bestOffer(item, nowMs);
+    const isBetter =
+      offer !== undefined &&
+      offer.expectedMs + OFFLOAD_GAIN_MS < localExpectedMs &&
+      isInTimeThere(item, offer);
+    const localWaitMs = Number.isFinite(localExpectedMs)
+      ? localExpectedMs
+      : UNKNOWN_MS;
+    return isBetter ? targetOf(offer, localWaitMs) : undefined;
+  }
+}
+
+function isInTimeThere(item: WorkItem, {expectedMs}: RemoteOffer): boolean {
+  return item.ageMs + expectedMs <= longestWaitMs(item, expectedMs);
+}
+
+function targetOf(
+  {region, expectedMs}: RemoteOffer,
+  localWaitMs: number,
+): OffloadTarget {
+  return {region, localWaitMs, remoteWaitMs: expectedMs};
+}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -18,9 +18,7 @@
   NO_UPSTREAM_CLOSED_MS,
   NO_UPSTREAM_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
-  OFFLOAD_GAIN_MS,
   OFFLOAD_READ_SHARE,
-  OFFLOAD_READ_SHARE_GAIN,
   SHORTEST_RETRY_AFTER_MS,
 } from './constants.js';
 import {ReadLoad} from './read_load.js';
@@ -33,6 +31,7 @@
   tokensOf,
 } from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
+import {OffloadPlanner, type OffloadTarget} from './offload_planner.js';
 import type {
   CapacityDigest,
   Decision,
@@ -62,6 +61,7 @@
 export class Scheduler {
   readonly pool: UpstreamPool;
   readonly board = new CapacityBoard();
+  private readonly offloads = new OffloadPlanner(this.board);
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
   private readonly readLoad = new ReadLoad();
@@ -139,7 +139,11 @@
     this.pool.setEvacuated(domains, nowMs);
   }
 
-  /** Goes over the queue and returns what was decided since the last call. */
+  /**
+   * Goes over the queue and returns what was decided since the last call. Its
+   * cost grows with the queue, so it is called at intervals and not for each
+   * message.
+   */
   decide(nowMs: number): readonly Decision[] {
     this.pool.all().forEach(each => each.expire(nowMs));
     const usable = this.pool.usable(nowMs);
@@ -148,6 +152,11 @@
       const isGranted = this.serve(queued, usable, open, nowMs);
       if (isGranted) open = openOf(open, nowMs);
     });
+    return this.takeDecisions();
+  }
+
+  /** Returns what was decided since the last call. */
+  takeDecisions(): readonly Decision[] {
     const decided = this.decisions;
     this.decisions = [];
     return decided;
@@ -163,7 +172,7 @@
       freeSlots:
         usable.reduce((sum, each) => sum + each.freeSlots, 0) - this.queue.size,
       freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
-      waitMs: queueWaitMs(this.queue.all(), usable, nowMs),
+      waitMs: queueWaitMs(this.queue.ahead(), usable, nowMs),
       readShare: this.readLoad.share(usable, nowMs),
     };
   }
@@ -180,7 +189,7 @@
     if (usable.length === 0) {
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
       // A list that was never read may still name upstreams.
-      if (this.pool.all().length === 0) this.queue.add(item, nowMs);
+      if (this.pool.all().length === 0) this.enqueue(item, nowMs);
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
       return;
     }
@@ -192,7 +201,7 @@
       nowMs,
     );
     if (isInTime(item, expected)) {
-      this.queue.add(item, nowMs);
+      this.grantOrEnqueue(item, usable, nowMs);
       return;
     }
     const expectedMs = expected.waitMs + expected.answerMs;
@@ -202,41 +211,50 @@
     this.refuse(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
   }
 
-  /**
-   * Sends a request to a region in which it may run, whose own scheduler
-   * decides. Without any digest, as after a start, the region is drawn.
-   */
+  // A request that others wait before is granted in its turn.
+  private grantOrEnqueue(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): void {
+    const floor = this.queue.floorItem();
+    if (floor !== undefined) {
+      this.serve(floor, usable, openOf(usable, nowMs), nowMs);
+    }
+    const upstream = this.queue.isFirst(item.priority)
+      ? this.choose(item, usable, openOf(usable, nowMs), nowMs)
+      : undefined;
+    if (upstream === undefined) this.enqueue(item, nowMs);
+    else this.grant(item, upstream, 0, nowMs);
+  }
+
+  private enqueue(item: WorkItem, nowMs: number): void {
+    const readMs = this.pool.estimates.leastReadMs(item, nowMs);
+    this.queue.add({item, queuedAtMs: nowMs, readMs});
+  }
+
   private sendHome(item: WorkItem, nowMs: number): void {
-    const offer = this.board.bestOffer(item, nowMs);
-    const unknown = item.otherRegions.filter(each => !this.board.knows(each));
-    const region = offer?.region ?? unknown[0];
-    if (region === undefined) {
-      this.refuse(
-        item,
-        'no_upstream',
-        NO_UPSTREAM_RETRY_AFTER_MS,
-        nowMs,
-        NO_UPSTREAM_CLOSED_MS,
-      );
+    const target = this.offloads.home(item, nowMs);
+    if (target !== undefined) {
+      this.sendTo(target, item);
       return;
     }
-    this.sendTo(region, item, -1, offer?.expectedMs ?? -1);
+    this.refuse(
+      item,
+      'no_upstream',
+      NO_UPSTREAM_RETRY_AFTER_MS,
+      nowMs,
+      NO_UPSTREAM_CLOSED_MS,
+    );
   }
 
-  private sendTo(
-    region: RegionId,
-    item: WorkItem,
-    localWaitMs: number,
-    remoteWaitMs: number,
-  ): void {
-    this.board.noteSent(region, item);
+  private sendTo(target: OffloadTarget, item: WorkItem): void {
+    this.board.noteSent(target.region, item);
     this.decisions.push({
       kind: 'offload',
       requestId: item.requestId,
       entry: item.entry,
-      region,
-      localWaitMs,
-      remoteWaitMs,
+      ...target,
     });
   }
 
@@ -250,11 +268,9 @@
     const isPressed =
       readShare > OFFLOAD_READ_SHARE && this.lane.isLong(item, nowMs);
     if (!isPressed) return false;
-    const offer = this.board.bestOffer(item, nowMs);
-    const isRelief =
-      offer !== undefined &&
-      offer.readShare + OFFLOAD_READ_SHARE_GAIN < readShare;
-    return isRelief && this.offload(item, Number.POSITIVE_INFINITY, nowMs);
+    const target = this.offloads.relief(item, readShare, nowMs);
+    if (target !== undefined) this.sendTo(target, item);
+    return target !== undefined;
   }
 
   /** Decides on a queued request if it is time to; true if it got an upstream. */
@@ -345,15 +361,9 @@
     localExpectedMs: number,
     nowMs: number,
   ): boolean {
-    const offer = this.board.bestOffer(item, nowMs);
-    if (offer === undefined) return false;
-    const isBetter = offer.expectedMs + OFFLOAD_GAIN_MS < localExpectedMs;
-    const isInTimeThere =
-      item.ageMs + offer.expectedMs <= longestWaitMs(item, offer.expectedMs);
-    if (!isBetter || !isInTimeThere) return false;
-    const localWaitMs = Number.isFinite(localExpectedMs) ? localExpectedMs : -1;
-    this.sendTo(offer.region, item, localWaitMs, offer.expectedMs);
-    return true;
+    const target = this.offloads.better(item, localExpectedMs, nowMs);
+    if (target !== undefined) this.sendTo(target, item);
+    return target !== undefined;
   }
 
   private refuse(
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -7,22 +7,35 @@
 export interface QueuedItem {
   readonly item: WorkItem;
   readonly queuedAtMs: number;
+  /** Time in which an engine reads its prompt, as of then. */
+  readonly readMs: number;
 }
 
+/** The requests that go before a new one. */
+export interface QueueLoad {
+  readonly requests: number;
+  /** Time in which one engine would read all their prompts. */
+  readonly readMs: number;
+}
+
+const EMPTY_LOAD: QueueLoad = {requests: 0, readMs: 0};
+
 /**
  * Ordered by priority and arrival. Once in some grants the order is turned, so
  * that a flood of urgent work leaves a minimum to the rest.
  */
 export class WorkQueue {
   private items: QueuedItem[] = [];
+  private readonly ids = new Set<RequestId>();
   private grants = 0;
 
   get size(): number {
     return this.items.length;
   }
 
-  add(item: WorkItem, nowMs: number): void {
-    const queued = {item, queuedAtMs: nowMs};
+  add(queued: QueuedItem): void {
+    const {item} = queued;
+    this.ids.add(item.requestId);
     const position = this.items.findIndex(
       each => each.item.priority > item.priority,
     );
@@ -31,21 +44,23 @@
   }
 
   remove(requestId: RequestId): void {
+    if (!this.ids.delete(requestId)) return;
     this.items = this.items.filter(each => each.item.requestId !== requestId);
   }
 
   removeEntries(isGone: (entry: InstanceId) => boolean): void {
-    this.items = this.items.filter(each => !isGone(each.item.entry));
+    this.items
+      .filter(each => isGone(each.item.entry))
+      .forEach(each => this.remove(each.item.requestId));
   }
 
   has(requestId: RequestId): boolean {
-    return this.items.some(each => each.item.requestId === requestId);
+    return this.ids.has(requestId);
   }
 
   /** In the order in which they may be granted now. */
   inOrder(): readonly QueuedItem[] {
-    const isFloorTurn = this.grants % FLOOR_EVERY_GRANTS === 0;
-    if (!isFloorTurn || this.grants === 0) return [...this.items];
+    if (!this.isFloorTurn()) return [...this.items];
     const lowest = this.items.at(-1)?.item.priority;
     const floor = this.items.filter(each => each.item.priority === lowest);
     const rest = this.items.filter(each => each.item.priority !== lowest);
@@ -56,14 +71,29 @@
     this.grants += 1;
   }
 
-  all(): readonly WorkItem[] {
-    return this.items.map(each => each.item);
+  /** Whether a new request of this priority goes before all that wait. */
+  isFirst(priority: number): boolean {
+    const [first] = this.items;
+    return first === undefined || first.item.priority > priority;
+  }
+
+  /** The request that goes before more urgent ones now, if it is time to. */
+  floorItem(): QueuedItem | undefined {
+    return this.isFloorTurn() ? this.inOrder()[0] : undefined;
+  }
+
+  /** What goes before a new request of this priority. */
+  ahead(priority = Number.POSITIVE_INFINITY): QueueLoad {
+    return this.items.reduce<QueueLoad>(
+      (load, {item, readMs}) =>
+        item.priority <= priority
+          ? {requests: load.requests + 1, readMs: load.readMs + readMs}
+          : load,
+      EMPTY_LOAD,
+    );
   }
 
-  /** Requests that go before a new one of this priority. */
-  ahead(priority: number): readonly WorkItem[] {
-    return this.items
-      .map(each => each.item)
-      .filter(item => item.priority <= priority);
+  private isFloorTurn(): boolean {
+    return this.grants > 0 && this.grants % FLOOR_EVERY_GRANTS === 0;
   }
 }
