Pass over long prompts while their lane is closed

A queued long prompt was compared with all engines on every turn of the queue, also when no engine of its lane was open. Its reading time is now kept from when it was queued, and while the lane is closed only its waiting time is checked.

--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -61,6 +61,21 @@
     return this.longReadMs(item, nowMs) > 0;
   }
 
+  /** The same for a reading time that was estimated earlier. */
+  isLongRead(readMs: number): boolean {
+    return readMs > LONG_READ_MS;
+  }
+
+  /** Whether long prompts have to wait although other engines are open. */
+  isClosed(
+    open: readonly UpstreamState[],
+    usable: readonly UpstreamState[],
+  ): boolean {
+    return (
+      !open.some(each => this.has(each)) && usable.some(each => this.has(each))
+    );
+  }
+
   has(upstream: UpstreamState): boolean {
     return this.members.has(upstream.listed.upstreamId);
   }
@@ -82,7 +97,7 @@
 
   private longReadMs(item: WorkItem, nowMs: number): number {
     const readMs = this.estimates.leastReadMs(item, nowMs);
-    return readMs > LONG_READ_MS ? readMs : 0;
+    return this.isLongRead(readMs) ? readMs : 0;
   }
 
   private resize(usable: readonly UpstreamState[], nowMs: number): void {
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -148,9 +148,15 @@
     this.pool.all().forEach(each => each.expire(nowMs));
     const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
+    let isLaneClosed = this.lane.isClosed(open, usable);
     this.queue.inOrder().forEach(queued => {
-      const isGranted = this.serve(queued, usable, open, nowMs);
-      if (isGranted) open = openOf(open, nowMs);
+      const mustWait = isLaneClosed && this.lane.isLongRead(queued.readMs);
+      const upstream = mustWait
+        ? undefined
+        : this.choose(queued.item, usable, open, nowMs);
+      if (!this.serve(queued, upstream, usable, nowMs)) return;
+      open = openOf(open, nowMs);
+      isLaneClosed = this.lane.isClosed(open, usable);
     });
     return this.takeDecisions();
   }
@@ -219,7 +225,9 @@
   ): void {
     const floor = this.queue.floorItem();
     if (floor !== undefined) {
-      this.serve(floor, usable, openOf(usable, nowMs), nowMs);
+      const open = openOf(usable, nowMs);
+      const chosen = this.choose(floor.item, usable, open, nowMs);
+      this.serve(floor, chosen, usable, nowMs);
     }
     const upstream = this.queue.isFirst(item.priority)
       ? this.choose(item, usable, openOf(usable, nowMs), nowMs)
@@ -276,8 +284,8 @@
   /** Decides on a queued request if it is time to; true if it got an upstream. */
   private serve(
     {item, queuedAtMs}: QueuedItem,
+    upstream: UpstreamState | undefined,
     usable: readonly UpstreamState[],
-    open: readonly UpstreamState[],
     nowMs: number,
   ): boolean {
     const queuedMs = nowMs - queuedAtMs;
@@ -287,7 +295,6 @@
       this.refuse(item, 'retry_budget', 0, nowMs);
       return false;
     }
-    const upstream = this.choose(item, usable, open, nowMs);
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
       return true;
