--- a/src/node/dispatch/__tests__/scheduler_backlog.spec.ts
+++ b/src/node/dispatch/__tests__/scheduler_backlog.spec.ts
@@ -7,6 +7,7 @@
   brief,
   chat,
   HOME,
+  HOME_A,
   upstream,
 } from '../../scheduling/__tests__/scheduling_fixture.js';
 import {PromptEstimates} from '../../scheduling/prompt_estimates.js';
@@ -52,7 +53,7 @@
     host.stop();
     restore();
   });
-  host.ensure(SERVICE);
+  host.ensure({service: SERVICE, domain: HOME_A});
   host.applyReading({
     readAtMs: 1_000,
     lagMs: 0,
@@ -69,6 +70,7 @@
     ENTRY,
     Array.from({length: BACKLOG + 2 * ENGINES}, (_, index) => ({
       kind: 'item' as const,
+      domain: HOME_A,
       item: uncached(brief(`waiting-${index}`, PATIENT)),
     })),
   );
@@ -104,7 +106,10 @@
   ];
   const messages = Array.from({length: MESSAGES}, (_, index) => create(index));
   await messages.reduce(
-    (sent, item) => sent.then(() => host.submit(ENTRY, [{kind: 'item', item}])),
+    (sent, item) =>
+      sent.then(() =>
+        host.submit(ENTRY, [{kind: 'item', domain: HOME_A, item}]),
+      ),
     Promise.resolve(),
   );
   const looks = spies.reduce((sum, {mock}) => sum + mock.callCount(), 0);
--- a/src/node/dispatch/decision_sender.ts
+++ b/src/node/dispatch/decision_sender.ts
@@ -83,7 +83,7 @@
 ): readonly {readonly entry: InstanceId; readonly part: SubmissionPart}[] {
   return decisions.flatMap(decision => {
     if (decision.kind !== 'grant') return [];
-    const {requestId, upstreamId, service, entry} = decision;
+    const {requestId, upstreamId, service, domain, entry} = decision;
     const release: Release = {
       requestId,
       upstreamId,
@@ -91,6 +91,6 @@
       firstAnswerMs: 0,
       totalMs: 0,
     };
-    return [{entry, part: {kind: 'release', service, release}}];
+    return [{entry, part: {kind: 'release', service, domain, release}}];
   });
 }
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -29,8 +29,10 @@
   domain: z.string().transform(value => asId<DomainId>(value)),
 });
 
-/** One thing that an entry tells a scheduler. */
-export type SubmissionPart =
+/** One thing that an entry tells the scheduler of a service in a domain. */
+export type SubmissionPart = {readonly domain: DomainId} & SubmissionBody;
+
+type SubmissionBody =
   | {readonly kind: 'item'; readonly item: WorkItem}
   | {
       readonly kind: 'release';
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -1,23 +1,23 @@
 /**
- * The periodic work of an entry for the services that it schedules: reads the
- * platform's list, tells other regions of free capacity, probes upstreams.
+ * The periodic work of an entry for what it schedules: reads the platform's
+ * list, tells other domains of free capacity, probes upstreams.
  */
 import {monotonicNowMs} from '../clock/clock.js';
-import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {DomainPlace, FleetMembers} from '../fleet/fleet_members.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {ServiceSpec} from '../routes/route_table.js';
 import type {RpcClient} from '../rpc/rpc.js';
-import type {
-  InstanceId,
-  RegionId,
-  ServiceId,
-  UpstreamId,
-} from '../types/ids.js';
+import type {CapacityDigest} from '../scheduling/types.js';
+import type {DomainId, InstanceId, RegionId, UpstreamId} from '../types/ids.js';
 import {BATCH_TIMEOUT_MS} from './batch_link.js';
 import type {ListReader} from './list_reader.js';
 import {DIGEST_METHOD} from './messages.js';
-import type {ProbeTarget, SchedulerHost} from './scheduler_host.js';
+import type {
+  ProbeTarget,
+  SchedulerHost,
+  SchedulerScope,
+} from './scheduler_host.js';
 import type {UpstreamFeed} from './upstream_feed.js';
 
 /** Bounds how late a leaving upstream is noticed. */
@@ -27,6 +27,8 @@
 
 export interface RegionLoopsOptions {
   readonly region: RegionId;
+  /** All domains of the deployment. */
+  readonly domains: readonly DomainPlace[];
   readonly reader: ListReader;
   readonly self: InstanceId;
   readonly members: FleetMembers;
@@ -64,25 +66,39 @@
     await this.readList();
   }
 
-  private claimServices(): void {
+  private claimScopes(): void {
     const {host, services, members} = this.options;
     services()
-      .filter(({name}) => this.isOwn(name))
-      .forEach(({name}) => host.ensure(name));
-    host.dropIdle(service => this.isOwn(service));
+      .flatMap(({name: service}) =>
+        this.ownDomains().map(domain => ({service, domain})),
+      )
+      .filter(scope => this.isOwn(scope))
+      .forEach(scope => host.ensure(scope));
+    host.dropIdle(scope => this.isOwn(scope));
     host.forgetMissing(entry => members.entry(entry) !== undefined);
   }
 
-  private isOwn(service: ServiceId): boolean {
+  private ownDomains(): readonly DomainId[] {
+    const {region, domains} = this.options;
+    return domains
+      .filter(each => each.region === region)
+      .map(({domain}) => domain);
+  }
+
+  private isOwn({service, domain}: SchedulerScope): boolean {
     const {members, region, self} = this.options;
-    const assigned = members.assignedEntry(region, service, monotonicNowMs());
-    return assigned?.instanceId === self;
+    const scheduler = members.schedulerOf(
+      {domain, region},
+      service,
+      monotonicNowMs(),
+    );
+    return scheduler?.instanceId === self;
   }
 
   private async readList(): Promise<void> {
     const {host, reader} = this.options;
-    this.claimServices();
-    const isScheduler = host.services().some(each => this.isOwn(each));
+    this.claimScopes();
+    const isScheduler = host.scopes().some(each => this.isOwn(each));
     if (!isScheduler || this.isReading) return;
     this.isReading = true;
     const reading = await reader.read();
@@ -91,24 +107,30 @@
   }
 
   private sendDigests(): void {
-    const {members, region, host, client} = this.options;
+    const {host, client} = this.options;
+    const digests = host.digests().filter(each => this.isOwn(each));
+    host.recordDigests(digests);
+    const byAddress = new Map<string, CapacityDigest[]>();
+    digests.forEach(digest =>
+      this.receiversOf(digest).forEach(address =>
+        byAddress.set(address, [...(byAddress.get(address) ?? []), digest]),
+      ),
+    );
+    byAddress.forEach((batch, address) => {
+      const message = {digests: batch};
+      void client.call(address, DIGEST_METHOD, message, BATCH_TIMEOUT_MS);
+    });
+  }
+
+  /** Entries that schedule the same service in other domains. */
+  private receiversOf({domain, service}: CapacityDigest): readonly string[] {
+    const {members, self, domains} = this.options;
     const nowMs = monotonicNowMs();
-    const digests = host.digests().filter(each => this.isOwn(each.service));
-    members
-      .regions()
-      .filter(each => each !== region)
-      .forEach(each =>
-        digests.forEach(digest => {
-          const target = members.assignedEntry(each, digest.service, nowMs);
-          if (target === undefined) return;
-          void client.call(
-            target.innerAddress,
-            DIGEST_METHOD,
-            {digests: [digest]},
-            BATCH_TIMEOUT_MS,
-          );
-        }),
-      );
+    const schedulers = domains
+      .filter(each => each.domain !== domain)
+      .flatMap(each => members.schedulerOf(each, service, nowMs) ?? [])
+      .filter(each => each.instanceId !== self);
+    return [...new Set(schedulers.map(each => each.innerAddress))];
   }
 
   /** Probes every upstream that is down, each once at a time. */
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -1,6 +1,7 @@
 /**
  * The entry's side of scheduling: hands requests to the entry that schedules
- * their service, and falls back to the next one if that does not answer.
+ * their service in a domain, follows them to another domain if that one passes
+ * them on, and falls back to the next entry if there is no answer.
  */
 import {monotonicNowMs} from '../clock/clock.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
@@ -18,6 +19,7 @@
 } from '../scheduling/types.js';
 import type {GatewayError} from '../types/errors.js';
 import type {
+  DomainId,
   InstanceId,
   RegionId,
   RequestId,
@@ -26,6 +28,8 @@
 } from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
 import {cancelledPlacements} from './decision_sender.js';
+import type {DomainChoice} from './domain_choice.js';
+import type {SchedulerScope} from './scheduler_host.js';
 import {
   SUBMIT_METHOD,
   type SubmissionPart,
@@ -43,6 +47,7 @@
 export interface SchedulerClientOptions {
   readonly region: RegionId;
   readonly self: InstanceId;
+  readonly domains: DomainChoice;
   readonly members: FleetMembers;
   readonly client: RpcClient;
   readonly logger: Logger;
@@ -51,7 +56,11 @@
 }
 
 interface Pending {
-  item: WorkItem;
+  /** As it was when it was asked for. */
+  readonly item: WorkItem;
+  /** The domain whose scheduler is asked now. */
+  domain: DomainId;
+  readonly passedDomains: DomainId[];
   readonly submittedAtMs: number;
   readonly resolve: (answer: SchedulerAnswer) => void;
   scheduler: InstanceId;
@@ -60,9 +69,15 @@
 }
 
 interface Running extends RunningPlacement {
+  readonly domain: DomainId;
   readonly scheduler: InstanceId;
 }
 
+interface LastScheduler {
+  readonly scope: SchedulerScope;
+  readonly instanceId: InstanceId;
+}
+
 interface PeerLink {
   readonly address: string;
   readonly link: BatchLink<SubmissionPart>;
@@ -76,17 +91,20 @@
   private readonly links = new Map<InstanceId, PeerLink>();
   /** The process of a scheduler that knows what this entry runs. */
   private readonly syncedWith = new Map<InstanceId, number>();
-  private readonly lastScheduler = new Map<ServiceId, InstanceId>();
+  private readonly lastSchedulers = new Map<string, LastScheduler>();
 
   constructor(private readonly options: SchedulerClientOptions) {}
 
   /** Resolves with the decision on a request; it never rejects. */
   acquire(item: WorkItem, signal: AbortSignal): Promise<SchedulerAnswer> {
-    const refusal = this.refusalAtOnce(item);
+    const domain = this.options.domains.first(item);
+    const refusal = this.refusalAtOnce(item, domain);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise(resolve => {
       const pending: Pending = {
         item,
+        domain,
+        passedDomains: [],
         resolve,
         submittedAtMs: monotonicNowMs(),
         scheduler: this.options.self,
@@ -105,16 +123,23 @@
   }
 
   /** A refusal that needs no question to the scheduler. */
-  private refusalAtOnce(item: WorkItem): SchedulerAnswer | undefined {
+  private refusalAtOnce(
+    item: WorkItem,
+    domain: DomainId,
+  ): SchedulerAnswer | undefined {
     const nowMs = monotonicNowMs();
-    const remembered = this.refusals.refusalOf(item, nowMs);
+    const remembered = this.refusals.refusalOf(item, domain, nowMs);
     if (remembered !== undefined) return remembered;
-    const scheduler = this.schedulerOf(item.service);
+    const scheduler = this.schedulerOf({service: item.service, domain});
     const owedMs = this.links.get(scheduler)?.link.owedMs(nowMs) ?? 0;
     // The scheduler answers in turn, so this one would wait at least as long.
     const isHopeless = item.ageMs + owedMs > item.targetLatencyMs;
     return isHopeless
-      ? ownRefusal({item, scheduler}, 'unscheduled', BUSY_RETRY_AFTER_MS)
+      ? ownRefusal(
+          {item, scheduler, passedDomains: []},
+          'unscheduled',
+          BUSY_RETRY_AFTER_MS,
+        )
       : undefined;
   }
 
@@ -123,19 +148,26 @@
     const running = this.running.get(release.requestId);
     if (running === undefined) return;
     this.running.delete(release.requestId);
-    const {service, prompt} = running.item;
+    const {domain, item} = running;
+    const {service, prompt} = item;
     const isKnown = this.options.members
       .liveEntries(this.options.region, monotonicNowMs())
       .some(entry => entry.instanceId === running.scheduler);
-    const target = isKnown ? running.scheduler : this.schedulerOf(service);
+    const target = isKnown
+      ? running.scheduler
+      : this.schedulerOf({service, domain});
     const delayMs = prompt === undefined ? 0 : STREAM_RELEASE_DELAY_MS;
-    this.send(target, {kind: 'release', service, release}, delayMs);
+    this.send(target, {kind: 'release', service, domain, release}, delayMs);
   }
 
   /** An upstream has sent nothing for longer than it should. */
-  reportStalled(service: ServiceId, upstreamId: UpstreamId): void {
-    const target = this.schedulerOf(service);
-    this.send(target, {kind: 'stalled', service, upstreamId});
+  reportStalled(
+    service: ServiceId,
+    domain: DomainId,
+    upstreamId: UpstreamId,
+  ): void {
+    const target = this.schedulerOf({service, domain});
+    this.send(target, {kind: 'stalled', service, domain, upstreamId});
   }
 
   /** Takes decisions that a scheduler made. */
@@ -149,16 +181,23 @@
       this.giveBack(from, decision);
       return;
     }
+    if (decision.kind === 'pass') {
+      this.follow(pending, decision.domain);
+      return;
+    }
     this.close(decision.requestId);
+    const {item, domain, passedDomains} = pending;
     if (decision.kind === 'grant') {
       this.running.set(decision.requestId, {
-        item: pending.item,
+        item,
+        domain,
         upstreamId: decision.upstreamId,
         scheduler: from,
       });
     }
-    const answer: SchedulerAnswer = {...decision, scheduler: from};
-    this.refusals.note(pending.item, answer, monotonicNowMs());
+    const passes = passedDomains.length;
+    const answer: SchedulerAnswer = {...decision, scheduler: from, passes};
+    this.refusals.note(item, domain, answer, monotonicNowMs());
     pending.resolve(answer);
   }
 
@@ -167,13 +206,27 @@
     cancelledPlacements([decision]).forEach(({part}) => this.send(from, part));
   }
 
+  private follow(pending: Pending, domain: DomainId): void {
+    pending.passedDomains.push(pending.domain);
+    pending.domain = domain;
+    this.submit(pending);
+  }
+
   private submit(pending: Pending): void {
-    const {item} = pending;
-    const target = this.schedulerOf(item.service);
+    const {domain, passedDomains, item} = pending;
+    const scope = {service: item.service, domain};
+    const target = this.schedulerOf(scope);
     pending.scheduler = target;
     pending.submissions += 1;
-    this.syncIfMoved(item.service, target);
-    this.send(target, {kind: 'item', item});
+    this.syncIfMoved(scope, target);
+    const waitedMs = monotonicNowMs() - pending.submittedAtMs;
+    const current: WorkItem = {
+      ...item,
+      ageMs: item.ageMs + waitedMs,
+      remainingMs: item.remainingMs - waitedMs,
+      passedDomains: [...passedDomains],
+    };
+    this.send(target, {kind: 'item', domain, item: current});
   }
 
   private resubmit(requestId: RequestId, cause: string): void {
@@ -188,13 +241,13 @@
     );
     const isHopeless =
       waitedMs + item.ageMs > item.targetLatencyMs ||
-      pending.submissions >= MAX_SUBMISSIONS;
+      pending.submissions >= MAX_SUBMISSIONS + pending.passedDomains.length;
     if (isHopeless) {
       this.close(requestId);
       pending.resolve(ownRefusal(pending, 'unscheduled', DECISION_GRACE_MS));
       return;
     }
-    pending.item = {...item, ageMs: item.ageMs + waitedMs};
+    pending.domain = this.options.domains.afterFailure(pending.domain);
     this.submit(pending);
   }
 
@@ -202,8 +255,9 @@
     const pending = this.pending.get(requestId);
     if (pending === undefined) return;
     this.close(requestId);
-    const {item, scheduler} = pending;
-    this.send(scheduler, {kind: 'cancel', service: item.service, requestId});
+    const {item, domain, scheduler} = pending;
+    const {service} = item;
+    this.send(scheduler, {kind: 'cancel', service, domain, requestId});
     pending.resolve(ownRefusal(pending, 'expired', 0));
   }
 
@@ -212,10 +266,11 @@
     this.pending.delete(requestId);
   }
 
-  private schedulerOf(service: ServiceId): InstanceId {
+  private schedulerOf({service, domain}: SchedulerScope): InstanceId {
     const {members, region, self} = this.options;
-    const nowMs = monotonicNowMs();
-    return members.assignedEntry(region, service, nowMs)?.instanceId ?? self;
+    const place = {domain, region};
+    const scheduler = members.schedulerOf(place, service, monotonicNowMs());
+    return scheduler?.instanceId ?? self;
   }
 
   private send(target: InstanceId, part: SubmissionPart, delayMs = 0): void {
@@ -250,9 +305,9 @@
     this.deliver(scheduler, reply.decisions);
     if (this.syncedWith.get(scheduler) === reply.incarnation) return;
     this.syncedWith.set(scheduler, reply.incarnation);
-    [...this.lastScheduler]
-      .filter(([, target]) => target === scheduler)
-      .forEach(([service]) => this.sync(service, scheduler));
+    [...this.lastSchedulers.values()]
+      .filter(({instanceId}) => instanceId === scheduler)
+      .forEach(({scope}) => this.sync(scope, scheduler));
   }
 
   private noteFailure(
@@ -270,30 +325,37 @@
     });
   }
 
-  private syncIfMoved(service: ServiceId, target: InstanceId): void {
-    const before = this.lastScheduler.get(service);
+  private syncIfMoved(scope: SchedulerScope, target: InstanceId): void {
+    const {service, domain} = scope;
+    const key = `${domain} ${service}`;
+    const before = this.lastSchedulers.get(key)?.instanceId;
     if (before === target) return;
-    this.lastScheduler.set(service, target);
-    this.refusals.forget(service);
+    this.lastSchedulers.set(key, {scope, instanceId: target});
+    this.refusals.forget(service, domain);
     this.options.logger.info(
-      {event: 'scheduler_moved', service, from: before, to: target},
-      'another entry schedules a service',
+      {event: 'scheduler_moved', service, domain, from: before, to: target},
+      'another entry schedules a service in a domain',
     );
     // Also with nothing running: a former process of this entry may have been.
-    this.sync(service, target);
+    this.sync(scope, target);
   }
 
-  private sync(service: ServiceId, target: InstanceId): void {
+  private sync({service, domain}: SchedulerScope, target: InstanceId): void {
     const placements = [...this.running.values()]
       .filter(each => each.item.service === service)
+      .filter(each => each.domain === domain)
       .map(({item, upstreamId}) => ({item, upstreamId}));
-    this.send(target, {kind: 'running', service, placements});
+    this.send(target, {kind: 'running', service, domain, placements});
   }
 }
 
 /** A refusal without a scheduler's decision. */
 function ownRefusal(
-  {item, scheduler}: Pick<Pending, 'item' | 'scheduler'>,
+  {
+    item,
+    scheduler,
+    passedDomains,
+  }: Pick<Pending, 'item' | 'scheduler' | 'passedDomains'>,
   reason: RefusalReason,
   retryAfterMs: number,
 ): SchedulerAnswer {
@@ -302,6 +364,7 @@
     requestId: item.requestId,
     entry: item.entry,
     scheduler,
+    passes: passedDomains.length,
     reason,
     retryAfterMs,
     predictedWaitMs: 0,
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -1,5 +1,6 @@
 /**
- * Runs the schedulers of the services that fall to this entry. An actor owns
+ * Runs the schedulers that fall to this entry, one for each service and failure
+ * domain. An actor owns
  * them, so that each message is handled whole before the next one.
  */
 import {dispatch, spawn, start, stop} from 'nact';
@@ -30,8 +31,8 @@
 ]);
 /** Queued requests are looked at again this often. */
 const QUEUE_CHECK_MS = 8;
-/** A service without messages for so long is no longer scheduled here. */
-const IDLE_SERVICE_MS = 10_000;
+/** A scheduler without messages for so long may be dropped. */
+const IDLE_SCHEDULER_MS = 10_000;
 
 export interface SchedulerHostOptions {
   readonly region: RegionId;
@@ -47,10 +48,17 @@
 /** An upstream that must answer a probe before it gets work. */
 export interface ProbeTarget {
   readonly service: ServiceId;
+  readonly domain: DomainId;
   readonly upstreamId: UpstreamId;
   readonly address: string;
 }
 
+/** What one scheduler decides on: the upstreams of a service in a domain. */
+export interface SchedulerScope {
+  readonly service: ServiceId;
+  readonly domain: DomainId;
+}
+
 /** The work of the schedulers on one entry. */
 export interface SchedulerLoad {
   /** Requests that they were asked about since the start. */
@@ -60,6 +68,7 @@
 }
 
 interface Hosted {
+  readonly scope: SchedulerScope;
   readonly scheduler: Scheduler;
   usedAtMs: number;
 }
@@ -77,7 +86,7 @@
 /** The schedulers on one entry. */
 export class SchedulerHost {
   private readonly system = start();
-  private readonly hosted = new Map<ServiceId, Hosted>();
+  private readonly hosted = new Map<string, Hosted>();
   private readonly actor;
   private reading: ListReading | undefined;
   private evacuated: readonly DomainId[] = [];
@@ -120,14 +129,14 @@
     );
   }
 
-  /** Begins to schedule a service before its first request. */
-  ensure(service: ServiceId): void {
-    this.schedulerOf(service);
+  /** Begins to schedule before the first request. */
+  ensure(scope: SchedulerScope): void {
+    this.schedulerOf(scope);
   }
 
-  /** Services that are scheduled here now. */
-  services(): readonly ServiceId[] {
-    return [...this.hosted.keys()];
+  /** What is scheduled here now. */
+  scopes(): readonly SchedulerScope[] {
+    return [...this.hosted.values()].map(({scope}) => scope);
   }
 
   /** What the schedulers here have to do. */
@@ -141,9 +150,7 @@
 
   applyReading(reading: ListReading): void {
     this.reading = reading;
-    this.hosted.forEach((hosted, service) =>
-      applyTo(hosted.scheduler, service, reading),
-    );
+    this.hosted.forEach(hosted => applyTo(hosted, reading));
     this.check();
   }
 
@@ -151,9 +158,9 @@
   applyControl(evacuated: readonly DomainId[]): void {
     const nowMs = monotonicNowMs();
     this.evacuated = evacuated;
-    this.hosted.forEach(({scheduler}, service) => {
+    this.hosted.forEach(({scheduler, scope}) => {
       scheduler.setEvacuated(evacuated, nowMs);
-      scheduler.pool.setTraits(this.traitsOf(service));
+      scheduler.pool.setTraits(this.traitsOf(scope.service));
     });
     this.check();
   }
@@ -161,21 +168,24 @@
   recordDigests(digests: readonly CapacityDigest[]): void {
     const nowMs = monotonicNowMs();
     digests.forEach(digest =>
-      this.hosted.get(digest.service)?.scheduler.board.record(digest, nowMs),
+      [...this.hosted.values()]
+        .filter(({scope}) => scope.service === digest.service)
+        .filter(({scope}) => scope.domain !== digest.domain)
+        .forEach(({scheduler}) => scheduler.board.record(digest, nowMs)),
     );
   }
 
   digests(): readonly CapacityDigest[] {
     const nowMs = monotonicNowMs();
-    return [...this.hosted].map(([service, {scheduler}]) =>
-      scheduler.digest(service, nowMs),
+    return [...this.hosted.values()].map(({scope, scheduler}) =>
+      scheduler.digest(scope.service, nowMs),
     );
   }
 
   probeTargets(): readonly ProbeTarget[] {
-    return [...this.hosted].flatMap(([service, {scheduler}]) =>
+    return [...this.hosted.values()].flatMap(({scope, scheduler}) =>
       scheduler.pool.toProbe().map(({listed: {upstreamId, address}}) => ({
-        service,
+        ...scope,
         upstreamId,
         address,
       })),
@@ -184,7 +194,7 @@
 
   noteProbe(target: ProbeTarget, coldRemainingMs: number): void {
     this.hosted
-      .get(target.service)
+      .get(keyOf(target))
       ?.scheduler.pool.noteProbe(
         target.upstreamId,
         coldRemainingMs,
@@ -195,7 +205,7 @@
 
   noteProbeFailure(target: ProbeTarget): void {
     this.hosted
-      .get(target.service)
+      .get(keyOf(target))
       ?.scheduler.pool.noteProbeFailure(target.upstreamId, monotonicNowMs());
   }
 
@@ -204,15 +214,15 @@
     this.hosted.forEach(({scheduler}) => scheduler.forgetMissing(isKnown));
   }
 
-  /** Drops services that nobody asks for any more. */
-  dropIdle(isNeeded: (service: ServiceId) => boolean): void {
+  /** Drops schedulers that nobody asks any more. */
+  dropIdle(isNeeded: (scope: SchedulerScope) => boolean): void {
     const nowMs = monotonicNowMs();
     [...this.hosted]
-      .filter(([service, hosted]) => {
-        const isIdle = nowMs - hosted.usedAtMs > IDLE_SERVICE_MS;
-        return isIdle && !isNeeded(service);
+      .filter(([, hosted]) => {
+        const isIdle = nowMs - hosted.usedAtMs > IDLE_SCHEDULER_MS;
+        return isIdle && !isNeeded(hosted.scope);
       })
-      .forEach(([service]) => this.hosted.delete(service));
+      .forEach(([key]) => this.hosted.delete(key));
   }
 
   private check(): void {
@@ -234,7 +244,7 @@
   private take(from: InstanceId, part: SubmissionPart): void {
     const nowMs = monotonicNowMs();
     const service = part.kind === 'item' ? part.item.service : part.service;
-    const scheduler = this.schedulerOf(service);
+    const scheduler = this.schedulerOf({service, domain: part.domain});
     switch (part.kind) {
       case 'item':
         this.itemsTaken += 1;
@@ -273,16 +283,18 @@
     decisions.forEach(decision => this.options.deliver(decision));
   }
 
-  private schedulerOf(service: ServiceId): Scheduler {
-    const known = this.hosted.get(service);
+  private schedulerOf(scope: SchedulerScope): Scheduler {
+    const known = this.hosted.get(keyOf(scope));
     const nowMs = monotonicNowMs();
     if (known !== undefined) {
       known.usedAtMs = nowMs;
       return known.scheduler;
     }
     const {region, retries, logger} = this.options;
+    const {service, domain} = scope;
     const scheduler = new Scheduler({
       region,
+      domain,
       retries,
       traits: this.traitsOf(service),
       onPoolChange: change => this.notePoolChange(service, change),
@@ -293,11 +305,16 @@
         ),
     });
     scheduler.setEvacuated(this.evacuated, nowMs);
-    if (this.reading !== undefined) applyTo(scheduler, service, this.reading);
-    this.hosted.set(service, {scheduler, usedAtMs: nowMs});
+    const created: Hosted = {
+      scope: {service, domain},
+      scheduler,
+      usedAtMs: nowMs,
+    };
+    if (this.reading !== undefined) applyTo(created, this.reading);
+    this.hosted.set(keyOf(scope), created);
     logger.info(
-      {event: 'scheduler_started', service},
-      'this entry schedules a service',
+      {event: 'scheduler_started', service, domain},
+      'this entry schedules a service in a domain',
     );
     return scheduler;
   }
@@ -330,13 +347,15 @@
   }
 }
 
-function applyTo(
-  scheduler: Scheduler,
-  service: ServiceId,
-  reading: ListReading,
-): void {
+function keyOf({service, domain}: SchedulerScope): string {
+  return `${domain} ${service}`;
+}
+
+function applyTo({scheduler, scope}: Hosted, reading: ListReading): void {
   scheduler.pool.applyReading({
     ...reading,
-    upstreams: reading.upstreams.filter(each => each.service === service),
+    upstreams: reading.upstreams
+      .filter(each => each.service === scope.service)
+      .filter(each => each.domain === scope.domain),
   });
 }
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -1,8 +1,14 @@
 /** What an entry knows about the other instances, over all control members. */
-import {createHash} from 'node:crypto';
-import type {InstanceId, RegionId} from '../types/ids.js';
+import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {VIEW_EXPIRY_MS} from './constants.js';
 import type {ControlInstance, EntryInstance, FleetView} from './messages.js';
+import {firstInRank, rankOf} from './rendezvous.js';
+
+/** A failure domain with its region. */
+export interface DomainPlace {
+  readonly domain: DomainId;
+  readonly region: RegionId;
+}
 
 interface HeldView {
   readonly view: FleetView;
@@ -87,14 +93,23 @@
     job: string,
     nowMs: number,
   ): EntryInstance | undefined {
-    return this.liveEntries(region, nowMs).reduce<EntryInstance | undefined>(
-      (first, each) =>
-        first === undefined ||
-        rankOf(job, each.instanceId) < rankOf(job, first.instanceId)
-          ? each
-          : first,
-      undefined,
-    );
+    return firstInRank(this.liveEntries(region, nowMs), job, idOf);
+  }
+
+  /**
+   * The entry that schedules a service in a domain: one of that domain, so that
+   * it goes on when domains are cut off from each other, and one of the region
+   * if the domain has no live entry.
+   */
+  schedulerOf(
+    {domain, region}: DomainPlace,
+    service: string,
+    nowMs: number,
+  ): EntryInstance | undefined {
+    const live = this.liveEntries(region, nowMs);
+    const near = live.filter(each => each.domain === domain);
+    const candidates = near.length > 0 ? near : live;
+    return firstInRank(candidates, `${domain} ${service}`, idOf);
   }
 
   /** Live entries of a region in the order in which a job falls to them. */
@@ -152,16 +167,6 @@
   }
 }
 
-const ranks = new Map<string, string>();
-const MAX_RANKS = 10_000;
-
-// Rendezvous hashing: losing one instance moves only the jobs that it had.
-function rankOf(job: string, instanceId: InstanceId): string {
-  const key = `${job}\n${instanceId}`;
-  const known = ranks.get(key);
-  if (known !== undefined) return known;
-  if (ranks.size >= MAX_RANKS) ranks.clear();
-  const rank = createHash('sha1').update(key).digest('hex');
-  ranks.set(key, rank);
-  return rank;
+function idOf(entry: EntryInstance): InstanceId {
+  return entry.instanceId;
 }
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -1,23 +1,11 @@
 /** A running ingress entry: its listeners, its scheduling and its stop. */
 import type {Server} from 'node:http';
-import {z} from 'zod';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
-import {
-  decisionBatchSchema,
-  DECIDE_METHOD,
-  DIGEST_METHOD,
-  digestBatchSchema,
-  READ_LIST_METHOD,
-  READ_REGION_METHOD,
-  readListSchema,
-  SUBMIT_METHOD,
-  type SubmissionReply,
-  submissionSchema,
-} from '../dispatch/messages.js';
 import {
   cancelledPlacements,
   DecisionSender,
 } from '../dispatch/decision_sender.js';
+import {DomainChoice} from '../dispatch/domain_choice.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
@@ -37,15 +25,20 @@
 import {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
-import type {DomainId} from '../types/ids.js';
 import {waitUntil} from '../clock/wait_until.js';
+import type {DomainId} from '../types/ids.js';
 import {Connections} from './connections.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
 import type {RequestProtocol} from './protocol.js';
 import {Relay, RELAY_PATH} from './relay.js';
 import {RequestLog} from './request_log.js';
-import {seedInnerAddresses, type IngressSettings} from './settings.js';
+import {answerSchedulerCalls} from './scheduler_calls.js';
+import {
+  domainPlaces,
+  seedInnerAddresses,
+  type IngressSettings,
+} from './settings.js';
 
 /** Callers may use an address that they hold for so long after a stop began. */
 const SHORTEST_STOP_MS = 3_000;
@@ -87,44 +80,16 @@
 
   constructor(private readonly options: IngressEntryOptions) {
     const {settings, logger, feed} = options;
-    const {instanceId, clusterSecret, regionId: region} = settings;
+    const {instanceId, clusterSecret} = settings;
     this.settings = settings;
     this.client = new StreamRpcClient({self: instanceId, clusterSecret});
     this.bulkClient = new HttpRpcClient({self: instanceId, clusterSecret});
     this.members = new FleetMembers(() => this.describe());
     this.decisions = this.createDecisionSender();
     this.host = this.createHost();
-    this.scheduler = new SchedulerClient({
-      region,
-      self: instanceId,
-      members: this.members,
-      client: this.client,
-      logger,
-      submitHere: parts => void this.host.submit(instanceId, parts),
-    });
-    this.listReader = new ListReader({
-      region,
-      domains: this.ownDomains(),
-      self: instanceId,
-      members: this.members,
-      feed,
-      client: this.client,
-      bulkClient: this.bulkClient,
-      logger,
-      metrics: this.metrics,
-    });
-    this.loops = new RegionLoops({
-      region,
-      reader: this.listReader,
-      self: instanceId,
-      members: this.members,
-      host: this.host,
-      feed,
-      client: this.client,
-      logger,
-      metrics: this.metrics,
-      services: () => this.state.table?.services ?? [],
-    });
+    this.scheduler = this.createScheduler();
+    this.listReader = this.createListReader();
+    this.loops = this.createLoops();
     this.link = new ControlLink({
       members: this.members,
       client: this.client,
@@ -143,7 +108,14 @@
       requestsInFlight: () => this.ingress.requestsInFlight,
     });
     this.inner = this.createInner();
-    this.answerSchedulerCalls();
+    answerSchedulerCalls(this.router, {
+      incarnation: () => this.incarnation,
+      host: this.host,
+      decisions: this.decisions,
+      scheduler: this.scheduler,
+      listReader: this.listReader,
+      feed,
+    });
   }
 
   async start(): Promise<void> {
@@ -237,10 +209,60 @@
   }
 
   private ownDomains(): readonly DomainId[] {
-    const {regionOfDomain, regionId} = this.options.settings;
-    return Object.entries(regionOfDomain)
-      .filter(([, region]) => region === regionId)
-      .map(([domain]) => domain as DomainId);
+    const {settings} = this.options;
+    return domainPlaces(settings)
+      .filter(each => each.region === settings.regionId)
+      .map(each => each.domain);
+  }
+
+  private createScheduler(): SchedulerClient {
+    const {settings, logger} = this.options;
+    const {instanceId: self} = settings;
+    return new SchedulerClient({
+      region: settings.regionId,
+      self,
+      domains: new DomainChoice({
+        own: settings.domainId,
+        domains: this.ownDomains(),
+        evacuated: () => this.state.evacuatedDomains,
+      }),
+      members: this.members,
+      client: this.client,
+      logger,
+      submitHere: parts => void this.host.submit(self, parts),
+    });
+  }
+
+  private createListReader(): ListReader {
+    const {settings, feed, logger} = this.options;
+    return new ListReader({
+      region: settings.regionId,
+      domains: this.ownDomains(),
+      self: settings.instanceId,
+      members: this.members,
+      feed,
+      client: this.client,
+      bulkClient: this.bulkClient,
+      logger,
+      metrics: this.metrics,
+    });
+  }
+
+  private createLoops(): RegionLoops {
+    const {settings, feed, logger} = this.options;
+    return new RegionLoops({
+      region: settings.regionId,
+      domains: domainPlaces(settings),
+      reader: this.listReader,
+      self: settings.instanceId,
+      members: this.members,
+      host: this.host,
+      feed,
+      client: this.client,
+      logger,
+      metrics: this.metrics,
+      services: () => this.state.table?.services ?? [],
+    });
   }
 
   private createDecisionSender(): DecisionSender {
@@ -256,16 +278,16 @@
 
   private createHost(): SchedulerHost {
     const {settings, logger} = this.options;
-    const regions = new Set(Object.values(settings.regionOfDomain)).size;
+    const domains = Object.keys(settings.regionOfDomain).length;
     return new SchedulerHost({
       region: settings.regionId,
       logger,
       metrics: this.metrics,
-      // Each region's scheduler may use its share of the common slack.
+      // Each domain's scheduler may use its share of the common slack.
       retries: {
         ratio: settings.retryRatio,
         windowMs: settings.retryWindowMs,
-        slack: Math.floor(settings.retrySlack / regions),
+        slack: Math.floor(settings.retrySlack / domains),
       },
       serviceSpec: service => this.matcher?.service(service),
       deliver: decision => this.decisions.send(decision),
@@ -315,38 +337,6 @@
     });
   }
 
-  private answerSchedulerCalls(): void {
-    const {router} = this;
-    router.register(
-      SUBMIT_METHOD,
-      submissionSchema,
-      async ({parts}, {sender}): Promise<SubmissionReply> => {
-        const decisions = await this.decisions.collect(sender, () =>
-          this.host.submit(sender, parts),
-        );
-        return {incarnation: this.incarnation, decisions};
-      },
-    );
-    router.register(
-      DECIDE_METHOD,
-      decisionBatchSchema,
-      ({decisions}, {sender}) => {
-        this.scheduler.deliver(sender, decisions);
-        return {};
-      },
-    );
-    router.register(READ_REGION_METHOD, z.object({}), () =>
-      this.listReader.share(),
-    );
-    router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
-      this.options.feed.list(domain),
-    );
-    router.register(DIGEST_METHOD, digestBatchSchema, ({digests}) => {
-      this.host.recordDigests(digests);
-      return {};
-    });
-  }
-
   private waitForTable(waitMs: number): Promise<void> {
     return new Promise(resolve => {
       this.tableWaiters.push(resolve);
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -146,6 +146,7 @@
       isRepeat: request.isRepeat || this.arrivals > 0,
       isAllowedHere: allowsRegion(route, context.region),
       otherRegions,
+      passedDomains: [],
     };
   }
 
@@ -193,13 +194,13 @@
     reader: AnswerReader,
   ): Promise<ExchangeEnd> {
     const {connections, scheduler} = this.context;
-    const {upstreamId, address, service, expectedMs} = grant;
+    const {upstreamId, address, service, domain, expectedMs} = grant;
     const silence = new AbortController();
     const mayRepeat = this.runs + 1 < this.maxRuns();
     const watch = new StallWatch({
       expectedMs,
       lastBytesAtMs: () => reader.lastBytesAtMs,
-      onSuspect: () => scheduler.reportStalled(service, upstreamId),
+      onSuspect: () => scheduler.reportStalled(service, domain, upstreamId),
       ...(mayRepeat ? {onGiveUp: () => silence.abort()} : {}),
     });
     const pool = connections.pool(address, upstreamId);
--- /dev/null
+++ b/src/node/ingress/scheduler_calls.ts
@@ -0,0 +1,61 @@
+/** Answers the calls between entries that concern scheduling. */
+import {z} from 'zod';
+import type {DecisionSender} from '../dispatch/decision_sender.js';
+import type {ListReader} from '../dispatch/list_reader.js';
+import {
+  decisionBatchSchema,
+  DECIDE_METHOD,
+  DIGEST_METHOD,
+  digestBatchSchema,
+  READ_LIST_METHOD,
+  READ_REGION_METHOD,
+  readListSchema,
+  SUBMIT_METHOD,
+  type SubmissionReply,
+  submissionSchema,
+} from '../dispatch/messages.js';
+import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {SchedulerHost} from '../dispatch/scheduler_host.js';
+import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
+import type {RpcRouter} from '../rpc/rpc.js';
+
+/** What the calls are answered from. */
+export interface SchedulerCallTargets {
+  /** Of this process, so that callers see a restart. */
+  readonly incarnation: () => number;
+  readonly host: SchedulerHost;
+  readonly decisions: DecisionSender;
+  readonly scheduler: SchedulerClient;
+  readonly listReader: Pick<ListReader, 'share'>;
+  readonly feed: Pick<UpstreamFeed, 'list'>;
+}
+
+/** Registers the methods. */
+export function answerSchedulerCalls(
+  router: RpcRouter,
+  targets: SchedulerCallTargets,
+): void {
+  const {incarnation, host, decisions, scheduler, listReader, feed} = targets;
+  router.register(
+    SUBMIT_METHOD,
+    submissionSchema,
+    async ({parts}, {sender}): Promise<SubmissionReply> => {
+      const decided = await decisions.collect(sender, () =>
+        host.submit(sender, parts),
+      );
+      return {incarnation: incarnation(), decisions: decided};
+    },
+  );
+  router.register(DECIDE_METHOD, decisionBatchSchema, (batch, {sender}) => {
+    scheduler.deliver(sender, batch.decisions);
+    return {};
+  });
+  router.register(READ_REGION_METHOD, z.object({}), () => listReader.share());
+  router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
+    feed.list(domain),
+  );
+  router.register(DIGEST_METHOD, digestBatchSchema, ({digests}) => {
+    host.recordDigests(digests);
+    return {};
+  });
+}
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -1,7 +1,13 @@
 /** Settings of an ingress entry: YAML or, as a part of it, JSON. */
 import {z} from 'zod';
 import {addressSchema, idSchema} from '../config/configuration.js';
-import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
+import type {DomainPlace} from '../fleet/fleet_members.js';
+import {
+  asId,
+  type DomainId,
+  type InstanceId,
+  type RegionId,
+} from '../types/ids.js';
 
 const MIN_SECRET_CHARACTERS = 16;
 
@@ -45,6 +51,16 @@
 
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
 
+/** All failure domains of the deployment. */
+export function domainPlaces({
+  regionOfDomain,
+}: Pick<IngressSettings, 'regionOfDomain'>): readonly DomainPlace[] {
+  return Object.entries(regionOfDomain).map(([domain, region]) => ({
+    domain: asId<DomainId>(domain),
+    region: asId<RegionId>(region),
+  }));
+}
+
 /** Inner addresses of the control members that the settings name. */
 export function seedInnerAddresses(
   settings: Pick<IngressSettings, 'seedAddresses' | 'controlInnerPort'>,
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -56,8 +56,12 @@
     version: z.number(),
     evacuatedDomains: z.array(z.string()),
   },
-  scheduler_moved: {service: z.string(), to: z.string()},
-  scheduler_started: {service: z.string()},
+  scheduler_moved: {
+    service: z.string(),
+    domain: z.string(),
+    to: z.string(),
+  },
+  scheduler_started: {service: z.string(), domain: z.string()},
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
--- a/src/node/scheduling/__tests__/overload_memory.spec.ts
+++ b/src/node/scheduling/__tests__/overload_memory.spec.ts
@@ -2,12 +2,13 @@
 import {test} from 'node:test';
 import {asId, type InstanceId, type RequestId} from '../../types/ids.js';
 import {OverloadMemory} from '../overload_memory.js';
-import type {Decision, WorkItem} from '../types.js';
+import type {Decision, SchedulerAnswer, WorkItem} from '../types.js';
 import {
   brief,
   chat,
   createScheduler,
   ENGINE_TRAITS,
+  HOME_A,
   upstream,
 } from './scheduling_fixture.js';
 
@@ -22,6 +23,15 @@
   return scheduler;
 }
 
+function answerOf(decision: Decision): SchedulerAnswer {
+  assert.notEqual(decision.kind, 'pass');
+  return {
+    ...(decision as Exclude<Decision, {kind: 'pass'}>),
+    scheduler: SCHEDULER,
+    passes: 0,
+  };
+}
+
 // A flood of callers that come back at once when they are refused. Guards
 // against a scheduler that spends its time on saying no to the same callers.
 test('callers that repeat at once ask the scheduler a few times only', () => {
@@ -29,14 +39,14 @@
   const memory = new OverloadMemory();
   let asked = 0;
   const ask = (item: WorkItem, nowMs: number): Decision | undefined => {
-    const remembered = memory.refusalOf(item, nowMs);
+    const remembered = memory.refusalOf(item, HOME_A, nowMs);
     if (remembered !== undefined) return remembered;
     asked += 1;
     scheduler.submit(item, nowMs);
     const decisions = scheduler.decide(nowMs);
     const decision = decisions.find(each => each.requestId === item.requestId);
     if (decision !== undefined) {
-      memory.note(item, {...decision, scheduler: SCHEDULER}, nowMs);
+      memory.note(item, HOME_A, answerOf(decision), nowMs);
     }
     return decision;
   };
@@ -62,11 +72,13 @@
   const item = chat('one');
   memory.note(
     item,
+    HOME_A,
     {
       kind: 'refuse',
       requestId: item.requestId,
       entry: item.entry,
       scheduler: SCHEDULER,
+      passes: 0,
       reason: 'overloaded',
       retryAfterMs: 600,
       predictedWaitMs: 600,
@@ -78,10 +90,10 @@
     1_000,
   );
   const ids = [
-    memory.refusalOf(chat('two'), 1_100),
-    memory.refusalOf(brief('three'), 1_100),
-    memory.refusalOf(chat('four', {priority: 1}), 1_100),
-    memory.refusalOf(chat('five'), 1_121),
+    memory.refusalOf(chat('two'), HOME_A, 1_100),
+    memory.refusalOf(brief('three'), HOME_A, 1_100),
+    memory.refusalOf(chat('four', {priority: 1}), HOME_A, 1_100),
+    memory.refusalOf(chat('five'), HOME_A, 1_121),
   ].map(each => [each?.requestId, each?.decisionAgeMs]);
   assert.deepEqual(ids, [
     [asId<RequestId>('two'), 100],
--- a/src/node/scheduling/__tests__/scheduler.spec.ts
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -5,6 +5,7 @@
 import type {Decision, ListedUpstream, Release, WorkItem} from '../types.js';
 import {
   AWAY,
+  AWAY_A,
   brief,
   chat,
   createScheduler,
@@ -140,6 +141,7 @@
   scheduler.board.record(
     {
       region: AWAY,
+      domain: AWAY_A,
       service,
       upstreams: 1,
       freeSlots: 4,
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -32,10 +32,14 @@
 
 export const HOME = asId<RegionId>('home');
 export const AWAY = asId<RegionId>('away');
+export const HOME_A = asId<DomainId>('home-a');
+export const AWAY_A = asId<DomainId>('away-a');
+export const HOME_B = asId<DomainId>('home-b');
 
 export function createScheduler(traits: ServiceTraits): Scheduler {
   return new Scheduler({
     region: HOME,
+    domain: HOME_A,
     traits,
     retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
     onPoolChange: () => undefined,
@@ -51,7 +55,7 @@
     upstreamId: asId<UpstreamId>(name),
     service: asId<ServiceId>('service'),
     address: `${name}:1`,
-    domain: asId<DomainId>('home-a'),
+    domain: HOME_A,
     slots: 64,
     isDraining: false,
     coldRemainingMs: 0,
@@ -83,6 +87,7 @@
     isRepeat: false,
     isAllowedHere: true,
     otherRegions: [],
+    passedDomains: [],
     ...fields,
   };
 }
@@ -111,6 +116,7 @@
 export function line(decision: Decision): string {
   const {kind, requestId} = decision;
   if (kind === 'grant') return `${requestId} -> ${decision.upstreamId}`;
+  if (kind === 'pass') return `${requestId} to domain ${decision.domain}`;
   if (kind === 'offload') return `${requestId} to region ${decision.region}`;
   return `${requestId} refused: ${decision.reason}`;
 }
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -41,6 +41,17 @@
     )?.upstream;
 }
 
+/** Whether the request has failed on each of the upstreams before. */
+export function hasFailedOn(
+  {avoidUpstreams}: WorkItem,
+  upstreams: readonly UpstreamState[],
+): boolean {
+  return (
+    avoidUpstreams.length > 0 &&
+    upstreams.every(each => avoidUpstreams.includes(each.listed.upstreamId))
+  );
+}
+
 function costMs(
   item: WorkItem,
   upstream: UpstreamState,
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -27,6 +27,10 @@
 export const OFFLOAD_COST_MS = 130;
 /** A region must be better than this one by so much to get work of it. */
 export const OFFLOAD_GAIN_MS = 50;
+/** The question to the scheduler of another domain of the region. */
+export const PASS_COST_MS = 15;
+/** Another domain of the region must be better by so much. */
+export const PASS_GAIN_MS = 25;
 /**
  * Long prompts leave a region whose engines spend more of their time reading:
  * above it the pauses of streams grow beyond what their callers accept.
--- /dev/null
+++ b/src/node/scheduling/decisions.ts
@@ -0,0 +1,75 @@
+/** Builds the decisions of a scheduler. */
+import type {DomainId, RegionId} from '../types/ids.js';
+import {LONGEST_RETRY_AFTER_MS, SHORTEST_RETRY_AFTER_MS} from './constants.js';
+import type {OffloadTarget} from './offload_planner.js';
+import type {Decision, RefusalReason, WorkItem} from './types.js';
+import type {UpstreamState} from './upstream_state.js';
+
+interface GrantInputs {
+  readonly domain: DomainId;
+  readonly queuedMs: number;
+  readonly nowMs: number;
+}
+
+interface RefusalInputs {
+  readonly reason: RefusalReason;
+  readonly predictedWaitMs: number;
+  readonly closedForMs: number;
+  readonly usableUpstreams: number;
+  readonly queueLength: number;
+}
+
+/** A grant, as of before the request starts on the upstream. */
+export function grantOf(
+  item: WorkItem,
+  upstream: UpstreamState,
+  {domain, queuedMs, nowMs}: GrantInputs,
+): Decision {
+  const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
+  return {
+    kind: 'grant',
+    requestId: item.requestId,
+    entry: item.entry,
+    service: item.service,
+    domain,
+    upstreamId: upstream.listed.upstreamId,
+    address: upstream.listed.address,
+    queuedMs,
+    expectedMs: upstream.expectedMs(item, nowMs),
+    isCold: upstream.isCold(nowMs),
+    ...(fetchFrom === undefined ? {} : {fetchFrom}),
+  };
+}
+
+/** Another domain of the region decides. */
+export function passed(item: WorkItem, domain: DomainId): Decision {
+  const {requestId, entry} = item;
+  return {kind: 'pass', requestId, entry, domain};
+}
+
+/** Sends a request to another domain, or to another region than `home`. */
+export function redirection(
+  item: WorkItem,
+  {region, domain, localWaitMs, remoteWaitMs}: OffloadTarget,
+  home: RegionId,
+): Decision {
+  if (region === home && domain !== undefined) return passed(item, domain);
+  const {requestId, entry} = item;
+  return {kind: 'offload', requestId, entry, region, localWaitMs, remoteWaitMs};
+}
+
+/** A refusal with the time to come back. */
+export function refusalOf(item: WorkItem, inputs: RefusalInputs): Decision {
+  const retryAfterMs = Math.min(
+    LONGEST_RETRY_AFTER_MS,
+    Math.max(SHORTEST_RETRY_AFTER_MS, inputs.predictedWaitMs),
+  );
+  return {
+    kind: 'refuse',
+    requestId: item.requestId,
+    entry: item.entry,
+    ...inputs,
+    decisionAgeMs: 0,
+    retryAfterMs,
+  };
+}
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -1,7 +1,7 @@
-/** Decides whether a request is better served in another region. */
-import type {RegionId} from '../types/ids.js';
+/** Decides whether a request is better served in another domain or region. */
+import type {DomainId, RegionId} from '../types/ids.js';
 import type {CapacityBoard, RemoteOffer} from './capacity_board.js';
-import {OFFLOAD_GAIN_MS, OFFLOAD_READ_SHARE_GAIN} from './constants.js';
+import {OFFLOAD_READ_SHARE_GAIN} from './constants.js';
 import {longestWaitMs} from './forecast.js';
 import type {WorkItem} from './types.js';
 
@@ -11,11 +11,13 @@
 /** Where a request is sent, with the waits that led to it. */
 export interface OffloadTarget {
   readonly region: RegionId;
+  /** `undefined` while nothing is known of the region. */
+  readonly domain: DomainId | undefined;
   readonly localWaitMs: number;
   readonly remoteWaitMs: number;
 }
 
-/** Goes by what other regions last said of their capacity. */
+/** Goes by what other domains last said of their capacity. */
 export class OffloadPlanner {
   constructor(private readonly board: CapacityBoard) {}
 
@@ -29,10 +31,15 @@
     const region = item.otherRegions.find(each => !this.board.knows(each));
     return region === undefined
       ? undefined
-      : {region, localWaitMs: UNKNOWN_MS, remoteWaitMs: UNKNOWN_MS};
+      : {
+          region,
+          domain: undefined,
+          localWaitMs: UNKNOWN_MS,
+          remoteWaitMs: UNKNOWN_MS,
+        };
   }
 
-  /** A region whose engines spend clearly less of their time reading. */
+  /** A domain whose engines spend clearly less of their time reading. */
   relief(
     item: WorkItem,
     readShare: number,
@@ -46,7 +53,7 @@
     return isRelief ? targetOf(offer, UNKNOWN_MS) : undefined;
   }
 
-  /** A region that answers clearly sooner, and in time. */
+  /** A domain that answers clearly sooner, and in time. */
   better(
     item: WorkItem,
     localExpectedMs: number,
@@ -55,7 +62,7 @@
     const offer = this.board.bestOffer(item, nowMs);
     const isBetter =
       offer !== undefined &&
-      offer.expectedMs + OFFLOAD_GAIN_MS < localExpectedMs &&
+      offer.expectedMs + offer.leastGainMs < localExpectedMs &&
       isInTimeThere(item, offer);
     const localWaitMs = Number.isFinite(localExpectedMs)
       ? localExpectedMs
@@ -69,8 +76,8 @@
 }
 
 function targetOf(
-  {region, expectedMs}: RemoteOffer,
+  {region, domain, expectedMs}: RemoteOffer,
   localWaitMs: number,
 ): OffloadTarget {
-  return {region, localWaitMs, remoteWaitMs: expectedMs};
+  return {region, domain, localWaitMs, remoteWaitMs: expectedMs};
 }
--- a/src/node/scheduling/overload_memory.ts
+++ b/src/node/scheduling/overload_memory.ts
@@ -3,7 +3,7 @@
  * scheduler: callers that come back at once would be refused again, and each
  * question costs the scheduler the time in which it decides on others.
  */
-import type {ServiceId} from '../types/ids.js';
+import type {DomainId, ServiceId} from '../types/ids.js';
 import type {RefusalReason, SchedulerAnswer, WorkItem} from './types.js';
 
 /** A longer absence would leave engines idle that became free meanwhile. */
@@ -26,18 +26,31 @@
 export class OverloadMemory {
   private readonly remembered = new Map<string, Remembered>();
 
-  /** Notes what a scheduler decided on a request. */
-  note(item: WorkItem, answer: SchedulerAnswer, nowMs: number): void {
+  /** Notes what the scheduler of a domain decided on a request. */
+  note(
+    item: WorkItem,
+    domain: DomainId,
+    answer: SchedulerAnswer,
+    nowMs: number,
+  ): void {
     if (answer.kind !== 'refuse' || !COMMON_REASONS.has(answer.reason)) return;
     const closedForMs = Math.min(LONGEST_MS, answer.closedForMs);
     if (closedForMs <= 0) return;
     const untilMs = nowMs + closedForMs;
-    this.remembered.set(kindOf(item), {refusal: answer, atMs: nowMs, untilMs});
+    this.remembered.set(kindOf(item, domain), {
+      refusal: answer,
+      atMs: nowMs,
+      untilMs,
+    });
   }
 
   /** The refusal that still holds for a request like this one. */
-  refusalOf(item: WorkItem, nowMs: number): Refusal | undefined {
-    const kind = kindOf(item);
+  refusalOf(
+    item: WorkItem,
+    domain: DomainId,
+    nowMs: number,
+  ): Refusal | undefined {
+    const kind = kindOf(item, domain);
     const known = this.remembered.get(kind);
     if (known === undefined) return undefined;
     if (known.untilMs <= nowMs) {
@@ -54,21 +67,22 @@
   }
 
   /** Forgets what was decided on a service, as when its scheduler moves. */
-  forget(service: ServiceId): void {
+  forget(service: ServiceId, domain: DomainId): void {
     [...this.remembered.keys()]
-      .filter(kind => kind.startsWith(`${service} `))
+      .filter(kind => kind.startsWith(`${service} ${domain} `))
       .forEach(kind => this.remembered.delete(kind));
   }
 }
 
 // Requests of a kind differ at most by half in size, and may go to the same
 // regions.
-function kindOf(item: WorkItem): string {
+function kindOf(item: WorkItem, domain: DomainId): string {
   const {service, priority, targetLatencyMs, prompt, otherRegions} = item;
   const tokens = prompt?.promptTokens ?? 0;
   const sizeClass = Math.floor(Math.log2(1 + tokens) * 2);
   return [
     service,
+    domain,
     priority,
     targetLatencyMs,
     sizeClass,
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -1,7 +1,7 @@
 /**
- * Schedules the requests of one service in one region: who gets which
- * upstream, who waits, who is sent to another region and who is refused. It
- * has no I/O; time comes with each call.
+ * Schedules the requests of one service in one failure domain: who gets which
+ * upstream, who waits, who is sent to another domain or region and who is
+ * refused. It has no I/O; time comes with each call.
  */
 import type {
   DomainId,
@@ -11,25 +11,18 @@
   UpstreamId,
 } from '../types/ids.js';
 import {CapacityBoard} from './capacity_board.js';
-import {chooseUpstream} from './choose_upstream.js';
+import {chooseUpstream, hasFailedOn} from './choose_upstream.js';
 import {
   ADMISSION_SHARE_OF_TARGET,
-  LONGEST_RETRY_AFTER_MS,
   NO_UPSTREAM_CLOSED_MS,
   NO_UPSTREAM_RETRY_AFTER_MS,
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_READ_SHARE,
-  SHORTEST_RETRY_AFTER_MS,
 } from './constants.js';
+import {grantOf, passed, redirection, refusalOf} from './decisions.js';
 import {ReadLoad} from './read_load.js';
 import {RetryAllowance, type RetryAllowanceOptions} from './retry_allowance.js';
-import {
-  forecast,
-  isInTime,
-  longestWaitMs,
-  queueWaitMs,
-  tokensOf,
-} from './forecast.js';
+import {forecast, isInTime, longestWaitMs, queueWaitMs} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
 import {OffloadPlanner, type OffloadTarget} from './offload_planner.js';
 import type {
@@ -47,6 +40,8 @@
 
 export interface SchedulerOptions {
   readonly region: RegionId;
+  /** The domain whose upstreams it schedules. */
+  readonly domain: DomainId;
   readonly traits: ServiceTraits;
   readonly retries: RetryAllowanceOptions;
   readonly onPoolChange: (change: PoolChange) => void;
@@ -60,8 +55,8 @@
 /** The scheduler of one service. Decisions are taken out with `decide`. */
 export class Scheduler {
   readonly pool: UpstreamPool;
-  readonly board = new CapacityBoard();
-  private readonly offloads = new OffloadPlanner(this.board);
+  readonly board: CapacityBoard;
+  private readonly offloads: OffloadPlanner;
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
   private readonly readLoad = new ReadLoad();
@@ -69,6 +64,8 @@
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
+    this.board = new CapacityBoard(options.region);
+    this.offloads = new OffloadPlanner(this.board);
     this.pool = new UpstreamPool(options.traits, options.onPoolChange);
     this.retries = new RetryAllowance(options.retries);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
@@ -86,13 +83,10 @@
         this.refuse(item, 'retry_budget', 0, nowMs);
         return;
       }
-    } else {
+    } else if (item.passedDomains.length === 0) {
       this.retries.noteRequest(nowMs);
     }
-    const isTooLarge = this.pool
-      .all()
-      .every(each => each.isEngine && tokensOf(item) > each.capacityTokens);
-    if (isTooLarge && this.pool.all().length > 0) {
+    if (this.pool.isTooLarge(item)) {
       this.refuse(item, 'too_large', 0, nowMs);
       return;
     }
@@ -168,11 +162,12 @@
     return decided;
   }
 
-  /** What other regions are told. */
+  /** What other domains are told. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
     const usable = this.pool.usable(nowMs).filter(each => !each.isCold(nowMs));
     return {
       region: this.options.region,
+      domain: this.options.domain,
       service,
       upstreams: usable.length,
       freeSlots:
@@ -192,8 +187,10 @@
     this.lane.noteArrival(item, usable, nowMs);
     this.readLoad.noteArrival(item, this.pool.estimates, nowMs);
     if (this.relieve(item, usable, nowMs)) return;
+    if (hasFailedOn(item, usable) && this.passOn(item, nowMs)) return;
     if (usable.length === 0) {
       if (this.offload(item, Number.POSITIVE_INFINITY, nowMs)) return;
+      if (this.passOn(item, nowMs)) return;
       // A list that was never read may still name upstreams.
       if (this.pool.all().length === 0) this.enqueue(item, nowMs);
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
@@ -257,13 +254,17 @@
   }
 
   private sendTo(target: OffloadTarget, item: WorkItem): void {
-    this.board.noteSent(target.region, item);
-    this.decisions.push({
-      kind: 'offload',
-      requestId: item.requestId,
-      entry: item.entry,
-      ...target,
-    });
+    if (target.domain !== undefined) this.board.noteSent(target.domain, item);
+    this.decisions.push(redirection(item, target, this.options.region));
+  }
+
+  /** Leaves the decision to another domain of the region, if there is one. */
+  private passOn(item: WorkItem, nowMs: number): boolean {
+    const domain = this.board.sibling(item, nowMs);
+    if (domain === undefined) return false;
+    this.board.noteSent(domain, item);
+    this.decisions.push(passed(item, domain));
+    return true;
   }
 
   /** Sends a long prompt to a region whose engines read less. */
@@ -322,8 +323,12 @@
     queuedMs: number,
     nowMs: number,
   ): void {
-    const isLost = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
     const waitedMs = item.ageMs + queuedMs;
+    if (usable.length === 0 && this.passOn(item, nowMs)) {
+      this.queue.remove(item.requestId);
+      return;
+    }
+    const isLost = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
     const isLate = waitedMs > item.targetLatencyMs * ADMISSION_SHARE_OF_TARGET;
     if (!isLost && !isLate) return;
     this.queue.remove(item.requestId);
@@ -346,21 +351,13 @@
     this.queue.remove(item.requestId);
     this.queue.noteGrant();
     if (item.isRepeat) this.retries.noteRepeat(nowMs);
-    const expectedMs = upstream.expectedMs(item, nowMs);
-    const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
-    upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
-    this.decisions.push({
-      kind: 'grant',
-      requestId: item.requestId,
-      entry: item.entry,
-      service: item.service,
-      upstreamId: upstream.listed.upstreamId,
-      address: upstream.listed.address,
+    const decision = grantOf(item, upstream, {
+      domain: this.options.domain,
       queuedMs,
-      expectedMs,
-      isCold: upstream.isCold(nowMs),
-      ...(fetchFrom === undefined ? {} : {fetchFrom}),
+      nowMs,
     });
+    upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
+    this.decisions.push(decision);
   }
 
   private offload(
@@ -380,21 +377,15 @@
     nowMs: number,
     closedForMs = 0,
   ): void {
-    this.decisions.push({
-      kind: 'refuse',
-      requestId: item.requestId,
-      entry: item.entry,
-      reason,
-      predictedWaitMs,
-      usableUpstreams: this.pool.usable(nowMs).length,
-      queueLength: this.queue.size,
-      closedForMs,
-      decisionAgeMs: 0,
-      retryAfterMs: Math.min(
-        LONGEST_RETRY_AFTER_MS,
-        Math.max(SHORTEST_RETRY_AFTER_MS, predictedWaitMs),
-      ),
-    });
+    this.decisions.push(
+      refusalOf(item, {
+        reason,
+        predictedWaitMs,
+        closedForMs,
+        usableUpstreams: this.pool.usable(nowMs).length,
+        queueLength: this.queue.size,
+      }),
+    );
   }
 }
 
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -1,4 +1,4 @@
-/** What the scheduler of one service in one region works with. */
+/** What the scheduler of one service in one failure domain works with. */
 import type {
   DomainId,
   InstanceId,
@@ -48,6 +48,8 @@
   readonly isAllowedHere: boolean;
   /** Regions that it may be sent on to; empty if it came from another one. */
   readonly otherRegions: readonly RegionId[];
+  /** Domains of this region whose schedulers passed it on. */
+  readonly passedDomains: readonly DomainId[];
 }
 
 /** An upstream as the platform's list describes it. */
@@ -92,6 +94,8 @@
       readonly requestId: RequestId;
       readonly entry: InstanceId;
       readonly service: ServiceId;
+      /** The domain whose scheduler granted it. */
+      readonly domain: DomainId;
       readonly upstreamId: UpstreamId;
       readonly address: string;
       /** Wait in the scheduler's queue. */
@@ -103,6 +107,13 @@
       /** Whether the upstream counts as cold. */
       readonly isCold: boolean;
     }
+  /** The scheduler of another domain of the region decides. */
+  | {
+      readonly kind: 'pass';
+      readonly requestId: RequestId;
+      readonly entry: InstanceId;
+      readonly domain: DomainId;
+    }
   | {
       readonly kind: 'offload';
       readonly requestId: RequestId;
@@ -129,9 +140,11 @@
     };
 
 /** A decision, as the entry that asked for it got it. */
-export type SchedulerAnswer = Decision & {
+export type SchedulerAnswer = Exclude<Decision, {kind: 'pass'}> & {
   /** The entry whose scheduler decided. */
   readonly scheduler: InstanceId;
+  /** How often schedulers passed the request on. */
+  readonly passes: number;
 };
 
 /** How a granted request ended. */
@@ -168,9 +181,10 @@
   readonly upstreamId: UpstreamId;
 }
 
-/** What a scheduler tells those of other regions. */
+/** What a scheduler tells those of the other domains. */
 export interface CapacityDigest {
   readonly region: RegionId;
+  readonly domain: DomainId;
   readonly service: ServiceId;
   readonly upstreams: number;
   readonly freeSlots: number;
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,11 +1,13 @@
 /** The upstreams of one service in one region, kept current by the list. */
 import type {DomainId, UpstreamId} from '../types/ids.js';
+import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import type {
   ListedUpstream,
   PlacementOutcome,
   Release,
   ServiceTraits,
+  WorkItem,
 } from './types.js';
 import {UpstreamState} from './upstream_state.js';
 
@@ -75,6 +77,15 @@
     return this.states.get(upstreamId);
   }
 
+  /** Whether no upstream could ever hold the request. */
+  isTooLarge(item: WorkItem): boolean {
+    const all = this.all();
+    return (
+      all.length > 0 &&
+      all.every(each => each.isEngine && tokensOf(item) > each.capacityTokens)
+    );
+  }
+
   setTraits(traits: ServiceTraits): void {
     this.traits = traits;
     this.states.forEach(each => {
