Probe an upstream once at a time

When the connections of one entry were reset, each upstream that was found down made the scheduler probe all others that were down again: the set of probes under way was kept but never looked at.

Spec region_loops: nine upstreams that go down one after the other got 45 probes before (failed), 9 now. It is the same class of fault as the queue of the scheduler: work for each event that grows with what is pending.

--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -135,7 +135,10 @@
 
   /** Probes every upstream that is down, each once at a time. */
   probeAll(): void {
-    this.options.host.probeTargets().forEach(target => void this.probe(target));
+    this.options.host
+      .probeTargets()
+      .filter(({upstreamId}) => !this.probing.has(upstreamId))
+      .forEach(target => void this.probe(target));
   }
 
   private async probe(target: ProbeTarget): Promise<void> {
