Give up answers of upstreams that do not end

An upstream in trouble may send bytes without end, in a head or in a body, until its caller closes. An entry kept a plain answer, a failure's body and an unfinished event of a stream however long they grew, and read interim heads for as long as they came: one such answer could take the memory of the entry and all its callers with it.

Answers that are kept whole end at 4 MiB, events at 1 MiB, interim heads after 16, pages of the platform's list at 4 MiB; the connection is closed and the try counts as broken. The same cause in the adapters of the first entry (its list, load reports and plain services) is bounded too.

--- a/src/node/adapters/platform/http_platform_feed.ts
+++ b/src/node/adapters/platform/http_platform_feed.ts
@@ -1,11 +1,13 @@
 /** The platform's list as JSON over HTTP. */
 import {request} from 'undici';
 import {z} from 'zod';
+import {readBoundedJson} from '../../http/bounded_body.js';
 import {asId, type UpstreamId} from '../../types/ids.js';
 import {timeoutSignal} from '../../utils.js';
 import {PlatformFeed, type ListedState} from './platform_feed.js';
 
 const TIMEOUT_MS = 2_000;
+const MAX_LIST_BYTES = 4 * 1024 * 1024;
 
 const listSchema = z.record(z.string(), z.enum(['live', 'leaving', 'gone']));
 
@@ -22,7 +24,9 @@
     const answer = await request(`http://${this.address}/upstreams`, {
       signal: timeoutSignal(TIMEOUT_MS),
     });
-    const listed = listSchema.parse(await answer.body.json());
+    const listed = listSchema.parse(
+      await readBoundedJson(answer.body, MAX_LIST_BYTES, this.address),
+    );
     return new Map(
       Object.entries(listed).map(([id, state]) => [
         asId<UpstreamId>(id),
--- a/src/node/adapters/upstream/openai/openai_upstream.ts
+++ b/src/node/adapters/upstream/openai/openai_upstream.ts
@@ -2,6 +2,7 @@
 import type {Readable} from 'node:stream';
 import {Agent, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {readBoundedJson} from '../../../http/bounded_body.js';
 import {GatewayError, type ErrorCode} from '../../../types/errors.js';
 import {asId, type ModelId, type RequestId} from '../../../types/ids.js';
 import {timeoutSignal} from '../../../utils.js';
@@ -18,6 +19,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONTROL_TIMEOUT_MS = 1_000;
+const MAX_LOAD_BYTES = 1024 * 1024;
 
 const loadSchema = z.object({
   runningCount: z.number(),
@@ -167,7 +169,9 @@
       dispatcher: this.freshAgent,
       signal: timeoutSignal(CONTROL_TIMEOUT_MS),
     });
-    const load = loadSchema.parse(await answer.body.json());
+    const load = loadSchema.parse(
+      await readBoundedJson(answer.body, MAX_LOAD_BYTES, peer.upstreamId),
+    );
     return {
       ...load,
       loadedModelIds: load.loadedModelIds.map(id => asId<ModelId>(id)),
--- a/src/node/adapters/upstream/plain_http.ts
+++ b/src/node/adapters/upstream/plain_http.ts
@@ -81,6 +81,9 @@
     : seconds * 1_000;
 }
 
+/** A longer body is given up: nobody can tell whether it ever ends. */
+const MAX_DIGESTED_BYTES = 64 * 1024 * 1024;
+
 /** Reads a whole body and keeps it only up to a limit. */
 async function readAnswer(
   response: Dispatcher.ResponseData,
@@ -93,6 +96,9 @@
   for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
     hash.update(chunk);
     bodySizeBytes += chunk.byteLength;
+    if (bodySizeBytes > MAX_DIGESTED_BYTES) {
+      throw new Error(`an answer of over ${MAX_DIGESTED_BYTES} bytes`);
+    }
     if (bodySizeBytes <= maxBytes) chunks.push(chunk);
     else chunks.length = 0;
   }
--- /dev/null
+++ b/src/node/http/bounded_body.ts
@@ -0,0 +1,42 @@
+/** Reads answers of other programs without keeping more than a limit. */
+import type {Dispatcher} from 'undici';
+import {GatewayError} from '../types/errors.js';
+
+type ResponseBody = Dispatcher.ResponseData['body'];
+
+/**
+ * The whole body as JSON. One that is longer is given up with its connection: a
+ * peer in trouble may send bytes without end.
+ */
+export async function readBoundedJson(
+  body: ResponseBody,
+  maxBytes: number,
+  peer: string,
+): Promise<unknown> {
+  const bytes = await readBounded(body, maxBytes, peer);
+  return JSON.parse(bytes.toString('utf8')) as unknown;
+}
+
+async function readBounded(
+  body: ResponseBody,
+  maxBytes: number,
+  peer: string,
+): Promise<Buffer> {
+  const chunks: Uint8Array[] = [];
+  let sizeBytes = 0;
+  // Leaving the loop destroys the body.
+  for await (const chunk of body as AsyncIterable<Uint8Array>) {
+    sizeBytes += chunk.byteLength;
+    if (sizeBytes > maxBytes) {
+      throw new GatewayError({
+        code: 'too_large',
+        message: `the answer is larger than ${maxBytes} bytes`,
+        step: 'http.read_answer',
+        peer,
+        work: 'unknown',
+      });
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- a/src/node/ingress/answer_reader.ts
+++ b/src/node/ingress/answer_reader.ts
@@ -5,7 +5,11 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {CallerAnswer, Framing} from './caller_answer.js';
-import {EventSplitter, type EventBatch} from './event_splitter.js';
+import {
+  EventLengthLimit,
+  EventSplitter,
+  type EventBatch,
+} from './event_splitter.js';
 import type {AnswerSink} from './exchange.js';
 import {NOT_RUN_HEADER} from './final_answers.js';
 import type {AnswerTraits, RequestProtocol} from './protocol.js';
@@ -40,6 +44,8 @@
   readonly traits: AnswerTraits;
 }
 
+/** A longer answer that is kept whole is given up, with its connection. */
+const MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024;
 const MIN_SUCCESS = 200;
 const MIN_REDIRECT = 300;
 
@@ -49,7 +55,9 @@
   /** When the last bytes of the answer arrived; 0 before the first ones. */
   lastBytesAtMs = 0;
   private readonly splitter = new EventSplitter();
+  private readonly eventLength = new EventLengthLimit();
   private readonly chunks: Buffer[] = [];
+  private keptBytes = 0;
   private isRelaying = false;
 
   constructor(private readonly options: AnswerReaderOptions) {}
@@ -96,9 +104,10 @@
   onData(chunk: Buffer, resume: () => void): boolean {
     this.lastBytesAtMs = monotonicNowMs();
     if (!this.isRelaying) {
-      this.chunks.push(chunk);
+      this.keep(chunk);
       return true;
     }
+    this.eventLength.note(chunk);
     if (!this.options.isResumable) return this.relayBytes(chunk, resume);
     const batch = this.splitter.push(chunk);
     return batch === undefined ? true : this.relay(batch, resume);
@@ -113,6 +122,15 @@
     answer.end();
   }
 
+  private keep(chunk: Buffer): void {
+    this.keptBytes += chunk.length;
+    if (this.keptBytes > MAX_WHOLE_ANSWER_BYTES) {
+      this.chunks.length = 0;
+      throw new Error(`an answer of over ${MAX_WHOLE_ANSWER_BYTES} bytes`);
+    }
+    this.chunks.push(chunk);
+  }
+
   private relayBytes(bytes: Buffer, resume: () => void): boolean {
     const {answer, progress} = this.options;
     this.beginOnce();
--- a/src/node/ingress/event_splitter.ts
+++ b/src/node/ingress/event_splitter.ts
@@ -2,6 +2,8 @@
 
 const EMPTY = Buffer.alloc(0);
 const END_OF_EVENT = Buffer.from('\n\n');
+/** A longer event is none; its stream is given up. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 const ID_PATTERN = /(?:^|\n)id:\s*(\d+)/g;
 
 /** Whole events that arrived together. */
@@ -11,6 +13,21 @@
   readonly lastId: number | undefined;
 }
 
+/** Notices an event that does not end. */
+export class EventLengthLimit {
+  private bytesSinceEnd = 0;
+
+  /** Takes in the next bytes of a stream; throws if its event is too long. */
+  note(chunk: Buffer): void {
+    const end = chunk.lastIndexOf(END_OF_EVENT);
+    this.bytesSinceEnd =
+      end < 0 ? this.bytesSinceEnd + chunk.length : chunk.length - end;
+    if (this.bytesSinceEnd > MAX_EVENT_BYTES) {
+      throw new Error(`an event of over ${MAX_EVENT_BYTES} bytes`);
+    }
+  }
+}
+
 /**
  * Holds back the beginning of an event until its end arrives, so that an
  * upstream that breaks off in the middle leaves nothing that must be undone.
--- a/src/node/ingress/exchange.ts
+++ b/src/node/ingress/exchange.ts
@@ -5,6 +5,9 @@
 /** Longest time to get a connection on which the request can be written. */
 export const CONNECT_TIMEOUT_MS = 800;
 
+/** More heads without an answer are no sign of one. */
+const MAX_INTERIM_HEADS = 16;
+
 export interface ExchangeRequest {
   readonly method: string;
   readonly path: string;
@@ -60,6 +63,7 @@
   private controller: Dispatcher.DispatchController | undefined;
   private isSent = false;
   private isEnded = false;
+  private interimHeads = 0;
   private readonly connectTimer: ReturnType<typeof setTimeout>;
 
   constructor(
@@ -89,7 +93,11 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.isEnded || statusCode < 200) return;
+    if (this.isEnded) return;
+    if (statusCode < 200) {
+      this.guard(controller, () => this.noteInterimHead());
+      return;
+    }
     this.guard(controller, () => this.sink.onHead(statusCode, headers));
   }
 
@@ -116,6 +124,13 @@
     this.end(this.isSent ? {kind: 'broken', cause} : {kind: 'not_sent', cause});
   }
 
+  private noteInterimHead(): void {
+    this.interimHeads += 1;
+    if (this.interimHeads > MAX_INTERIM_HEADS) {
+      throw new Error(`over ${MAX_INTERIM_HEADS} interim heads`);
+    }
+  }
+
   private readonly onAbort = (): void => {
     const {controller, isSent} = this;
     this.end({kind: 'aborted', isSent});
