Keep the slots of plain services busy while messages are slow

A placement lasts from the grant until the scheduler hears of its end; under load that takes over 100 ms, so six slots allow 50 calls a second instead of 280.

A plain upstream now gets as many placements as keep its slots busy: slots times the mean time of a placement over that of a call, three times at most; a call that the upstream rejects as full takes that back.

--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -12,6 +12,7 @@
 } from './constants.js';
 import {PrefixCache} from './prefix_cache.js';
 import {sharedTokens, type PromptEstimates} from './prompt_estimates.js';
+import {SlotOverlap} from './slot_overlap.js';
 import {StartPacer} from './start_pacer.js';
 import type {
   ListedUpstream,
@@ -23,6 +24,7 @@
 
 interface Placement {
   readonly item: WorkItem;
+  readonly startedAtMs: number;
   readonly expiresAtMs: number;
   readonly expectedMs: number;
   /** Tokens that it alone occupies. */
@@ -72,6 +74,8 @@
   private failuresAtMs = 0;
   private slowness = 1;
   private serviceMs = INITIAL_SERVICE_MS;
+  /** How much longer plain calls hold a place here than they run. */
+  private readonly overlap = new SlotOverlap();
 
   constructor(
     public listed: ListedUpstream,
@@ -84,7 +88,9 @@
   }
 
   get freeSlots(): number {
-    return Math.max(0, this.listed.slots - this.placements.size);
+    const {slots} = this.listed;
+    const places = this.isEngine ? slots : this.overlap.placesFor(slots);
+    return Math.max(0, places - this.placements.size);
   }
 
   get freeTokens(): number {
@@ -204,9 +210,11 @@
     if (placement === undefined) return;
     this.forget(placement);
     if (release.outcome === 'cancelled') return;
+    if (release.outcome === 'rejected') this.overlap.reset();
     this.noteFailure(FAILURES.has(release.outcome) ? 1 : 0, nowMs);
     if (release.outcome !== 'answered') return;
     this.answeredAtMs = nowMs;
+    this.overlap.note(nowMs - placement.startedAtMs, release.totalMs);
     this.observe(placement, release);
   }
 
@@ -239,6 +247,7 @@
     this.outputTokens = 0;
     this.readUntilMs = 0;
     this.failureShare = 0;
+    this.overlap.reset();
   }
 
   /** How many slots become free in a millisecond when all are taken. */
@@ -259,6 +268,7 @@
     if (replaced !== undefined) this.forget(replaced);
     this.placements.set(item.requestId, {
       item,
+      startedAtMs: nowMs,
       ownTokens,
       expectedMs,
       expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
