Lead callers past entries that schedule, and share calls for ends of streams

An entry now tells whether it schedules for model engines, and the directory leaves such entries out while three quarters of the region's ready ones are left. They take connections as before, from callers that know them.

The end of a stream waits up to 80 ms (25 before) for a call to share, since at 6 calls a second between an entry and a scheduler few were shared; a stream holds its slot for seconds. Spec: of eight entries two that schedule are left out, three are not.

--- a/src/node/dispatch/__tests__/decision_sender.spec.ts
+++ b/src/node/dispatch/__tests__/decision_sender.spec.ts
@@ -27,6 +27,7 @@
     incarnation: 1,
     isReady: true,
     isStopping: false,
+    isScheduling: false,
   };
 }
 
--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -53,6 +53,7 @@
     incarnation: 1,
     isReady: true,
     isStopping: false,
+    isScheduling: false,
   };
 }
 
--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -132,5 +132,6 @@
     callersAddress: `${name}:2`,
     isReady: true,
     isStopping: false,
+    isScheduling: false,
   };
 }
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -45,6 +45,8 @@
 export class RegionLoops {
   private timers: ReturnType<typeof setInterval>[] = [];
   private isReading = false;
+  /** Whether requests to model engines are decided on here. */
+  schedulesEngines = false;
   private readonly probing = new Set<UpstreamId>();
 
   constructor(private readonly options: RegionLoopsOptions) {}
@@ -68,12 +70,13 @@
 
   private claimScopes(): void {
     const {host, services, members} = this.options;
-    services()
-      .flatMap(({name: service}) =>
-        this.ownDomains().map(domain => ({service, domain})),
-      )
-      .filter(scope => this.isOwn(scope))
-      .forEach(scope => host.ensure(scope));
+    const own = services().flatMap(spec =>
+      this.ownDomains()
+        .map(domain => ({spec, scope: {service: spec.name, domain}}))
+        .filter(({scope}) => this.isOwn(scope)),
+    );
+    own.forEach(({scope}) => host.ensure(scope));
+    this.schedulesEngines = own.some(({spec}) => spec.engine !== undefined);
     host.dropIdle(scope => this.isOwn(scope));
     host.forgetMissing(entry => members.entry(entry) !== undefined);
   }
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -42,7 +42,7 @@
 /** A scheduler that falls behind needs about this long to catch up. */
 const BUSY_RETRY_AFTER_MS = 1_000;
 /** Streams last seconds, so a slot may be told free a little later. */
-const STREAM_RELEASE_DELAY_MS = 25;
+const STREAM_RELEASE_DELAY_MS = 80;
 
 export interface SchedulerClientOptions {
   readonly region: RegionId;
--- a/src/node/fleet/__tests__/control_link.spec.ts
+++ b/src/node/fleet/__tests__/control_link.spec.ts
@@ -51,6 +51,7 @@
     callersAddress: 'e1:2',
     isReady: true,
     isStopping: false,
+    isScheduling: false,
   });
   const client = network.attach('e1:1', 'e1', new RpcRouter());
   const link = new ControlLink({
--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -25,6 +25,7 @@
     callersAddress: `${name}:2`,
     isReady: true,
     isStopping: false,
+    isScheduling: false,
     ...fields,
   };
 }
@@ -56,6 +57,26 @@
   });
 });
 
+// Guards against callers whose own requests slow down the entry that decides on
+// those of a whole domain, and against a region that is led to too few entries.
+test('callers are led past entries that schedule while others are enough', () => {
+  const ask = (schedulers: number): readonly string[] => {
+    const registry = new InstanceRegistry('1', () => undefined);
+    Array.from({length: 8}, (_, index) =>
+      registry.record(
+        entry(`n${index}`, 'north', {isScheduling: index < schedulers}),
+        0,
+      ),
+    );
+    const north = asId<RegionId>('north');
+    return registry.addressesFor({region: north, domain: undefined}, 64);
+  };
+  assert.deepEqual(
+    [0, 2, 3].map(schedulers => ask(schedulers).length),
+    [8, 6, 8],
+  );
+});
+
 // Guards against an announcement of a process that has been replaced.
 test('an older process does not bring an entry back', () => {
   const registry = new InstanceRegistry('1', () => undefined);
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -3,6 +3,12 @@
 import {ENTRY_EXPIRY_MS} from './constants.js';
 import type {ControlInstance, EntryInstance, FleetView} from './messages.js';
 
+/**
+ * Callers are led past the entries that schedule for others while they are few:
+ * a late decision delays callers everywhere.
+ */
+const LEAST_SHARE_WITHOUT_SCHEDULERS = 0.75;
+
 interface Announced {
   readonly entry: EntryInstance;
   readonly atMs: number;
@@ -85,7 +91,7 @@
       .map(each => each.entry)
       .filter(entry => entry.isReady && !entry.isStopping);
     const near = ready.filter(entry => entry.region === place.region);
-    const chosen = near.length > 0 ? near : ready;
+    const chosen = near.length > 0 ? withoutSchedulers(near) : ready;
     return chosen.map(entry => entry.callersAddress).slice(0, limit);
   }
 
@@ -98,3 +104,12 @@
     this.onChange({kind, entry, silentMs});
   }
 }
+
+function withoutSchedulers(
+  entries: readonly EntryInstance[],
+): readonly EntryInstance[] {
+  const others = entries.filter(each => !each.isScheduling);
+  const areEnough =
+    others.length >= entries.length * LEAST_SHARE_WITHOUT_SCHEDULERS;
+  return areEnough ? others : entries;
+}
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -17,6 +17,8 @@
   readonly isReady: boolean;
   /** Whether its process is ending; it gets no new work of others. */
   readonly isStopping: boolean;
+  /** Whether it decides on the requests of others to model engines. */
+  readonly isScheduling: boolean;
 }
 
 /** One control member that entries announce themselves to. */
@@ -37,6 +39,7 @@
   callersAddress: z.string(),
   isReady: z.boolean(),
   isStopping: z.boolean(),
+  isScheduling: z.boolean(),
 });
 
 /** An entry tells a control member that it runs. */
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -205,6 +205,7 @@
       callersAddress: settings.callerAddress,
       isReady: this.isReady(),
       isStopping: this.isStopping,
+      isScheduling: this.loops.schedulesEngines,
     };
   }
 
