Tell a silent connection from a silent scheduler

A connection that owes an answer for 350 ms gets a second one beside it. If that has opened when the first is given up, the peer is well: what was asked is asked again there and the scheduling stays. If not, the peer is given up as soon as before.

Specs: stream.spec got 'unreachable' for the silent connection before (failed), 'timeout' now; domain_schedulers got another entry's grant when any failure moved the scheduling.

--- a/src/node/dispatch/__tests__/domain_schedulers.spec.ts
+++ b/src/node/dispatch/__tests__/domain_schedulers.spec.ts
@@ -153,3 +153,23 @@
   );
   assert.deepEqual([...new Set(answers.map(domainOf))], [HOME_A]);
 });
+
+// Guards against a scheduler that is given up, with all that it knows of its
+// engines, because one connection to it went silent.
+test('a silent connection does not move the scheduling', async t => {
+  const region = createRegion(t, {domains: [HOME_A], entriesInDomain: 3});
+  const first = await Promise.all(
+    region.entries.map(entry => ask(entry, chat(entry.instance.instanceId))),
+  );
+  const scheduler = first[0]?.scheduler;
+  const asking = region.entries.find(
+    ({instance}) => instance.instanceId !== scheduler,
+  );
+  assert.ok(asking !== undefined);
+  region.network.silenceConnections(
+    asking.instance.innerAddress,
+    `${scheduler}:1`,
+  );
+  const answer = await ask(asking, chat('late', {targetLatencyMs: 5_000}));
+  assert.deepEqual([answer.kind, answer.scheduler], ['grant', scheduler]);
+});
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -41,6 +41,10 @@
 const MAX_SUBMISSIONS = 3;
 /** A scheduler that falls behind needs about this long to catch up. */
 const BUSY_RETRY_AFTER_MS = 1_000;
+/** Calls that share a connection fail together. */
+const SAME_FAILURE_MS = 100;
+/** A fresh connection tells sooner than this whether its peer answers. */
+const FRESH_CONNECTION_MS = 3_000;
 /** Streams last seconds, so a slot may be told free a little later. */
 const STREAM_RELEASE_DELAY_MS = 80;
 
@@ -91,6 +95,8 @@
   private readonly links = new Map<InstanceId, PeerLink>();
   /** The process of a scheduler that knows what this entry runs. */
   private readonly syncedWith = new Map<InstanceId, number>();
+  /** When a connection to a scheduler was last found silent. */
+  private readonly silentAtMs = new Map<InstanceId, number>();
   private readonly lastSchedulers = new Map<string, LastScheduler>();
 
   constructor(private readonly options: SchedulerClientOptions) {}
@@ -247,7 +253,9 @@
       pending.resolve(ownRefusal(pending, 'unscheduled', DECISION_GRACE_MS));
       return;
     }
-    pending.domain = this.options.domains.afterFailure(pending.domain);
+    if (this.options.members.isSuspect(scheduler, nowMs)) {
+      pending.domain = this.options.domains.afterFailure(pending.domain);
+    }
     this.submit(pending);
   }
 
@@ -315,7 +323,10 @@
     parts: readonly SubmissionPart[],
     error: GatewayError,
   ): void {
-    this.options.members.suspect(scheduler, monotonicNowMs());
+    const nowMs = monotonicNowMs();
+    const isPeerWell =
+      error.code === 'timeout' && this.isFirstSilence(scheduler, nowMs);
+    if (!isPeerWell) this.options.members.suspect(scheduler, nowMs);
     // Decisions in a lost reply leave placements that nobody uses.
     this.syncedWith.delete(scheduler);
     parts.forEach(part => {
@@ -325,6 +336,17 @@
     });
   }
 
+  // An open connection may have gone silent while its peer is well. To move the
+  // scheduling would lose what the scheduler knows, so a fresh one is tried first.
+  private isFirstSilence(scheduler: InstanceId, nowMs: number): boolean {
+    const silentAtMs = this.silentAtMs.get(scheduler);
+    const sinceMs = nowMs - (silentAtMs ?? Number.NEGATIVE_INFINITY);
+    if (sinceMs < SAME_FAILURE_MS) return true;
+    if (sinceMs < FRESH_CONNECTION_MS) return false;
+    this.silentAtMs.set(scheduler, nowMs);
+    return true;
+  }
+
   private syncIfMoved(scope: SchedulerScope, target: InstanceId): void {
     const {service, domain} = scope;
     const key = `${domain} ${service}`;
--- a/src/node/rpc/__tests__/stream.spec.ts
+++ b/src/node/rpc/__tests__/stream.spec.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {connect, createServer, type Socket} from 'node:net';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
@@ -141,6 +141,43 @@
   );
 });
 
+// Guards against a peer that counts as gone because one of its connections is
+// silent, and against one that counts as well although nothing of it answers.
+test('a second connection tells a silent one from a silent peer', async t => {
+  const {address} = await startServer(t);
+  const [host = '', targetPort] = address.split(':');
+  const sockets: Socket[] = [];
+  const silenced = new Set<Socket>();
+  let isPeerSilent = false;
+  const proxy = createServer(socket => {
+    const target = connect(Number(targetPort), host);
+    sockets.push(socket, target);
+    socket.on('data', chunk => {
+      if (!isPeerSilent && !silenced.has(socket)) target.write(chunk);
+    });
+    target.on('data', chunk => socket.write(chunk));
+    [socket, target].forEach(each => each.on('error', () => undefined));
+  });
+  await new Promise<void>(resolve => proxy.listen(0, '127.0.0.1', resolve));
+  t.after(() => {
+    sockets.forEach(socket => socket.destroy());
+    proxy.close();
+  });
+  const {port} = proxy.address() as AddressInfo;
+  const client = createClient(t);
+  const through = `127.0.0.1:${port}`;
+  const before = await outcomeOf(client, through);
+  sockets.forEach(socket => silenced.add(socket));
+  const silentConnection = await outcomeOf(client, through, 'echo', 5_000);
+  const after = await outcomeOf(client, through);
+  isPeerSilent = true;
+  const silentPeer = await outcomeOf(client, through, 'echo', 5_000);
+  assert.deepEqual(
+    [before, silentConnection, after, silentPeer],
+    ['a from centro-1', 'timeout', 'a from centro-1', 'unreachable'],
+  );
+});
+
 // Guards against frames that someone between two instances changed, left out,
 // repeated or sent back.
 test('a frame that is not as it was written is refused', () => {
--- a/src/node/rpc/stream_client.ts
+++ b/src/node/rpc/stream_client.ts
@@ -30,6 +30,8 @@
 const CONNECT_TIMEOUT_MS = 800;
 /** A peer that owes an answer and sends nothing for so long is given up. */
 const SILENCE_MS = 700;
+/** From then on a second connection is opened, to tell which of both it is. */
+const DOUBT_MS = 350;
 /** Codes of errors that arise here; the peer's own are others. */
 const TIMEOUT_CODE = -32_001;
 /** The library's code for calls that it rejects itself. */
@@ -38,19 +40,26 @@
   [TIMEOUT_CODE, 'timeout'],
   [REJECTED_CODE, 'unreachable'],
 ]);
+const SILENT_REASON = 'the connection is silent';
+const DEAD_REASON = 'the peer is silent';
 const EMPTY_BODY = new Uint8Array();
 
 /** Calls other instances over streams. */
 export class StreamRpcClient extends RpcClient {
   private readonly peers = new Map<string, PeerStream>();
+  /** Connections that were opened beside silent ones. */
+  private readonly spares = new Map<string, PeerStream>();
 
   constructor(private readonly options: RpcClientOptions) {
     super();
   }
 
   override close(): Promise<void> {
-    this.peers.forEach(peer => peer.close('this process stops'));
+    [...this.peers.values(), ...this.spares.values()].forEach(peer =>
+      peer.close('this process stops'),
+    );
     this.peers.clear();
+    this.spares.clear();
     return Promise.resolve();
   }
 
@@ -70,9 +79,19 @@
   private peerAt(address: string): PeerStream {
     const known = this.peers.get(address);
     if (known !== undefined && !known.isClosed) return known;
-    const created = new PeerStream(address, this.options);
-    this.peers.set(address, created);
-    return created;
+    const spare = this.spares.get(address);
+    this.spares.delete(address);
+    const next =
+      spare === undefined || spare.isClosed ? this.open(address) : spare;
+    this.peers.set(address, next);
+    return next;
+  }
+
+  private open(address: string): PeerStream {
+    return new PeerStream(address, this.options, {
+      openSpare: () => this.spares.set(address, this.open(address)),
+      isSpareOpen: () => this.spares.get(address)?.isOpen === true,
+    });
   }
 }
 
@@ -82,12 +101,26 @@
   method: string,
 ): GatewayError {
   const isAnswer = thrown instanceof JSONRPCErrorException;
-  const code = isAnswer ? LOCAL_ERRORS.get(thrown.code) : 'unreachable';
+  const code = isAnswer ? localCodeOf(thrown) : 'unreachable';
   return isAnswer && code === undefined
     ? toRemoteError(thrown, address, method)
     : toTransportError(thrown, code ?? 'unreachable', address);
 }
 
+// The peer behind a silent connection may be well.
+function localCodeOf(thrown: JSONRPCErrorException): ErrorCode | undefined {
+  return thrown.message === SILENT_REASON
+    ? 'timeout'
+    : LOCAL_ERRORS.get(thrown.code);
+}
+
+/** The second connection to a peer whose first one is silent. */
+interface Spare {
+  readonly openSpare: () => void;
+  /** Whether the peer itself has answered on it. */
+  readonly isSpareOpen: () => boolean;
+}
+
 /** One connection to one peer; once closed it is replaced. */
 class PeerStream {
   isClosed = false;
@@ -106,6 +139,7 @@
   constructor(
     private readonly address: string,
     private readonly options: RpcClientOptions,
+    private readonly spare: Spare,
   ) {
     this.client = new JSONRPCClient(payload => this.send(payload));
     this.connectTimer = setTimeout(
@@ -115,6 +149,10 @@
     this.connecting = this.connect();
   }
 
+  get isOpen(): boolean {
+    return this.writer !== undefined && !this.isClosed;
+  }
+
   /** Rejects with a `JSONRPCErrorException`. */
   async call(
     method: string,
@@ -137,7 +175,7 @@
   private expectAnswer(nowMs: number): void {
     if (this.callsUnderWay === 0) this.owedSinceMs = nowMs;
     this.callsUnderWay += 1;
-    this.silenceTimer ??= setTimeout(() => this.checkSilence(), SILENCE_MS);
+    this.silenceTimer ??= setTimeout(() => this.checkSilence(), DOUBT_MS);
   }
 
   private checkSilence(): void {
@@ -146,15 +184,22 @@
     const silentMs =
       monotonicNowMs() - Math.max(this.owedSinceMs, this.receivedAtMs);
     if (silentMs >= SILENCE_MS) {
-      this.close('the connection is silent');
+      this.closeSilent();
       return;
     }
+    const isDoubtful = silentMs >= DOUBT_MS;
+    if (isDoubtful && this.isOpen) this.spare.openSpare();
+    const nextMs = isDoubtful ? SILENCE_MS : DOUBT_MS;
     this.silenceTimer = setTimeout(
       () => this.checkSilence(),
-      SILENCE_MS - silentMs,
+      nextMs - silentMs,
     );
   }
 
+  private closeSilent(): void {
+    this.close(this.spare.isSpareOpen() ? SILENT_REASON : DEAD_REASON);
+  }
+
   close(reason: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
@@ -169,7 +214,7 @@
   // a fresh one tells.
   private closeIfSilent(sinceMs: number): void {
     if (this.receivedAtMs < sinceMs) {
-      setImmediate(() => this.close('the connection is silent'));
+      setImmediate(() => this.closeSilent());
     }
   }
 
