--- a/src/node/rpc/__tests__/stream.spec.ts
+++ b/src/node/rpc/__tests__/stream.spec.ts
@@ -106,17 +106,21 @@
   );
 });
 
-// Guards against calls that all wait on a connection that a cut silenced.
-test('a silent connection is replaced after a call timed out', async t => {
-  const {address} = await startServer(t);
+/** A proxy that drops what callers send while `isDropped` holds. */
+async function startProxy(
+  t: TestContext,
+  address: string,
+  isDropped: (connection: number) => boolean,
+): Promise<string> {
+  const [host = '', targetPort] = address.split(':');
   const sockets: Socket[] = [];
-  let isSilent = false;
+  let connections = 0;
   const proxy = createServer(socket => {
-    const [host = '', port] = address.split(':');
-    const target = connect(Number(port), host);
-    const isCut = isSilent;
+    const connection = connections;
+    connections += 1;
+    const target = connect(Number(targetPort), host);
     sockets.push(socket, target);
-    socket.on('data', chunk => isSilent || isCut || target.write(chunk));
+    socket.on('data', chunk => isDropped(connection) || target.write(chunk));
     target.on('data', chunk => socket.write(chunk));
     [socket, target].forEach(each => each.on('error', () => undefined));
   });
@@ -125,14 +129,24 @@
     sockets.forEach(socket => socket.destroy());
     proxy.close();
   });
-  const bound = proxy.address();
-  const port = typeof bound === 'object' ? bound?.port : undefined;
+  const {port} = proxy.address() as AddressInfo;
+  return `127.0.0.1:${port}`;
+}
+
+// Guards against calls that all wait on a connection that a cut silenced.
+test('a silent connection is replaced after a call timed out', async t => {
+  const {address} = await startServer(t);
   const client = createClient(t);
-  const through = `127.0.0.1:${port}`;
+  let isCut = false;
+  const lost = new Set<number>();
+  const through = await startProxy(t, address, connection => {
+    if (isCut) lost.add(connection);
+    return lost.has(connection);
+  });
   const before = await outcomeOf(client, through);
-  isSilent = true;
+  isCut = true;
   const cut = await outcomeOf(client, through, 'echo', 60);
-  isSilent = false;
+  isCut = false;
   await sleep(10);
   const after = await outcomeOf(client, through);
   assert.deepEqual(
@@ -145,29 +159,16 @@
 // silent, and against one that counts as well although nothing of it answers.
 test('a second connection tells a silent one from a silent peer', async t => {
   const {address} = await startServer(t);
-  const [host = '', targetPort] = address.split(':');
-  const sockets: Socket[] = [];
-  const silenced = new Set<Socket>();
-  let isPeerSilent = false;
-  const proxy = createServer(socket => {
-    const target = connect(Number(targetPort), host);
-    sockets.push(socket, target);
-    socket.on('data', chunk => {
-      if (!isPeerSilent && !silenced.has(socket)) target.write(chunk);
-    });
-    target.on('data', chunk => socket.write(chunk));
-    [socket, target].forEach(each => each.on('error', () => undefined));
-  });
-  await new Promise<void>(resolve => proxy.listen(0, '127.0.0.1', resolve));
-  t.after(() => {
-    sockets.forEach(socket => socket.destroy());
-    proxy.close();
-  });
-  const {port} = proxy.address() as AddressInfo;
   const client = createClient(t);
-  const through = `127.0.0.1:${port}`;
+  let isFirstSilent = false;
+  let isPeerSilent = false;
+  const through = await startProxy(
+    t,
+    address,
+    connection => isPeerSilent || (isFirstSilent && connection === 0),
+  );
   const before = await outcomeOf(client, through);
-  sockets.forEach(socket => silenced.add(socket));
+  isFirstSilent = true;
   const silentConnection = await outcomeOf(client, through, 'echo', 5_000);
   const after = await outcomeOf(client, through);
   isPeerSilent = true;
