Move a stalled request only to an upstream that was granted for it

Cause: the entry gave a try up after 1.1 s without bytes beyond the expected time and only then asked for another place; none was free (or the target was past: `unscheduled`), so the caller's connection was closed. On these engines one prompt of 40,000 tokens delays every stream beside it by 1 s.

Now the limit follows what the entry has seen at the upstream, only whole events count as progress, and a try ends only when the scheduler has granted another place that can answer before the deadline, or its upstream has failed its probes for a second. Ruled out: the upstream was not down (its runs ended as `cut`), nor the route's time up.

--- /dev/null
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -0,0 +1,238 @@
+/**
+ * Runs a request of the ingress in memory: upstreams are scripts of timed
+ * pieces behind a fake connection pool, and time is mocked.
+ */
+import type {TestContext} from 'node:test';
+import type {Dispatcher, Pool} from 'undici';
+import {setMonotonicSource} from '../../../clock/clock.js';
+import type {Route} from '../../../routes/route_table.js';
+import type {SchedulerAnswer, WorkItem} from '../../../scheduling/types.js';
+import {
+  asId,
+  type InstanceId,
+  type RegionId,
+  type RequestId,
+  type RouteId,
+  type ServiceId,
+} from '../../../types/ids.js';
+import {CallerResponse} from '../../caller_response.js';
+import {RequestRun, type RequestRunContext} from '../../request_run.js';
+import type {InboundRequest} from '../../types.js';
+import {UpstreamPaces} from '../../upstream_pace.js';
+
+/** What an upstream sends, `atMs` after it got the request. */
+export interface Piece {
+  readonly atMs: number;
+  readonly text: string;
+}
+
+export interface RunSetup {
+  /** The pieces of each upstream; a stream ends after its last one. */
+  readonly upstreams: Readonly<Record<string, readonly Piece[]>>;
+  /** Answers in turn; the last one repeats. */
+  readonly decisions: readonly ((item: WorkItem) => SchedulerAnswer)[];
+  readonly route?: Partial<Route>;
+  /** Duration of the whole run. */
+  readonly runMs: number;
+}
+
+const STEP_MS = 20;
+const TIMEOUT_MS = 6_000;
+export const DEFAULT_GAP_MS = 600;
+
+/** An event of a stream. */
+export function event(atMs: number, id: number): Piece {
+  return {atMs, text: `id: ${id}\ndata: x\n\n`};
+}
+
+export function grant(upstream: string, expectedMs = 400) {
+  return ({requestId}: WorkItem): SchedulerAnswer =>
+    ({
+      kind: 'grant',
+      requestId,
+      upstreamId: upstream,
+      address: upstream,
+      service: 'service',
+      domain: 'domain',
+      queuedMs: 0,
+      expectedMs,
+      isCold: false,
+      scheduler: 'self',
+      passes: 0,
+    }) as unknown as SchedulerAnswer;
+}
+
+export function refuse(reason: string) {
+  return ({requestId}: WorkItem): SchedulerAnswer =>
+    ({
+      kind: 'refuse',
+      requestId,
+      reason,
+      retryAfterMs: 0,
+      scheduler: 'self',
+      passes: 0,
+    }) as unknown as SchedulerAnswer;
+}
+
+/** Runs one resumable stream and returns what happened, a line a step. */
+export async function runStream(
+  t: TestContext,
+  setup: RunSetup,
+): Promise<readonly string[]> {
+  t.mock.timers.enable({apis: ['setTimeout', 'setInterval', 'Date']});
+  const {restore} = setMonotonicSource(Date.now);
+  const lines: string[] = [];
+  const note = (line: string): number => lines.push(`${Date.now()} ${line}`);
+  const abort = new AbortController();
+  setTimeout(() => abort.abort(), TIMEOUT_MS);
+  const response = new CallerResponse(fakeResponse(note), () => false);
+  const run = new RequestRun(
+    contextOf(setup, note),
+    requestOf(setup.route),
+    response,
+    abort.signal,
+  ).run();
+  await advance(t, setup.runMs);
+  await run;
+  restore();
+  t.mock.timers.reset();
+  return lines;
+}
+
+async function advance(t: TestContext, durationMs: number): Promise<void> {
+  const steps = Array.from({length: durationMs / STEP_MS});
+  await steps.reduce<Promise<void>>(async before => {
+    await before;
+    t.mock.timers.tick(STEP_MS);
+    await new Promise(resolve => setImmediate(resolve));
+  }, Promise.resolve());
+}
+
+function requestOf(route: Partial<Route> = {}): InboundRequest {
+  return {
+    requestId: asId<RequestId>('request'),
+    method: 'POST',
+    path: '/',
+    rawHeaders: [],
+    body: Buffer.from('x'),
+    route: {
+      name: asId<RouteId>('route'),
+      host: 'host',
+      pathPrefix: '/',
+      kind: 'stream',
+      timeoutMs: TIMEOUT_MS,
+      targetLatencyMs: 1_000,
+      priority: 1,
+      shares: [],
+      maxUpstreams: 2,
+      isResumable: true,
+      targetGapMs: DEFAULT_GAP_MS,
+      homeRegions: [],
+      ...route,
+    },
+    service: asId<ServiceId>('service'),
+    traits: {attemptId: 'attempt'},
+    tableVersion: 1,
+    receivedAtMs: Date.now(),
+    expiresAtMs: Date.now() + TIMEOUT_MS,
+    isRelayed: false,
+    isRepeat: false,
+    avoidUpstreams: [],
+    lastEventId: undefined,
+  };
+}
+
+function contextOf(
+  {upstreams, decisions}: RunSetup,
+  note: (line: string) => void,
+): RequestRunContext {
+  let asked = 0;
+  return {
+    region: asId<RegionId>('home'),
+    self: asId<InstanceId>('self'),
+    protocol: {
+      upstreamHeaders: () => [],
+      callerHeaders: () => [],
+      responseTraits: () => ({
+        isSigned: true,
+        isEncoded: false,
+        isNotRun: false,
+      }),
+    },
+    members: {regions: () => ['home']},
+    scheduler: {
+      acquire: (item: WorkItem) => {
+        const decide = decisions[Math.min(asked, decisions.length - 1)];
+        asked += 1;
+        return Promise.resolve(decide?.(item));
+      },
+      release: ({upstreamId, outcome}: Record<string, string>) =>
+        note(`released ${upstreamId}: ${outcome}`),
+      reportStalled: () => undefined,
+    },
+    connections: {
+      pool: (address: string) =>
+        fakePool(address, upstreams[address] ?? [], note),
+      retire: () => undefined,
+    },
+    relay: {},
+    paces: new UpstreamPaces(),
+    log: {
+      write: () => undefined,
+      decision: () => undefined,
+      end: () => undefined,
+    },
+    metrics: {count: () => undefined, recordMs: () => undefined},
+  } as unknown as RequestRunContext;
+}
+
+function fakePool(
+  name: string,
+  pieces: readonly Piece[],
+  note: (line: string) => void,
+): Pool {
+  const send = (handler: Dispatcher.DispatchHandler): void => {
+    let isAborted = false;
+    const controller = {
+      abort: () => {
+        isAborted = true;
+      },
+      pause: () => undefined,
+      resume: () => undefined,
+    } as unknown as Dispatcher.DispatchController;
+    note(`sent to ${name}`);
+    handler.onRequestStart?.(controller, undefined);
+    pieces.forEach(({atMs, text}, position) =>
+      setTimeout(() => {
+        if (isAborted) return;
+        if (position === 0) {
+          handler.onResponseStart?.(controller, 200, {}, 'OK');
+        }
+        handler.onResponseData?.(controller, Buffer.from(text));
+        const isLast = position === pieces.length - 1;
+        if (isLast && !isAborted) handler.onResponseEnd?.(controller, {});
+      }, atMs),
+    );
+  };
+  return {
+    dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
+      send(handler);
+      return true;
+    },
+  } as unknown as Pool;
+}
+
+function fakeResponse(note: (line: string) => void) {
+  return {
+    setHeader: () => undefined,
+    appendHeader: () => undefined,
+    writeHead: () => undefined,
+    write: (bytes: Buffer) => {
+      const ids = [...bytes.toString().matchAll(/id: (\d+)/g)];
+      note(`caller gets ${ids.map(each => each[1]).join()}`);
+      return true;
+    },
+    end: () => note('caller has the whole response'),
+    destroy: () => note('connection of the caller closed'),
+  } as never;
+}
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -1,6 +1,6 @@
 /** Error responses that the ingress itself generates. */
 import type {CallerResponse} from './caller_response.js';
-import type {TryResult} from './types.js';
+import type {InboundRequest, TryResult} from './types.js';
 
 /** Header that tells another entry that a relayed request did not run. */
 export const NOT_RUN_HEADER = 'x-cyclamenfall-not-run';
@@ -64,6 +64,27 @@
   return status;
 }
 
+/** Sends what is left to send at the end of a request; returns its status. */
+export function sendFinalResponse(
+  result: TryResult,
+  response: CallerResponse,
+  hasRun: boolean,
+  request: InboundRequest,
+): number {
+  if (result.kind === 'delivered') return result.status;
+  if (response.isBegun) {
+    response.terminate();
+    return 0;
+  }
+  const mayHaveRun =
+    hasRun ||
+    result.kind === 'failed' ||
+    (result.kind === 'aborted' && result.isSent);
+  if (mayHaveRun) return sendFailure(response, result);
+  const retryAfterMs = result.kind === 'not_run' ? result.retryAfterMs : 0;
+  return sendRefusal(response, retryAfterMs, request.isRelayed);
+}
+
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
   return Buffer.from(JSON.stringify({error: {code, work}}));
 }
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -39,6 +39,7 @@
   seedInnerAddresses,
   type IngressSettings,
 } from './settings.js';
+import {UpstreamPaces} from './upstream_pace.js';
 
 /** Callers may keep using a known address this long after a stop began. */
 const MIN_DRAIN_MS = 3_000;
@@ -310,6 +311,7 @@
         members: this.members,
         scheduler: this.scheduler,
         connections: this.connections,
+        paces: new UpstreamPaces(),
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -23,6 +23,7 @@
   | 'offloaded'
   | 'refused'
   | 'retry'
+  | 'stalled'
   | 'upstream_outcome'
   | 'ended'
   | 'rejected'
@@ -74,7 +75,7 @@
     } as const;
     // A grant of a warm upstream is covered by the line at the request's end.
     const isRoutine = kind === 'grant' && !decision.isCold;
-    if (!isRoutine) this.write(events[kind], request, rounded(inputs));
+    if (!isRoutine) this.write(events[kind], request, roundNumbers(inputs));
   }
 
   end(
@@ -91,7 +92,7 @@
         result: result.kind,
         cause,
         isRelayed: request.isRelayed,
-        ...rounded({...summary}),
+        ...roundNumbers({...summary}),
       },
       !isRoutine,
     );
@@ -152,7 +153,8 @@
   }
 }
 
-function rounded(
+/** Rounds the numbers among the fields of a line. */
+export function roundNumbers(
   fields: Readonly<Record<string, unknown>>,
 ): Readonly<Record<string, unknown>> {
   return Object.fromEntries(
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -8,24 +8,30 @@
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion, isRepeatable} from '../routes/route_table.js';
 import type {
-  Decision,
   PlacementOutcome,
   SchedulerAnswer,
   WorkItem,
 } from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
-import type {InstanceId, RegionId, UpstreamId} from '../types/ids.js';
+import {
+  asId,
+  type InstanceId,
+  type RegionId,
+  type RequestId,
+  type UpstreamId,
+} from '../types/ids.js';
 import {ResponseReader, type StreamProgress} from './response_reader.js';
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
-import {exchange, type ExchangeEnd} from './exchange.js';
-import type {RequestLog} from './request_log.js';
+import type {ExchangeEnd} from './exchange.js';
+import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
-import {sendFailure, sendRefusal} from './error_responses.js';
-import {StallDetector} from './stall_detector.js';
-import {causeOf, RESPONSE_TIMEOUT_CAUSE, outcomeOf} from './try_outcome.js';
+import {sendFinalResponse} from './error_responses.js';
+import {causeOf, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
+import type {UpstreamPaces} from './upstream_pace.js';
+import {cancelGrant, UpstreamTry, type Grant} from './upstream_try.js';
 
 /** Extra tries after tries that did not run, beyond the route's limit. */
 const MAX_TRIES_NOT_RUN = 2;
@@ -37,13 +43,12 @@
   readonly members: FleetMembers;
   readonly scheduler: SchedulerClient;
   readonly connections: ConnectionPools;
+  readonly paces: UpstreamPaces;
   readonly relay: RelayClient;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
 }
 
-type Grant = Extract<Decision, {kind: 'grant'}>;
-
 /** Runs one request. */
 export class RequestRun {
   private readonly progress: StreamProgress;
@@ -59,6 +64,9 @@
   /** Wait for scheduling decisions, summed over all tries. */
   private decisionMs = 0;
   private lastGrant: Grant | undefined;
+  /** Granted while the try before it was given up. */
+  private replacement: Grant | undefined;
+  private replacementsSought = 0;
 
   constructor(
     private readonly context: RequestRunContext,
@@ -78,7 +86,10 @@
 
   /** Resolves when the caller has its final response. */
   async run(): Promise<void> {
-    this.finish(await this.tryUntilFinal());
+    const result = await this.tryUntilFinal();
+    const unused = this.takeReplacement();
+    if (unused !== undefined) cancelGrant(this.context.scheduler, unused);
+    this.finish(result);
   }
 
   private async tryUntilFinal(): Promise<TryResult> {
@@ -93,7 +104,7 @@
   }
 
   private async attempt(): Promise<TryResult> {
-    const decision = await this.askScheduler();
+    const decision = this.takeReplacement() ?? (await this.askScheduler());
     if (decision.kind !== 'refuse' || !this.signal.aborted) {
       this.context.log.decision(this.request, decision);
     }
@@ -151,13 +162,35 @@
     };
   }
 
+  /** Asks for another upstream in place of one that does not progress. */
+  private replacementItem({upstreamId, domain}: Grant): WorkItem {
+    const {requestId} = this.request;
+    this.replacementsSought += 1;
+    return {
+      ...this.workItem(),
+      requestId: asId<RequestId>(`${requestId}~${this.replacementsSought}`),
+      // Its target counts from here: it is late already.
+      ageMs: 0,
+      avoidUpstreams: [...this.failedUpstreams, upstreamId],
+      isRepeat: true,
+      otherRegions: [],
+      replaces: {upstreamId, domain},
+    };
+  }
+
+  private takeReplacement(): Grant | undefined {
+    const {replacement} = this;
+    this.replacement = undefined;
+    return replacement;
+  }
+
   private async sendToUpstream(grant: Grant): Promise<TryResult> {
     const {context, request} = this;
     const {upstreamId, address} = grant;
     this.lastGrant = grant;
     const sentAtMs = monotonicNowMs();
     this.firstAnswerMs = 0;
-    const reader = this.createReader(sentAtMs, false);
+    const reader = this.createReader(sentAtMs, grant);
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
       remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
@@ -168,53 +201,43 @@
         : {lastEventId: this.progress.lastEventId}),
     });
     const {method, path, body} = request;
-    const end = await this.exchangeWithStallDetection(
+    const {end, replacement} = await new UpstreamTry({
+      ...context,
       grant,
-      {method, path, body, headers: headers.flat()},
       reader,
-    );
+      request: {method, path, body, headers: headers.flat()},
+      targetGapMs: request.route.targetGapMs,
+      replacementItem: this.mayRunAgain()
+        ? () => this.replacementItem(grant)
+        : undefined,
+      signal: this.signal,
+      onStallAction: action =>
+        context.log.write('stalled', request, roundNumbers({...action})),
+    }).run();
+    this.replacement = replacement;
     const result = this.interpret(end, reader);
     const outcome = outcomeOf(end, result, reader);
     context.scheduler.release({
-      requestId: request.requestId,
+      requestId: grant.requestId,
       upstreamId,
       outcome,
       firstAnswerMs: this.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
     });
     this.recordOutcome(grant, outcome, sentAtMs, causeOf(end, reader));
-    if (outcome === 'silent') context.connections.retire(address, upstreamId);
+    const progressAtMs = Math.max(sentAtMs, reader.progressAtMs);
+    const isUpstreamSilent =
+      context.paces.progressAtMs(upstreamId) <= progressAtMs;
+    if (outcome === 'silent' && isUpstreamSilent) {
+      context.connections.retire(address, upstreamId);
+    }
     if (result.kind !== 'delivered') this.failedUpstreams.push(upstreamId);
     return result;
   }
 
-  // Abandons an upstream that sends no data if the request may be retried.
-  private async exchangeWithStallDetection(
-    grant: Grant,
-    sent: Parameters<typeof exchange>[1],
-    reader: ResponseReader,
-  ): Promise<ExchangeEnd> {
-    const {connections, scheduler} = this.context;
-    const {upstreamId, address, service, domain, expectedMs} = grant;
-    const stallAbort = new AbortController();
-    const mayRepeat = this.runs + 1 < this.maxRuns();
-    const stallDetector = new StallDetector({
-      expectedMs,
-      lastBytesAtMs: () => reader.lastBytesAtMs,
-      onSuspect: () => scheduler.reportStalled(service, domain, upstreamId),
-      ...(mayRepeat ? {onGiveUp: () => stallAbort.abort()} : {}),
-    });
-    const pool = connections.pool(address, upstreamId);
-    const signal = AbortSignal.any([this.signal, stallAbort.signal]);
-    const end = await exchange(pool, sent, reader, signal);
-    stallDetector.stop();
-    const isSilent = end.kind === 'aborted' && !this.signal.aborted;
-    return isSilent ? {kind: 'broken', cause: RESPONSE_TIMEOUT_CAUSE} : end;
-  }
-
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
-    const reader = this.createReader(monotonicNowMs(), true);
+    const reader = this.createReader(monotonicNowMs());
     const end = await context.relay.send(
       region,
       {
@@ -231,7 +254,8 @@
     return result;
   }
 
-  private createReader(sentAtMs: number, isFromPeer: boolean): ResponseReader {
+  // Without a grant, the response comes from another entry.
+  private createReader(sentAtMs: number, grant?: Grant): ResponseReader {
     const {context, request, response, progress} = this;
     return new ResponseReader({
       protocol: context.protocol,
@@ -240,10 +264,14 @@
       isStream: request.route.kind === 'stream',
       isResumable: request.route.isResumable,
       progress,
-      isFromPeer,
+      isFromPeer: grant === undefined,
       onResponseStart: () => {
         this.firstAnswerMs = Math.max(1, monotonicNowMs() - sentAtMs);
       },
+      onProgress: (previousAtMs, nowMs) => {
+        if (grant === undefined) return;
+        context.paces.noteProgress(grant, {sentAtMs, previousAtMs, nowMs});
+      },
     });
   }
 
@@ -291,6 +319,11 @@
     return {kind: 'delivered', status};
   }
 
+  /** Whether another try may follow one that runs now. */
+  private mayRunAgain(): boolean {
+    return this.runs + 1 < this.maxRuns();
+  }
+
   private hasTryLeft(): boolean {
     return this.runs < this.maxRuns();
   }
@@ -362,23 +395,3 @@
     });
   }
 }
-
-function sendFinalResponse(
-  result: TryResult,
-  response: CallerResponse,
-  hasRun: boolean,
-  request: InboundRequest,
-): number {
-  if (result.kind === 'delivered') return result.status;
-  if (response.isBegun) {
-    response.terminate();
-    return 0;
-  }
-  const mayHaveRun =
-    hasRun ||
-    result.kind === 'failed' ||
-    (result.kind === 'aborted' && result.isSent);
-  if (mayHaveRun) return sendFailure(response, result);
-  const retryAfterMs = result.kind === 'not_run' ? result.retryAfterMs : 0;
-  return sendRefusal(response, retryAfterMs, request.isRelayed);
-}
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -36,6 +36,8 @@
   /** Whether the peer is another entry, which can itself refuse the request. */
   readonly isFromPeer: boolean;
   readonly onResponseStart: () => void;
+  /** Called on progress, with the time of the previous one or 0. */
+  readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
 }
 
 /** Status and headers of a response. */
@@ -53,8 +55,11 @@
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
   head: ResponseHead | undefined;
-  /** When bytes of the body last arrived; 0 before the first byte. */
-  lastBytesAtMs = 0;
+  /**
+   * When the response last made progress; 0 before that. In a resumable stream
+   * only whole events are progress: single bytes never complete a response.
+   */
+  progressAtMs = 0;
   private readonly splitter = new EventSplitter();
   private readonly eventLength = new EventLengthLimit();
   private readonly chunks: Buffer[] = [];
@@ -103,8 +108,8 @@
   }
 
   onData(chunk: Buffer, resume: () => void): boolean {
-    this.lastBytesAtMs = monotonicNowMs();
     if (!this.isRelaying) {
+      this.noteProgress();
       this.buffer(chunk);
       return true;
     }
@@ -135,10 +140,17 @@
   private relayBytes(bytes: Buffer, resume: () => void): boolean {
     const {response, progress} = this.options;
     this.beginOnce();
-    recordEventTime(progress, monotonicNowMs());
+    this.noteProgress();
+    recordEventTime(progress, this.progressAtMs);
     return response.write(bytes, resume);
   }
 
+  private noteProgress(): void {
+    const previousAtMs = this.progressAtMs;
+    this.progressAtMs = monotonicNowMs();
+    this.options.onProgress?.(previousAtMs, this.progressAtMs);
+  }
+
   private relayEvents(batch: EventBatch, resume: () => void): boolean {
     const {progress} = this.options;
     const expected =
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -118,6 +118,14 @@
     decisionAgeMs: z.number(),
   },
   retry: {...matched, cause: z.string(), runs: z.number()},
+  stalled: {
+    ...matched,
+    upstream: z.string(),
+    silentMs: z.number(),
+    limitMs: z.number(),
+    isUpstreamActive: z.boolean(),
+    result: z.string(),
+  },
   upstream_outcome: {
     ...matched,
     upstream: z.string(),
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -25,9 +25,7 @@
   const laneCostMs = (each: UpstreamState): number =>
     !isLong && lane.has(each) ? LANE_COST_MS : 0;
   const open = upstreams.filter(each => each.canTake(item, nowMs));
-  const untried = open.filter(
-    each => !item.avoidUpstreams.includes(each.listed.upstreamId),
-  );
+  const untried = untriedOf(item, open);
   const candidates = untried.length > 0 ? untried : open;
   return candidates
     .map(upstream => ({
@@ -41,14 +39,23 @@
     )?.upstream;
 }
 
+/** The upstreams at which the request has not failed. */
+export function untriedOf(
+  {avoidUpstreams}: WorkItem,
+  upstreams: readonly UpstreamState[],
+): readonly UpstreamState[] {
+  return upstreams.filter(
+    each => !avoidUpstreams.includes(each.listed.upstreamId),
+  );
+}
+
 /** Whether the request has already failed on every one of the upstreams. */
 export function hasFailedOn(
-  {avoidUpstreams}: WorkItem,
+  item: WorkItem,
   upstreams: readonly UpstreamState[],
 ): boolean {
   return (
-    avoidUpstreams.length > 0 &&
-    upstreams.every(each => avoidUpstreams.includes(each.listed.upstreamId))
+    item.avoidUpstreams.length > 0 && untriedOf(item, upstreams).length === 0
   );
 }
 
--- a/src/node/scheduling/forecast.ts
+++ b/src/node/scheduling/forecast.ts
@@ -116,3 +116,12 @@
   const totalMs = item.ageMs + waitMs + answerMs;
   return totalMs <= maxFirstAnswerMs(item, answerMs);
 }
+
+/** Whether the upstream is expected to answer before the request's deadline. */
+export function canFinish(
+  item: WorkItem,
+  upstream: UpstreamState,
+  nowMs: number,
+): boolean {
+  return upstream.expectedMs(item, nowMs) < item.remainingMs;
+}
--- /dev/null
+++ b/src/node/scheduling/redirects.ts
@@ -0,0 +1,53 @@
+/** Redirects requests to other domains of the region and to other regions. */
+import type {RegionId} from '../types/ids.js';
+import type {CapacityBoard} from './capacity_board.js';
+import {passOf, redirectOf} from './decisions.js';
+import {OffloadPlanner, type OffloadTarget} from './offload_planner.js';
+import type {Decision, WorkItem} from './types.js';
+
+/** Each method returns whether it redirected the request. */
+export class Redirects {
+  private readonly offloads: OffloadPlanner;
+
+  /** `push` gets the decisions; `home` is the region of the scheduler. */
+  constructor(
+    private readonly home: RegionId,
+    private readonly board: CapacityBoard,
+    private readonly push: (decision: Decision) => void,
+  ) {
+    this.offloads = new OffloadPlanner(board);
+  }
+
+  /** Redirects a request that its route does not allow here. */
+  toAllowedRegion(item: WorkItem, nowMs: number): boolean {
+    return this.follow(this.offloads.allowedTarget(item, nowMs), item);
+  }
+
+  /** Passes the request to another domain of the region, if there is one. */
+  toSibling(item: WorkItem, nowMs: number): boolean {
+    const domain = this.board.siblingDomain(item, nowMs);
+    if (domain === undefined) return false;
+    this.board.noteSent(domain, item);
+    this.push(passOf(item, domain));
+    return true;
+  }
+
+  /** Offloads a long prompt to a domain with a lower prefill share. */
+  toLessLoaded(item: WorkItem, readShare: number, nowMs: number): boolean {
+    const target = this.offloads.lessLoadedTarget(item, readShare, nowMs);
+    return this.follow(target, item);
+  }
+
+  /** Offloads to a domain that is clearly faster than `localExpectedMs`. */
+  toFaster(item: WorkItem, localExpectedMs: number, nowMs: number): boolean {
+    const target = this.offloads.fasterTarget(item, localExpectedMs, nowMs);
+    return this.follow(target, item);
+  }
+
+  private follow(target: OffloadTarget | undefined, item: WorkItem): boolean {
+    if (target === undefined) return false;
+    if (target.domain !== undefined) this.board.noteSent(target.domain, item);
+    this.push(redirectOf(item, target, this.home));
+    return true;
+  }
+}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -11,7 +11,7 @@
   UpstreamId,
 } from '../types/ids.js';
 import {CapacityBoard} from './capacity_board.js';
-import {chooseUpstream, hasFailedOn} from './choose_upstream.js';
+import {chooseUpstream, hasFailedOn, untriedOf} from './choose_upstream.js';
 import {
   ADMISSION_SHARE_OF_TARGET,
   NO_UPSTREAM_CLOSED_MS,
@@ -19,17 +19,24 @@
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_PREFILL_SHARE,
 } from './constants.js';
-import {grantOf, passOf, redirectOf, refusalOf} from './decisions.js';
+import {grantOf, refusalOf} from './decisions.js';
 import {PrefillLoad} from './prefill_load.js';
 import {RetryBudget, type RetryBudgetOptions} from './retry_budget.js';
-import {forecast, isInTime, maxFirstAnswerMs, queueWaitMs} from './forecast.js';
+import {
+  canFinish,
+  forecast,
+  isInTime,
+  maxFirstAnswerMs,
+  queueWaitMs,
+} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
-import {OffloadPlanner, type OffloadTarget} from './offload_planner.js';
+import {Redirects} from './redirects.js';
 import type {
   CapacityDigest,
   Decision,
   RefusalReason,
   Release,
+  ReplacedUpstream,
   RunningPlacement,
   ServiceTraits,
   WorkItem,
@@ -56,7 +63,7 @@
 export class Scheduler {
   readonly pool: UpstreamPool;
   readonly board: CapacityBoard;
-  private readonly offloads: OffloadPlanner;
+  private readonly redirects: Redirects;
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
   private readonly prefillLoad = new PrefillLoad();
@@ -65,7 +72,9 @@
 
   constructor(private readonly options: SchedulerOptions) {
     this.board = new CapacityBoard(options.region);
-    this.offloads = new OffloadPlanner(this.board);
+    this.redirects = new Redirects(options.region, this.board, decision =>
+      this.decisions.push(decision),
+    );
     this.pool = new UpstreamPool(options.traits, options.onPoolChange);
     this.retryBudget = new RetryBudget(options.retries);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
@@ -90,7 +99,8 @@
       this.refuse(item, 'too_large', 0, nowMs);
       return;
     }
-    this.admit(item, nowMs);
+    if (item.replaces !== undefined) this.replace(item, item.replaces, nowMs);
+    else this.admit(item, nowMs);
   }
 
   /** Ends placements. */
@@ -112,21 +122,13 @@
     placements: readonly RunningPlacement[],
     nowMs: number,
   ): void {
-    this.pool.all().forEach(each => each.removeEntry(entry));
-    placements.forEach(({item, upstreamId}) =>
-      this.pool.get(upstreamId)?.adopt(item, nowMs),
-    );
+    this.pool.syncEntry(entry, placements, nowMs);
   }
 
   /** Removes the queued requests and placements of unknown entries. */
   pruneEntries(isKnown: (entry: InstanceId) => boolean): void {
     this.queue.removeEntries(entry => !isKnown(entry));
-    this.pool.all().forEach(upstream =>
-      upstream
-        .entries()
-        .filter(entry => !isKnown(entry))
-        .forEach(entry => upstream.removeEntry(entry)),
-    );
+    this.pool.pruneEntries(isKnown);
   }
 
   setEvacuated(domains: readonly DomainId[], nowMs: number): void {
@@ -177,6 +179,27 @@
     };
   }
 
+  // A request that runs elsewhere does not wait in the queue: its upstream may
+  // answer meanwhile.
+  private replace(
+    item: WorkItem,
+    {upstreamId, domain}: ReplacedUpstream,
+    nowMs: number,
+  ): void {
+    const isOwn = domain === this.options.domain;
+    if (isOwn && this.pool.isLost(upstreamId, nowMs)) {
+      this.refuse(item, 'upstream_down', 0, nowMs);
+      return;
+    }
+    const others = untriedOf(item, this.pool.usable(nowMs));
+    const upstream = this.choose(item, others, openOf(others, nowMs), nowMs);
+    if (upstream !== undefined && canFinish(item, upstream, nowMs)) {
+      this.grant(item, upstream, 0, nowMs);
+    } else if (!this.redirects.toSibling(item, nowMs)) {
+      this.refuse(item, 'no_replacement', 0, nowMs);
+    }
+  }
+
   private admit(item: WorkItem, nowMs: number): void {
     if (!item.isAllowedHere) {
       this.sendToAllowedRegion(item, nowMs);
@@ -186,10 +209,14 @@
     this.lane.noteArrival(item, usable, nowMs);
     this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
     if (this.offloadLongPrompt(item, usable, nowMs)) return;
-    if (hasFailedOn(item, usable) && this.passToSibling(item, nowMs)) return;
+    if (hasFailedOn(item, usable) && this.redirects.toSibling(item, nowMs)) {
+      return;
+    }
     if (usable.length === 0) {
-      if (this.offloadIfFaster(item, Number.POSITIVE_INFINITY, nowMs)) return;
-      if (this.passToSibling(item, nowMs)) return;
+      if (this.redirects.toFaster(item, Number.POSITIVE_INFINITY, nowMs)) {
+        return;
+      }
+      if (this.redirects.toSibling(item, nowMs)) return;
       // No upstream is known before the first reading of the list, so wait.
       if (this.pool.all().length === 0) this.enqueue(item, nowMs);
       else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
@@ -207,7 +234,7 @@
       return;
     }
     const expectedMs = expected.waitMs + expected.answerMs;
-    if (this.offloadIfFaster(item, expectedMs, nowMs)) return;
+    if (this.redirects.toFaster(item, expectedMs, nowMs)) return;
     const latestMs = maxFirstAnswerMs(item, expected.answerMs);
     const closedForMs = item.ageMs + expectedMs - latestMs;
     this.refuse(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
@@ -238,11 +265,7 @@
   }
 
   private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
-    const target = this.offloads.allowedTarget(item, nowMs);
-    if (target !== undefined) {
-      this.redirect(target, item);
-      return;
-    }
+    if (this.redirects.toAllowedRegion(item, nowMs)) return;
     this.refuse(
       item,
       'no_upstream',
@@ -252,21 +275,7 @@
     );
   }
 
-  private redirect(target: OffloadTarget, item: WorkItem): void {
-    if (target.domain !== undefined) this.board.noteSent(target.domain, item);
-    this.decisions.push(redirectOf(item, target, this.options.region));
-  }
-
-  /** Passes the request to another domain of the region, if there is one. */
-  private passToSibling(item: WorkItem, nowMs: number): boolean {
-    const domain = this.board.siblingDomain(item, nowMs);
-    if (domain === undefined) return false;
-    this.board.noteSent(domain, item);
-    this.decisions.push(passOf(item, domain));
-    return true;
-  }
-
-  /** Offloads a long prompt to a domain with a lower prefill share. */
+  /** Offloads a long prompt from a domain with a high prefill share. */
   private offloadLongPrompt(
     item: WorkItem,
     usable: readonly UpstreamState[],
@@ -275,10 +284,9 @@
     const readShare = this.prefillLoad.share(usable, nowMs);
     const isOverThreshold =
       readShare > OFFLOAD_PREFILL_SHARE && this.lane.isLong(item, nowMs);
-    if (!isOverThreshold) return false;
-    const target = this.offloads.lessLoadedTarget(item, readShare, nowMs);
-    if (target !== undefined) this.redirect(target, item);
-    return target !== undefined;
+    return (
+      isOverThreshold && this.redirects.toLessLoaded(item, readShare, nowMs)
+    );
   }
 
   /** Grants, ends or keeps a queued request; returns true if it was granted. */
@@ -324,7 +332,7 @@
     nowMs: number,
   ): void {
     const waitedMs = item.ageMs + queuedMs;
-    if (usable.length === 0 && this.passToSibling(item, nowMs)) {
+    if (usable.length === 0 && this.redirects.toSibling(item, nowMs)) {
       this.queue.remove(item.requestId);
       return;
     }
@@ -333,7 +341,7 @@
     if (!hasNoUpstream && !isLate) return;
     this.queue.remove(item.requestId);
     const aged = {...item, ageMs: waitedMs};
-    if (this.offloadIfFaster(aged, Number.POSITIVE_INFINITY, nowMs)) return;
+    if (this.redirects.toFaster(aged, Number.POSITIVE_INFINITY, nowMs)) return;
     if (hasNoUpstream) {
       this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
       return;
@@ -360,16 +368,6 @@
     this.decisions.push(decision);
   }
 
-  private offloadIfFaster(
-    item: WorkItem,
-    localExpectedMs: number,
-    nowMs: number,
-  ): boolean {
-    const target = this.offloads.fasterTarget(item, localExpectedMs, nowMs);
-    if (target !== undefined) this.redirect(target, item);
-    return target !== undefined;
-  }
-
   private refuse(
     item: WorkItem,
     reason: RefusalReason,
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -25,6 +25,13 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** The upstream at which a request makes no progress. */
+export interface ReplacedUpstream {
+  readonly upstreamId: UpstreamId;
+  /** The domain whose scheduler granted it. */
+  readonly domain: DomainId;
+}
+
 /** A request that waits for an upstream. */
 export interface WorkItem {
   readonly requestId: RequestId;
@@ -44,6 +51,11 @@
   readonly avoidUpstreams: readonly UpstreamId[];
   /** Whether this is a retry: an upstream received the request before. */
   readonly isRepeat: boolean;
+  /**
+   * Set if the request runs at an upstream without progress and would move to
+   * another one. It is granted at once or not at all.
+   */
+  readonly replaces?: ReplacedUpstream;
   /** False if its route excludes the region of the scheduler. */
   readonly isAllowedHere: boolean;
   /** Allowed offload regions; empty if it was offloaded from another region. */
@@ -85,7 +97,11 @@
   | 'too_large'
   | 'expired'
   | 'retry_budget'
-  | 'unscheduled';
+  | 'unscheduled'
+  /** No other upstream can take a request in place of its present one. */
+  | 'no_replacement'
+  /** The upstream that would be replaced is down or gone. */
+  | 'upstream_down';
 
 /** The decision of a scheduler on one request. */
 export type Decision =
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,11 +1,12 @@
 /** Tracks the upstreams of one service from the list, releases and probes. */
-import type {DomainId, UpstreamId} from '../types/ids.js';
+import type {DomainId, InstanceId, UpstreamId} from '../types/ids.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import type {
   ListedUpstream,
   PlacementOutcome,
   Release,
+  RunningPlacement,
   ServiceTraits,
   WorkItem,
 } from './types.js';
@@ -33,7 +34,6 @@
 const DOWN_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   'broken',
   'unreachable',
-  'silent',
 ]);
 /**
  * The rate limit of a cold upstream applies to any one-second window, including
@@ -41,6 +41,8 @@
  */
 const COLD_MARGIN_MS = 1_050;
 const RECENT_ANSWER_MS = 700;
+/** Covers two more probes after the one that marked the upstream as down. */
+const CONFIRMED_DOWN_MS = 1_000;
 /** Upstreams with a higher share of failed requests are avoided. */
 const MAX_FAILURE_SHARE = 0.5;
 /** Time for which an upstream of a restored domain is assumed to be cold. */
@@ -116,15 +118,38 @@
     reading.upstreams.forEach(listed => this.applyListed(listed, reading));
   }
 
+  /** Replaces the placements of an entry by those that it reports. */
+  syncEntry(
+    entry: InstanceId,
+    placements: readonly RunningPlacement[],
+    nowMs: number,
+  ): void {
+    this.states.forEach(each => each.removeEntry(entry));
+    placements.forEach(({item, upstreamId}) =>
+      this.states.get(upstreamId)?.adopt(item, nowMs),
+    );
+  }
+
+  /** Removes the placements of unknown entries. */
+  pruneEntries(isKnown: (entry: InstanceId) => boolean): void {
+    this.states.forEach(upstream =>
+      upstream
+        .entries()
+        .filter(entry => !isKnown(entry))
+        .forEach(entry => upstream.removeEntry(entry)),
+    );
+  }
+
   /** Ends a placement and marks the upstream down if the outcome says so. */
   end(release: Release, nowMs: number): void {
     const state = this.states.get(release.upstreamId);
     if (state === undefined) return;
     state.end(release, nowMs);
-    if (DOWN_OUTCOMES.has(release.outcome) && !state.isDown) {
-      state.isDown = true;
-      this.reportChange('down', state, release.outcome);
+    if (state.isDown) return;
+    if (DOWN_OUTCOMES.has(release.outcome)) {
+      this.markDown(state, release.outcome, nowMs);
     }
+    if (release.outcome === 'silent') this.markSuspected(state, nowMs);
   }
 
   /** Marks a stalled upstream as suspected until a probe is answered. */
@@ -133,9 +158,17 @@
     if (state === undefined || state.isDown) return;
     // Counted as a failure: its health check may pass although it is stalled.
     state.noteStall(nowMs);
-    if (state.isSuspected) return;
-    state.isSuspected = true;
-    this.reportChange('suspected', state, 'stalled');
+    this.markSuspected(state, nowMs);
+  }
+
+  /**
+   * Whether an upstream is not listed, or has failed its probes for so long
+   * that requests which run on it will not complete.
+   */
+  isLost(upstreamId: UpstreamId, nowMs: number): boolean {
+    const state = this.states.get(upstreamId);
+    if (state === undefined) return true;
+    return state.isDown && nowMs - state.downSinceMs >= CONFIRMED_DOWN_MS;
   }
 
   /** Upstreams that are down or suspected and must be probed. */
@@ -155,8 +188,7 @@
     if (state === undefined || state.isDown) return;
     state.isSuspected = false;
     if (nowMs - state.answeredAtMs < RECENT_ANSWER_MS) return;
-    state.isDown = true;
-    this.reportChange('down', state, 'probe');
+    this.markDown(state, 'probe', nowMs);
   }
 
   /** Records an answered probe; the upstream reports `coldRemainingMs`. */
@@ -208,6 +240,20 @@
     applyCold(known, listed, reading);
   }
 
+  private markDown(state: UpstreamState, cause: string, nowMs: number): void {
+    state.isDown = true;
+    state.downSinceMs = nowMs;
+    this.reportChange('down', state, cause);
+  }
+
+  // An upstream that has just answered another request needs no probe.
+  private markSuspected(state: UpstreamState, nowMs: number): void {
+    const hasAnswered = nowMs - state.answeredAtMs < RECENT_ANSWER_MS;
+    if (state.isSuspected || hasAnswered) return;
+    state.isSuspected = true;
+    this.reportChange('suspected', state, 'stalled');
+  }
+
   private reportChange(
     kind: PoolChange['kind'],
     state: UpstreamState,
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -60,6 +60,8 @@
   readonly pacer = new StartPacer();
   /** Set until a probe succeeds. */
   isDown = false;
+  /** When it was last marked as down. */
+  downSinceMs = 0;
   /** An entry reported a stall; a probe decides whether it is down. */
   isSuspected = false;
   /** When it last completed a request successfully. */
