Tell the scheduler when an engine has not begun a request in time

Cause: the scheduler predicts how far an engine has read its prompts and learns the engine's real speed only when streams end, 5 s later.

An entry now reports a first event that is overdue, and its arrival; without either no message is sent. While a prompt is overdue, those after it count as unread.

The spec fails without the reports: a prompt waits over 3 s at an engine three times slower than predicted; with them at most 2.25 s (three prompts).

--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -32,6 +32,15 @@
 /** One message from an entry to the scheduler of a service in a domain. */
 export type SubmissionPart = {readonly domain: DomainId} & SubmissionBody;
 
+/** How a granted request fares at its upstream. */
+export type PlacementReport =
+  /** The upstream has sent nothing for so long that it may be down. */
+  | 'stalled'
+  /** The engine has not begun the request by the expected time. */
+  | 'overdue'
+  /** The engine has begun a request that was overdue. */
+  | 'begun';
+
 type SubmissionBody =
   | {readonly kind: 'item'; readonly item: WorkItem}
   | {
@@ -44,11 +53,11 @@
       readonly service: ServiceId;
       readonly requestId: RequestId;
     }
-  /** An upstream has sent nothing for longer than expected. */
   | {
-      readonly kind: 'stalled';
+      readonly kind: PlacementReport;
       readonly service: ServiceId;
       readonly upstreamId: UpstreamId;
+      readonly requestId: RequestId;
     }
   /** All requests of the entry that run on a service, for a new scheduler. */
   | {
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -18,20 +18,14 @@
   WorkItem,
 } from '../scheduling/types.js';
 import type {GatewayError} from '../types/errors.js';
-import type {
-  DomainId,
-  InstanceId,
-  RegionId,
-  RequestId,
-  ServiceId,
-  UpstreamId,
-} from '../types/ids.js';
+import type {DomainId, InstanceId, RegionId, RequestId} from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
 import {cancelledPlacements} from './decision_sender.js';
 import type {DomainChoice} from './domain_choice.js';
 import type {SchedulerScope} from './scheduler_host.js';
 import {
   SUBMIT_METHOD,
+  type PlacementReport,
   type SubmissionPart,
   type SubmissionReply,
 } from './messages.js';
@@ -59,6 +53,8 @@
   readonly submitHere: (parts: readonly SubmissionPart[]) => void;
 }
 
+type Grant = Extract<Decision, {kind: 'grant'}>;
+
 interface Pending {
   /** The request as it was on `acquire`. */
   readonly item: WorkItem;
@@ -167,14 +163,11 @@
     this.send(target, {kind: 'release', service, domain, release}, delayMs);
   }
 
-  /** Reports an upstream that has sent nothing for longer than expected. */
-  reportStalled(
-    service: ServiceId,
-    domain: DomainId,
-    upstreamId: UpstreamId,
-  ): void {
-    const target = this.schedulerOf({service, domain});
-    this.send(target, {kind: 'stalled', service, domain, upstreamId});
+  /** Reports how a granted request fares at its upstream. */
+  report(kind: PlacementReport, grant: Grant): void {
+    const {service, domain, upstreamId, requestId} = grant;
+    const target = this.schedulerOf(grant);
+    this.send(target, {kind, service, domain, upstreamId, requestId});
   }
 
   /** Handles decisions received from a scheduler. */
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -254,6 +254,12 @@
         return scheduler.cancel(part.requestId);
       case 'stalled':
         return scheduler.pool.suspect(part.upstreamId, nowMs);
+      case 'overdue':
+        return scheduler.pool.get(part.upstreamId)?.noteOverdue(part.requestId);
+      case 'begun':
+        return scheduler.pool
+          .get(part.upstreamId)
+          ?.noteBegun(part.requestId, nowMs);
       case 'running':
         return scheduler.syncRunning(from, part.placements, nowMs);
     }
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -168,7 +168,7 @@
       },
       release: ({upstreamId, outcome}: Record<string, string>) =>
         note(`released ${upstreamId}: ${outcome}`),
-      reportStalled: () => undefined,
+      report: () => undefined,
     },
     connections: {
       pool: (address: string) =>
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -24,6 +24,7 @@
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
+import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
@@ -186,11 +187,16 @@
 
   private async sendToUpstream(grant: Grant): Promise<TryResult> {
     const {context, request} = this;
-    const {upstreamId, address} = grant;
+    const {upstreamId} = grant;
     this.lastGrant = grant;
     const sentAtMs = monotonicNowMs();
     this.firstAnswerMs = 0;
-    const reader = this.createReader(sentAtMs, grant);
+    const monitor = new ProgressMonitor({
+      ...context,
+      grant,
+      hasPrompt: request.traits.prompt !== undefined,
+    });
+    const reader = this.createReader(sentAtMs, monitor);
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
       remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
@@ -214,6 +220,7 @@
       onStallAction: action =>
         context.log.write('stalled', request, roundNumbers({...action})),
     }).run();
+    monitor.stop();
     this.replacement = replacement;
     const result = this.interpret(end, reader);
     const outcome = outcomeOf(end, result, reader);
@@ -225,12 +232,6 @@
       totalMs: monotonicNowMs() - sentAtMs,
     });
     this.recordOutcome(grant, outcome, sentAtMs, causeOf(end, reader));
-    const progressAtMs = Math.max(sentAtMs, reader.progressAtMs);
-    const isUpstreamSilent =
-      context.paces.progressAtMs(upstreamId) <= progressAtMs;
-    if (outcome === 'silent' && isUpstreamSilent) {
-      context.connections.retire(address, upstreamId);
-    }
     if (result.kind !== 'delivered') this.failedUpstreams.push(upstreamId);
     return result;
   }
@@ -254,8 +255,11 @@
     return result;
   }
 
-  // Without a grant, the response comes from another entry.
-  private createReader(sentAtMs: number, grant?: Grant): ResponseReader {
+  // Without a monitor, the response comes from another entry.
+  private createReader(
+    sentAtMs: number,
+    monitor?: ProgressMonitor,
+  ): ResponseReader {
     const {context, request, response, progress} = this;
     return new ResponseReader({
       protocol: context.protocol,
@@ -264,14 +268,11 @@
       isStream: request.route.kind === 'stream',
       isResumable: request.route.isResumable,
       progress,
-      isFromPeer: grant === undefined,
+      isFromPeer: monitor === undefined,
       onResponseStart: () => {
         this.firstAnswerMs = Math.max(1, monotonicNowMs() - sentAtMs);
       },
-      onProgress: (previousAtMs, nowMs) => {
-        if (grant === undefined) return;
-        context.paces.noteProgress(grant, {sentAtMs, previousAtMs, nowMs});
-      },
+      ...(monitor === undefined ? {} : {onProgress: monitor.record}),
     });
   }
 
@@ -355,11 +356,9 @@
     const totalMs = monotonicNowMs() - request.receivedAtMs;
     const hasRun = this.runs > 0;
     const status = sendFinalResponse(result, response, hasRun, request);
-    context.metrics.recordMs('request_ms', {kind: request.route.kind}, totalMs);
-    context.metrics.count('requests', {
-      route: request.route.name,
-      result: result.kind,
-    });
+    const {name, kind} = request.route;
+    context.metrics.recordMs('request_ms', {kind}, totalMs);
+    context.metrics.count('requests', {route: name, result: result.kind});
     context.log.end(this.request, result, {
       status,
       upstream: this.lastGrant?.upstreamId,
@@ -381,17 +380,17 @@
     cause: string | undefined,
   ): void {
     const {context, request} = this;
-    context.metrics.count('upstream_tries', {
-      service: request.service,
-      outcome,
-    });
+    const {service} = request;
+    context.metrics.count('upstream_tries', {service, outcome});
     if (outcome === 'answered') return;
     context.log.write('upstream_outcome', request, {
+      ...roundNumbers({
+        firstAnswerMs: this.firstAnswerMs,
+        totalMs: monotonicNowMs() - sentAtMs,
+      }),
       upstream: grant.upstreamId,
       outcome,
       cause,
-      firstAnswerMs: Math.round(this.firstAnswerMs),
-      totalMs: Math.round(monotonicNowMs() - sentAtMs),
     });
   }
 }
--- a/src/node/ingress/upstream_try.ts
+++ b/src/node/ingress/upstream_try.ts
@@ -4,6 +4,7 @@
  * request, or its own is known to be down: until then the upstream may still
  * answer, and giving up would lose the work that it has done.
  */
+import {monotonicNowMs} from '../clock/clock.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
 import type {UpstreamId} from '../types/ids.js';
@@ -50,6 +51,7 @@
 
 /** Runs one try; used once. */
 export class UpstreamTry {
+  private readonly startedAtMs = monotonicNowMs();
   private readonly giveUp = new AbortController();
   private readonly search = new AbortController();
   private replacement: Grant | undefined;
@@ -72,22 +74,33 @@
       this.cancelReplacement();
       return {end, replacement: undefined};
     }
+    this.retireSilentConnections();
     return {
       end: {kind: 'broken', cause: RESPONSE_TIMEOUT_CAUSE},
       replacement: this.replacement,
     };
   }
 
+  // Idle connections to an upstream that has sent nothing since may be dead too.
+  private retireSilentConnections(): void {
+    const {connections, paces, grant, reader} = this.options;
+    const {address, upstreamId} = grant;
+    const lastMs = Math.max(this.startedAtMs, reader.progressAtMs);
+    if (paces.progressAtMs(upstreamId) <= lastMs) {
+      connections.retire(address, upstreamId);
+    }
+  }
+
   private createDetector(): StallDetector {
     const {scheduler, paces, grant, reader, targetGapMs} = this.options;
-    const {service, domain, upstreamId, expectedMs} = grant;
+    const {upstreamId, expectedMs} = grant;
     return new StallDetector({
       upstreamId,
       paces,
       expectedMs,
       targetGapMs,
       progressAtMs: () => reader.progressAtMs,
-      onSuspect: () => scheduler.reportStalled(service, domain, upstreamId),
+      onSuspect: () => scheduler.report('stalled', grant),
       onStalled: stall => void this.seekReplacement(stall),
     });
   }
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -10,6 +10,7 @@
   PREFILL_TOKENS_PER_MS,
   USABLE_CACHE_SHARE,
 } from './constants.js';
+import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
 import {sharedTokens, type PromptEstimates} from './prompt_estimates.js';
 import {SlotOvercommit} from './slot_overcommit.js';
@@ -29,6 +30,8 @@
   readonly expectedMs: number;
   /** Tokens not shared with other requests. */
   readonly ownTokens: number;
+  /** Whether its first answer was recorded. */
+  hasBegun: boolean;
 }
 
 /** Outcomes that count against the upstream's health. */
@@ -71,7 +74,7 @@
   /** Readings of the list from before this time cannot mark it warm. */
   minWarmReadAtMs = 0;
   private readonly placements = new Map<RequestId, Placement>();
-  private prefillUntilMs = 0;
+  private readonly prefill = new PrefillBacklog();
   private usedTokens = 0;
   /** Expected output tokens, summed over the placements. */
   private outputTokens = 0;
@@ -129,7 +132,7 @@
 
   /** Time until the prefill of all prompts sent to it is done. */
   backlogMs(nowMs: number): number {
-    return Math.max(0, this.prefillUntilMs - nowMs);
+    return this.prefill.remainingMs(nowMs);
   }
 
   isCold(nowMs: number): boolean {
@@ -197,8 +200,7 @@
   /** Records a request that is sent to it now. */
   start(item: WorkItem, nowMs: number): void {
     const expectedMs = this.expectedMs(item, nowMs);
-    this.prefillUntilMs =
-      Math.max(this.prefillUntilMs, nowMs) + this.prefillMs(item, nowMs);
+    this.prefill.add(item.requestId, this.prefillMs(item, nowMs), nowMs);
     if (this.isCold(nowMs)) {
       this.pacer.noteStart(this.traits.coldRequestsPerS, nowMs);
     }
@@ -224,6 +226,19 @@
     this.updateEstimates(placement, release);
   }
 
+  /** Records that a request was not begun by the expected time. */
+  noteOverdue(requestId: RequestId): void {
+    if (this.placements.has(requestId)) this.prefill.noteOverdue(requestId);
+  }
+
+  /** Records that a request which was overdue has begun. */
+  noteBegun(requestId: RequestId, nowMs: number): void {
+    const placement = this.placements.get(requestId);
+    if (placement === undefined) return;
+    this.prefill.noteBegun(requestId, nowMs);
+    this.noteFirstAnswer(placement, nowMs - placement.startedAtMs);
+  }
+
   /** Removes placements whose release never arrived. */
   expire(nowMs: number): void {
     if (nowMs < this.nextExpiryCheckAtMs) return;
@@ -251,7 +266,7 @@
     this.cache.clear();
     this.usedTokens = 0;
     this.outputTokens = 0;
-    this.prefillUntilMs = 0;
+    this.prefill.clear();
     this.failureShare = 0;
     this.overcommit.reset();
   }
@@ -281,6 +296,7 @@
       startedAtMs: nowMs,
       ownTokens,
       expectedMs,
+      hasBegun: false,
       expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
     });
     this.usedTokens += ownTokens;
@@ -300,16 +316,22 @@
       this.serviceMs += AVERAGE_WEIGHT * (release.totalMs - this.serviceMs);
       return;
     }
-    // For a short prompt, network delay dominates the time to first answer.
-    const {expectedMs} = placement;
-    if (release.firstAnswerMs <= 0 || expectedMs < MIN_SAMPLE_MS) return;
-    const ratio = (this.slowness * release.firstAnswerMs) / expectedMs;
+    this.noteFirstAnswer(placement, release.firstAnswerMs);
+  }
+
+  // For a short prompt, network delay dominates the time to first answer.
+  private noteFirstAnswer(placement: Placement, firstAnswerMs: number): void {
+    const {expectedMs, hasBegun} = placement;
+    if (hasBegun || firstAnswerMs <= 0 || expectedMs < MIN_SAMPLE_MS) return;
+    placement.hasBegun = true;
+    const ratio = (this.slowness * firstAnswerMs) / expectedMs;
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
     this.slowness += SLOWNESS_WEIGHT * (bounded - this.slowness);
   }
 
   private removePlacement(placement: Placement): void {
     this.placements.delete(placement.item.requestId);
+    this.prefill.remove(placement.item.requestId);
     this.usedTokens -= placement.ownTokens;
     this.outputTokens -= placement.item.prompt?.expectedOutputTokens ?? 0;
   }
