Keep idle connections to upstreams as long as these announce

Cause: an idle connection was closed after 4 s, while upstreams announce 10 s in `keep-alive`. Connections are taken in a fixed order, so the spares idle after a peak; the limit is now the announced time less 1 s, 60 s at most, and stays 4 s where nothing is announced.

The spec fails before: two connections for two requests 7 s apart.

--- a/src/node/ingress/__tests__/exchange.spec.ts
+++ b/src/node/ingress/__tests__/exchange.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {createServer, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {ConnectionPools} from '../connections.js';
 import {exchange, type ExchangeEnd} from '../exchange.js';
 
@@ -87,3 +87,60 @@
   await connections.close();
   assert.equal(end.kind, 'not_sent');
 });
+
+const IDLE_MS = 7_000;
+const TICK_MS = 100;
+
+/** Connections that two requests use which are `IDLE_MS` apart. */
+async function connectionsUsed(
+  t: TestContext,
+  keepAlive: string,
+): Promise<number> {
+  let connectionCount = 0;
+  const server = createServer(socket => {
+    connectionCount += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () =>
+      socket.write(`${HEAD}${keepAlive}content-length: 2\r\n\r\nok`),
+    );
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const connections = new ConnectionPools();
+  const request = {
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+  };
+  const send = (): Promise<ExchangeEnd> =>
+    exchange(
+      connections.pool(`127.0.0.1:${port}`),
+      request,
+      {onHead: () => undefined, onData: () => true},
+      new AbortController().signal,
+    );
+  await send();
+  await Array.from({length: IDLE_MS / TICK_MS}).reduce<Promise<void>>(
+    async before => {
+      await before;
+      t.mock.timers.tick(TICK_MS);
+      await new Promise(resolve => setImmediate(resolve));
+    },
+    Promise.resolve(),
+  );
+  await send();
+  t.mock.timers.reset();
+  await connections.close();
+  server.close();
+  return connectionCount;
+}
+
+// Guards against connections that are closed after 4 s although the upstream
+// keeps them for longer: each new one costs the upstream and delays a request.
+test('an idle connection is kept as long as its upstream announces', async t => {
+  assert.equal(await connectionsUsed(t, 'keep-alive: timeout=10\r\n'), 1);
+  assert.equal(await connectionsUsed(t, 'keep-alive: timeout=5\r\n'), 2);
+  assert.equal(await connectionsUsed(t, ''), 2);
+});
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -5,6 +5,8 @@
 
 /** Idle connections are closed before the peer does: a reset costs a try. */
 const IDLE_CONNECTION_MS = 4_000;
+/** Ceiling on the idle time that a peer announces. */
+const MAX_IDLE_CONNECTION_MS = 60_000;
 /** A pool unused for this long most likely belongs to a removed address. */
 const IDLE_POOL_MS = 30_000;
 const SWEEP_INTERVAL_MS = 5_000;
@@ -61,7 +63,7 @@
       pipelining: 1,
       connect: connectWithResetErrors,
       keepAliveTimeout: IDLE_CONNECTION_MS,
-      keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
       keepAliveTimeoutThreshold: 1_000,
       maxHeaderSize: 65_536,
     });
