Report no backlog for a rank that the admission queue does not have yet

Cause: `configure` replaces the queue with a message to its actor; the loop that summarizes the domain reads the ranks of the new configuration meanwhile. No request of such a rank can be queued, so its backlog is 0. The spec throws before.

--- a/src/node/decisions/__tests__/admission.spec.ts
+++ b/src/node/decisions/__tests__/admission.spec.ts
@@ -276,3 +276,10 @@
   assert.equal(causeOf(batch(14, 'd')), 'queued');
   assert.equal(causeOf(batch(15, 'e')), 'queue_full');
 });
+
+// Guards against an entry that exits at its start: it summarizes the backlog of
+// the ranks of a new configuration before the queue was replaced.
+test('a rank of a configuration that is not in force yet has no backlog', () => {
+  const admission = queue(4);
+  assert.equal(admission.backlogMs(POOL, asId<RankId>('new'), 0), 0);
+});
--- a/src/node/decisions/admission/admission_queue.ts
+++ b/src/node/decisions/admission/admission_queue.ts
@@ -108,8 +108,12 @@
     return this.pool(request.poolId).predictWaitMs(request, nowMs);
   }
 
-  /** Time until all requests of a rank that are queued now have started. */
+  /**
+   * Time until all requests of a rank that are queued now have started; 0 for
+   * a rank of a configuration that this queue does not have yet.
+   */
   backlogMs(poolId: PoolId, rankId: RankId, nowMs: number): number {
+    if (!this.ranks.some(rank => rank.rankId === rankId)) return 0;
     return this.pool(poolId).backlogMs(rankId, nowMs);
   }
 
