Pause the clock in two specs that waited on real limits of 200 to 300 ms

`an unreachable domain is reported as not run, an unresponsive one as unknown` (KNOWN-RED) is of the same class.

--- a/src/node/adapters/upstream/__tests__/plain_http.spec.ts
+++ b/src/node/adapters/upstream/__tests__/plain_http.spec.ts
@@ -7,6 +7,10 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {
+  pauseClockForIo,
+  runWhile,
+} from '../../../__tests__/support/paused_io.js';
 import {matchSnapshot} from '../../../__tests__/support/snapshot.js';
 import {monotonicNowMs} from '../../../clock/clock.js';
 import {asId, type UpstreamId} from '../../../types/ids.js';
@@ -121,7 +125,8 @@
 // Guards against a call that is reported as not run, or retried, although the
 // service may have run it.
 test('each kind of answer maps to its outcome', async t => {
-  const outcomes = await Promise.all(
+  pauseClockForIo(t);
+  const dispatched = Promise.all(
     Object.entries(ANSWERS).map(async ([name, answer]) => {
       const service = await startService(t, (request, response) => {
         void readBody(request).then(() => answer(response, request));
@@ -130,6 +135,7 @@
       return [name, {...(describe(outcome) as object), sent: service.received}];
     }),
   );
+  const outcomes = await runWhile(t, dispatched);
   matchSnapshot(import.meta.url, 'answers', Object.fromEntries(outcomes));
 });
 
--- a/src/node/entry/__tests__/http_forwarding.spec.ts
+++ b/src/node/entry/__tests__/http_forwarding.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {createServer} from 'node:http';
 import {test, type TestContext} from 'node:test';
+import {pauseClockForIo, runWhile} from '../../__tests__/support/paused_io.js';
 import {closeServer, listen} from '../../http/server.js';
 import {asId} from '../../types/ids.js';
 import {toGatewayError, type GatewayError} from '../../types/errors.js';
@@ -107,8 +108,9 @@
 });
 
 test('an unreachable domain is reported as not run, an unresponsive one as unknown', async t => {
+  pauseClockForIo(t);
   const silent = await startRawServer(t, () => undefined);
-  const outcomes = await Promise.all(
+  const answers = Promise.all(
     [await refusingAddress(), silent].map(async inner => {
       const envelope = envelopeOf(STREAM, 200);
       const {address} = await startForwarding(t, inner, envelope);
@@ -117,6 +119,7 @@
       return [error['code'], error['work']];
     }),
   );
+  const outcomes = await runWhile(t, answers);
   assert.deepEqual(outcomes, [
     ['unreachable', 'not_run'],
     ['unreachable', 'unknown'],
