Send changes of the fleet view instead of the complete view

Entries paid for each change with the complete list: when one of 194 entries joined, stopped or changed its flags, each of 6 control members sent about 50 kB to each entry, most of it between regions. So the bytes of a start or a roll grew with the square of the number of entries. Each of the 15 replies a second also made an entry merge six complete lists again.

Announcements, their interval and the expiry of an entry stay as they are, so one that goes is noticed as soon as before. Views are merged only when one of them has changed.

--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -66,7 +66,7 @@
 ): ListReader {
   const members = new FleetMembers(() => self);
   const view = {viewId: 'v', entries, controlMembers: []};
-  members.updateView(CONTROL, view, performance.now());
+  members.updateView(CONTROL, {view}, performance.now());
   const router = new RpcRouter();
   const client = network.attach(self.innerAddress, self.instanceId, router);
   const reader = new ListReader({
--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -74,7 +74,7 @@
     const members = new FleetMembers(() => instance);
     members.updateView(
       asId<InstanceId>('control'),
-      {viewId: '1', entries: instances, controlMembers: []},
+      {view: {viewId: '1', entries: instances, controlMembers: []}},
       monotonicNowMs(),
     );
     const router = new RpcRouter();
--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -30,8 +30,11 @@
   };
 }
 
-function view(viewId: string, entries: readonly EntryInstance[]): FleetView {
-  return {viewId, entries, controlMembers: []};
+function view(
+  viewId: string,
+  entries: readonly EntryInstance[],
+): {view: FleetView} {
+  return {view: {viewId, entries, controlMembers: []}};
 }
 
 // Guards against callers that are sent to another region, to an entry that is
@@ -125,7 +128,7 @@
     view('1', [self, entry('n2', 'north')]),
     0,
   );
-  members.updateView(asId<InstanceId>('c1'), undefined, 60_000);
+  members.updateView(asId<InstanceId>('c1'), {}, 60_000);
   assert.equal(members.liveEntries(asId<RegionId>('north'), 60_000).length, 2);
 });
 
--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -98,6 +98,7 @@
       entry: members.self(),
       revision: currentState().revision,
       viewId: members.viewIdOf(instanceId),
+      acceptsChanges: true,
     };
     this.pendingCalls.add(instanceId);
     const reply = await client.call<AnnouncementReply>(
@@ -113,7 +114,7 @@
     if (incarnation > members.self().incarnation) {
       this.options.onStaleIncarnation(incarnation);
     }
-    members.updateView(instanceId, reply.value.view, monotonicNowMs());
+    members.updateView(instanceId, reply.value, monotonicNowMs());
     if (reply.value.revision > currentState().revision) {
       await this.fetchState(innerAddress);
     }
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -1,7 +1,12 @@
 /** An entry's list of the other instances, merged from all control members. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {VIEW_EXPIRY_MS} from './constants.js';
-import type {ControlInstance, EntryInstance, FleetView} from './messages.js';
+import type {
+  AnnouncementReply,
+  ControlInstance,
+  EntryInstance,
+  FleetView,
+} from './messages.js';
 import {lowestRanked, rankOf} from './rendezvous.js';
 
 /** A failure domain with its region. */
@@ -15,6 +20,9 @@
   readonly renewedAtMs: number;
 }
 
+/** The part of a reply that updates the view. */
+export type ViewUpdate = Pick<AnnouncementReply, 'view' | 'changes'>;
+
 /** How long a peer that did not respond is skipped. */
 const SUSPICION_TIMEOUT_MS = 1_500;
 const MAX_RELAY_TARGETS = 4;
@@ -27,6 +35,8 @@
 export class FleetMembers {
   private readonly views = new Map<InstanceId, StoredView>();
   private readonly suspectUntilMs = new Map<InstanceId, number>();
+  /** The views from which the fields below were merged. */
+  private mergedViews: readonly FleetView[] = [];
   private merged: readonly EntryInstance[] = [];
   private controls: readonly ControlInstance[] = [];
 
@@ -37,16 +47,13 @@
     return this.views.get(control)?.view.viewId ?? '';
   }
 
-  /** Records the reply of a control member; no `view` means no change. */
-  updateView(
-    control: InstanceId,
-    view: FleetView | undefined,
-    nowMs: number,
-  ): void {
-    const storedView = view ?? this.views.get(control)?.view;
-    if (storedView === undefined) return;
-    this.views.set(control, {view: storedView, renewedAtMs: nowMs});
-    this.merge(nowMs);
+  /** Records the reply of a control member. */
+  updateView(control: InstanceId, reply: ViewUpdate, nowMs: number): void {
+    const held = this.views.get(control)?.view;
+    const view = updatedView(held, reply);
+    if (view === undefined) return;
+    this.views.set(control, {view, renewedAtMs: nowMs});
+    this.mergeIfChanged(nowMs);
   }
 
   /** Drops the view of a control member that has a new one after a restart. */
@@ -144,15 +151,24 @@
       : this.merged.find(entry => entry.instanceId === instanceId);
   }
 
-  private merge(nowMs: number): void {
+  // Most replies change nothing, and merging takes time with many entries.
+  private mergeIfChanged(nowMs: number): void {
     const stored = [...this.views.values()];
     const current = stored.filter(
       each => nowMs - each.renewedAtMs <= VIEW_EXPIRY_MS,
     );
-    const used = current.length > 0 ? current : stored;
+    const used = (current.length > 0 ? current : stored).map(each => each.view);
+    const isSame =
+      used.length === this.mergedViews.length &&
+      used.every((view, position) => view === this.mergedViews[position]);
+    if (!isSame) this.merge(used);
+  }
+
+  private merge(used: readonly FleetView[]): void {
+    this.mergedViews = used;
     const newest = new Map<InstanceId, EntryInstance>();
     used
-      .flatMap(each => each.view.entries)
+      .flatMap(view => view.entries)
       .forEach(entry => {
         const known = newest.get(entry.instanceId);
         const isNewer =
@@ -164,7 +180,7 @@
     this.merged = [...newest.values()];
     const controls = new Map(
       used
-        .flatMap(each => each.view.controlMembers)
+        .flatMap(view => view.controlMembers)
         .map(control => [control.instanceId, control]),
     );
     this.controls = [...controls.values()];
@@ -174,3 +190,18 @@
 function idOf(entry: EntryInstance): InstanceId {
   return entry.instanceId;
 }
+
+/** The view after a reply; changes apply only to the view they start from. */
+function updatedView(
+  held: FleetView | undefined,
+  {view, changes}: ViewUpdate,
+): FleetView | undefined {
+  if (view !== undefined) return view;
+  if (changes === undefined || held?.viewId !== changes.sinceViewId) {
+    return held;
+  }
+  const {viewId, changed, removed, controlMembers} = changes;
+  const replaced = new Set([...removed, ...changed.map(idOf)]);
+  const kept = held.entries.filter(each => !replaced.has(each.instanceId));
+  return {viewId, entries: [...kept, ...changed], controlMembers};
+}
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -1,7 +1,14 @@
 /** The live entries that have announced themselves to one control member. */
-import type {DomainId, RegionId} from '../types/ids.js';
+import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {ENTRY_EXPIRY_MS} from './constants.js';
-import type {ControlInstance, EntryInstance, FleetView} from './messages.js';
+import type {
+  Announcement,
+  AnnouncementReply,
+  ControlInstance,
+  EntryInstance,
+  FleetView,
+} from './messages.js';
+import {ViewHistory} from './view_history.js';
 
 /**
  * Callers are kept away from entries that schedule for others, whose late
@@ -30,15 +37,17 @@
 
 /** Entries with a recent announcement, in memory only. */
 export class InstanceRegistry {
-  private readonly announced = new Map<string, AnnouncedEntry>();
-  private changes = 0;
+  private readonly announced = new Map<InstanceId, AnnouncedEntry>();
+  private readonly history: ViewHistory;
   private view: FleetView | undefined;
 
   /** `epoch` differs for each start of the process. */
   constructor(
-    private readonly epoch: string,
+    epoch: string,
     private readonly onChange: (change: RegistryChange) => void,
-  ) {}
+  ) {
+    this.history = new ViewHistory(epoch);
+  }
 
   /** Latest known incarnation of an instance; 0 if it is unknown. */
   incarnationOf(instanceId: EntryInstance['instanceId']): number {
@@ -50,10 +59,7 @@
     const known = this.announced.get(entry.instanceId);
     if (this.incarnationOf(entry.instanceId) > entry.incarnation) return;
     this.announced.set(entry.instanceId, {entry, atMs: nowMs});
-    const isSame =
-      known !== undefined &&
-      JSON.stringify(known.entry) === JSON.stringify(entry);
-    if (isSame) return;
+    if (known !== undefined && isSameEntry(known.entry, entry)) return;
     this.recordChange(known === undefined ? 'joined' : 'changed', entry, 0);
   }
 
@@ -67,16 +73,42 @@
       });
   }
 
+  /**
+   * The part of a reply that brings an entry's view up to date: nothing, the
+   * changes since the view that it holds, or the complete view.
+   */
+  viewUpdate(
+    {viewId, acceptsChanges}: Pick<Announcement, 'viewId' | 'acceptsChanges'>,
+    controlMembers: readonly ControlInstance[],
+  ): Pick<AnnouncementReply, 'view' | 'changes'> {
+    const view = this.currentView(controlMembers);
+    if (view.viewId === viewId) return {};
+    const ids = acceptsChanges ? this.history.changedSince(viewId) : undefined;
+    if (ids === undefined) return {view};
+    const changed = ids.flatMap(id => this.announced.get(id)?.entry ?? []);
+    const removed = ids.filter(id => !this.announced.has(id));
+    const {viewId: newViewId} = view;
+    return {
+      changes: {
+        sinceViewId: viewId,
+        viewId: newViewId,
+        changed,
+        removed,
+        controlMembers,
+      },
+    };
+  }
+
   /** The current view; returns the same object until something changes. */
   currentView(controlMembers: readonly ControlInstance[]): FleetView {
-    const isSame =
-      this.view !== undefined &&
-      JSON.stringify(this.view.controlMembers) ===
-        JSON.stringify(controlMembers);
-    if (this.view !== undefined && isSame) return this.view;
-    this.changes += 1;
+    if (this.view !== undefined) {
+      if (isSameList(this.view.controlMembers, controlMembers)) {
+        return this.view;
+      }
+      this.history.add(undefined);
+    }
     this.view = {
-      viewId: `${this.epoch}.${this.changes}`,
+      viewId: this.history.viewId,
       entries: [...this.announced.values()].map(each => each.entry),
       controlMembers,
     };
@@ -102,6 +134,7 @@
     silentMs: number,
   ): void {
     this.view = undefined;
+    this.history.add(entry.instanceId);
     this.onChange({kind, entry, silentMs});
   }
 }
@@ -113,3 +146,22 @@
   const areEnough = others.length >= entries.length * MIN_NON_SCHEDULER_SHARE;
   return areEnough ? others : entries;
 }
+
+function isSameEntry(left: EntryInstance, right: EntryInstance): boolean {
+  const names = Object.keys(right) as (keyof EntryInstance)[];
+  return names.every(name => left[name] === right[name]);
+}
+
+function isSameList(
+  left: readonly ControlInstance[],
+  right: readonly ControlInstance[],
+): boolean {
+  return (
+    left.length === right.length &&
+    left.every(
+      (each, position) =>
+        each.instanceId === right[position]?.instanceId &&
+        each.innerAddress === right[position].innerAddress,
+    )
+  );
+}
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -49,12 +49,15 @@
   readonly revision: number;
   /** The view of this control member that the entry holds, or `''`. */
   readonly viewId: string;
+  /** Whether the entry understands a reply with the changes of a view. */
+  readonly acceptsChanges?: boolean | undefined;
 }
 
 export const announcementSchema: z.ZodType<Announcement> = z.object({
   entry: entryInstanceSchema,
   revision: z.number(),
   viewId: z.string(),
+  acceptsChanges: z.boolean().optional(),
 });
 
 /** All live entries and control members, as one control member sees them. */
@@ -65,6 +68,17 @@
   readonly controlMembers: readonly ControlInstance[];
 }
 
+/** What changed between two views of one control member. */
+export interface ViewChanges {
+  /** The view to which the changes apply. */
+  readonly sinceViewId: string;
+  readonly viewId: string;
+  /** Entries that joined or changed. */
+  readonly changed: readonly EntryInstance[];
+  readonly removed: readonly InstanceId[];
+  readonly controlMembers: readonly ControlInstance[];
+}
+
 /** The reply to an announcement. */
 export interface AnnouncementReply {
   /** Revision of the control state that this member has applied. */
@@ -75,8 +89,9 @@
    * announce a higher one.
    */
   readonly incarnation: number;
-  /** Omitted if the entry already has it. */
+  /** The complete view; omitted if the entry has it or gets its changes. */
   readonly view?: FleetView;
+  readonly changes?: ViewChanges;
 }
 
 export const ANNOUNCE_METHOD = 'fleet.announce';
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -233,11 +233,10 @@
 
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
     this.registry.record(announcement.entry, monotonicNowMs());
-    const view = this.registry.currentView(this.controlMembers());
     return {
       revision: this.stateForEntries.revision,
       incarnation: this.registry.incarnationOf(announcement.entry.instanceId),
-      ...(view.viewId === announcement.viewId ? {} : {view}),
+      ...this.registry.viewUpdate(announcement, this.controlMembers()),
     };
   }
 
