Send callers of a region without entries to the home regions of their host

Cause: while all entries of a region restart in turn, it has none that is ready for a moment, and the directory then named those of all other regions. It now names those of the regions that all homed routes of the host share, and all others only if these have none either.

The spec fails before (it would name both other regions).

--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -9,6 +9,7 @@
 } from '../../types/ids.js';
 import {FleetMembers} from '../fleet_members.js';
 import {InstanceRegistry} from '../instance_registry.js';
+import {homesOf, type Route} from '../../routes/route_table.js';
 import type {EntryInstance, FleetView} from '../messages.js';
 
 function entry(
@@ -60,6 +61,30 @@
   });
 });
 
+// Guards against requests bound to two regions that are sent to a third one
+// while all entries of their caller's region restart.
+test('callers of a region without entries get those of the home regions', () => {
+  const registry = new InstanceRegistry('1', () => undefined);
+  const regions = ['north', 'south', 'west'].map(name => asId<RegionId>(name));
+  regions.forEach(region => registry.record(entry(`${region}-1`, region), 0));
+  registry.record(entry('north-1', 'north', {isStopping: true}), 100);
+  const [north, south, west] = regions;
+  const host = 'homed';
+  const route = (homeRegions: readonly (RegionId | undefined)[]): Route =>
+    ({host, homeRegions}) as unknown as Route;
+  const routes = [route([north, south]), route([]), route([south, west])];
+  const ask = (region: RegionId | undefined, name: string) =>
+    registry.addressesFor(
+      {region, domain: undefined},
+      64,
+      homesOf(routes, name),
+    );
+  assert.deepEqual(
+    [ask(north, host), ask(west, host), ask(north, 'other')],
+    [['south-1:2'], ['west-1:2'], ['south-1:2', 'west-1:2']],
+  );
+});
+
 // Guards against callers that slow down the entry that schedules for a whole
 // domain, and against too few entries for the callers of a region.
 test('callers avoid scheduling entries while enough others remain', () => {
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -116,15 +116,22 @@
   }
 
   /**
-   * Addresses for a caller: ready entries of its own region, or of all regions
-   * if its own has none.
+   * Addresses for a caller: ready entries of its own region. If that has none,
+   * those of `homeRegions`, so that requests bound to these regions are not
+   * received elsewhere; of all regions if these have none either.
    */
-  addressesFor(place: CallerLocation, limit: number): readonly string[] {
+  addressesFor(
+    place: CallerLocation,
+    limit: number,
+    homeRegions: readonly RegionId[] = [],
+  ): readonly string[] {
     const ready = [...this.announced.values()]
       .map(each => each.entry)
       .filter(entry => entry.isReady && !entry.isStopping);
     const inRegion = ready.filter(entry => entry.region === place.region);
-    const chosen = inRegion.length > 0 ? preferNonSchedulers(inRegion) : ready;
+    const atHome = ready.filter(entry => homeRegions.includes(entry.region));
+    const others = atHome.length > 0 ? atHome : ready;
+    const chosen = inRegion.length > 0 ? preferNonSchedulers(inRegion) : others;
     return chosen.map(entry => entry.callersAddress).slice(0, limit);
   }
 
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -32,6 +32,7 @@
 import {MembershipManager} from './membership_manager.js';
 import {
   EMPTY_CONTROL_STATE,
+  homesOf,
   type ControlState,
   type RouteTable,
 } from './route_table.js';
@@ -195,8 +196,13 @@
   }
 
   /** Addresses of entries suitable for a caller at this location. */
-  addressesFor(place: CallerLocation, limit: number): readonly string[] {
-    return this.registry.addressesFor(place, limit);
+  addressesFor(
+    place: CallerLocation,
+    host: string,
+    limit: number,
+  ): readonly string[] {
+    const routes = this.machine.state.table?.routes ?? [];
+    return this.registry.addressesFor(place, limit, homesOf(routes, host));
   }
 
   private startServices(
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -125,3 +125,15 @@
 export function allowsRegion(route: Route, region: RegionId): boolean {
   return route.homeRegions.length === 0 || route.homeRegions.includes(region);
 }
+
+/** The regions that all routes of a host with home regions have in common. */
+export function homesOf(
+  routes: readonly Route[],
+  host: string,
+): readonly RegionId[] {
+  const homes = routes
+    .filter(route => route.host === host && route.homeRegions.length > 0)
+    .map(route => route.homeRegions);
+  const [first = []] = homes;
+  return first.filter(region => homes.every(each => each.includes(region)));
+}
