Break the upstream before the stall limit in the spec of the second target

The spec passed without the change it guards: its stream broke at 2 s, after the stall detector had asked for a replacement, whose age is always 0. It breaks at 0.9 s now.

--- a/src/node/ingress/__tests__/stalled_streams.spec.ts
+++ b/src/node/ingress/__tests__/stalled_streams.spec.ts
@@ -103,7 +103,7 @@
   const agesMs: number[] = [];
   await runStream(t, {
     upstreams: {
-      slow: [event(400, 1), {atMs: 2_000, text: BROKEN}],
+      slow: [event(400, 1), {atMs: 900, text: BROKEN}],
       other: OTHER,
     },
     decisions: ['slow', 'other'].map(name => item => {
