Log the requests on an upstream whose process ended

Logs could not tell one prompt part that crashes engines from engines that crash under load: upstream_down names no requests, and no line names the parts of a prompt. upstream_crashed does both, once a refused probe, the list or failed probes for a second show that the process has ended and not only a connection; upstream_outcome names the shared parts of its request. A health check tells now whether its connection was refused.

--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -20,7 +20,7 @@
   READ_REGION_METHOD,
   readListSchema,
 } from '../messages.js';
-import {UpstreamFeed, type HealthAnswer} from '../upstream_feed.js';
+import {UpstreamFeed, type HealthResult} from '../upstream_feed.js';
 
 const REGION = asId<RegionId>('home');
 const CONTROL = asId<InstanceId>('control');
@@ -38,8 +38,8 @@
       : Promise.resolve([]);
   }
 
-  override health(): Promise<HealthAnswer | undefined> {
-    return Promise.resolve(undefined);
+  override health(): Promise<HealthResult> {
+    return Promise.resolve({kind: 'unhealthy'});
   }
 }
 
--- a/src/node/dispatch/__tests__/region_loops.spec.ts
+++ b/src/node/dispatch/__tests__/region_loops.spec.ts
@@ -9,7 +9,7 @@
 import {asId, type ServiceId, type UpstreamId} from '../../types/ids.js';
 import {RegionLoops, type RegionLoopsOptions} from '../region_loops.js';
 import type {ProbeTarget, SchedulerHost} from '../scheduler_host.js';
-import type {HealthAnswer, UpstreamFeed} from '../upstream_feed.js';
+import type {HealthResult, UpstreamFeed} from '../upstream_feed.js';
 
 const SERVICE = asId<ServiceId>('service');
 const UPSTREAMS = 9;
@@ -28,7 +28,7 @@
 // down, which overloaded the scheduler and the upstreams.
 test('an upstream gets one probe at a time when many go down', async () => {
   const probed: string[] = [];
-  const answers: ((answer: HealthAnswer | undefined) => void)[] = [];
+  const answers: ((result: HealthResult) => void)[] = [];
   const down: ProbeTarget[] = [];
   const loops = new RegionLoops({
     region: HOME,
@@ -53,7 +53,7 @@
     loops.probeAll();
   });
   assert.equal(probed.length, UPSTREAMS);
-  answers.splice(0).forEach(answer => answer(undefined));
+  answers.splice(0).forEach(answer => answer({kind: 'unhealthy'}));
   await new Promise(resolve => setImmediate(resolve));
   loops.probeAll();
   assert.equal(probed.length, 2 * UPSTREAMS, 'the next round probes again');
--- a/src/node/dispatch/domain_choice.ts
+++ b/src/node/dispatch/domain_choice.ts
@@ -4,7 +4,7 @@
  * engines run prefill for it; all others stay in the domain of their entry.
  */
 import {lowestRanked} from '../fleet/rendezvous.js';
-import {sharedTokens} from '../scheduling/prompt_estimates.js';
+import {sharedTokens} from '../scheduling/prompt_parts.js';
 import type {PromptSize, WorkItem} from '../scheduling/types.js';
 import type {DomainId} from '../types/ids.js';
 
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -150,25 +150,25 @@
     if (spec === undefined) return;
     metrics.count('health_probes', {service: target.service});
     this.probing.add(target.upstreamId);
-    const answer = await feed.health(target.address, spec.healthPath);
+    const result = await feed.health(target.address, spec.healthPath);
     this.probing.delete(target.upstreamId);
-    if (answer === undefined) {
-      host.noteProbeFailure(target);
+    if (result.kind !== 'healthy') {
+      host.noteProbeFailure(target, result.kind === 'refused');
       return;
     }
     const isDifferentUpstream =
-      answer.upstreamId !== undefined &&
-      answer.upstreamId !== target.upstreamId;
+      result.upstreamId !== undefined &&
+      result.upstreamId !== target.upstreamId;
     if (isDifferentUpstream) return;
     logger.info(
       {
         event: 'probe_answered',
         service: target.service,
         upstream: target.upstreamId,
-        coldRemainingMs: answer.coldRemainingMs,
+        coldRemainingMs: result.coldRemainingMs,
       },
       'upstream that was down or suspected answered its health check',
     );
-    host.noteProbe(target, answer.coldRemainingMs);
+    host.noteProbe(target, result.coldRemainingMs);
   }
 }
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -13,6 +13,8 @@
   Decision,
   ServiceTraits,
 } from '../scheduling/types.js';
+import type {RunningRequest, UpstreamCrash} from '../scheduling/crash_watch.js';
+import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {ListReading, PoolChange} from '../scheduling/upstream_pool.js';
 import {toGatewayError} from '../types/errors.js';
 import type {
@@ -30,6 +32,8 @@
 ]);
 /** Interval of queue processing while requests wait. */
 const QUEUE_CHECK_MS = 8;
+/** Bounds the log line about a crash. */
+const MAX_LOGGED_PARTS = 24;
 /** A scheduler that got no message for this long may be dropped. */
 const IDLE_SCHEDULER_MS = 10_000;
 
@@ -202,10 +206,15 @@
     this.requestQueueCheck();
   }
 
-  noteProbeFailure(target: ProbeTarget): void {
+  /** `isRefused` says that nothing listens at the upstream's address. */
+  noteProbeFailure(target: ProbeTarget, isRefused: boolean): void {
     this.hosted
       .get(scopeKey(target))
-      ?.scheduler.pool.noteProbeFailure(target.upstreamId, monotonicNowMs());
+      ?.scheduler.pool.noteProbeFailure(
+        target.upstreamId,
+        monotonicNowMs(),
+        isRefused,
+      );
   }
 
   /** Removes the requests and placements of entries that left or expired. */
@@ -303,6 +312,7 @@
       retries,
       traits: this.traitsOf(service),
       onPoolChange: change => this.notePoolChange(service, change),
+      onCrash: crash => this.logCrash(service, crash),
       onLaneChange: (members, demand) =>
         logger.info(
           {event: 'long_prompt_lane', service, members, demand},
@@ -350,6 +360,34 @@
     );
     if (PROBED_CHANGES.has(change.kind)) this.options.onDown();
   }
+
+  private logCrash(service: ServiceId, crash: UpstreamCrash): void {
+    const {logger, metrics} = this.options;
+    const {upstreamId, running} = crash;
+    metrics.count('upstream_crashes', {service});
+    logger.warn(
+      {
+        event: 'upstream_crashed',
+        service,
+        upstream: upstreamId,
+        running: running.length,
+        parts: frequentParts(running),
+      },
+      'upstream process ended while it ran requests',
+    );
+  }
+}
+
+/** The parts that most of the requests shared, for the log. */
+function frequentParts(running: readonly RunningRequest[]): readonly string[] {
+  const counts = new Map<string, number>();
+  running
+    .flatMap(({item}) => sharedParts(item))
+    .forEach(partId => counts.set(partId, (counts.get(partId) ?? 0) + 1));
+  return [...counts]
+    .sort(([, left], [, right]) => right - left)
+    .slice(0, MAX_LOGGED_PARTS)
+    .map(([partId, count]) => `${partId}:${count}`);
 }
 
 function scopeKey({service, domain}: SchedulerScope): string {
--- a/src/node/dispatch/upstream_feed.ts
+++ b/src/node/dispatch/upstream_feed.ts
@@ -2,13 +2,19 @@
 import type {ListedUpstream} from '../scheduling/types.js';
 import type {DomainId, UpstreamId} from '../types/ids.js';
 
-/** The health check answer of a healthy upstream. */
-export interface HealthAnswer {
-  /** The upstream that answered; the address may have been reassigned. */
-  readonly upstreamId: UpstreamId | undefined;
-  /** Remaining cold time; 0 if it is warm. */
-  readonly coldRemainingMs: number;
-}
+/** The result of a health check. */
+export type HealthResult =
+  | {
+      readonly kind: 'healthy';
+      /** The upstream that answered; the address may have been reassigned. */
+      readonly upstreamId: UpstreamId | undefined;
+      /** Remaining cold time; 0 if it is warm. */
+      readonly coldRemainingMs: number;
+    }
+  /** Nothing listens at the address: the process of the upstream has ended. */
+  | {readonly kind: 'refused'}
+  /** No answer in time, or one that reports a failure. */
+  | {readonly kind: 'unhealthy'};
 
 /** Reads the platform's list of upstreams and checks their health. */
 export abstract class UpstreamFeed {
@@ -18,9 +24,6 @@
   /** Lists the upstreams of a domain. Rejects if the list cannot be read. */
   abstract list(domain: DomainId): Promise<readonly ListedUpstream[]>;
 
-  /** Resolves with `undefined` if the upstream is not healthy. */
-  abstract health(
-    address: string,
-    path: string,
-  ): Promise<HealthAnswer | undefined>;
+  /** Checks the health of an upstream; it never rejects. */
+  abstract health(address: string, path: string): Promise<HealthResult>;
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -7,6 +7,7 @@
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion, isRepeatable} from '../routes/route_table.js';
+import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {
   PlacementOutcome,
   SchedulerAnswer,
@@ -395,6 +396,7 @@
       upstream: grant.upstreamId,
       outcome,
       cause,
+      parts: sharedParts(request.traits),
     });
   }
 }
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -86,6 +86,14 @@
   upstream_suspected: upstreamChange,
   upstream_down: upstreamChange,
   upstream_up: upstreamChange,
+  upstream_crashed: {
+    service: z.string(),
+    upstream: z.string(),
+    /** Number of requests that ran on it. */
+    running: z.number(),
+    /** The most frequent shared prompt parts among them, as `ID:REQUESTS`. */
+    parts: z.array(z.string()),
+  },
   probe_answered: {
     service: z.string(),
     upstream: z.string(),
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -43,6 +43,7 @@
     traits,
     retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
     onPoolChange: () => undefined,
+    onCrash: () => undefined,
     onLaneChange: () => undefined,
   });
 }
--- a/src/node/scheduling/prompt_estimates.ts
+++ b/src/node/scheduling/prompt_estimates.ts
@@ -4,7 +4,7 @@
  * for a short time: a queued request is examined many times a second.
  */
 import {PREFILL_TOKENS_PER_MS} from './constants.js';
-import type {PromptPart, PromptSize, WorkItem} from './types.js';
+import type {PromptSize, WorkItem} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
 /** Time for which an estimate is reused; caches change little in it. */
@@ -91,8 +91,3 @@
     undefined,
   );
 }
-
-/** Tokens of the shared parts: all but the last, which is the request's own. */
-export function sharedTokens(parts: readonly PromptPart[]): number {
-  return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -19,6 +19,7 @@
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_PREFILL_SHARE,
 } from './constants.js';
+import type {UpstreamCrash} from './crash_watch.js';
 import {grantOf, refusalOf} from './decisions.js';
 import {PrefillLoad} from './prefill_load.js';
 import {RetryBudget, type RetryBudgetOptions} from './retry_budget.js';
@@ -52,6 +53,7 @@
   readonly traits: ServiceTraits;
   readonly retries: RetryBudgetOptions;
   readonly onPoolChange: (change: PoolChange) => void;
+  readonly onCrash: (crash: UpstreamCrash) => void;
   /** Called when the long-prompt lane changes; `demand` is in engines. */
   readonly onLaneChange: (
     members: readonly UpstreamId[],
@@ -75,7 +77,7 @@
     this.redirects = new Redirects(options.region, this.board, decision =>
       this.decisions.push(decision),
     );
-    this.pool = new UpstreamPool(options.traits, options.onPoolChange);
+    this.pool = new UpstreamPool(options);
     this.retryBudget = new RetryBudget(options.retries);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
   }
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,5 +1,6 @@
 /** Tracks the upstreams of one service from the list, releases and probes. */
 import type {DomainId, InstanceId, UpstreamId} from '../types/ids.js';
+import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import type {
@@ -48,16 +49,26 @@
 /** Time for which an upstream of a restored domain is assumed to be cold. */
 const ASSUMED_COLD_MS = 3_000;
 
+export interface UpstreamPoolOptions {
+  readonly traits: ServiceTraits;
+  readonly onPoolChange: (change: PoolChange) => void;
+  /** Called when the process of an upstream that ran requests has ended. */
+  readonly onCrash: (crash: UpstreamCrash) => void;
+}
+
 /** The upstreams of one service, by id. */
 export class UpstreamPool {
   private readonly states = new Map<UpstreamId, UpstreamState>();
   private evacuated: readonly DomainId[] = [];
   readonly estimates = new PromptEstimates(() => this.available());
 
-  constructor(
-    private traits: ServiceTraits,
-    private readonly onChange: (change: PoolChange) => void,
-  ) {}
+  private traits: ServiceTraits;
+  private readonly crashes: CrashWatch;
+
+  constructor(private readonly options: UpstreamPoolOptions) {
+    this.traits = options.traits;
+    this.crashes = new CrashWatch(options.onCrash);
+  }
 
   /**
    * Returns the upstreams that may get work. Those that fail most of their
@@ -114,6 +125,7 @@
       .forEach(each => {
         this.states.delete(each.listed.upstreamId);
         this.reportChange('unlisted', each, 'list');
+        this.crashes.confirm(each.listed.upstreamId);
       });
     reading.upstreams.forEach(listed => this.applyListed(listed, reading));
   }
@@ -144,11 +156,13 @@
   end(release: Release, nowMs: number): void {
     const state = this.states.get(release.upstreamId);
     if (state === undefined) return;
+    const isLoss = !state.isDown && DOWN_OUTCOMES.has(release.outcome);
+    if (isLoss) {
+      this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
+    }
     state.end(release, nowMs);
+    if (isLoss) this.markDown(state, release.outcome, nowMs);
     if (state.isDown) return;
-    if (DOWN_OUTCOMES.has(release.outcome)) {
-      this.markDown(state, release.outcome, nowMs);
-    }
     if (release.outcome === 'silent') this.markSuspected(state, nowMs);
   }
 
@@ -183,12 +197,18 @@
    * a request recently: a probe waits for a slot like any request, so a busy
    * upstream may miss it.
    */
-  noteProbeFailure(upstreamId: UpstreamId, nowMs: number): void {
+  noteProbeFailure(
+    upstreamId: UpstreamId,
+    nowMs: number,
+    isRefused = false,
+  ): void {
     const state = this.states.get(upstreamId);
-    if (state === undefined || state.isDown) return;
-    state.isSuspected = false;
-    if (nowMs - state.answeredAtMs < RECENT_ANSWER_MS) return;
-    this.markDown(state, 'probe', nowMs);
+    if (state === undefined) return;
+    if (!state.isDown) this.noteSuspectProbeFailure(state, nowMs);
+    const hasEnded = state.isDown && isRefused;
+    if (hasEnded || this.isLost(upstreamId, nowMs)) {
+      this.crashes.confirm(upstreamId);
+    }
   }
 
   /** Records an answered probe; the upstream reports `coldRemainingMs`. */
@@ -204,6 +224,7 @@
       state.minWarmReadAtMs = nowMs;
     }
     state.isSuspected = false;
+    this.crashes.dismiss(upstreamId);
     if (!state.isDown) return;
     state.isDown = false;
     this.reportChange('up', state, 'probe');
@@ -233,6 +254,7 @@
     if (listed.bornAtMs > before.bornAtMs) {
       known.reset();
       this.reportChange('reborn', known, 'list');
+      this.crashes.confirm(listed.upstreamId);
     }
     if (listed.isDraining && !before.isDraining) {
       this.reportChange('draining', known, 'list');
@@ -240,6 +262,13 @@
     applyCold(known, listed, reading);
   }
 
+  private noteSuspectProbeFailure(state: UpstreamState, nowMs: number): void {
+    state.isSuspected = false;
+    if (nowMs - state.answeredAtMs < RECENT_ANSWER_MS) return;
+    this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
+    this.markDown(state, 'probe', nowMs);
+  }
+
   private markDown(state: UpstreamState, cause: string, nowMs: number): void {
     state.isDown = true;
     state.downSinceMs = nowMs;
@@ -260,7 +289,7 @@
     cause: string,
   ): void {
     const {upstreamId, coldRemainingMs} = state.listed;
-    this.onChange({kind, upstreamId, cause, coldRemainingMs});
+    this.options.onPoolChange({kind, upstreamId, cause, coldRemainingMs});
   }
 }
 
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -10,9 +10,11 @@
   PREFILL_TOKENS_PER_MS,
   USABLE_CACHE_SHARE,
 } from './constants.js';
+import type {RunningRequest} from './crash_watch.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
-import {sharedTokens, type PromptEstimates} from './prompt_estimates.js';
+import type {PromptEstimates} from './prompt_estimates.js';
+import {sharedTokens} from './prompt_parts.js';
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
@@ -96,6 +98,14 @@
     return this.placements.size;
   }
 
+  /** The requests that run on it, with the times at which they were sent. */
+  get runningRequests(): readonly RunningRequest[] {
+    return [...this.placements.values()].map(({item, startedAtMs}) => ({
+      item,
+      startedAtMs,
+    }));
+  }
+
   get freeSlots(): number {
     const {slots} = this.listed;
     const limit = this.isEngine ? slots : this.overcommit.placementLimit(slots);
