Quarantine prompt parts that crash upstreams one after another

Cause: nothing on the path of a request knew what ran on an upstream that crashed. The ledger of entry/ knows a request by its body, and no two of these are alike. Change: the end of an upstream process counts against the shared parts of all requests on it, an answer clears the parts of its request. Three crashes in a row, each run sent after the crash before it, quarantine the least common part that is in all of them; its crashes no longer count against others. All schedulers share the evidence, and one that starts asks for it. After a minute one request may run as a trial; an answer ends the quarantine, a crash doubles the wait. Why it works: sound requests with the other parts are answered all the while, which clears these.

--- /dev/null
+++ b/src/node/decisions/__tests__/crash_evidence.spec.ts
@@ -0,0 +1,187 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {matchSnapshot} from '../../__tests__/support/snapshot.js';
+import {asId, type SuspectId} from '../../types/ids.js';
+import {
+  CLEARANCE_WAIT_MS,
+  MAX_REPORTED_SUSPECTS,
+  MAX_SUSPECTS,
+  QUARANTINE_MS,
+} from '../quarantine/constants.js';
+import {CrashEvidence} from '../quarantine/crash_evidence.js';
+
+const [COMMON, CRASHING, RARE] = ['common', 'crashing', 'rare'].map(name =>
+  asId<SuspectId>(name),
+) as [SuspectId, SuspectId, SuspectId];
+const RUN_MS = 100;
+const INTERVAL_MS = 1_000;
+
+/** Crashes one upstream each second, under requests with these suspects. */
+function crashInARow(
+  evidence: CrashEvidence,
+  suspects: readonly SuspectId[],
+  times: number,
+  startMs = 0,
+): number {
+  return Array.from({length: times}).reduce<number>((nowMs, _, index) => {
+    const crashedAtMs = nowMs + RUN_MS;
+    const run = {suspects, sentAtMs: nowMs};
+    evidence.noteCrash(`${startMs}-${index}`, crashedAtMs, [run], crashedAtMs);
+    return nowMs + INTERVAL_MS;
+  }, startMs);
+}
+
+function stateOf(evidence: CrashEvidence, nowMs: number): readonly string[] {
+  evidence.update(nowMs);
+  return [COMMON, CRASHING, RARE].map(each => {
+    const verdict = evidence.verdict([each], nowMs);
+    const forMs = verdict.kind === 'quarantined' ? ` ${verdict.forMs} ms` : '';
+    return `${each}: ${verdict.kind}${forMs}`;
+  });
+}
+
+// Guards against upstreams that crash one after another under requests with one
+// prompt part, and against a quarantine of what they share with sound ones.
+test('the least common suspect of three crashes in a row is quarantined', () => {
+  const evidence = new CrashEvidence();
+  const twiceMs = crashInARow(evidence, [COMMON, CRASHING], 2);
+  const afterTwo = stateOf(evidence, twiceMs + CLEARANCE_WAIT_MS);
+  const nowMs = crashInARow(evidence, [COMMON, CRASHING], 1, twiceMs);
+  const early = stateOf(evidence, nowMs - INTERVAL_MS + RUN_MS);
+  const afterThree = stateOf(evidence, nowMs);
+  matchSnapshot(import.meta.url, 'crashes in a row', {
+    afterTwo,
+    early,
+    afterThree,
+  });
+});
+
+// Guards against a quarantine of all popular prompt parts when a region is lost:
+// each of them ran on every upstream at that time.
+test('upstreams lost at once are one crash in a row', () => {
+  const evidence = new CrashEvidence();
+  Array.from({length: 8}, (_, index) =>
+    evidence.noteCrash(
+      `lost-${index}`,
+      RUN_MS + index,
+      [{suspects: [COMMON], sentAtMs: index}],
+      RUN_MS + index,
+    ),
+  );
+  assert.deepEqual(stateOf(evidence, INTERVAL_MS)[0], 'common: clear');
+});
+
+// Guards against a quarantine of what is answered between unrelated crashes.
+test('an answer between two crashes starts the count anew', () => {
+  const evidence = new CrashEvidence();
+  const nowMs = crashInARow(evidence, [COMMON], 2);
+  evidence.noteAnswered([COMMON], nowMs);
+  const laterMs = crashInARow(evidence, [COMMON], 2, nowMs + 1);
+  assert.deepEqual(stateOf(evidence, laterMs)[0], 'common: clear');
+});
+
+// Guards against a bystander that is quarantined for the crashes of another
+// suspect, because it ran on the same upstreams.
+test('explained crashes do not count against other suspects', () => {
+  const evidence = new CrashEvidence();
+  const nowMs = crashInARow(evidence, [COMMON, CRASHING], 3);
+  evidence.update(nowMs);
+  const laterMs = crashInARow(evidence, [RARE, CRASHING], 2, nowMs);
+  assert.deepEqual(
+    stateOf(evidence, laterMs).map(line => line.split(' ')[1]),
+    ['clear', 'quarantined', 'clear'],
+  );
+});
+
+// Guards against regions that each wait for crashes of their own, and against
+// a common suspect that is quarantined where no upstream is left to answer it.
+test('instances decide on the crashes and answers of all of them', () => {
+  const instances = Array.from({length: 3}, () => new CrashEvidence());
+  const [first, second, third] = instances as [
+    CrashEvidence,
+    CrashEvidence,
+    CrashEvidence,
+  ];
+  const atMs = instances.reduce(
+    (nowMs, each) => crashInARow(each, [COMMON, CRASHING], 1, nowMs),
+    0,
+  );
+  const share = (nowMs: number): void =>
+    instances.forEach(from =>
+      instances
+        .filter(each => each !== from)
+        .forEach(each => each.merge(from.reports(nowMs), nowMs)),
+    );
+  share(atMs);
+  third.noteAnswered([COMMON], atMs + 1);
+  share(atMs + 2);
+  share(atMs + 2);
+  const laterMs = atMs + CLEARANCE_WAIT_MS;
+  const states = instances.map(each =>
+    stateOf(each, laterMs).map(line => line.split(' ', 2).join(' ')),
+  );
+  assert.deepEqual(states, [
+    ['common: clear', 'crashing: quarantined', 'rare: clear'],
+    ['common: clear', 'crashing: quarantined', 'rare: clear'],
+    ['common: clear', 'crashing: quarantined', 'rare: clear'],
+  ]);
+  first.merge(second.reports(laterMs), laterMs);
+  assert.equal(first.reports(laterMs)[0]?.crashes.length, 3, 'idempotent');
+});
+
+// Guards against a scheduler that starts and sends what is in quarantine until
+// it has decided itself.
+test('a decided quarantine is taken over at once', () => {
+  const [from, to] = [new CrashEvidence(), new CrashEvidence()];
+  const nowMs = crashInARow(from, [CRASHING], 3);
+  from.update(nowMs);
+  to.merge(from.reports(nowMs), nowMs);
+  assert.equal(to.verdict([CRASHING], nowMs).kind, 'quarantined');
+});
+
+// Guards against a sound suspect that stays in quarantine for ever, and against
+// one crash after another by requests that try it again.
+test('a quarantined suspect is tried again, later after each crash', () => {
+  const evidence = new CrashEvidence();
+  const remote = new CrashEvidence();
+  const nowMs = crashInARow(evidence, [CRASHING], 3);
+  remote.merge(evidence.reports(nowMs), nowMs);
+  const kindAt = (each: CrashEvidence, atMs: number): string => {
+    each.update(atMs);
+    return each.verdict([CRASHING], atMs).kind;
+  };
+  const kinds = (atMs: number) => ({
+    observer: kindAt(evidence, atMs),
+    remote: kindAt(remote, atMs),
+  });
+  kinds(nowMs + CLEARANCE_WAIT_MS);
+  const firstTrialMs = nowMs + QUARANTINE_MS;
+  const due = kinds(firstTrialMs);
+  evidence.noteTrial([CRASHING], firstTrialMs);
+  const running = kinds(firstTrialMs + 1);
+  const afterMs = crashInARow(evidence, [CRASHING], 1, firstTrialMs + 1);
+  const afterCrash = kinds(afterMs + QUARANTINE_MS);
+  const secondTrialMs = afterMs + 2 * QUARANTINE_MS;
+  const dueAgain = kinds(secondTrialMs);
+  evidence.noteTrial([CRASHING], secondTrialMs);
+  evidence.noteAnswered([CRASHING], secondTrialMs + RUN_MS);
+  const answered = kinds(secondTrialMs + RUN_MS);
+  matchSnapshot(import.meta.url, 'trials', {
+    due,
+    running,
+    afterCrash,
+    dueAgain,
+    answered,
+  });
+});
+
+// Guards against memory and messages that grow with the number of prompt parts.
+test('the number of suspects kept and reported is bounded', () => {
+  const evidence = new CrashEvidence();
+  const suspects = Array.from({length: 2 * MAX_SUSPECTS}, (_, index) =>
+    asId<SuspectId>(`s${index}`),
+  );
+  evidence.noteCrash('many', 1, [{suspects, sentAtMs: 0}], 1);
+  assert.equal(evidence.reports(1).length, MAX_REPORTED_SUSPECTS);
+  assert.equal(evidence.suspectCount, MAX_SUSPECTS);
+});
--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -15,8 +15,10 @@
 import {DomainChoice} from '../../domain_choice.js';
 import {SchedulerClient} from '../../scheduler_client.js';
 import {SchedulerHost} from '../../scheduler_host.js';
+import {SuspectExchange} from '../../suspect_exchange.js';
 
 const SPEC = {
+  name: 'service',
   coldRequestsPerS: 0,
   engine: {kvCacheTokens: 243_790, tokensPerEvent: 9, fetchMsPerToken: 0},
 } as unknown as ServiceSpec;
@@ -31,6 +33,7 @@
   readonly instance: EntryInstance;
   readonly host: SchedulerHost;
   readonly client: SchedulerClient;
+  readonly suspects: SuspectExchange;
 }
 
 export interface MemoryRegionOptions {
@@ -62,7 +65,10 @@
   }
 
   stop(): void {
-    this.entries.forEach(({host}) => host.stop());
+    this.entries.forEach(({host, suspects}) => {
+      suspects.stop();
+      host.stop();
+    });
   }
 
   private createEntry(
@@ -118,7 +124,20 @@
     });
     host.applyControl(evacuated);
     host.applyReading({readAtMs: monotonicNowMs(), lagMs: 0, upstreams});
-    return {instance, host, client};
+    const suspects = new SuspectExchange({
+      evidence: host.evidence,
+      domains: domains.map(each => ({domain: each, region: HOME})),
+      region: HOME,
+      self,
+      members,
+      client: rpc,
+      logger: SILENT,
+      metrics: new MetricsRegistry(),
+      services: () => [SPEC],
+      schedulerCount: () => host.scopes().length,
+    });
+    suspects.start();
+    return {instance, host, client, suspects};
   }
 }
 
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -1,5 +1,10 @@
 /** Messages between entries and the schedulers of their region. */
 import {z} from 'zod';
+import {
+  MAX_CRASHES_KEPT,
+  MAX_REPORTED_SUSPECTS,
+} from '../decisions/quarantine/constants.js';
+import type {SuspectReport} from '../decisions/quarantine/suspect_record.js';
 import type {
   CapacityDigest,
   Decision,
@@ -12,6 +17,7 @@
   type DomainId,
   type RequestId,
   type ServiceId,
+  type SuspectId,
   type UpstreamId,
 } from '../types/ids.js';
 
@@ -19,6 +25,9 @@
 export const DECIDE_METHOD = 'schedule.decide';
 export const DIGEST_METHOD = 'schedule.digest';
 
+/** Shares the evidence on what crashes upstreams. */
+export const SUSPECTS_METHOD = 'schedule.suspects';
+
 /** Asks an entry in another region to read the platform's list. */
 export const READ_LIST_METHOD = 'list.read';
 
@@ -98,6 +107,35 @@
   decisions: z.array(z.custom<Decision>(isObject)),
 }) satisfies z.ZodType<DecisionBatch>;
 
+export interface SuspectBatch {
+  readonly reports: readonly SuspectReport[];
+  /** Whether the sender asks for the receiver's reports. */
+  readonly isQuestion?: boolean | undefined;
+}
+
+export const suspectBatchSchema = z.object({
+  reports: z
+    .array(
+      z.object({
+        suspect: z.string().transform(value => asId<SuspectId>(value)),
+        depth: z.number(),
+        crashes: z
+          .array(
+            z.object({
+              crashId: z.string(),
+              sentAgoMs: z.number(),
+              crashedAgoMs: z.number(),
+            }),
+          )
+          .max(MAX_CRASHES_KEPT),
+        answeredAgoMs: z.number().optional(),
+        isQuarantined: z.boolean(),
+      }),
+    )
+    .max(MAX_REPORTED_SUSPECTS),
+  isQuestion: z.boolean().optional(),
+});
+
 export const digestBatchSchema = z.object({
   digests: z.array(z.custom<CapacityDigest>(isObject)),
 }) satisfies z.ZodType<DigestBatch>;
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -1,6 +1,7 @@
 /**
  * Runs the periodic tasks of an entry's schedulers: reads the platform's list,
- * sends capacity digests to other domains and probes upstreams.
+ * sends capacity digests to other domains, shares the evidence on crashes and
+ * probes upstreams.
  */
 import {monotonicNowMs} from '../clock/clock.js';
 import type {DomainLocation, FleetMembers} from '../fleet/fleet_members.js';
@@ -18,6 +19,7 @@
   SchedulerHost,
   SchedulerScope,
 } from './scheduler_host.js';
+import {SuspectExchange} from './suspect_exchange.js';
 import type {UpstreamFeed} from './upstream_feed.js';
 
 /** Bounds the delay until a removed upstream is noticed. */
@@ -49,9 +51,19 @@
   schedulesEngines = false;
   private readonly probing = new Set<UpstreamId>();
 
-  constructor(private readonly options: RegionLoopsOptions) {}
+  private readonly suspects: SuspectExchange;
+
+  constructor(private readonly options: RegionLoopsOptions) {
+    const {host} = options;
+    this.suspects = new SuspectExchange({
+      ...options,
+      evidence: host.evidence,
+      schedulerCount: () => host.scopes().length,
+    });
+  }
 
   start(): void {
+    this.suspects.start();
     this.timers = [
       setInterval(() => void this.readList(), LIST_INTERVAL_MS),
       setInterval(() => this.sendDigests(), DIGEST_INTERVAL_MS),
@@ -60,6 +72,7 @@
   }
 
   stop(): void {
+    this.suspects.stop();
     this.timers.forEach(timer => clearInterval(timer));
   }
 
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -11,6 +11,7 @@
 import {RefusalCache} from '../scheduling/refusal_cache.js';
 import type {
   Decision,
+  PlacementOutcome,
   RefusalReason,
   Release,
   RunningPlacement,
@@ -159,7 +160,9 @@
     const target = isKnown
       ? running.scheduler
       : this.schedulerOf({service, domain});
-    const delayMs = prompt === undefined ? 0 : STREAM_RELEASE_DELAY_MS;
+    // A failure may be the first sign of a lost upstream.
+    const canWait = prompt !== undefined && !isFailure(release.outcome);
+    const delayMs = canWait ? STREAM_RELEASE_DELAY_MS : 0;
     this.send(target, {kind: 'release', service, domain, release}, delayMs);
   }
 
@@ -366,6 +369,10 @@
   }
 }
 
+function isFailure(outcome: PlacementOutcome): boolean {
+  return outcome !== 'answered' && outcome !== 'cancelled';
+}
+
 /** Builds a refusal that this entry decides without a scheduler. */
 function localRefusal(
   {
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -4,17 +4,19 @@
  */
 import {dispatch, spawn, start, stop} from 'nact';
 import {monotonicNowMs} from '../clock/clock.js';
+import {CrashEvidence} from '../decisions/quarantine/crash_evidence.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {ServiceSpec} from '../routes/route_table.js';
-import {Scheduler, type SchedulerOptions} from '../scheduling/scheduler.js';
+import {Scheduler} from '../scheduling/scheduler.js';
+import type {SchedulerOptions} from '../scheduling/scheduler_options.js';
 import type {
   CapacityDigest,
   Decision,
   ServiceTraits,
 } from '../scheduling/types.js';
-import type {RunningRequest, UpstreamCrash} from '../scheduling/crash_watch.js';
-import {sharedParts} from '../scheduling/prompt_parts.js';
+import type {UpstreamCrash} from '../scheduling/crash_watch.js';
+import {suspectRuns} from '../scheduling/suspects.js';
 import type {ListReading, PoolChange} from '../scheduling/upstream_pool.js';
 import {toGatewayError} from '../types/errors.js';
 import type {
@@ -24,6 +26,7 @@
   ServiceId,
   UpstreamId,
 } from '../types/ids.js';
+import {logCrash} from './crash_log.js';
 import type {SubmissionPart} from './messages.js';
 
 const PROBED_CHANGES: ReadonlySet<PoolChange['kind']> = new Set([
@@ -32,8 +35,6 @@
 ]);
 /** Interval of queue processing while requests wait. */
 const QUEUE_CHECK_MS = 8;
-/** Bounds the log line about a crash. */
-const MAX_LOGGED_PARTS = 24;
 /** A scheduler that got no message for this long may be dropped. */
 const IDLE_SCHEDULER_MS = 10_000;
 
@@ -88,6 +89,8 @@
 
 /** The schedulers on one entry. */
 export class SchedulerHost {
+  /** What crashes upstreams, for the schedulers of all services. */
+  readonly evidence = new CrashEvidence();
   private readonly system = start();
   private readonly hosted = new Map<string, HostedScheduler>();
   private readonly actor;
@@ -312,7 +315,8 @@
       retries,
       traits: this.traitsOf(service),
       onPoolChange: change => this.notePoolChange(service, change),
-      onCrash: crash => this.logCrash(service, crash),
+      onCrash: crash => this.noteCrash(service, crash),
+      evidence: this.evidence,
       onLaneChange: (members, demand) =>
         logger.info(
           {event: 'long_prompt_lane', service, members, demand},
@@ -361,35 +365,16 @@
     if (PROBED_CHANGES.has(change.kind)) this.options.onDown();
   }
 
-  private logCrash(service: ServiceId, crash: UpstreamCrash): void {
+  private noteCrash(service: ServiceId, crash: UpstreamCrash): void {
     const {logger, metrics} = this.options;
-    const {upstreamId, running} = crash;
+    const {crashId, atMs, running} = crash;
+    const runs = suspectRuns(running);
+    this.evidence.noteCrash(crashId, atMs, runs, monotonicNowMs());
     metrics.count('upstream_crashes', {service});
-    logger.warn(
-      {
-        event: 'upstream_crashed',
-        service,
-        upstream: upstreamId,
-        running: running.length,
-        parts: frequentParts(running),
-      },
-      'upstream process ended while it ran requests',
-    );
+    logCrash(logger, service, crash);
   }
 }
 
-/** The parts that most of the requests shared, for the log. */
-function frequentParts(running: readonly RunningRequest[]): readonly string[] {
-  const counts = new Map<string, number>();
-  running
-    .flatMap(({item}) => sharedParts(item))
-    .forEach(partId => counts.set(partId, (counts.get(partId) ?? 0) + 1));
-  return [...counts]
-    .sort(([, left], [, right]) => right - left)
-    .slice(0, MAX_LOGGED_PARTS)
-    .map(([partId, count]) => `${partId}:${count}`);
-}
-
 function scopeKey({service, domain}: SchedulerScope): string {
   return `${domain} ${service}`;
 }
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -182,6 +182,7 @@
     paces: new UpstreamPaces(),
     log: {
       write: () => undefined,
+      tryFailed: () => undefined,
       decision: () => undefined,
       end: () => undefined,
     },
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -13,6 +13,7 @@
 
 const MS_PER_S = 1_000;
 const RETRY_JITTER = 0.3;
+const NOT_RUN_WITHOUT_CAUSE = {cause: '', retryAfterMs: 0};
 
 /**
  * Refuses a request that did not run and will not run. `retry-after` has
@@ -22,6 +23,7 @@
   response: CallerResponse,
   retryAfterMs: number,
   isRelayed = false,
+  code: 'overloaded' | 'quarantined' = 'overloaded',
 ): number {
   const status = 503;
   const jitteredMs = retryAfterMs * (1 + RETRY_JITTER * Math.random());
@@ -32,7 +34,7 @@
       ['content-type', 'application/json'],
       ...(isRelayed ? [[NOT_RUN_HEADER, '1'] as const] : []),
     ],
-    errorBody('overloaded', 'not_run'),
+    errorBody(code, 'not_run'),
   );
   return status;
 }
@@ -81,8 +83,10 @@
     result.kind === 'failed' ||
     (result.kind === 'aborted' && result.isSent);
   if (mayHaveRun) return sendFailure(response, result);
-  const retryAfterMs = result.kind === 'not_run' ? result.retryAfterMs : 0;
-  return sendRefusal(response, retryAfterMs, request.isRelayed);
+  const {cause, retryAfterMs} =
+    result.kind === 'not_run' ? result : NOT_RUN_WITHOUT_CAUSE;
+  const code = cause === 'quarantined' ? 'quarantined' : 'overloaded';
+  return sendRefusal(response, retryAfterMs, request.isRelayed, code);
 }
 
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -8,8 +8,9 @@
 import type {LogEvent} from '../logging/event_schema.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
-import type {SchedulerAnswer} from '../scheduling/types.js';
-import type {RequestId} from '../types/ids.js';
+import {sharedParts} from '../scheduling/prompt_parts.js';
+import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
+import type {RequestId, UpstreamId} from '../types/ids.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 const MAX_LINES_PER_S = 150;
@@ -56,6 +57,15 @@
   readonly triesNotRun: number;
 }
 
+/** What is logged when a try has failed. */
+export interface FailedTry {
+  readonly upstream: UpstreamId;
+  readonly outcome: PlacementOutcome;
+  readonly cause: string | undefined;
+  readonly firstAnswerMs: number;
+  readonly totalMs: number;
+}
+
 /** Writes the request log of one process. */
 export class RequestLog {
   private second = 0;
@@ -98,6 +108,14 @@
     );
   }
 
+  /** A try that did not end with a success of its upstream. */
+  tryFailed(request: InboundRequest, summary: FailedTry): void {
+    this.write('upstream_outcome', request, {
+      ...roundNumbers({...summary}),
+      parts: sharedParts(request.traits),
+    });
+  }
+
   /** A request without a service; `tableVersion` is 0 if there is no table. */
   rejected(
     requestId: RequestId,
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -7,7 +7,6 @@
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion, isRepeatable} from '../routes/route_table.js';
-import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {
   PlacementOutcome,
   SchedulerAnswer,
@@ -388,15 +387,12 @@
     const {service} = request;
     context.metrics.count('upstream_tries', {service, outcome});
     if (outcome === 'answered') return;
-    context.log.write('upstream_outcome', request, {
-      ...roundNumbers({
-        firstAnswerMs: this.firstAnswerMs,
-        totalMs: monotonicNowMs() - sentAtMs,
-      }),
+    context.log.tryFailed(request, {
+      firstAnswerMs: this.firstAnswerMs,
+      totalMs: monotonicNowMs() - sentAtMs,
       upstream: grant.upstreamId,
       outcome,
       cause,
-      parts: sharedParts(request.traits),
     });
   }
 }
--- a/src/node/ingress/scheduler_calls.ts
+++ b/src/node/ingress/scheduler_calls.ts
@@ -1,5 +1,6 @@
 /** RPC methods for scheduling between entries. */
 import {z} from 'zod';
+import {monotonicNowMs} from '../clock/clock.js';
 import type {DecisionSender} from '../dispatch/decision_sender.js';
 import type {ListReader} from '../dispatch/list_reader.js';
 import {
@@ -13,6 +14,9 @@
   SUBMIT_METHOD,
   type SubmissionReply,
   submissionSchema,
+  type SuspectBatch,
+  suspectBatchSchema,
+  SUSPECTS_METHOD,
 } from '../dispatch/messages.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {SchedulerHost} from '../dispatch/scheduler_host.js';
@@ -54,6 +58,15 @@
   router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
     feed.list(domain),
   );
+  router.register(
+    SUSPECTS_METHOD,
+    suspectBatchSchema,
+    ({reports, isQuestion}): SuspectBatch => {
+      const nowMs = monotonicNowMs();
+      host.evidence.merge(reports, nowMs);
+      return {reports: isQuestion ? host.evidence.reports(nowMs) : []};
+    },
+  );
   router.register(DIGEST_METHOD, digestBatchSchema, ({digests}) => {
     host.recordDigests(digests);
     return {};
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -19,6 +19,12 @@
   cause: z.string(),
   coldRemainingMs: z.number(),
 };
+const suspectChange = {
+  /** `part:ID` for a part of prompts. */
+  suspect: z.string(),
+  /** `UPSTREAM@START` of the upstream processes that ended under it. */
+  crashes: z.array(z.string()),
+};
 const peerChange = {peer: z.string()};
 const change = {order: z.looseObject({kind: z.string()})};
 
@@ -94,6 +100,8 @@
     /** The most frequent shared prompt parts among them, as `ID:REQUESTS`. */
     parts: z.array(z.string()),
   },
+  suspect_quarantined: suspectChange,
+  suspect_cleared: suspectChange,
   probe_answered: {
     service: z.string(),
     upstream: z.string(),
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -1,4 +1,5 @@
 /** Builders for the scheduling specs. */
+import {CrashEvidence} from '../../decisions/quarantine/crash_evidence.js';
 import {
   asId,
   type DomainId,
@@ -44,6 +45,7 @@
     retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
     onPoolChange: () => undefined,
     onCrash: () => undefined,
+    evidence: new CrashEvidence(),
     onLaneChange: () => undefined,
   });
 }
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -63,8 +63,13 @@
 
 /** Builds a refusal with the time after which the caller may retry. */
 export function refusalOf(item: WorkItem, inputs: RefusalInputs): Decision {
+  // Until the end of a quarantine any retry is refused again.
+  const maxMs =
+    inputs.reason === 'quarantined'
+      ? Number.POSITIVE_INFINITY
+      : MAX_RETRY_AFTER_MS;
   const retryAfterMs = Math.min(
-    MAX_RETRY_AFTER_MS,
+    maxMs,
     Math.max(MIN_RETRY_AFTER_MS, inputs.predictedWaitMs),
   );
   return {
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -3,13 +3,7 @@
  * upstream, queues them, sends them to another domain or region, or refuses
  * them. It performs no I/O; the caller passes the current time.
  */
-import type {
-  DomainId,
-  InstanceId,
-  RegionId,
-  RequestId,
-  UpstreamId,
-} from '../types/ids.js';
+import type {DomainId, InstanceId, RequestId} from '../types/ids.js';
 import {CapacityBoard} from './capacity_board.js';
 import {chooseUpstream, hasFailedOn, untriedOf} from './choose_upstream.js';
 import {
@@ -19,10 +13,10 @@
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_PREFILL_SHARE,
 } from './constants.js';
-import type {UpstreamCrash} from './crash_watch.js';
 import {grantOf, refusalOf} from './decisions.js';
 import {PrefillLoad} from './prefill_load.js';
-import {RetryBudget, type RetryBudgetOptions} from './retry_budget.js';
+import {RetryBudget} from './retry_budget.js';
+import type {SchedulerOptions} from './scheduler_options.js';
 import {
   canFinish,
   forecast,
@@ -32,6 +26,7 @@
 } from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
 import {Redirects} from './redirects.js';
+import {QuarantineGate} from './quarantine_gate.js';
 import type {
   CapacityDigest,
   Decision,
@@ -39,28 +34,12 @@
   Release,
   ReplacedUpstream,
   RunningPlacement,
-  ServiceTraits,
   WorkItem,
 } from './types.js';
-import {UpstreamPool, type PoolChange} from './upstream_pool.js';
+import {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
 import {WorkQueue, type QueuedItem} from './work_queue.js';
 
-export interface SchedulerOptions {
-  readonly region: RegionId;
-  /** The domain whose upstreams this scheduler assigns. */
-  readonly domain: DomainId;
-  readonly traits: ServiceTraits;
-  readonly retries: RetryBudgetOptions;
-  readonly onPoolChange: (change: PoolChange) => void;
-  readonly onCrash: (crash: UpstreamCrash) => void;
-  /** Called when the long-prompt lane changes; `demand` is in engines. */
-  readonly onLaneChange: (
-    members: readonly UpstreamId[],
-    demand: number,
-  ) => void;
-}
-
 /** The scheduler of one service. `decide` returns its decisions. */
 export class Scheduler {
   readonly pool: UpstreamPool;
@@ -70,6 +49,7 @@
   private readonly lane: LongPromptLane;
   private readonly prefillLoad = new PrefillLoad();
   private readonly retryBudget: RetryBudget;
+  private readonly quarantine: QuarantineGate;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
@@ -79,6 +59,7 @@
     );
     this.pool = new UpstreamPool(options);
     this.retryBudget = new RetryBudget(options.retries);
+    this.quarantine = new QuarantineGate(options.evidence);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
   }
 
@@ -89,6 +70,7 @@
   /** Accepts a request; it is decided at once or from the queue. */
   submit(item: WorkItem, nowMs: number): void {
     if (this.queue.has(item.requestId)) return;
+    if (this.refuseQuarantined(item, nowMs)) return;
     if (item.isRepeat) {
       if (!this.retryBudget.allowsRetry(nowMs)) {
         this.refuse(item, 'retry_budget', 0, nowMs);
@@ -107,7 +89,11 @@
 
   /** Ends placements. */
   release(releases: readonly Release[], nowMs: number): void {
-    releases.forEach(each => this.pool.end(each, nowMs));
+    releases.forEach(release => {
+      const item = this.pool.requestOf(release);
+      this.quarantine.noteEnd(item, release.outcome, nowMs);
+      this.pool.end(release, nowMs);
+    });
   }
 
   /** Removes a queued request whose caller has left. */
@@ -299,6 +285,10 @@
     nowMs: number,
   ): boolean {
     const queuedMs = nowMs - queuedAtMs;
+    if (this.refuseQuarantined(item, nowMs)) {
+      this.queue.remove(item.requestId);
+      return false;
+    }
     const isOverBudget = item.isRepeat && !this.retryBudget.allowsRetry(nowMs);
     if (isOverBudget) {
       this.queue.remove(item.requestId);
@@ -313,6 +303,13 @@
     return false;
   }
 
+  /** Refuses a request that must not run now; returns true if it did. */
+  private refuseQuarantined(item: WorkItem, nowMs: number): boolean {
+    const forMs = this.quarantine.remainingMs(item, nowMs);
+    if (forMs > 0) this.refuse(item, 'quarantined', forMs, nowMs);
+    return forMs > 0;
+  }
+
   private choose(
     item: WorkItem,
     usable: readonly UpstreamState[],
@@ -367,6 +364,7 @@
       nowMs,
     });
     upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
+    this.quarantine.noteStart(item, nowMs);
     this.decisions.push(decision);
   }
 
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -100,6 +100,8 @@
   | 'unscheduled'
   /** No other upstream can take a request in place of its present one. */
   | 'no_replacement'
+  /** Requests that share a part of its prompt crash upstreams. */
+  | 'quarantined'
   /** The upstream that would be replaced is down or gone. */
   | 'upstream_down';
 
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -90,6 +90,11 @@
     return this.states.get(upstreamId);
   }
 
+  /** The request whose placement ends with the release. */
+  requestOf({upstreamId, requestId}: Release): WorkItem | undefined {
+    return this.states.get(upstreamId)?.requestOf(requestId);
+  }
+
   /** Whether the request exceeds the token capacity of every upstream. */
   isTooLarge(item: WorkItem): boolean {
     const all = this.all();
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -106,6 +106,11 @@
     }));
   }
 
+  /** A request that runs on it. */
+  requestOf(requestId: RequestId): WorkItem | undefined {
+    return this.placements.get(requestId)?.item;
+  }
+
   get freeSlots(): number {
     const {slots} = this.listed;
     const limit = this.isEngine ? slots : this.overcommit.placementLimit(slots);
--- a/src/node/types/ids.ts
+++ b/src/node/types/ids.ts
@@ -42,6 +42,8 @@
 export type OperationId = Branded<string, 'OperationId'>;
 /** The SHA-256 digest of some bytes, in hexadecimal. */
 export type Digest = Branded<string, 'Digest'>;
+/** Something that requests share and that may crash upstreams. */
+export type SuspectId = Branded<string, 'SuspectId'>;
 /** The version of an accepted configuration; 0 means none. */
 export type ConfigVersion = Branded<number, 'ConfigVersion'>;
 /** A position in a replicated log; the first record has index 1. */
