Take a stream that ends inside an event for broken off

Callers could get a stream whose last event was cut off, marked as complete: an answer without a length or chunks ends with its connection, and the reader took every orderly end of a connection for the end of the answer. An engine that crashed before its first event even counted as one that had answered, which would clear the prompt parts of the request. Change: a stream without a length that ends inside an event, or before the first one, is broken off: it is resumed elsewhere, or the caller's connection is closed. Ends of events may use any of the three line ends and may arrive in two pieces; otherwise sound streams would be taken for torn ones.

--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -29,7 +29,7 @@
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
 import {sendFinalResponse} from './error_responses.js';
-import {causeOf, outcomeOf} from './try_outcome.js';
+import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {UpstreamPaces} from './upstream_pace.js';
 import {cancelGrant, UpstreamTry, type Grant} from './upstream_try.js';
@@ -206,7 +206,7 @@
         : {lastEventId: this.progress.lastEventId}),
     });
     const {method, path, body} = request;
-    const {end, replacement} = await new UpstreamTry({
+    const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
       reader,
@@ -220,6 +220,7 @@
         context.log.write('stalled', request, roundNumbers({...action})),
     }).run();
     monitor.stop();
+    const end = endOfTry(ended, reader);
     this.replacement = replacement;
     const result = this.interpret(end, reader);
     const outcome = outcomeOf(end, result, reader);
@@ -238,7 +239,7 @@
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
     const reader = this.createReader(monotonicNowMs());
-    const end = await context.relay.send(
+    const ended = await context.relay.send(
       region,
       {
         ...request,
@@ -248,7 +249,7 @@
       reader,
       this.signal,
     );
-    const result = this.interpret(end, reader);
+    const result = this.interpret(endOfTry(ended, reader), reader);
     context.metrics.count('requests_offloaded', {region, result: result.kind});
     if (result.kind === 'not_run') this.refusedRegions.push(region);
     return result;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -6,11 +6,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {CallerResponse, Framing} from './caller_response.js';
-import {
-  EventLengthLimit,
-  EventSplitter,
-  type EventBatch,
-} from './event_splitter.js';
+import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
 import type {ResponseSink} from './exchange.js';
 import {NOT_RUN_HEADER} from './error_responses.js';
 import type {ResponseTraits, RequestProtocol} from './protocol.js';
@@ -61,7 +57,7 @@
    */
   progressAtMs = 0;
   private readonly splitter = new EventSplitter();
-  private readonly eventLength = new EventLengthLimit();
+  private readonly meter = new EventMeter();
   private readonly chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private isRelaying = false;
@@ -82,6 +78,17 @@
     return isFramed ? 'framed' : 'until_close';
   }
 
+  /**
+   * Whether a stream whose end is only marked by that of its connection has
+   * ended inside an event or before the first one: its upstream broke it off.
+   */
+  get isTorn(): boolean {
+    if (!this.isRelaying || this.framing === 'framed') return false;
+    const {progress} = this.options;
+    const hasNoEvent = this.meter.isEmpty && !progress.isStarted;
+    return this.meter.isInsideEvent || hasNoEvent;
+  }
+
   /** Whether another entry refused the request before any upstream got it. */
   get isRefusedByPeer(): boolean {
     const {isFromPeer} = this.options;
@@ -113,7 +120,7 @@
       this.buffer(chunk);
       return true;
     }
-    this.eventLength.add(chunk);
+    this.meter.add(chunk);
     if (!this.options.isResumable) return this.relayBytes(chunk, resume);
     const batch = this.splitter.push(chunk);
     return batch === undefined ? true : this.relayEvents(batch, resume);
--- a/src/node/ingress/try_outcome.ts
+++ b/src/node/ingress/try_outcome.ts
@@ -7,6 +7,16 @@
 /** Cause of a try that was abandoned because its upstream sent no data. */
 export const RESPONSE_TIMEOUT_CAUSE = 'upstream sent no data in time';
 
+/** The end of an exchange, which may be complete although its stream is not. */
+export function endOfTry(
+  end: ExchangeEnd,
+  reader: ResponseReader,
+): ExchangeEnd {
+  return end.kind === 'complete' && reader.isTorn
+    ? {kind: 'broken', cause: 'stream ended inside an event'}
+    : end;
+}
+
 /** The outcome of the placement, as reported to the scheduler. */
 export function outcomeOf(
   end: ExchangeEnd,
