Reset the caller's connection when a stream without framing breaks off

Callers could take a stream that its upstream broke off between two events for a complete one: such a response has no length and no last chunk, and terminate() ended the connection in order, which is the mark of its end. Change: a response without framing is terminated by a reset of its connection; others are closed as before, since a reset may cost bytes that are under way.

--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -13,6 +13,8 @@
 export class CallerResponse {
   private hasBegun = false;
   private hasEnded = false;
+  /** Whether the end of the connection marks the end of the response. */
+  private isEndedByClose = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -71,15 +73,21 @@
     this.response.end();
   }
 
-  /** Destroys the connection so that the response does not look complete. */
+  /**
+   * Closes the connection so that the response does not look complete. Without
+   * framing only a reset tells; it may cost the last bytes, so it is used there
+   * alone.
+   */
   terminate(): void {
     this.hasEnded = true;
+    if (this.isEndedByClose) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
   // Without content-length and chunked encoding, the end of the connection
   // marks the end of the response.
   private delimitByClose(): void {
+    this.isEndedByClose = true;
     this.response.useChunkedEncodingByDefault = false;
     this.response.shouldKeepAlive = false;
     this.response.setHeader('connection', 'close');
