Log the request rate limits that upstreams name

Logs showed neither the limit that an upstream names nor its end, so they could not tell whether it is unread, kept by each instance alone, or passed in bursts. An answer to a request that was sent before the limit was named does not end it. Nothing is decided by it yet.

--- /dev/null
+++ b/src/node/dispatch/upstream_limits.ts
@@ -0,0 +1,71 @@
+/** The request rate limits that upstreams name in their answers. */
+import {monotonicNowMs} from '../clock/clock.js';
+import type {DomainId, ServiceId, UpstreamId} from '../types/ids.js';
+
+/** An upstream and the scheduler that assigns it. */
+export interface LimitedUpstream {
+  readonly service: ServiceId;
+  readonly domain: DomainId;
+  readonly upstreamId: UpstreamId;
+}
+
+/** A limit that one upstream has named. */
+export interface NamedLimit extends LimitedUpstream {
+  /** Requests a second from all instances together. */
+  readonly maxRequestsPerS: number;
+}
+
+interface HeldLimit extends NamedLimit {
+  readonly notedAtMs: number;
+}
+
+/** Upstreams kept; the oldest limits are dropped first. */
+const MAX_UPSTREAMS = 1_024;
+
+/** The limits that one entry has been told. */
+export class UpstreamLimits {
+  private readonly held = new Map<UpstreamId, HeldLimit>();
+
+  /**
+   * Records what an answer says and returns whether that is new. An answer to a
+   * request that was sent before the limit was named does not end it.
+   */
+  note(
+    upstream: LimitedUpstream,
+    maxRequestsPerS: number | undefined,
+    sentAtMs: number,
+  ): boolean {
+    const {service, domain, upstreamId} = upstream;
+    const known = this.held.get(upstreamId);
+    if (known?.maxRequestsPerS === maxRequestsPerS) return false;
+    if (known !== undefined && sentAtMs < known.notedAtMs) return false;
+    this.held.delete(upstreamId);
+    if (maxRequestsPerS === undefined) return true;
+    const notedAtMs = monotonicNowMs();
+    this.held.set(upstreamId, {
+      service,
+      domain,
+      upstreamId,
+      maxRequestsPerS,
+      notedAtMs,
+    });
+    const [oldest] = this.held.keys();
+    if (this.held.size > MAX_UPSTREAMS && oldest !== undefined) {
+      this.held.delete(oldest);
+    }
+    return true;
+  }
+
+  /** The limits of the upstreams that one scheduler assigns. */
+  of(service: ServiceId, domain: DomainId): readonly NamedLimit[] {
+    return [...this.held.values()]
+      .filter(each => each.service === service)
+      .filter(each => each.domain === domain)
+      .map(({upstreamId, maxRequestsPerS}) => ({
+        service,
+        domain,
+        upstreamId,
+        maxRequestsPerS,
+      }));
+  }
+}
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -6,6 +6,7 @@
 import type {Dispatcher, Pool} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
 import type {Route} from '../../../routes/route_table.js';
+import {UpstreamLimits} from '../../../dispatch/upstream_limits.js';
 import type {SchedulerAnswer, WorkItem} from '../../../scheduling/types.js';
 import {
   asId,
@@ -180,6 +181,7 @@
     },
     relay: {},
     paces: new UpstreamPaces(),
+    limits: new UpstreamLimits(),
     log: {
       write: () => undefined,
       tryFailed: () => undefined,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -11,6 +11,7 @@
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
 import {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
+import {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import {ControlLink} from '../fleet/control_link.js';
 import {FleetMembers} from '../fleet/fleet_members.js';
 import type {EntryInstance} from '../fleet/messages.js';
@@ -312,6 +313,7 @@
         scheduler: this.scheduler,
         connections: this.connections,
         paces: new UpstreamPaces(),
+        limits: new UpstreamLimits(),
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -38,6 +38,11 @@
   /** Whether it carries the upstream's signature. */
   readonly isSigned: boolean;
   readonly isEncoded: boolean;
+  /**
+   * Requests a second that the upstream takes from all instances together, if
+   * it names a limit. It holds until an answer does not name one any more.
+   */
+  readonly maxRequestsPerS?: number;
 }
 
 /** A header as a pair of name and value. */
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -26,6 +26,7 @@
   | 'retry'
   | 'stalled'
   | 'upstream_outcome'
+  | 'upstream_limit'
   | 'ended'
   | 'rejected'
 >;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -6,13 +6,14 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
-import {allowsRegion, isRepeatable} from '../routes/route_table.js';
+import {allowsRegion} from '../routes/route_table.js';
 import type {
   PlacementOutcome,
   SchedulerAnswer,
   WorkItem,
 } from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import {
   asId,
   type InstanceId,
@@ -20,7 +21,11 @@
   type RequestId,
   type UpstreamId,
 } from '../types/ids.js';
-import {ResponseReader, type StreamProgress} from './response_reader.js';
+import {
+  ResponseReader,
+  type ResponseReaderOptions,
+  type StreamProgress,
+} from './response_reader.js';
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
@@ -29,14 +34,12 @@
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
 import {sendFinalResponse} from './error_responses.js';
+import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {UpstreamPaces} from './upstream_pace.js';
 import {cancelGrant, UpstreamTry, type Grant} from './upstream_try.js';
 
-/** Extra tries after tries that did not run, beyond the route's limit. */
-const MAX_TRIES_NOT_RUN = 2;
-
 export interface RequestRunContext {
   readonly region: RegionId;
   readonly self: InstanceId;
@@ -45,6 +48,7 @@
   readonly scheduler: SchedulerClient;
   readonly connections: ConnectionPools;
   readonly paces: UpstreamPaces;
+  readonly limits: UpstreamLimits;
   readonly relay: RelayClient;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
@@ -54,12 +58,7 @@
 export class RequestRun {
   private readonly progress: StreamProgress;
   private readonly failedUpstreams: UpstreamId[];
-  /** Tries that ran or may have run. */
-  private runs = 0;
-  private triesNotRun = 0;
-  private spareTriesUsed = 0;
-  /** Tries that may have reached an upstream, whether it ran them or not. */
-  private triesAtUpstream = 0;
+  private readonly tries: TryBudget;
   private refusedRegions: RegionId[] = [];
   private firstAnswerMs = 0;
   /** Wait for scheduling decisions, summed over all tries. */
@@ -83,6 +82,7 @@
       longestGapMs: 0,
     };
     this.failedUpstreams = [...request.avoidUpstreams];
+    this.tries = new TryBudget(request);
   }
 
   /** Resolves when the caller has its final response. */
@@ -95,10 +95,11 @@
 
   private async tryUntilFinal(): Promise<TryResult> {
     const result = await this.attempt();
-    if (!this.mayTryAgain(result)) return result;
+    const mayRetry = !this.signal.aborted && this.tries.mayFollow(result);
+    if (!mayRetry) return result;
     this.context.log.write('retry', this.request, {
       cause: 'cause' in result ? result.cause : '',
-      runs: this.runs,
+      runs: this.tries.runs,
       lastEventId: this.progress.lastEventId,
     });
     return this.tryUntilFinal();
@@ -152,11 +153,11 @@
       service: request.service,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
-      ageMs: this.hasRun() ? 0 : nowMs - request.receivedAtMs,
+      ageMs: this.tries.hasRun ? 0 : nowMs - request.receivedAtMs,
       remainingMs: request.expiresAtMs - nowMs,
       ...(traits.prompt === undefined ? {} : {prompt: traits.prompt}),
       avoidUpstreams: this.failedUpstreams,
-      isRepeat: request.isRepeat || this.triesAtUpstream > 0,
+      isRepeat: this.tries.isRepeat,
       isAllowedHere: allowsRegion(route, context.region),
       otherRegions,
       passedDomains: [],
@@ -195,7 +196,11 @@
       grant,
       hasPrompt: request.traits.prompt !== undefined,
     });
-    const reader = this.createReader(sentAtMs, monitor);
+    const reader = this.createReader(sentAtMs, {
+      onProgress: monitor.record,
+      onHead: ({maxRequestsPerS}) =>
+        this.noteLimit(grant, maxRequestsPerS, sentAtMs),
+    });
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
       remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
@@ -212,7 +217,7 @@
       reader,
       request: {method, path, body, headers: headers.flat()},
       targetGapMs: request.route.targetGapMs,
-      replacementItem: this.mayRunAgain()
+      replacementItem: this.tries.mayRunAgain
         ? () => this.replacementItem(grant)
         : undefined,
       signal: this.signal,
@@ -243,7 +248,7 @@
       region,
       {
         ...request,
-        isRepeat: request.isRepeat || this.triesAtUpstream > 0,
+        isRepeat: this.tries.isRepeat,
         lastEventId: this.progress.lastEventId,
       },
       reader,
@@ -255,10 +260,21 @@
     return result;
   }
 
-  // Without a monitor, the response comes from another entry.
+  private noteLimit(
+    grant: Grant,
+    maxRequestsPerS: number | undefined,
+    sentAtMs: number,
+  ): void {
+    const {limits, log} = this.context;
+    if (!limits.note(grant, maxRequestsPerS, sentAtMs)) return;
+    const {upstreamId: upstream} = grant;
+    log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
+  }
+
+  // Without handlers, the response comes from another entry.
   private createReader(
     sentAtMs: number,
-    monitor?: ProgressMonitor,
+    handlers?: Pick<ResponseReaderOptions, 'onHead' | 'onProgress'>,
   ): ResponseReader {
     const {context, request, response, progress} = this;
     return new ResponseReader({
@@ -268,31 +284,31 @@
       isStream: request.route.kind === 'stream',
       isResumable: request.route.isResumable,
       progress,
-      isFromPeer: monitor === undefined,
+      isFromPeer: handlers === undefined,
       onResponseStart: () => {
         this.firstAnswerMs = Math.max(1, monotonicNowMs() - sentAtMs);
       },
-      ...(monitor === undefined ? {} : {onProgress: monitor.record}),
+      ...handlers,
     });
   }
 
   private interpret(end: ExchangeEnd, reader: ResponseReader): TryResult {
     if (end.kind === 'aborted') return end;
     if (end.kind === 'not_sent') {
-      this.triesNotRun += 1;
+      this.tries.noteNotRun();
       return {kind: 'not_run', cause: end.cause, retryAfterMs: 0};
     }
     const {head} = reader;
-    if (!reader.isRefusedByPeer) this.triesAtUpstream += 1;
+    if (!reader.isRefusedByPeer) this.tries.noteAtUpstream();
     if (head?.traits.isNotRun === true || reader.isRefusedByPeer) {
-      this.triesNotRun += 1;
+      this.tries.noteNotRun();
       return {
         kind: 'not_run',
         cause: `status ${head?.status}`,
         retryAfterMs: 0,
       };
     }
-    this.runs += 1;
+    this.tries.noteRun();
     if (end.kind === 'broken' || head === undefined) {
       const cause = end.kind === 'broken' ? end.cause : 'no response';
       return {kind: 'failed', cause};
@@ -306,7 +322,7 @@
     if (this.progress.isStarted && !reader.isSuccess) {
       return {kind: 'failed', cause: `status ${status} while resuming`};
     }
-    if (isFailure && this.hasTryLeft()) {
+    if (isFailure && this.tries.hasRunLeft) {
       return {kind: 'failed', cause: `status ${status}`};
     }
     if (request.route.kind === 'stream' && reader.isSuccess) {
@@ -320,46 +336,11 @@
     return {kind: 'delivered', status};
   }
 
-  // After a run the target counts anew: a late answer is better than none.
-  private hasRun(): boolean {
-    return this.runs > 0 || this.request.isRepeat;
-  }
-
-  /** Whether another try may follow one that runs now. */
-  private mayRunAgain(): boolean {
-    return this.runs + 1 < this.maxRuns();
-  }
-
-  private hasTryLeft(): boolean {
-    return this.runs < this.maxRuns();
-  }
-
-  // A relayed request is retried by the entry that relayed it.
-  private maxRuns(): number {
-    const {route, isRelayed} = this.request;
-    return !isRelayed && isRepeatable(route) ? route.maxUpstreams : 1;
-  }
-
-  private mayTryAgain(result: TryResult): boolean {
-    const isTimeLeft = this.request.expiresAtMs > monotonicNowMs();
-    if (this.signal.aborted || !isTimeLeft) return false;
-    if (result.kind === 'failed') return this.hasTryLeft();
-    if (result.kind !== 'not_run') return false;
-    return this.consumeSpareTry();
-  }
-
-  // A refusal by the scheduler adds no try, so it is final.
-  private consumeSpareTry(): boolean {
-    const tries = this.triesNotRun;
-    if (tries === this.spareTriesUsed) return false;
-    this.spareTriesUsed = tries;
-    return tries <= MAX_TRIES_NOT_RUN;
-  }
-
   private finish(result: TryResult): void {
     const {request, response, context} = this;
     const totalMs = monotonicNowMs() - request.receivedAtMs;
-    const hasRun = this.runs > 0;
+    const {runs, triesNotRun} = this.tries;
+    const hasRun = runs > 0;
     const status = sendFinalResponse(result, response, hasRun, request);
     const {name, kind} = request.route;
     context.metrics.recordMs('request_ms', {kind}, totalMs);
@@ -373,8 +354,8 @@
       totalMs,
       firstAnswerMs: this.firstAnswerMs,
       longestGapMs: this.progress.longestGapMs,
-      runs: this.runs,
-      triesNotRun: this.triesNotRun,
+      runs,
+      triesNotRun,
     });
   }
 
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -31,6 +31,7 @@
   readonly progress: StreamProgress;
   /** Whether the peer is another entry, which can itself refuse the request. */
   readonly isFromPeer: boolean;
+  readonly onHead?: (traits: ResponseTraits) => void;
   readonly onResponseStart: () => void;
   /** Called on progress, with the time of the previous one or 0. */
   readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
@@ -107,6 +108,7 @@
       throw new Error('response carries the attempt id of another request');
     }
     this.head = {status, headers, traits};
+    this.options.onHead?.(traits);
     if (this.isSuccess && (!traits.isSigned || traits.isEncoded)) {
       throw new Error('successful response is unsigned or content-encoded');
     }
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -142,6 +142,12 @@
     isUpstreamActive: z.boolean(),
     result: z.string(),
   },
+  upstream_limit: {
+    ...matched,
+    upstream: z.string(),
+    /** Requests a second from all instances; missing if the limit has ended. */
+    maxRequestsPerS: z.number().optional(),
+  },
   upstream_outcome: {
     ...matched,
     upstream: z.string(),
