Leave plain upstreams out of the long-prompt lane

A service with two or more plain upstreams in a domain kept one of them in the lane of engines that read long prompts. All its requests are short, so it was avoided by a penalty of 300 ms and idle until the others were full, however fast it was. Found while a test with two upstreams was written: the faster one got none of 300 requests (expected 28 ms, the other 102 ms). The lane takes engines only. The new spec fails before (the fast upstream is used only if it is not the first), 24 specs of the folder pass.

--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -54,7 +54,7 @@
     const decay = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
     this.demand = this.demand * decay + prefillMs / DEMAND_WINDOW_MS;
     this.demandAtMs = nowMs;
-    this.resize(usable, nowMs);
+    this.resize(usable.filter(isLaneCandidate), nowMs);
   }
 
   /** Whether the request belongs in the lane. */
@@ -148,6 +148,11 @@
   }
 }
 
+// Only engines read prompts.
+function isLaneCandidate({isEngine}: UpstreamState): boolean {
+  return isEngine;
+}
+
 // Current members are preferred unless another engine is clearly faster.
 function fastest(
   usable: readonly UpstreamState[],
