Keep to the request rate that an upstream names

Cause: nothing read the limit; an engine in need was scheduled as any other, and as it was less busy than the others it was even preferred. Change: an entry that gets an answer tells the scheduler what it names, unless the grant shows that the scheduler knew. The scheduler, through which all requests of a region for the upstream go, spaces its starts at nine tenths of the rate; forecasts and digests count no more than that; the long-prompt lane leaves such engines out. Only an answer to a later request ends a limit, and an upstream that names 0 still gets one request in 10 s, since only an answer can end it. A scheduler that takes over is told the limits by the entries. Why it works: the sum over all instances is kept in one place and handed on.

--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -15,6 +15,7 @@
 import {DomainChoice} from '../../domain_choice.js';
 import {SchedulerClient} from '../../scheduler_client.js';
 import {SchedulerHost} from '../../scheduler_host.js';
+import {UpstreamLimits} from '../../upstream_limits.js';
 import {SuspectExchange} from '../../suspect_exchange.js';
 
 const SPEC = {
@@ -105,6 +106,7 @@
       members,
       client: rpc,
       logger: SILENT,
+      limits: new UpstreamLimits(),
       submitHere: parts => void host.submit(self, parts),
     });
     const decisions = new DecisionSender({
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -9,7 +9,7 @@
   CapacityDigest,
   Decision,
   Release,
-  RunningPlacement,
+  EntryPlacements,
   WorkItem,
 } from '../scheduling/types.js';
 import {
@@ -68,12 +68,19 @@
       readonly upstreamId: UpstreamId;
       readonly requestId: RequestId;
     }
-  /** All requests of the entry that run on a service, for a new scheduler. */
+  /** The limit that the answer to a request names; null if it names none. */
   | {
+      readonly kind: 'limit';
+      readonly service: ServiceId;
+      readonly upstreamId: UpstreamId;
+      readonly requestId: RequestId;
+      readonly maxRequestsPerS: number | null;
+    }
+  /** All that the entry knows of a service, for a new scheduler. */
+  | ({
       readonly kind: 'running';
       readonly service: ServiceId;
-      readonly placements: readonly RunningPlacement[];
-    };
+    } & EntryPlacements);
 
 export interface Submission {
   readonly parts: readonly SubmissionPart[];
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -12,7 +12,6 @@
 import type {
   Decision,
   PlacementOutcome,
-  RefusalReason,
   Release,
   RunningPlacement,
   SchedulerAnswer,
@@ -21,9 +20,11 @@
 import type {GatewayError} from '../types/errors.js';
 import type {DomainId, InstanceId, RegionId, RequestId} from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
+import {localRefusal} from './local_refusal.js';
 import {cancelledPlacements} from './decision_sender.js';
 import type {DomainChoice} from './domain_choice.js';
 import type {SchedulerScope} from './scheduler_host.js';
+import type {UpstreamLimits} from './upstream_limits.js';
 import {
   SUBMIT_METHOD,
   type PlacementReport,
@@ -50,6 +51,8 @@
   readonly members: FleetMembers;
   readonly client: RpcClient;
   readonly logger: Logger;
+  /** The limits that upstreams have named to this entry. */
+  readonly limits: UpstreamLimits;
   /** Submits parts to the schedulers on this entry. */
   readonly submitHere: (parts: readonly SubmissionPart[]) => void;
 }
@@ -173,6 +176,23 @@
     this.send(target, {kind, service, domain, upstreamId, requestId});
   }
 
+  /**
+   * Reports the limit that an upstream names in its answer, if any, unless its
+   * scheduler knew that already when it granted the request.
+   */
+  reportLimit(grant: Grant, maxRequestsPerS: number | undefined): void {
+    if (grant.maxRequestsPerS === maxRequestsPerS) return;
+    const {service, domain, upstreamId, requestId} = grant;
+    this.send(this.schedulerOf(grant), {
+      kind: 'limit',
+      service,
+      domain,
+      upstreamId,
+      requestId,
+      maxRequestsPerS: maxRequestsPerS ?? null,
+    });
+  }
+
   /** Handles decisions received from a scheduler. */
   deliver(from: InstanceId, decisions: readonly Decision[]): void {
     decisions.forEach(decision => this.applyDecision(from, decision));
@@ -365,36 +385,11 @@
       .filter(each => each.item.service === service)
       .filter(each => each.domain === domain)
       .map(({item, upstreamId}) => ({item, upstreamId}));
-    this.send(target, {kind: 'running', service, domain, placements});
+    const limits = this.options.limits.of(service, domain);
+    this.send(target, {kind: 'running', service, domain, placements, limits});
   }
 }
 
 function isFailure(outcome: PlacementOutcome): boolean {
   return outcome !== 'answered' && outcome !== 'cancelled';
 }
-
-/** Builds a refusal that this entry decides without a scheduler. */
-function localRefusal(
-  {
-    item,
-    scheduler,
-    passedDomains,
-  }: Pick<Pending, 'item' | 'scheduler' | 'passedDomains'>,
-  reason: RefusalReason,
-  retryAfterMs: number,
-): SchedulerAnswer {
-  return {
-    kind: 'refuse',
-    requestId: item.requestId,
-    entry: item.entry,
-    scheduler,
-    passes: passedDomains.length,
-    reason,
-    retryAfterMs,
-    predictedWaitMs: 0,
-    usableUpstreams: 0,
-    queueLength: 0,
-    closedForMs: 0,
-    decisionAgeMs: 0,
-  };
-}
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -272,8 +272,14 @@
         return scheduler.pool
           .get(part.upstreamId)
           ?.noteBegun(part.requestId, nowMs);
+      case 'limit':
+        return scheduler.pool.noteLimit(
+          part.upstreamId,
+          part.requestId,
+          part.maxRequestsPerS ?? undefined,
+        );
       case 'running':
-        return scheduler.syncRunning(from, part.placements, nowMs);
+        return scheduler.syncRunning(from, part, nowMs);
     }
   }
 
--- a/src/node/dispatch/upstream_limits.ts
+++ b/src/node/dispatch/upstream_limits.ts
@@ -1,5 +1,6 @@
 /** The request rate limits that upstreams name in their answers. */
 import {monotonicNowMs} from '../clock/clock.js';
+import type {UpstreamLimit} from '../scheduling/types.js';
 import type {DomainId, ServiceId, UpstreamId} from '../types/ids.js';
 
 /** An upstream and the scheduler that assigns it. */
@@ -9,13 +10,9 @@
   readonly upstreamId: UpstreamId;
 }
 
-/** A limit that one upstream has named. */
-export interface NamedLimit extends LimitedUpstream {
-  /** Requests a second from all instances together. */
-  readonly maxRequestsPerS: number;
-}
-
-interface HeldLimit extends NamedLimit {
+interface HeldLimit extends UpstreamLimit {
+  readonly service: ServiceId;
+  readonly domain: DomainId;
   readonly notedAtMs: number;
 }
 
@@ -57,15 +54,10 @@
   }
 
   /** The limits of the upstreams that one scheduler assigns. */
-  of(service: ServiceId, domain: DomainId): readonly NamedLimit[] {
+  of(service: ServiceId, domain: DomainId): readonly UpstreamLimit[] {
     return [...this.held.values()]
       .filter(each => each.service === service)
       .filter(each => each.domain === domain)
-      .map(({upstreamId, maxRequestsPerS}) => ({
-        service,
-        domain,
-        upstreamId,
-        maxRequestsPerS,
-      }));
+      .map(({upstreamId, maxRequestsPerS}) => ({upstreamId, maxRequestsPerS}));
   }
 }
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -173,6 +173,7 @@
       release: ({upstreamId, outcome}: Record<string, string>) =>
         note(`released ${upstreamId}: ${outcome}`),
       report: () => undefined,
+      reportLimit: () => undefined,
     },
     connections: {
       pool: (address: string) =>
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -67,6 +67,7 @@
   private readonly decisions: DecisionSender;
   private readonly scheduler: SchedulerClient;
   private readonly listReader: ListReader;
+  private readonly limits = new UpstreamLimits();
   private readonly loops: RegionLoops;
   private readonly controlLink: ControlLink;
   private readonly ingress: IngressServer;
@@ -232,6 +233,7 @@
       members: this.members,
       client: this.client,
       logger,
+      limits: this.limits,
       submitHere: parts => void this.host.submit(self, parts),
     });
   }
@@ -313,7 +315,7 @@
         scheduler: this.scheduler,
         connections: this.connections,
         paces: new UpstreamPaces(),
-        limits: new UpstreamLimits(),
+        limits: this.limits,
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -265,7 +265,8 @@
     maxRequestsPerS: number | undefined,
     sentAtMs: number,
   ): void {
-    const {limits, log} = this.context;
+    const {limits, scheduler, log} = this.context;
+    scheduler.reportLimit(grant, maxRequestsPerS);
     if (!limits.note(grant, maxRequestsPerS, sentAtMs)) return;
     const {upstreamId: upstream} = grant;
     log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -92,6 +92,8 @@
   upstream_suspected: upstreamChange,
   upstream_down: upstreamChange,
   upstream_up: upstreamChange,
+  upstream_limited: upstreamChange,
+  upstream_unlimited: upstreamChange,
   upstream_crashed: {
     service: z.string(),
     upstream: z.string(),
--- /dev/null
+++ b/src/node/scheduling/__tests__/named_limits.spec.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {matchSnapshot} from '../../__tests__/support/snapshot.js';
+import {asId, type UpstreamId} from '../../types/ids.js';
+import type {Scheduler} from '../scheduler.js';
+import type {Decision} from '../types.js';
+import {
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  upstream,
+} from './scheduling_fixture.js';
+
+const LIMITED = asId<UpstreamId>('limited');
+const OTHERS = ['b', 'c'];
+const LIMIT_PER_S = 2;
+const INTERVAL_MS = 25;
+const SECOND_MS = 1_000;
+const DAY_MS = 8 * SECOND_MS;
+
+function createWith(names: readonly string[]): Scheduler {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  const upstreams = names.map(name => upstream(name));
+  scheduler.pool.applyReading({upstreams, readAtMs: 0, lagMs: 0});
+  return scheduler;
+}
+
+/** Sends chats at a steady pace; each is answered before the next one. */
+function sendFor(
+  scheduler: Scheduler,
+  fromMs: number,
+  durationMs: number,
+): readonly Decision[] {
+  const times = Array.from(
+    {length: durationMs / INTERVAL_MS},
+    (_, step) => fromMs + step * INTERVAL_MS,
+  );
+  return times.flatMap(nowMs => {
+    scheduler.submit(chat(`c${nowMs}`), nowMs);
+    const decisions = scheduler.decide(nowMs);
+    decisions.forEach(each => {
+      if (each.kind !== 'grant') return;
+      const {requestId, upstreamId} = each;
+      const answer = {firstAnswerMs: 20, totalMs: 20};
+      scheduler.release(
+        [{requestId, upstreamId, outcome: 'answered', ...answer}],
+        nowMs + 20,
+      );
+    });
+    return decisions;
+  });
+}
+
+function countOf(decisions: readonly Decision[], name: string): number {
+  return decisions.filter(
+    each => each.kind === 'grant' && each.upstreamId === name,
+  ).length;
+}
+
+// Guards against an upstream in need that is overrun, and against one that gets
+// nothing, so that the end of its limit is never seen.
+test('starts at a limited upstream are spaced, and never end', () => {
+  const rates = [LIMIT_PER_S, 0.5, 0].map(maxRequestsPerS => {
+    const scheduler = createWith([LIMITED, ...OTHERS]);
+    scheduler.pool.adoptLimit({upstreamId: LIMITED, maxRequestsPerS});
+    const decisions = sendFor(scheduler, SECOND_MS, DAY_MS);
+    const others = OTHERS.reduce(
+      (sum, name) => sum + countOf(decisions, name),
+      0,
+    );
+    return {
+      maxRequestsPerS,
+      started: countOf(decisions, LIMITED),
+      others,
+      refused: decisions.filter(each => each.kind === 'refuse').length,
+    };
+  });
+  matchSnapshot(import.meta.url, 'limited upstream', rates);
+});
+
+// Guards against requests that wait for upstreams which will not take them in
+// time.
+test('requests beyond all limits are refused at once', () => {
+  const scheduler = createWith([LIMITED]);
+  scheduler.pool.adoptLimit({
+    upstreamId: LIMITED,
+    maxRequestsPerS: LIMIT_PER_S,
+  });
+  const items = Array.from({length: 6}, (_, number) => chat(`c${number}`));
+  items.forEach(item => scheduler.submit(item, SECOND_MS));
+  // The next start is due 0.56 s later, after the target of a chat.
+  const kinds = scheduler.decide(SECOND_MS).map(each => each.kind);
+  assert.deepEqual(kinds, ['grant', ...items.slice(1).map(() => 'refuse')]);
+});
+
+// Guards against a limit that an answer ends which was sent before the limit was
+// named, and against one that no answer ends.
+test('only an answer to a later request ends a limit', () => {
+  const scheduler = createWith([LIMITED]);
+  const start = (name: string, nowMs: number) => {
+    scheduler.submit(chat(name), nowMs);
+    scheduler.decide(nowMs);
+    return chat(name).requestId;
+  };
+  const {pool} = scheduler;
+  const limit = () => pool.get(LIMITED)?.limit.maxRequestsPerS;
+  const early = start('early', 1_000);
+  const naming = start('naming', 2_000);
+  pool.noteLimit(LIMITED, naming, LIMIT_PER_S);
+  pool.noteLimit(LIMITED, early, undefined);
+  const afterEarly = limit();
+  const late = start('late', 5_000);
+  pool.noteLimit(LIMITED, late, undefined);
+  assert.deepEqual([afterEarly, limit()], [LIMIT_PER_S, undefined]);
+});
+
+// Guards against a scheduler that takes over and overruns a limited upstream
+// until the next answer tells it the limit.
+test('a new scheduler learns the limits from the entries', () => {
+  const scheduler = createWith([LIMITED, ...OTHERS]);
+  const limits = [{upstreamId: LIMITED, maxRequestsPerS: LIMIT_PER_S}];
+  scheduler.syncRunning(chat('c1').entry, {placements: [], limits}, SECOND_MS);
+  const decisions = sendFor(scheduler, SECOND_MS, SECOND_MS);
+  assert.ok(countOf(decisions, LIMITED) <= LIMIT_PER_S);
+});
--- a/src/node/scheduling/__tests__/scheduler.spec.ts
+++ b/src/node/scheduling/__tests__/scheduler.spec.ts
@@ -168,7 +168,7 @@
   const {upstreamId} = upstream('a');
   scheduler.syncRunning(
     plain('p1').entry,
-    [{item: plain('p2'), upstreamId}],
+    {placements: [{item: plain('p2'), upstreamId}], limits: []},
     10,
   );
   assert.equal(scheduler.pool.get(upstreamId)?.running, 1);
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -51,6 +51,13 @@
 export const NO_UPSTREAM_CLOSED_MS = 200;
 /** Share of its tolerated request rate that a cold upstream gets. */
 export const COLD_RATE_SHARE = 0.85;
+/** Share of the rate limit that an upstream names which it gets. */
+export const NAMED_RATE_SHARE = 0.9;
+/**
+ * An upstream that takes fewer requests, or none, still gets this many a second:
+ * only an answer shows that the limit has ended.
+ */
+export const MIN_STARTS_PER_S = 0.1;
 /** Maximum queue wait while the service has no usable upstream. */
 export const NO_UPSTREAM_WAIT_MS = 400;
 /** A placement without a release expires this long after its deadline. */
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -28,6 +28,7 @@
   upstream: UpstreamState,
   {domain, queuedMs, nowMs}: GrantInputs,
 ): Decision {
+  const {maxRequestsPerS} = upstream.limit;
   const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
   return {
     kind: 'grant',
@@ -40,6 +41,7 @@
     queuedMs,
     expectedMs: upstream.expectedMs(item, nowMs),
     isCold: upstream.isCold(nowMs),
+    ...(maxRequestsPerS === undefined ? {} : {maxRequestsPerS}),
     ...(fetchFrom === undefined ? {} : {fetchFrom}),
   };
 }
--- a/src/node/scheduling/forecast.ts
+++ b/src/node/scheduling/forecast.ts
@@ -1,7 +1,6 @@
 /** Predicts the queue wait and the time to the first answer at admission. */
 import {
   ADMISSION_SHARE_OF_TARGET,
-  COLD_RATE_SHARE,
   MAX_PREFILL_BACKLOG_MS,
   NO_UPSTREAM_WAIT_MS,
   WAIT_SHARE_OF_TARGET,
@@ -47,8 +46,8 @@
   if (first === undefined) return NO_UPSTREAM_WAIT_MS;
   const requests = ahead.requests + 1;
   const startWaitMs = Math.max(
-    waitForSlotMs(usable, requests),
-    waitForColdMs(usable, requests, nowMs),
+    waitForSlotMs(usable, requests, nowMs),
+    waitForPaceMs(usable, requests, nowMs),
   );
   if (!first.isEngine) return startWaitMs;
   const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
@@ -56,17 +55,15 @@
   return Math.max(startWaitMs, backlogWaitMs + ahead.prefillMs / usable.length);
 }
 
-/** Time to start `requests` requests while all upstreams are cold. */
-function waitForColdMs(
+/** Time to start `requests` requests while all upstreams are paced. */
+function waitForPaceMs(
   usable: readonly UpstreamState[],
   requests: number,
   nowMs: number,
 ): number {
-  if (!usable.every(each => each.isCold(nowMs))) return 0;
-  const startsPerS = usable.reduce(
-    (sum, each) => sum + each.traits.coldRequestsPerS * COLD_RATE_SHARE,
-    0,
-  );
+  const paces = usable.flatMap(each => each.startsPerS(nowMs) ?? []);
+  if (paces.length < usable.length) return 0;
+  const startsPerS = paces.reduce((sum, each) => sum + each, 0);
   const beyondFirst = Math.max(0, requests - usable.length);
   return (beyondFirst / startsPerS) * MS_PER_S;
 }
@@ -75,8 +72,12 @@
 function waitForSlotMs(
   usable: readonly UpstreamState[],
   requests: number,
+  nowMs: number,
 ): number {
-  const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
+  const freeSlots = usable.reduce(
+    (sum, each) => sum + each.openSlots(nowMs),
+    0,
+  );
   const missing = requests - freeSlots;
   if (missing <= 0) return 0;
   const freedPerMs = usable.reduce(
--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -148,9 +148,10 @@
   }
 }
 
-// Only engines read prompts.
-function isLaneCandidate({isEngine}: UpstreamState): boolean {
-  return isEngine;
+// Only engines read prompts, and long ones would queue up behind an engine that
+// takes few requests.
+function isLaneCandidate({isEngine, limit}: UpstreamState): boolean {
+  return isEngine && limit.maxRequestsPerS === undefined;
 }
 
 // Current members are preferred unless another engine is clearly faster.
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -33,7 +33,7 @@
   RefusalReason,
   Release,
   ReplacedUpstream,
-  RunningPlacement,
+  EntryPlacements,
   WorkItem,
 } from './types.js';
 import {UpstreamPool} from './upstream_pool.js';
@@ -103,14 +103,15 @@
 
   /**
    * Replaces the placements of an entry by those that it reports as running,
-   * whichever scheduler granted them.
+   * whichever scheduler granted them, and takes over the limits that it knows.
    */
   syncRunning(
     entry: InstanceId,
-    placements: readonly RunningPlacement[],
+    {placements, limits}: EntryPlacements,
     nowMs: number,
   ): void {
     this.pool.syncEntry(entry, placements, nowMs);
+    limits.forEach(each => this.pool.adoptLimit(each));
   }
 
   /** Removes the queued requests and placements of unknown entries. */
@@ -153,7 +154,9 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const usable = this.pool.usable(nowMs).filter(each => !each.isCold(nowMs));
+    const usable = this.pool
+      .usable(nowMs)
+      .filter(each => each.startsPerS(nowMs) === undefined);
     return {
       region: this.options.region,
       domain: this.options.domain,
--- a/src/node/scheduling/start_pacer.ts
+++ b/src/node/scheduling/start_pacer.ts
@@ -1,5 +1,4 @@
-/** Limits the rate of requests to a cold upstream. */
-import {COLD_RATE_SHARE} from './constants.js';
+/** Limits the rate of requests to an upstream. */
 
 const MS_PER_S = 1_000;
 
@@ -15,9 +14,9 @@
     return this.nextStartAtMs;
   }
 
-  /** Records a start at an upstream that tolerates `requestsPerS`. */
-  noteStart(requestsPerS: number, nowMs: number): void {
-    const spacingMs = MS_PER_S / (requestsPerS * COLD_RATE_SHARE);
+  /** Records a start at an upstream that gets `startsPerS` requests a second. */
+  noteStart(startsPerS: number, nowMs: number): void {
+    const spacingMs = MS_PER_S / startsPerS;
     this.nextStartAtMs = Math.max(this.nextStartAtMs, nowMs) + spacingMs;
   }
 }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -124,6 +124,8 @@
       readonly fetchFrom?: string;
       /** Whether the upstream counts as cold. */
       readonly isCold: boolean;
+      /** The limit that the upstream has named, as the scheduler knows it. */
+      readonly maxRequestsPerS?: number;
     }
   /** The decision is left to the scheduler of another domain of the region. */
   | {
@@ -199,6 +201,20 @@
   readonly upstreamId: UpstreamId;
 }
 
+/** A rate limit that an upstream has named. */
+export interface UpstreamLimit {
+  readonly upstreamId: UpstreamId;
+  /** Requests a second from all instances together. */
+  readonly maxRequestsPerS: number;
+}
+
+/** What an entry knows of the upstreams of one scheduler. */
+export interface EntryPlacements {
+  /** Its requests that run. */
+  readonly placements: readonly RunningPlacement[];
+  readonly limits: readonly UpstreamLimit[];
+}
+
 /** Capacity of a scheduler's domain, sent to schedulers of other domains. */
 export interface CapacityDigest {
   readonly region: RegionId;
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -1,5 +1,10 @@
 /** Tracks the upstreams of one service from the list, releases and probes. */
-import type {DomainId, InstanceId, UpstreamId} from '../types/ids.js';
+import type {
+  DomainId,
+  InstanceId,
+  RequestId,
+  UpstreamId,
+} from '../types/ids.js';
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
@@ -9,6 +14,7 @@
   Release,
   RunningPlacement,
   ServiceTraits,
+  UpstreamLimit,
   WorkItem,
 } from './types.js';
 import {UpstreamState} from './upstream_state.js';
@@ -25,7 +31,15 @@
 /** A change in the assumed state of one upstream, for the log. */
 export interface PoolChange {
   readonly kind:
-    'listed' | 'unlisted' | 'reborn' | 'draining' | 'suspected' | 'down' | 'up';
+    | 'listed'
+    | 'unlisted'
+    | 'reborn'
+    | 'draining'
+    | 'suspected'
+    | 'down'
+    | 'up'
+    | 'limited'
+    | 'unlimited';
   readonly upstreamId: UpstreamId;
   readonly cause: string;
   readonly coldRemainingMs: number;
@@ -190,6 +204,22 @@
     return state.isDown && nowMs - state.downSinceMs >= CONFIRMED_DOWN_MS;
   }
 
+  /** Records the limit that the answer to a request names, or none. */
+  noteLimit(
+    upstreamId: UpstreamId,
+    requestId: RequestId,
+    maxRequestsPerS: number | undefined,
+  ): void {
+    this.changeLimit(upstreamId, state =>
+      state.noteLimit(requestId, maxRequestsPerS),
+    );
+  }
+
+  /** Takes over a limit that an entry has been told. */
+  adoptLimit({upstreamId, maxRequestsPerS}: UpstreamLimit): void {
+    this.changeLimit(upstreamId, state => state.limit.adopt(maxRequestsPerS));
+  }
+
   /** Upstreams that are down or suspected and must be probed. */
   toProbe(): readonly UpstreamState[] {
     return this.all().filter(
@@ -235,6 +265,20 @@
     this.reportChange('up', state, 'probe');
   }
 
+  private changeLimit(
+    upstreamId: UpstreamId,
+    change: (state: UpstreamState) => void,
+  ): void {
+    const state = this.states.get(upstreamId);
+    if (state === undefined) return;
+    const before = state.limit.maxRequestsPerS;
+    change(state);
+    const {maxRequestsPerS} = state.limit;
+    if (before === maxRequestsPerS) return;
+    const kind = maxRequestsPerS === undefined ? 'unlimited' : 'limited';
+    this.reportChange(kind, state, `${maxRequestsPerS ?? 'no'} limit per s`);
+  }
+
   /** Upstreams that are neither down, draining nor in an evacuated domain. */
   private available(): readonly UpstreamState[] {
     return this.all().filter(
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -3,6 +3,7 @@
 import {
   AVERAGE_WEIGHT,
   BASE_FIRST_ANSWER_MS,
+  COLD_RATE_SHARE,
   DECODE_MS_PER_TOKEN,
   MAX_PREFILL_BACKLOG_MS,
   INITIAL_SERVICE_MS,
@@ -11,6 +12,7 @@
   USABLE_CACHE_SHARE,
 } from './constants.js';
 import type {RunningRequest} from './crash_watch.js';
+import {NamedLimit} from './named_limit.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
 import type {PromptEstimates} from './prompt_estimates.js';
@@ -36,6 +38,7 @@
   hasBegun: boolean;
 }
 
+const MS_PER_S = 1_000;
 /** Outcomes that count against the upstream's health. */
 const FAILURE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   'failed',
@@ -63,6 +66,7 @@
 export class UpstreamState {
   readonly cache = new PrefixCache();
   readonly pacer = new StartPacer();
+  readonly limit = new NamedLimit();
   /** Set until a probe succeeds. */
   isDown = false;
   /** When it was last marked as down. */
@@ -154,6 +158,23 @@
     return this.traits.coldRequestsPerS > 0 && this.coldUntilMs > nowMs;
   }
 
+  /** Requests a second that may start on it; undefined if not limited. */
+  startsPerS(nowMs: number): number | undefined {
+    const coldPerS = this.traits.coldRequestsPerS * COLD_RATE_SHARE;
+    const rates = [
+      ...(this.isCold(nowMs) ? [coldPerS] : []),
+      ...(this.limit.startsPerS === undefined ? [] : [this.limit.startsPerS]),
+    ];
+    return rates.length === 0 ? undefined : Math.min(...rates);
+  }
+
+  /** Free slots of which requests could make use now. */
+  openSlots(nowMs: number): number {
+    if (this.limit.startsPerS === undefined) return this.freeSlots;
+    const isReady = this.pacer.readyAtMs() <= nowMs;
+    return isReady ? Math.min(1, this.freeSlots) : 0;
+  }
+
   /** Whether it can accept the request now. */
   canTake(item: WorkItem, nowMs: number): boolean {
     if (!this.isOpen(nowMs)) return false;
@@ -165,7 +186,8 @@
     if (this.isDown || this.listed.isDraining || this.freeSlots === 0) {
       return false;
     }
-    if (this.isCold(nowMs) && this.pacer.readyAtMs() > nowMs) return false;
+    const isPaced = this.startsPerS(nowMs) !== undefined;
+    if (isPaced && this.pacer.readyAtMs() > nowMs) return false;
     return !this.isEngine || this.backlogMs(nowMs) <= MAX_PREFILL_BACKLOG_MS;
   }
 
@@ -216,9 +238,8 @@
   start(item: WorkItem, nowMs: number): void {
     const expectedMs = this.expectedMs(item, nowMs);
     this.prefill.add(item.requestId, this.prefillMs(item, nowMs), nowMs);
-    if (this.isCold(nowMs)) {
-      this.pacer.noteStart(this.traits.coldRequestsPerS, nowMs);
-    }
+    const startsPerS = this.startsPerS(nowMs);
+    if (startsPerS !== undefined) this.pacer.noteStart(startsPerS, nowMs);
     this.addPlacement(item, expectedMs, nowMs);
   }
 
@@ -254,6 +275,13 @@
     this.noteFirstAnswer(placement, nowMs - placement.startedAtMs);
   }
 
+  /** Records the limit that the answer to a request names, or none. */
+  noteLimit(requestId: RequestId, maxRequestsPerS: number | undefined): void {
+    const placement = this.placements.get(requestId);
+    if (placement === undefined) return;
+    this.limit.note(maxRequestsPerS, placement.startedAtMs);
+  }
+
   /** Removes placements whose release never arrived. */
   expire(nowMs: number): void {
     if (nowMs < this.nextExpiryCheckAtMs) return;
@@ -284,12 +312,17 @@
     this.prefill.clear();
     this.failureShare = 0;
     this.overcommit.reset();
+    this.limit.clear();
   }
 
   /** Rate at which slots become free when all are occupied. */
   get slotsFreedPerMs(): number {
     const meanMs = this.isEngine ? this.meanStreamMs() : this.serviceMs;
-    return this.listed.slots / Math.max(1, meanMs);
+    const freedPerMs = this.listed.slots / Math.max(1, meanMs);
+    const {startsPerS} = this.limit;
+    return startsPerS === undefined
+      ? freedPerMs
+      : Math.min(freedPerMs, startsPerS / MS_PER_S);
   }
 
   private noteFailure(failure: 0 | 1, nowMs: number): void {
