Quarantine requests that come again and crash upstreams

The same cause elsewhere: a request that crashes each upstream which begins it, and that its caller sends again unchanged, was sent on for ever by the ingress, as the ledger of entry/ is not on its path. Change: a request is a suspect beside its shared prompt parts, known by a digest of host, method, path and body. The crashes that a quarantined request explains no longer count against bystanders, but still against its own parts, as one of these may be the reason.

--- a/src/node/decisions/__tests__/crash_evidence.spec.ts
+++ b/src/node/decisions/__tests__/crash_evidence.spec.ts
@@ -16,6 +16,10 @@
 const RUN_MS = 100;
 const INTERVAL_MS = 1_000;
 
+function requestOf(name: string): SuspectId {
+  return asId<SuspectId>(`request:${name}`);
+}
+
 /** Crashes one upstream each second, under requests with these suspects. */
 function crashInARow(
   evidence: CrashEvidence,
@@ -25,8 +29,10 @@
 ): number {
   return Array.from({length: times}).reduce<number>((nowMs, _, index) => {
     const crashedAtMs = nowMs + RUN_MS;
-    const run = {suspects, sentAtMs: nowMs};
-    evidence.noteCrash(`${startMs}-${index}`, crashedAtMs, [run], crashedAtMs);
+    const crashId = `${startMs}-${index}`;
+    const request = requestOf(crashId);
+    const run = {shared: suspects, request, sentAtMs: nowMs};
+    evidence.noteCrash(crashId, crashedAtMs, [run], crashedAtMs);
     return nowMs + INTERVAL_MS;
   }, startMs);
 }
@@ -64,7 +70,7 @@
     evidence.noteCrash(
       `lost-${index}`,
       RUN_MS + index,
-      [{suspects: [COMMON], sentAtMs: index}],
+      [{shared: [COMMON], request: requestOf(`${index}`), sentAtMs: index}],
       RUN_MS + index,
     ),
   );
@@ -181,7 +187,45 @@
   const suspects = Array.from({length: 2 * MAX_SUSPECTS}, (_, index) =>
     asId<SuspectId>(`s${index}`),
   );
-  evidence.noteCrash('many', 1, [{suspects, sentAtMs: 0}], 1);
+  const run = {shared: suspects, request: requestOf('many'), sentAtMs: 0};
+  evidence.noteCrash('many', 1, [run], 1);
   assert.equal(evidence.reports(1).length, MAX_REPORTED_SUSPECTS);
   assert.equal(evidence.suspectCount, MAX_SUSPECTS);
 });
+
+// Guards against upstreams that crash under one request that its caller sends
+// again, and against a quarantine of bystanders for that.
+test('a request that is sent again is quarantined with its own parts', () => {
+  const evidence = new CrashEvidence();
+  const again = requestOf('again');
+  Array.from({length: 3}, (_, index) => {
+    const sentAtMs = index * INTERVAL_MS;
+    const atMs = sentAtMs + RUN_MS;
+    const runs = [
+      {shared: [COMMON, CRASHING], request: again, sentAtMs},
+      {shared: [COMMON, RARE], request: requestOf(`x${index}`), sentAtMs},
+    ];
+    evidence.noteCrash(`u${index}`, atMs, runs, atMs);
+  });
+  const nowMs = 3 * INTERVAL_MS;
+  const states = stateOf(evidence, nowMs).map(line => line.split(' ')[1]);
+  assert.deepEqual(states, ['clear', 'quarantined', 'clear']);
+  assert.equal(evidence.verdict([again], nowMs).kind, 'quarantined');
+});
+
+// Guards against a quarantine of the parts of such a request that others share
+// and that are answered.
+test('what is answered elsewhere is not quarantined with a request', () => {
+  const evidence = new CrashEvidence();
+  const request = requestOf('again');
+  Array.from({length: 3}, (_, index) => {
+    const sentAtMs = index * INTERVAL_MS;
+    const atMs = sentAtMs + RUN_MS;
+    const run = {shared: [COMMON], request, sentAtMs};
+    evidence.noteCrash(`u${index}`, atMs, [run], atMs);
+    evidence.noteAnswered([COMMON], atMs + 1);
+  });
+  const nowMs = 3 * INTERVAL_MS;
+  assert.equal(stateOf(evidence, nowMs)[0], 'common: clear');
+  assert.equal(evidence.verdict([request], nowMs).kind, 'quarantined');
+});
--- a/src/node/decisions/quarantine/constants.ts
+++ b/src/node/decisions/quarantine/constants.ts
@@ -16,7 +16,10 @@
  */
 export const CLEARANCE_WAIT_MS = 600;
 
-/** An answer is reported to other instances for this time. */
+/** An answer that clears a suspect is reported to other instances this long. */
+export const REPORT_MS = 3_000;
+
+/** An answer is kept for this time against crashes that are reported late. */
 export const CLEARED_RETENTION_MS = 30_000;
 
 /** A quarantined suspect that no request names any more is dropped. */
--- a/src/node/decisions/quarantine/crash_evidence.ts
+++ b/src/node/decisions/quarantine/crash_evidence.ts
@@ -1,6 +1,7 @@
 /**
  * Finds what the requests that crash upstreams have in common. A suspect is
- * something that many requests can share, such as a part of their prompts. Each
+ * something that requests share, such as a part of their prompts, or a request
+ * itself, which its caller may send again. Each
  * upstream process that ends counts against the suspects of the requests that
  * it ran, and each request that is answered clears its suspects. A suspect is
  * quarantined after several crashes in a row without an answer in between.
@@ -19,13 +20,15 @@
   MAX_CRASHES_KEPT,
   MAX_REPORTED_SUSPECTS,
   MAX_SUSPECTS,
+  REPORT_MS,
   TRIAL_TIMEOUT_MS,
 } from './constants.js';
 import {
   compare,
   crashesInARow,
+  ExplainedCrashes,
   isExpired,
-  lastChangeAtMs,
+  isNews,
   latestRuns,
   reportOf,
   waitMs,
@@ -117,9 +120,10 @@
     runs: readonly SuspectRun[],
     nowMs: number,
   ): void {
-    latestRuns(runs).forEach(({suspect, depth, sentAtMs}) =>
-      this.addCrash(this.recordOf(suspect, depth), {
+    latestRuns(runs).forEach(({request, sentAtMs, ...suspect}) =>
+      this.addCrash(this.recordOf(suspect), {
         crashId,
+        request,
         sentAtMs,
         crashedAtMs,
         notedAtMs: nowMs,
@@ -138,11 +142,8 @@
   /** The evidence for other instances, that on the worst suspects first. */
   reports(nowMs: number): readonly SuspectReport[] {
     return [...this.records.values()]
-      .sort(
-        (left, right) =>
-          right.crashes.length - left.crashes.length ||
-          lastChangeAtMs(right) - lastChangeAtMs(left),
-      )
+      .filter(each => isNews(each, nowMs))
+      .sort((left, right) => right.crashes.length - left.crashes.length)
       .slice(0, MAX_REPORTED_SUSPECTS)
       .map(record => reportOf(record, nowMs));
   }
@@ -169,10 +170,8 @@
 
   // One suspect at a time, as its quarantine explains crashes of the others.
   private quarantineWorst(nowMs: number): void {
-    const explained = new Set(
-      [...this.quarantined].flatMap(each =>
-        (this.records.get(each)?.crashes ?? []).map(({crashId}) => crashId),
-      ),
+    const explained = new ExplainedCrashes(
+      [...this.quarantined].flatMap(each => this.records.get(each) ?? []),
     );
     const worst = [...this.records.values()]
       .filter(each => each.quarantinedAtMs === undefined)
@@ -197,7 +196,8 @@
     const before = record.crashes;
     record.answeredAtMs = answeredAtMs;
     record.crashes = before.filter(each => each.crashedAtMs > answeredAtMs);
-    if (record.crashes.length < before.length) this.revisionCount += 1;
+    if (record.crashes.length < before.length)
+      {this.report(record, answeredAtMs);}
     if (record.quarantinedAtMs === undefined) return;
     record.quarantinedAtMs = undefined;
     record.failedTrials = 0;
@@ -209,7 +209,7 @@
     const isKnown = record.crashes.some(each => each.crashId === crash.crashId);
     if (isKnown) return;
     // Also for a crash before the last answer: its reporter lacks that answer.
-    this.revisionCount += 1;
+    this.report(record, crash.notedAtMs);
     if (crash.crashedAtMs <= record.answeredAtMs) return;
     record.crashes = [...record.crashes, crash]
       .sort((left, right) => left.crashedAtMs - right.crashedAtMs)
@@ -221,14 +221,15 @@
   }
 
   private mergeReport(report: SuspectReport, nowMs: number): void {
-    const {suspect, depth, crashes, answeredAgoMs} = report;
+    const {suspect, isShared, depth, crashes, answeredAgoMs} = report;
     const known = this.records.get(suspect);
     if (known === undefined && crashes.length === 0) return;
-    const record = known ?? this.recordOf(suspect, depth);
+    const record = known ?? this.recordOf({suspect, isShared, depth});
     if (answeredAgoMs !== undefined) this.clear(record, nowMs - answeredAgoMs);
-    crashes.forEach(({crashId, sentAgoMs, crashedAgoMs}) =>
+    crashes.forEach(({crashId, request, sentAgoMs, crashedAgoMs}) =>
       this.addCrash(record, {
         crashId,
+        request,
         sentAtMs: nowMs - sentAgoMs,
         crashedAtMs: nowMs - crashedAgoMs,
         notedAtMs: nowMs,
@@ -243,23 +244,30 @@
     if (isDecided) this.quarantine(record, nowMs);
   }
 
-  private recordOf(suspect: SuspectId, depth: number): SuspectRecord {
-    const known = this.records.get(suspect);
+  private recordOf(
+    identity: Pick<SuspectRecord, 'suspect' | 'isShared' | 'depth'>,
+  ): SuspectRecord {
+    const known = this.records.get(identity.suspect);
     if (known !== undefined) return known;
     this.makeRoom();
     const created: SuspectRecord = {
-      suspect,
-      depth,
+      ...identity,
       crashes: [],
       answeredAtMs: Number.NEGATIVE_INFINITY,
       quarantinedAtMs: undefined,
       failedTrials: 0,
       trialUntilMs: 0,
+      reportUntilMs: 0,
     };
-    this.records.set(suspect, created);
+    this.records.set(identity.suspect, created);
     return created;
   }
 
+  private report(record: SuspectRecord, nowMs: number): void {
+    record.reportUntilMs = nowMs + REPORT_MS;
+    this.revisionCount += 1;
+  }
+
   private makeRoom(): void {
     if (this.records.size < MAX_SUSPECTS) return;
     const all = [...this.records.values()];
--- a/src/node/decisions/quarantine/suspect_record.ts
+++ b/src/node/decisions/quarantine/suspect_record.ts
@@ -14,23 +14,30 @@
 export interface CrashedRun {
   /** Identifies the upstream process that ended. */
   readonly crashId: string;
+  /** The request that ran; all copies of a request have the same id. */
+  readonly request: SuspectId;
   readonly sentAtMs: number;
   readonly crashedAtMs: number;
 }
 
-/** The suspects of one request, the most common one first. */
+/** One run of a request with all that may be to blame for its crash. */
 export interface SuspectRun {
-  readonly suspects: readonly SuspectId[];
+  /** What it shares with other requests, the most common one first. */
+  readonly shared: readonly SuspectId[];
+  /** The request itself, which its caller may send again. */
+  readonly request: SuspectId;
   readonly sentAtMs: number;
 }
 
 /** The evidence on one suspect as instances exchange it. */
 export interface SuspectReport {
   readonly suspect: SuspectId;
+  readonly isShared: boolean;
   readonly depth: number;
   /** Durations, as monotonic clocks of two instances are not comparable. */
   readonly crashes: readonly {
     readonly crashId: string;
+    readonly request: SuspectId;
     readonly sentAgoMs: number;
     readonly crashedAgoMs: number;
   }[];
@@ -48,6 +55,8 @@
 /** What one instance knows about a suspect. */
 export interface SuspectRecord {
   readonly suspect: SuspectId;
+  /** Whether different requests share it; false for a request itself. */
+  readonly isShared: boolean;
   /** Position among the suspects of a request; a deeper one is less common. */
   readonly depth: number;
   /** Crashes since the last answer, by time. */
@@ -57,6 +66,35 @@
   /** Crashes of trials since it was quarantined. */
   failedTrials: number;
   trialUntilMs: number;
+  /** A cleared suspect is reported until then. */
+  reportUntilMs: number;
+}
+
+/** The crashes that the suspects in quarantine explain. */
+export class ExplainedCrashes {
+  private readonly byShared: ReadonlySet<string>;
+  private readonly byRequest: ReadonlyMap<string, SuspectId>;
+
+  constructor(quarantined: readonly SuspectRecord[]) {
+    const crashesOf = (isShared: boolean) =>
+      quarantined
+        .filter(each => each.isShared === isShared)
+        .flatMap(({crashes}) => crashes);
+    this.byShared = new Set(crashesOf(true).map(({crashId}) => crashId));
+    this.byRequest = new Map(
+      crashesOf(false).map(({crashId, request}) => [crashId, request]),
+    );
+  }
+
+  /**
+   * Whether a crash no longer counts against a suspect. One that a request
+   * explains still counts against what this request shares with others.
+   */
+  has({crashId, request}: CrashedRun): boolean {
+    const explaining = this.byRequest.get(crashId);
+    const isBystander = explaining !== undefined && explaining !== request;
+    return isBystander || this.byShared.has(crashId);
+  }
 }
 
 /** Ranks the suspects of the same crashes. */
@@ -66,21 +104,40 @@
   readonly depth: number;
 }
 
-/** The last run of each suspect, with its lowest position in a request. */
+/** A suspect with one run that counts against it. */
+export interface RunOfSuspect extends Pick<
+  SuspectRecord,
+  'suspect' | 'isShared' | 'depth'
+> {
+  readonly request: SuspectId;
+  readonly sentAtMs: number;
+}
+
+/** The last run of each suspect. */
 export function latestRuns(
   runs: readonly SuspectRun[],
-): readonly {suspect: SuspectId; depth: number; sentAtMs: number}[] {
-  const latest = new Map<SuspectId, {depth: number; sentAtMs: number}>();
-  runs.forEach(({suspects, sentAtMs}) =>
-    suspects.forEach((suspect, depth) => {
-      const known = latest.get(suspect);
-      latest.set(suspect, {
-        depth: Math.min(depth, known?.depth ?? depth),
-        sentAtMs: Math.max(sentAtMs, known?.sentAtMs ?? sentAtMs),
-      });
-    }),
-  );
-  return [...latest].map(([suspect, run]) => ({suspect, ...run}));
+): readonly RunOfSuspect[] {
+  const latest = new Map<SuspectId, RunOfSuspect>();
+  runs.flatMap(suspectsOfRun).forEach(run => {
+    const known = latest.get(run.suspect);
+    const isLater = known === undefined || run.sentAtMs > known.sentAtMs;
+    if (isLater) latest.set(run.suspect, run);
+  });
+  return [...latest.values()];
+}
+
+function suspectsOfRun({
+  shared,
+  request,
+  sentAtMs,
+}: SuspectRun): readonly RunOfSuspect[] {
+  return [...shared, request].map((suspect, depth) => ({
+    suspect,
+    isShared: suspect !== request,
+    depth,
+    request,
+    sentAtMs,
+  }));
 }
 
 /**
@@ -101,17 +158,15 @@
   return Math.max(untilMs, trialUntilMs) - nowMs;
 }
 
-/**
- * Ranks a suspect by its crashes that nothing else explains. Recent ones wait
- * for answers that other instances may still report.
- */
+/** Ranks a suspect by those of its crashes that count. */
 export function weigh(
   {crashes, depth}: SuspectRecord,
-  explained: ReadonlySet<string>,
+  explained: ExplainedCrashes,
   nowMs: number,
 ): Weight {
   const counted = crashes
-    .filter(({crashId}) => !explained.has(crashId))
+    .filter(crash => !explained.has(crash))
+    // Recent ones wait for answers that other instances may still report.
     .filter(({notedAtMs}) => nowMs - notedAtMs >= CLEARANCE_WAIT_MS);
   return {inARow: crashesInARow(counted), total: counted.length, depth};
 }
@@ -136,25 +191,38 @@
 
 /** The record as other instances get it. */
 export function reportOf(record: SuspectRecord, nowMs: number): SuspectReport {
-  const {suspect, depth, crashes, answeredAtMs, quarantinedAtMs} = record;
+  const {suspect, isShared, depth, crashes, answeredAtMs, quarantinedAtMs} =
+    record;
   return {
     suspect,
+    isShared,
     depth,
     isQuarantined: quarantinedAtMs !== undefined,
-    crashes: crashes.map(({crashId, sentAtMs, crashedAtMs}) => ({
+    crashes: crashes.map(({crashId, request, sentAtMs, crashedAtMs}) => ({
       crashId,
-      sentAgoMs: nowMs - sentAtMs,
-      crashedAgoMs: nowMs - crashedAtMs,
+      request,
+      sentAgoMs: Math.round(nowMs - sentAtMs),
+      crashedAgoMs: Math.round(nowMs - crashedAtMs),
     })),
     ...(Number.isFinite(answeredAtMs)
-      ? {answeredAgoMs: nowMs - answeredAtMs}
+      ? {answeredAgoMs: Math.round(nowMs - answeredAtMs)}
       : {}),
   };
 }
 
-/** When the suspect last crashed an upstream or was answered. */
-export function lastChangeAtMs({crashes, answeredAtMs}: SuspectRecord): number {
-  return Math.max(crashes.at(-1)?.crashedAtMs ?? 0, answeredAtMs);
+/**
+ * Whether other instances should get the record. A request is only of interest
+ * once it has crashed again: most of those that ran on a crashed upstream never
+ * come back.
+ */
+export function isNews(
+  {isShared, crashes, reportUntilMs}: SuspectRecord,
+  nowMs: number,
+): boolean {
+  const isKnownElsewhere = crashes.some(({isLocal}) => !isLocal);
+  const isSuspicious = isShared || isKnownElsewhere || crashes.length > 1;
+  const isCurrent = crashes.length > 0 || nowMs <= reportUntilMs;
+  return isSuspicious && isCurrent;
 }
 
 /** Whether the record says nothing any more that matters. */
--- a/src/node/dispatch/__tests__/crashing_prompts.spec.ts
+++ b/src/node/dispatch/__tests__/crashing_prompts.spec.ts
@@ -80,8 +80,19 @@
     t.after(() => this.region.stop());
   }
 
-  async sendCrashing(): Promise<void> {
+  /** A request with the part that crashes engines; no two are alike. */
+  sendCrashing(): Promise<void> {
     const item = withParts(this.nextBrief(), [MANUAL, CHAPTER, CRASHING]);
+    return this.sendAndCrash(item);
+  }
+
+  /** A copy of one request that crashes engines; its parts are sound. */
+  sendCopy(): Promise<void> {
+    const item = withParts(this.nextBrief(), [MANUAL, CHAPTER]);
+    return this.sendAndCrash({...item, fingerprint: 'copy'});
+  }
+
+  private async sendAndCrash(item: WorkItem): Promise<void> {
     const answer = await this.send(item, this.crashing);
     if (answer.kind !== 'grant') return;
     setTimeout(() => this.crash(answer), RUN_MS);
@@ -159,14 +170,17 @@
   return upstream(name, {domain, upstreamId: asId<UpstreamId>(name)});
 }
 
-async function playDay(t: TestContext): Promise<CrashingRegion> {
+async function playDay(
+  t: TestContext,
+  sendCrashing: (region: CrashingRegion) => Promise<void>,
+): Promise<CrashingRegion> {
   pauseClock(t);
   const region = new CrashingRegion(t);
   const steps = Array.from({length: DAY_MS / STEP_MS}, (_, step) => step);
   await steps.reduce<Promise<void>>(async before => {
     await before;
     const atMs = monotonicNowMs();
-    if (atMs % CRASHING_INTERVAL_MS === 0) void region.sendCrashing();
+    if (atMs % CRASHING_INTERVAL_MS === 0) void sendCrashing(region);
     if (atMs % SOUND_INTERVAL_MS === 0) void region.sendSound();
     await settle(t);
     await advanceClock(t, STEP_MS, STEP_MS / 2);
@@ -174,11 +188,9 @@
   return region;
 }
 
-// Guards against engines that crash one after another under requests that have
-// one prompt part in common but are no copies of each other.
-test('a prompt part that crashes engines is kept from them', async t => {
-  const {crashesAtMs, crashing, sound} = await playDay(t);
-  assert.ok(crashesAtMs.length > 0, 'the part crashes engines');
+/** Checks that few requests that crash engines are sent, and all sound ones. */
+function checkSent({crashesAtMs, crashing, sound}: CrashingRegion): void {
+  assert.ok(crashesAtMs.length > 0, 'engines crash');
   const boundAtMs =
     (crashesAtMs[CRASHES_BEFORE_BOUND - 1] ?? Number.POSITIVE_INFINITY) +
     CONTACT_MS;
@@ -193,10 +205,22 @@
   const soundLater = sound.filter(({atMs}) => atMs > boundAtMs);
   assert.ok(
     soundLater.every(({kind}) => kind === 'grant'),
-    'requests with the other parts are served',
+    'sound requests are served',
   );
   assert.ok(
     crashing.some(({kind}) => kind === 'refuse'),
-    'requests with the part are refused',
+    'requests that crash engines are refused',
   );
+}
+
+// Guards against engines that crash one after another under requests that have
+// one prompt part in common but are no copies of each other.
+test('a prompt part that crashes engines is kept from them', async t => {
+  checkSent(await playDay(t, region => region.sendCrashing()));
+});
+
+// Guards against engines that crash one after another because a caller sends
+// the same request again, and against a refusal of all with its prompt parts.
+test('a request that crashes engines and comes again is kept from them', async t => {
+  checkSent(await playDay(t, region => region.sendCopy()));
 });
--- a/src/node/dispatch/__tests__/suspect_exchange.spec.ts
+++ b/src/node/dispatch/__tests__/suspect_exchange.spec.ts
@@ -12,6 +12,7 @@
 
 const SCOPE = {service: asId<ServiceId>('service'), domain: HOME_A};
 const SUSPECT = asId<SuspectId>('part:crashing');
+const REQUEST = asId<SuspectId>('request:a');
 
 function crashesKnownTo({host}: RegionEntry): number {
   const [report] = host.evidence.reports(monotonicNowMs());
@@ -32,7 +33,7 @@
   observer.host.evidence.noteCrash(
     'a@1',
     monotonicNowMs(),
-    [{suspects: [SUSPECT], sentAtMs: monotonicNowMs() - 1}],
+    [{shared: [SUSPECT], request: REQUEST, sentAtMs: monotonicNowMs() - 1}],
     monotonicNowMs(),
   );
   await advanceClock(t, 400, 50);
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -120,16 +120,20 @@
   readonly isQuestion?: boolean | undefined;
 }
 
+const suspectIdSchema = z.string().transform(value => asId<SuspectId>(value));
+
 export const suspectBatchSchema = z.object({
   reports: z
     .array(
       z.object({
-        suspect: z.string().transform(value => asId<SuspectId>(value)),
+        suspect: suspectIdSchema,
+        isShared: z.boolean(),
         depth: z.number(),
         crashes: z
           .array(
             z.object({
               crashId: z.string(),
+              request: suspectIdSchema,
               sentAgoMs: z.number(),
               crashedAgoMs: z.number(),
             }),
--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -114,7 +114,7 @@
   too_large: 'it is larger than the memory of every upstream',
   expired: 'its time was up before an upstream was free',
   retry_budget: 'it is a repeat and the service has used up its repeats',
-  quarantined: 'other requests with a part of its prompt crashed upstreams',
+  quarantined: 'it or others with a part of its prompt crashed upstreams',
   unscheduled: 'no scheduler of its region decided in time',
 };
 
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -29,6 +29,7 @@
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
+import {fingerprintOf} from './fingerprint.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
@@ -59,6 +60,7 @@
   private readonly progress: StreamProgress;
   private readonly failedUpstreams: UpstreamId[];
   private readonly tries: TryBudget;
+  private readonly fingerprint: string;
   private refusedRegions: RegionId[] = [];
   private firstAnswerMs = 0;
   /** Wait for scheduling decisions, summed over all tries. */
@@ -83,6 +85,7 @@
     };
     this.failedUpstreams = [...request.avoidUpstreams];
     this.tries = new TryBudget(request);
+    this.fingerprint = fingerprintOf(request);
   }
 
   /** Resolves when the caller has its final response. */
@@ -151,6 +154,7 @@
       requestId: request.requestId,
       entry: context.self,
       service: request.service,
+      fingerprint: this.fingerprint,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
       ageMs: this.tries.hasRun ? 0 : nowMs - request.receivedAtMs,
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -20,7 +20,7 @@
   coldRemainingMs: z.number(),
 };
 const suspectChange = {
-  /** `part:ID` for a part of prompts. */
+  /** `part:ID` for a part of prompts, `request:DIGEST` for one request. */
   suspect: z.string(),
   /** `UPSTREAM@START` of the upstream processes that ended under it. */
   crashes: z.array(z.string()),
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -73,6 +73,7 @@
     requestId: asId<RequestId>(name),
     entry: asId<InstanceId>('entry'),
     service: asId<ServiceId>('service'),
+    fingerprint: name,
     priority: 0,
     targetLatencyMs: 500,
     ageMs: 0,
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -38,6 +38,8 @@
   /** The entry that sends it to the upstream. */
   readonly entry: InstanceId;
   readonly service: ServiceId;
+  /** Equal for all copies of a request, also for those that its caller sends. */
+  readonly fingerprint: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly targetLatencyMs: number;
@@ -100,7 +102,7 @@
   | 'unscheduled'
   /** No other upstream can take a request in place of its present one. */
   | 'no_replacement'
-  /** Requests that share a part of its prompt crash upstreams. */
+  /** Its copies, or requests that share a part of its prompt, crash upstreams. */
   | 'quarantined'
   /** The upstream that would be replaced is down or gone. */
   | 'upstream_down';
