--- a/src/node/decisions/quarantine/crash_evidence.ts
+++ b/src/node/decisions/quarantine/crash_evidence.ts
@@ -196,8 +196,9 @@
     const before = record.crashes;
     record.answeredAtMs = answeredAtMs;
     record.crashes = before.filter(each => each.crashedAtMs > answeredAtMs);
-    if (record.crashes.length < before.length)
-      {this.report(record, answeredAtMs);}
+    if (record.crashes.length < before.length) {
+      this.report(record, answeredAtMs);
+    }
     if (record.quarantinedAtMs === undefined) return;
     record.quarantinedAtMs = undefined;
     record.failedTrials = 0;
