Pause the clock in the spec of the spare connection

Its client opens a spare connection after 350 ms and decides 350 ms later whether that has opened; a process that gets no processor time in between misses it, in the spec as everywhere. Expectations and limits are as before.

--- a/src/node/rpc/__tests__/stream.spec.ts
+++ b/src/node/rpc/__tests__/stream.spec.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
+import {pauseClockForIo, runWhile} from '../../__tests__/support/paused_io.js';
 import {GatewayError} from '../../types/errors.js';
 import {asId, type InstanceId} from '../../types/ids.js';
 import {InnerServer} from '../http_server.js';
@@ -159,6 +160,7 @@
 // Guards against a peer that counts as unreachable because one of its
 // connections stalled, and against an unresponsive peer that counts as healthy.
 test('a spare connection distinguishes a stalled connection from an unresponsive peer', async t => {
+  pauseClockForIo(t);
   const {address} = await startServer(t);
   const client = createClient(t);
   let isFirstStalled = false;
@@ -168,17 +170,14 @@
     address,
     connection => isPeerUnresponsive || (isFirstStalled && connection === 0),
   );
-  const before = await outcomeOf(client, proxyAddress);
+  const call = (timeoutMs?: number): Promise<string> =>
+    runWhile(t, outcomeOf(client, proxyAddress, 'echo', timeoutMs));
+  const before = await call();
   isFirstStalled = true;
-  const stalledConnection = await outcomeOf(
-    client,
-    proxyAddress,
-    'echo',
-    5_000,
-  );
-  const after = await outcomeOf(client, proxyAddress);
+  const stalledConnection = await call(5_000);
+  const after = await call();
   isPeerUnresponsive = true;
-  const unresponsivePeer = await outcomeOf(client, proxyAddress, 'echo', 5_000);
+  const unresponsivePeer = await call(5_000);
   assert.deepEqual(
     [before, stalledConnection, after, unresponsivePeer],
     ['a from centro-1', 'timeout', 'a from centro-1', 'unreachable'],
