Let instances try a quarantined suspect at different times

All instances but the one that observed the last crash waited exactly four times as long as that one. If it is gone, several schedulers would have sent a trial at the same moment, and each would have lost an engine. Each instance draws a factor of four to eight now. Found by reading; the new spec fails before.

--- a/src/node/decisions/__tests__/crash_evidence.spec.ts
+++ b/src/node/decisions/__tests__/crash_evidence.spec.ts
@@ -229,3 +229,20 @@
   assert.equal(stateOf(evidence, nowMs)[0], 'common: clear');
   assert.equal(evidence.verdict([request], nowMs).kind, 'quarantined');
 });
+
+// Guards against instances that all try a quarantined suspect at the same time,
+// after the one that observed the last crash is gone.
+test('instances that did not observe the crash try at different times', () => {
+  const observer = new CrashEvidence();
+  const nowMs = crashInARow(observer, [CRASHING], 3);
+  observer.update(nowMs);
+  const waits = [0, 0.5, 1].map(spread => {
+    const remote = new CrashEvidence(spread);
+    remote.merge(observer.reports(nowMs), nowMs);
+    const verdict = remote.verdict([CRASHING], nowMs);
+    return verdict.kind === 'quarantined' ? Math.round(verdict.forMs) : 0;
+  });
+  const firstMs = 4 * QUARANTINE_MS - INTERVAL_MS + RUN_MS;
+  const stepMs = 2 * QUARANTINE_MS;
+  assert.deepEqual(waits, [firstMs, firstMs + stepMs, firstMs + 2 * stepMs]);
+});
--- a/src/node/decisions/quarantine/constants.ts
+++ b/src/node/decisions/quarantine/constants.ts
@@ -40,7 +40,7 @@
 /** Each failed trial doubles the time to the next one, up to this. */
 export const MAX_QUARANTINE_MS = 3_600_000;
 
-/** An instance that did not observe the last crash waits this much longer. */
+/** An instance that did not observe the last crash waits at least this much longer. */
 export const REMOTE_QUARANTINE_FACTOR = 4;
 
 /** A trial without an outcome counts as ended after this time. */
--- a/src/node/decisions/quarantine/crash_evidence.ts
+++ b/src/node/decisions/quarantine/crash_evidence.ts
@@ -20,6 +20,7 @@
   MAX_CRASHES_KEPT,
   MAX_REPORTED_SUSPECTS,
   MAX_SUSPECTS,
+  REMOTE_QUARANTINE_FACTOR,
   REPORT_MS,
   TRIAL_TIMEOUT_MS,
 } from './constants.js';
@@ -66,6 +67,12 @@
   private readonly quarantined = new Set<SuspectId>();
   private changes: QuarantineChange[] = [];
   private revisionCount = 0;
+  private readonly remoteFactor: number;
+
+  /** `spread`, 0 to 1, keeps the trials of several instances apart. */
+  constructor(spread = Math.random()) {
+    this.remoteFactor = REMOTE_QUARANTINE_FACTOR * (1 + spread);
+  }
 
   /** Increases with each change that other instances should learn. */
   get revision(): number {
@@ -88,7 +95,7 @@
       .flatMap(each => this.records.get(each) ?? []);
     const waits = held.map(record => ({
       suspect: record.suspect,
-      forMs: waitMs(record, nowMs),
+      forMs: waitMs(record, this.remoteFactor, nowMs),
     }));
     const longest = waits.reduce<(typeof waits)[number] | undefined>(
       (best, each) =>
--- a/src/node/decisions/quarantine/suspect_record.ts
+++ b/src/node/decisions/quarantine/suspect_record.ts
@@ -6,7 +6,6 @@
   MAX_QUARANTINE_MS,
   QUARANTINE_MS,
   QUARANTINE_RETENTION_MS,
-  REMOTE_QUARANTINE_FACTOR,
   SUSPICION_MS,
 } from './constants.js';
 
@@ -142,10 +141,12 @@
 
 /**
  * Time until a request with the suspect may run as a trial. The instance that
- * observed the last crash tries first, so that the others learn its result.
+ * observed the last crash tries first, so that the others learn its result; these
+ * wait `remoteFactor` times as long.
  */
 export function waitMs(
   {crashes, failedTrials, trialUntilMs}: SuspectRecord,
+  remoteFactor: number,
   nowMs: number,
 ): number {
   const last = crashes.at(-1);
@@ -153,7 +154,7 @@
     MAX_QUARANTINE_MS,
     QUARANTINE_MS * 2 ** failedTrials,
   );
-  const factor = last?.isLocal === true ? 1 : REMOTE_QUARANTINE_FACTOR;
+  const factor = last?.isLocal === true ? 1 : remoteFactor;
   const untilMs = (last?.crashedAtMs ?? nowMs) + afterCrashMs * factor;
   return Math.max(untilMs, trialUntilMs) - nowMs;
 }
