Keep a quarantine when an older answer is reported late

Found by reading: an answer from before the crashes that another instance reported late ended a quarantine until the next check, 150 ms at most. It leaves the crashes after it, so the quarantine stands now as long as these suffice. Evidence is weighed only while a crash waits to count, and expired once a second: thousands of suspects after the loss of a region would have cost an entry processor time seven times a second.

--- a/src/node/decisions/__tests__/crash_evidence.spec.ts
+++ b/src/node/decisions/__tests__/crash_evidence.spec.ts
@@ -246,3 +246,15 @@
   const stepMs = 2 * QUARANTINE_MS;
   assert.deepEqual(waits, [firstMs, firstMs + stepMs, firstMs + 2 * stepMs]);
 });
+
+// Guards against an answer from before the crashes that is reported late and
+// ends the quarantine.
+test('an answer from before the crashes does not end a quarantine', () => {
+  const [evidence, remote] = [new CrashEvidence(), new CrashEvidence()];
+  const nowMs = crashInARow(evidence, [CRASHING], 3, 1_000);
+  evidence.update(nowMs);
+  crashInARow(remote, [CRASHING], 1, 0);
+  remote.noteAnswered([CRASHING], 500);
+  evidence.merge(remote.reports(500), nowMs - INTERVAL_MS * 4 + 500);
+  assert.equal(evidence.verdict([CRASHING], nowMs).kind, 'quarantined');
+});
--- a/src/node/decisions/quarantine/constants.ts
+++ b/src/node/decisions/quarantine/constants.ts
@@ -25,6 +25,9 @@
 /** A quarantined suspect that no request names any more is dropped. */
 export const QUARANTINE_RETENTION_MS = 24 * 3_600_000;
 
+/** Time between two searches for evidence that has expired. */
+export const EXPIRY_INTERVAL_MS = 1_000;
+
 /** Crashes kept of one suspect; the oldest are dropped first. */
 export const MAX_CRASHES_KEPT = 16;
 
--- a/src/node/decisions/quarantine/crash_evidence.ts
+++ b/src/node/decisions/quarantine/crash_evidence.ts
@@ -1,10 +1,10 @@
 /**
  * Finds what the requests that crash upstreams have in common. A suspect is
  * something that requests share, such as a part of their prompts, or a request
- * itself, which its caller may send again. Each
- * upstream process that ends counts against the suspects of the requests that
- * it ran, and each request that is answered clears its suspects. A suspect is
- * quarantined after several crashes in a row without an answer in between.
+ * itself, which its caller may send again. Each upstream process that ends counts
+ * against the suspects of the requests that it ran, and each request that is
+ * answered clears its suspects. A suspect is quarantined after several crashes in
+ * a row without an answer in between.
  *
  * Runs count as crashes in a row only if each was sent after the crash before
  * it: when many upstreams are lost at once, every common suspect ran on all of
@@ -16,7 +16,9 @@
  */
 import type {SuspectId} from '../../types/ids.js';
 import {
+  CLEARANCE_WAIT_MS,
   CRASHES_TO_QUARANTINE,
+  EXPIRY_INTERVAL_MS,
   MAX_CRASHES_KEPT,
   MAX_REPORTED_SUSPECTS,
   MAX_SUSPECTS,
@@ -67,6 +69,9 @@
   private readonly quarantined = new Set<SuspectId>();
   private changes: QuarantineChange[] = [];
   private revisionCount = 0;
+  /** When the latest crash begins to count; undefined once that is decided. */
+  private undecidedUntilMs: number | undefined;
+  private expiredAtMs = Number.NEGATIVE_INFINITY;
   private readonly remoteFactor: number;
 
   /** `spread`, 0 to 1, keeps the trials of several instances apart. */
@@ -162,7 +167,12 @@
 
   /** Decides on new evidence and drops what is old; call it at intervals. */
   update(nowMs: number): void {
-    this.quarantineWorst(nowMs);
+    if (this.undecidedUntilMs !== undefined) {
+      this.quarantineWorst(nowMs);
+      if (nowMs >= this.undecidedUntilMs) this.undecidedUntilMs = undefined;
+    }
+    if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return;
+    this.expiredAtMs = nowMs;
     [...this.records.values()]
       .filter(each => isExpired(each, nowMs))
       .forEach(each => this.remove(each));
@@ -182,6 +192,7 @@
     );
     const worst = [...this.records.values()]
       .filter(each => each.quarantinedAtMs === undefined)
+      .filter(({crashes}) => crashes.length >= CRASHES_TO_QUARANTINE)
       .map(record => ({record, weight: weigh(record, explained, nowMs)}))
       .filter(({weight}) => weight.inARow >= CRASHES_TO_QUARANTINE)
       .sort((left, right) => compare(right.weight, left.weight))
@@ -206,7 +217,9 @@
     if (record.crashes.length < before.length) {
       this.report(record, answeredAtMs);
     }
-    if (record.quarantinedAtMs === undefined) return;
+    // An answer that was given before the crashes says nothing about them.
+    const isUnaffected = crashesInARow(record.crashes) >= CRASHES_TO_QUARANTINE;
+    if (record.quarantinedAtMs === undefined || isUnaffected) return;
     record.quarantinedAtMs = undefined;
     record.failedTrials = 0;
     this.quarantined.delete(record.suspect);
@@ -222,6 +235,7 @@
     record.crashes = [...record.crashes, crash]
       .sort((left, right) => left.crashedAtMs - right.crashedAtMs)
       .slice(-MAX_CRASHES_KEPT);
+    this.undecidedUntilMs = crash.notedAtMs + CLEARANCE_WAIT_MS;
     const {quarantinedAtMs} = record;
     if (quarantinedAtMs === undefined) return;
     if (crash.sentAtMs > quarantinedAtMs) record.failedTrials += 1;
