Send evidence on crashes once, by the instance that observed it

Each scheduler sent all evidence to all others on each change, also on what the others had just told it. Change: an instance reports what it has observed itself, since its last message; all evidence only every 10 s, and to a scheduler that asks. The new spec fails before, as all evidence came with each change.

--- a/src/node/decisions/__tests__/crash_evidence.spec.ts
+++ b/src/node/decisions/__tests__/crash_evidence.spec.ts
@@ -258,3 +258,25 @@
   evidence.merge(remote.reports(500), nowMs - INTERVAL_MS * 4 + 500);
   assert.equal(evidence.verdict([CRASHING], nowMs).kind, 'quarantined');
 });
+
+// Guards against messages that carry all evidence for each crash, and against
+// instances that pass on to all others what all others have been sent.
+test('a change is reported once, by the instance that observed it', () => {
+  const [evidence, other] = [new CrashEvidence(), new CrashEvidence()];
+  crashInARow(evidence, [COMMON], 1);
+  const {revision} = evidence;
+  crashInARow(evidence, [CRASHING], 1, INTERVAL_MS);
+  const changed = evidence.reports(2 * INTERVAL_MS, revision + 1);
+  assert.deepEqual(
+    changed.map(({suspect}) => suspect),
+    [CRASHING],
+  );
+  other.merge(evidence.reports(2 * INTERVAL_MS), 2 * INTERVAL_MS);
+  assert.equal(other.revision, 0);
+  other.noteAnswered([COMMON], 2 * INTERVAL_MS);
+  const cleared = other.reports(2 * INTERVAL_MS, 1);
+  assert.deepEqual(
+    cleared.map(({suspect, crashes}) => [suspect, crashes.length]),
+    [[COMMON, 0]],
+  );
+});
--- a/src/node/decisions/quarantine/crash_evidence.ts
+++ b/src/node/decisions/quarantine/crash_evidence.ts
@@ -34,6 +34,7 @@
   isNews,
   latestRuns,
   reportOf,
+  tellsOthers,
   waitMs,
   weigh,
   type ObservedCrash,
@@ -79,7 +80,7 @@
     this.remoteFactor = REMOTE_QUARANTINE_FACTOR * (1 + spread);
   }
 
-  /** Increases with each change that other instances should learn. */
+  /** Increases with all that this instance learns by itself. */
   get revision(): number {
     return this.revisionCount;
   }
@@ -148,12 +149,20 @@
   noteAnswered(suspects: readonly SuspectId[], nowMs: number): void {
     suspects
       .flatMap(each => this.records.get(each) ?? [])
-      .forEach(record => this.clear(record, nowMs));
+      .forEach(record => {
+        const isNew = record.crashes.length > 0;
+        this.clear(record, nowMs);
+        if (isNew) this.report(record, nowMs);
+      });
   }
 
-  /** The evidence for other instances, that on the worst suspects first. */
-  reports(nowMs: number): readonly SuspectReport[] {
+  /**
+   * The evidence for other instances, that on the worst suspects first: all of
+   * it, or what this instance has learned by itself since a revision.
+   */
+  reports(nowMs: number, sinceRevision = 0): readonly SuspectReport[] {
     return [...this.records.values()]
+      .filter(({reportedRevision}) => reportedRevision >= sinceRevision)
       .filter(each => isNews(each, nowMs))
       .sort((left, right) => right.crashes.length - left.crashes.length)
       .slice(0, MAX_REPORTED_SUSPECTS)
@@ -204,7 +213,6 @@
 
   private quarantine(record: SuspectRecord, nowMs: number): void {
     record.quarantinedAtMs = nowMs;
-    this.revisionCount += 1;
     this.quarantined.add(record.suspect);
     this.noteChange('quarantined', record);
   }
@@ -214,9 +222,6 @@
     const before = record.crashes;
     record.answeredAtMs = answeredAtMs;
     record.crashes = before.filter(each => each.crashedAtMs > answeredAtMs);
-    if (record.crashes.length < before.length) {
-      this.report(record, answeredAtMs);
-    }
     // An answer that was given before the crashes says nothing about them.
     const isUnaffected = crashesInARow(record.crashes) >= CRASHES_TO_QUARANTINE;
     if (record.quarantinedAtMs === undefined || isUnaffected) return;
@@ -229,9 +234,11 @@
   private addCrash(record: SuspectRecord, crash: ObservedCrash): void {
     const isKnown = record.crashes.some(each => each.crashId === crash.crashId);
     if (isKnown) return;
-    // Also for a crash before the last answer: its reporter lacks that answer.
-    this.report(record, crash.notedAtMs);
-    if (crash.crashedAtMs <= record.answeredAtMs) return;
+    const isCleared = crash.crashedAtMs <= record.answeredAtMs;
+    if (isCleared || tellsOthers(record, crash)) {
+      this.report(record, crash.notedAtMs);
+    }
+    if (isCleared) return;
     record.crashes = [...record.crashes, crash]
       .sort((left, right) => left.crashedAtMs - right.crashedAtMs)
       .slice(-MAX_CRASHES_KEPT);
@@ -280,14 +287,16 @@
       failedTrials: 0,
       trialUntilMs: 0,
       reportUntilMs: 0,
+      reportedRevision: 0,
     };
     this.records.set(identity.suspect, created);
     return created;
   }
 
   private report(record: SuspectRecord, nowMs: number): void {
-    record.reportUntilMs = nowMs + REPORT_MS;
     this.revisionCount += 1;
+    record.reportUntilMs = nowMs + REPORT_MS;
+    record.reportedRevision = this.revisionCount;
   }
 
   private makeRoom(): void {
--- a/src/node/decisions/quarantine/suspect_record.ts
+++ b/src/node/decisions/quarantine/suspect_record.ts
@@ -67,6 +67,8 @@
   trialUntilMs: number;
   /** A cleared suspect is reported until then. */
   reportUntilMs: number;
+  /** When this instance last learned something of it by itself; 0 if never. */
+  reportedRevision: number;
 }
 
 /** The crashes that the suspects in quarantine explain. */
@@ -211,6 +213,17 @@
   };
 }
 
+/**
+ * Whether a new crash should be told to others. What this instance has observed
+ * of a request is told as soon as another one has seen the same request.
+ */
+export function tellsOthers(
+  {isShared, crashes}: SuspectRecord,
+  {isLocal}: ObservedCrash,
+): boolean {
+  return isLocal || (!isShared && crashes.some(each => each.isLocal));
+}
+
 /**
  * Whether other instances should get the record. A request is only of interest
  * once it has crashed again: most of those that ran on a crashed upstream never
--- a/src/node/dispatch/suspect_exchange.ts
+++ b/src/node/dispatch/suspect_exchange.ts
@@ -7,6 +7,7 @@
   CrashEvidence,
   QuarantineChange,
 } from '../decisions/quarantine/crash_evidence.js';
+import type {SuspectReport} from '../decisions/quarantine/suspect_record.js';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {DomainLocation, FleetMembers} from '../fleet/fleet_members.js';
 import type {Logger} from '../logging/logger.js';
@@ -22,8 +23,8 @@
 } from './messages.js';
 
 const CHECK_INTERVAL_MS = 150;
-/** Unchanged evidence is sent again for peers that have begun to schedule. */
-const REPEAT_INTERVAL_MS = 2_000;
+/** All evidence is sent again for peers that a message has not reached. */
+const REPEAT_INTERVAL_MS = 10_000;
 
 export interface SuspectExchangeOptions {
   readonly evidence: CrashEvidence;
@@ -44,7 +45,7 @@
 export class SuspectExchange {
   private timer: ReturnType<typeof setInterval> | undefined;
   private sentRevision = 0;
-  private sentAtMs = Number.NEGATIVE_INFINITY;
+  private repeatedAtMs = Number.NEGATIVE_INFINITY;
   private schedulerCount = 0;
 
   constructor(private readonly options: SuspectExchangeOptions) {}
@@ -63,18 +64,16 @@
     this.askIfNewScheduler(nowMs);
     evidence.update(nowMs);
     evidence.takeChanges().forEach(change => this.report(change));
-    const {revision} = evidence;
-    const isDue =
-      revision !== this.sentRevision ||
-      nowMs - this.sentAtMs >= REPEAT_INTERVAL_MS;
-    if (!isDue) return;
-    this.sentRevision = revision;
-    this.sentAtMs = nowMs;
-    this.send(nowMs);
+    if (nowMs - this.repeatedAtMs >= REPEAT_INTERVAL_MS) {
+      this.repeatedAtMs = nowMs;
+      this.send(evidence.reports(nowMs), nowMs);
+    } else if (evidence.revision !== this.sentRevision) {
+      this.send(evidence.reports(nowMs, this.sentRevision + 1), nowMs);
+    }
+    this.sentRevision = evidence.revision;
   }
 
-  private send(nowMs: number): void {
-    const reports = this.options.evidence.reports(nowMs);
+  private send(reports: readonly SuspectReport[], nowMs: number): void {
     if (reports.length === 0) return;
     this.peers(nowMs).forEach(address => void this.call(address, {reports}));
   }
