Send reload signals in the soak once a process can catch them

The soak waited 250 ms after a start, which a starved runtime exceeds; the program sets its handler with its first line, so nothing in it can come earlier.

--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -4,6 +4,7 @@
   appendFileSync,
   createWriteStream,
   existsSync,
+  readFileSync,
   rmSync,
   writeFileSync,
 } from 'node:fs';
@@ -21,8 +22,12 @@
 /** Longest planned stop that the settings allow. */
 export const STOP_GRACE_MS = 4_500;
 const HEAP_MB = 128;
-/** No program can handle a signal before the runtime has run its first line. */
-const RUNTIME_START_MS = 250;
+/**
+ * No program can handle a signal before the runtime has run its first line. On a
+ * busy machine that takes seconds.
+ */
+const MAX_RUNTIME_START_MS = 10_000;
+const SIGNAL_CHECK_MS = 10;
 
 /** The end of a process that nobody asked for. */
 export interface UnexpectedExit {
@@ -107,12 +112,23 @@
     this.settingsVersion += 1;
     this.writeSettings();
     if (!withSignal) return;
-    const child = this.child;
-    const runningMs = performance.now() - this.startedAtMs;
-    await sleep(Math.max(0, RUNTIME_START_MS - runningMs));
+    const {child} = this;
+    await this.untilReloadable(child);
     if (this.child === child) child?.kill('SIGHUP');
   }
 
+  /** Resolves once the process has a handler for reload signals. */
+  private async untilReloadable(
+    child: ChildProcess | undefined,
+  ): Promise<void> {
+    const hasEnded = (): boolean => child === undefined || this.child !== child;
+    const isLate = (): boolean =>
+      performance.now() - this.startedAtMs > MAX_RUNTIME_START_MS;
+    while (!hasEnded() && !isLate() && !catchesReload(child?.pid)) {
+      await sleep(SIGNAL_CHECK_MS);
+    }
+  }
+
   /** Empties the disk of a process that does not run. */
   wipeDisk(): void {
     rmSync(this.dataFolder, {recursive: true, force: true});
@@ -186,3 +202,15 @@
     };
   }
 }
+
+/** Whether a process catches SIGHUP, the lowest bit of the mask of signals. */
+function catchesReload(pid: number | undefined): boolean {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? '0';
+    return (Number.parseInt(mask.at(-1) ?? '0', 16) & 1) === 1;
+  } catch {
+    // The process has ended; its exit is noted elsewhere.
+    return false;
+  }
+}
