Log the software version of upstreams and where streams go on

The log could not tell the hypotheses on joined streams apart: no line named the software version of an upstream, and a resumed stream looked like a new request. The list's version now reaches grants; a resumed stream is logged (resumed) with the version of its upstream and the attempt of its caller that brought the first event, and the line at the end of a request names the version. No change of logic.

--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -15,6 +15,8 @@
   readonly prompt?: PromptSize;
   /** The last event that the caller received, if it resumes a stream. */
   readonly lastEventId?: number;
+  /** The attempt that brought the first event of the stream it resumes. */
+  readonly resumedAttemptId?: string;
 }
 
 /** Per-try parameters of a request to an upstream. */
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -10,7 +10,7 @@
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
-import type {RequestId, UpstreamId} from '../types/ids.js';
+import type {RequestId, SoftwareVersion, UpstreamId} from '../types/ids.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 const MAX_LINES_PER_S = 150;
@@ -25,6 +25,7 @@
   | 'refused'
   | 'retry'
   | 'stalled'
+  | 'resumed'
   | 'upstream_outcome'
   | 'upstream_limit'
   | 'ended'
@@ -45,6 +46,7 @@
   readonly status: number;
   /** The upstream of the last grant. */
   readonly upstream: string | undefined;
+  readonly softwareVersion: SoftwareVersion | undefined;
   /** Wait in the queue of the scheduler that made the last grant. */
   readonly queuedMs: number;
   /** Wait for scheduling decisions, summed over all tries. */
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -214,6 +214,7 @@
         ? {}
         : {lastEventId: this.progress.lastEventId}),
     });
+    this.logResume(grant);
     const {method, path, body} = request;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
@@ -264,6 +265,20 @@
     return result;
   }
 
+  /** Logs that a stream which began at another upstream goes on at this one. */
+  private logResume({upstreamId: upstream, softwareVersion}: Grant): void {
+    const {log} = this.context;
+    const {lastEventId} = this.progress;
+    if (lastEventId === undefined) return;
+    const {resumedAttemptId} = this.request.traits;
+    log.write('resumed', this.request, {
+      upstream,
+      softwareVersion,
+      lastEventId,
+      resumedAttemptId,
+    });
+  }
+
   private noteLimit(
     grant: Grant,
     maxRequestsPerS: number | undefined,
@@ -353,6 +368,7 @@
     context.log.end(this.request, result, {
       status,
       upstream: this.lastGrant?.upstreamId,
+      softwareVersion: this.lastGrant?.softwareVersion,
       queuedMs: this.lastGrant?.queuedMs ?? 0,
       decisionMs: this.decisionMs,
       expectedMs: this.lastGrant?.expectedMs ?? 0,
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -136,6 +136,16 @@
     decisionAgeMs: z.number(),
   },
   retry: {...matched, cause: z.string(), runs: z.number()},
+  resumed: {
+    ...matched,
+    upstream: z.string(),
+    /** Missing if the version of the upstream is not known. */
+    softwareVersion: z.string().optional(),
+    /** The last event that the caller has. */
+    lastEventId: z.number(),
+    /** Missing if the stream goes on within one response. */
+    resumedAttemptId: z.string().optional(),
+  },
   stalled: {
     ...matched,
     upstream: z.string(),
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -29,6 +29,7 @@
   {domain, queuedMs, nowMs}: GrantInputs,
 ): Decision {
   const {maxRequestsPerS} = upstream.limit;
+  const {softwareVersion} = upstream.listed;
   const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
   return {
     kind: 'grant',
@@ -41,6 +42,7 @@
     queuedMs,
     expectedMs: upstream.expectedMs(item, nowMs),
     isCold: upstream.isCold(nowMs),
+    ...(softwareVersion === undefined ? {} : {softwareVersion}),
     ...(maxRequestsPerS === undefined ? {} : {maxRequestsPerS}),
     ...(fetchFrom === undefined ? {} : {fetchFrom}),
   };
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -5,6 +5,7 @@
   RegionId,
   RequestId,
   ServiceId,
+  SoftwareVersion,
   UpstreamId,
 } from '../types/ids.js';
 
@@ -79,6 +80,8 @@
   readonly coldRemainingMs: number;
   /** Start of its process, Unix milliseconds; a later value means a restart. */
   readonly bornAtMs: number;
+  /** `undefined` if the list names none. */
+  readonly softwareVersion?: SoftwareVersion;
 }
 
 /** Properties of a service that its scheduler needs. */
@@ -118,6 +121,8 @@
       readonly domain: DomainId;
       readonly upstreamId: UpstreamId;
       readonly address: string;
+      /** `undefined` if the version of the upstream is not known. */
+      readonly softwareVersion?: SoftwareVersion;
       /** Time spent in the scheduler's queue. */
       readonly queuedMs: number;
       /** Expected time to the first answer. */
--- a/src/node/types/ids.ts
+++ b/src/node/types/ids.ts
@@ -22,6 +22,8 @@
 export type WorkspaceId = Branded<string, 'WorkspaceId'>;
 /** An upstream: a model engine or a plain service. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
+/** The version of the software that an upstream runs, not of its model. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A model that engines can load. */
 export type ModelId = Branded<string, 'ModelId'>;
 /** A workload: one kind of request of a workspace. */
