Let a broken stream go on only at the software version that began it

What callers saw: one answer, 200 and complete, whose beginning came from an upstream of one software version and whose rest came from another one. Cause: the scheduler knew an upstream by its load only, and a resumed stream took any upstream that it granted. The first event now fixes the version of a stream. Requests that continue it carry that version, over relays to other regions too, and schedulers place them only there: here, in another domain, or in a region whose digest names the version. A version that is only down is refused with the usual time, one that has left until the deadline. While an upstream's process may have been replaced since the list was read, its version counts as unknown.

--- a/src/node/ingress/__tests__/late_copies.spec.ts
+++ b/src/node/ingress/__tests__/late_copies.spec.ts
@@ -56,8 +56,10 @@
       isStream: false,
       isResumable: false,
       isFromPeer: false,
+      isForPeer: false,
       progress: {
         lastEventId: undefined,
+        begun: undefined,
         isStarted: false,
         lastEventAtMs: 0,
         longestGapMs: 0,
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -143,6 +143,7 @@
     isRepeat: false,
     avoidUpstreams: [],
     lastEventId: undefined,
+    begun: undefined,
   };
 }
 
--- a/src/node/ingress/__tests__/unbounded_responses.spec.ts
+++ b/src/node/ingress/__tests__/unbounded_responses.spec.ts
@@ -86,8 +86,10 @@
     isStream,
     isResumable,
     isFromPeer: false,
+    isForPeer: false,
     progress: {
       lastEventId: undefined,
+      begun: undefined,
       isStarted: false,
       lastEventAtMs: 0,
       longestGapMs: 0,
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -1,10 +1,8 @@
 /** Error responses that the ingress itself generates. */
 import type {CallerResponse} from './caller_response.js';
+import {NOT_RUN_HEADER} from './inner_headers.js';
 import type {InboundRequest, TryResult} from './types.js';
 
-/** Header that tells another entry that a relayed request did not run. */
-export const NOT_RUN_HEADER = 'x-cyclamenfall-not-run';
-
 const REJECTION_CODES = {
   404: 'not_found',
   413: 'too_large',
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -225,6 +225,7 @@
       isRepeat: false,
       avoidUpstreams: [],
       lastEventId: traits.lastEventId,
+      begun: undefined,
     };
   }
 
@@ -252,6 +253,7 @@
       isRepeat: metadata.isRepeat,
       avoidUpstreams: metadata.avoidUpstreams,
       lastEventId: metadata.lastEventId,
+      begun: metadata.begun,
     };
   }
 
--- /dev/null
+++ b/src/node/ingress/inner_headers.ts
@@ -0,0 +1,16 @@
+/** Response headers between entries; callers never get them. */
+import type {HeaderPair} from './protocol.js';
+
+const PREFIX = 'x-cyclamenfall-';
+
+/** Tells the other entry that a relayed request did not run. */
+export const NOT_RUN_HEADER = `${PREFIX}not-run`;
+/** Tells the other entry which software version began a relayed stream. */
+export const SOFTWARE_VERSION_HEADER = `${PREFIX}software-version`;
+
+/** The headers without those that are only for entries. */
+export function withoutInnerHeaders(
+  headers: readonly HeaderPair[],
+): readonly HeaderPair[] {
+  return headers.filter(([name]) => !name.toLowerCase().startsWith(PREFIX));
+}
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -8,6 +8,7 @@
   AUTHENTICATION_HEADER,
   createCredentials,
 } from '../rpc/authentication.js';
+import type {BegunStream} from '../scheduling/types.js';
 import type {
   InstanceId,
   RegionId,
@@ -36,6 +37,7 @@
   readonly isRepeat: boolean;
   readonly avoidUpstreams: readonly UpstreamId[];
   readonly lastEventId?: number;
+  readonly begun?: BegunStream;
 }
 
 export interface RelayOptions {
@@ -110,7 +112,8 @@
 }
 
 function metadataOf(request: InboundRequest, nowMs: number): RelayMetadata {
-  const {requestId, method, path, rawHeaders, service, lastEventId} = request;
+  const {requestId, method, path, rawHeaders, service} = request;
+  const {lastEventId, begun} = request;
   return {
     requestId,
     method,
@@ -123,5 +126,6 @@
     isRepeat: request.isRepeat,
     avoidUpstreams: request.avoidUpstreams,
     ...(lastEventId === undefined ? {} : {lastEventId}),
+    ...(begun === undefined ? {} : {begun}),
   };
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -7,11 +7,7 @@
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion} from '../routes/route_table.js';
-import type {
-  PlacementOutcome,
-  SchedulerAnswer,
-  WorkItem,
-} from '../scheduling/types.js';
+import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import {
@@ -34,6 +30,7 @@
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
+import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
@@ -62,10 +59,7 @@
   private readonly tries: TryBudget;
   private readonly fingerprint: string;
   private refusedRegions: RegionId[] = [];
-  private firstAnswerMs = 0;
-  /** Wait for scheduling decisions, summed over all tries. */
-  private decisionMs = 0;
-  private lastGrant: Grant | undefined;
+  private readonly recorder: RunRecorder;
   /** Granted while the try before it was given up. */
   private replacement: Grant | undefined;
   private replacementsSought = 0;
@@ -79,6 +73,7 @@
   ) {
     this.progress = {
       lastEventId: request.lastEventId,
+      begun: request.begun,
       isStarted: false,
       lastEventAtMs: 0,
       longestGapMs: 0,
@@ -86,6 +81,8 @@
     this.failedUpstreams = [...request.avoidUpstreams];
     this.tries = new TryBudget(request);
     this.fingerprint = fingerprintOf(request);
+    const {progress, tries} = this;
+    this.recorder = new RunRecorder({...context, request, progress, tries});
   }
 
   /** Resolves when the caller has its final response. */
@@ -100,11 +97,7 @@
     const result = await this.attempt();
     const mayRetry = !this.signal.aborted && this.tries.mayFollow(result);
     if (!mayRetry) return result;
-    this.context.log.write('retry', this.request, {
-      cause: 'cause' in result ? result.cause : '',
-      runs: this.tries.runs,
-      lastEventId: this.progress.lastEventId,
-    });
+    this.recorder.retrying(result);
     return this.tryUntilFinal();
   }
 
@@ -130,18 +123,17 @@
   }
 
   private async askScheduler(): Promise<SchedulerAnswer> {
-    const {scheduler, metrics} = this.context;
+    const {scheduler} = this.context;
     const askedAtMs = monotonicNowMs();
     const decision = await scheduler.acquire(this.workItem(), this.signal);
-    const waitedMs = monotonicNowMs() - askedAtMs;
-    this.decisionMs += waitedMs;
-    metrics.recordMs('decision_ms', {kind: decision.kind}, waitedMs);
+    this.recorder.decided(decision, monotonicNowMs() - askedAtMs);
     return decision;
   }
 
   private workItem(): WorkItem {
     const {request, context} = this;
     const {route, traits} = request;
+    const {begun} = this.progress;
     const nowMs = monotonicNowMs();
     const otherRegions = request.isRelayed
       ? []
@@ -160,6 +152,7 @@
       ageMs: this.tries.hasRun ? 0 : nowMs - request.receivedAtMs,
       remainingMs: request.expiresAtMs - nowMs,
       ...(traits.prompt === undefined ? {} : {prompt: traits.prompt}),
+      ...(begun === undefined ? {} : {begun}),
       avoidUpstreams: this.failedUpstreams,
       isRepeat: this.tries.isRepeat,
       isAllowedHere: allowsRegion(route, context.region),
@@ -192,15 +185,15 @@
   private async sendToUpstream(grant: Grant): Promise<TryResult> {
     const {context, request} = this;
     const {upstreamId} = grant;
-    this.lastGrant = grant;
     const sentAtMs = monotonicNowMs();
-    this.firstAnswerMs = 0;
+    this.recorder.sending(grant);
     const monitor = new ProgressMonitor({
       ...context,
       grant,
       hasPrompt: request.traits.prompt !== undefined,
     });
     const reader = this.createReader(sentAtMs, {
+      softwareVersion: grant.softwareVersion,
       onProgress: monitor.record,
       onHead: ({maxRequestsPerS}) =>
         this.noteLimit(grant, maxRequestsPerS, sentAtMs),
@@ -214,7 +207,6 @@
         ? {}
         : {lastEventId: this.progress.lastEventId}),
     });
-    this.logResume(grant);
     const {method, path, body} = request;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
@@ -238,10 +230,10 @@
       requestId: grant.requestId,
       upstreamId,
       outcome,
-      firstAnswerMs: this.firstAnswerMs,
+      firstAnswerMs: this.recorder.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
     });
-    this.recordOutcome(grant, outcome, sentAtMs, causeOf(end, reader));
+    this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
     if (result.kind !== 'delivered') this.failedUpstreams.push(upstreamId);
     return result;
   }
@@ -255,6 +247,7 @@
         ...request,
         isRepeat: this.tries.isRepeat,
         lastEventId: this.progress.lastEventId,
+        begun: this.progress.begun,
       },
       reader,
       this.signal,
@@ -265,20 +258,6 @@
     return result;
   }
 
-  /** Logs that a stream which began at another upstream goes on at this one. */
-  private logResume({upstreamId: upstream, softwareVersion}: Grant): void {
-    const {log} = this.context;
-    const {lastEventId} = this.progress;
-    if (lastEventId === undefined) return;
-    const {resumedAttemptId} = this.request.traits;
-    log.write('resumed', this.request, {
-      upstream,
-      softwareVersion,
-      lastEventId,
-      resumedAttemptId,
-    });
-  }
-
   private noteLimit(
     grant: Grant,
     maxRequestsPerS: number | undefined,
@@ -291,10 +270,13 @@
     log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
   }
 
-  // Without handlers, the response comes from another entry.
+  // Without an upstream, the response comes from another entry.
   private createReader(
     sentAtMs: number,
-    handlers?: Pick<ResponseReaderOptions, 'onHead' | 'onProgress'>,
+    upstream?: Pick<
+      ResponseReaderOptions,
+      'softwareVersion' | 'onHead' | 'onProgress'
+    >,
   ): ResponseReader {
     const {context, request, response, progress} = this;
     return new ResponseReader({
@@ -304,11 +286,13 @@
       isStream: request.route.kind === 'stream',
       isResumable: request.route.isResumable,
       progress,
-      isFromPeer: handlers === undefined,
+      isFromPeer: upstream === undefined,
+      isForPeer: request.isRelayed,
       onResponseStart: () => {
-        this.firstAnswerMs = Math.max(1, monotonicNowMs() - sentAtMs);
+        const firstAnswerMs = monotonicNowMs() - sentAtMs;
+        this.recorder.firstAnswerMs = Math.max(1, firstAnswerMs);
       },
-      ...handlers,
+      ...upstream,
     });
   }
 
@@ -357,45 +341,9 @@
   }
 
   private finish(result: TryResult): void {
-    const {request, response, context} = this;
-    const totalMs = monotonicNowMs() - request.receivedAtMs;
-    const {runs, triesNotRun} = this.tries;
-    const hasRun = runs > 0;
+    const {request, response} = this;
+    const hasRun = this.tries.runs > 0;
     const status = sendFinalResponse(result, response, hasRun, request);
-    const {name, kind} = request.route;
-    context.metrics.recordMs('request_ms', {kind}, totalMs);
-    context.metrics.count('requests', {route: name, result: result.kind});
-    context.log.end(this.request, result, {
-      status,
-      upstream: this.lastGrant?.upstreamId,
-      softwareVersion: this.lastGrant?.softwareVersion,
-      queuedMs: this.lastGrant?.queuedMs ?? 0,
-      decisionMs: this.decisionMs,
-      expectedMs: this.lastGrant?.expectedMs ?? 0,
-      totalMs,
-      firstAnswerMs: this.firstAnswerMs,
-      longestGapMs: this.progress.longestGapMs,
-      runs,
-      triesNotRun,
-    });
-  }
-
-  private recordOutcome(
-    grant: Grant,
-    outcome: PlacementOutcome,
-    sentAtMs: number,
-    cause: string | undefined,
-  ): void {
-    const {context, request} = this;
-    const {service} = request;
-    context.metrics.count('upstream_tries', {service, outcome});
-    if (outcome === 'answered') return;
-    context.log.tryFailed(request, {
-      firstAnswerMs: this.firstAnswerMs,
-      totalMs: monotonicNowMs() - sentAtMs,
-      upstream: grant.upstreamId,
-      outcome,
-      cause,
-    });
+    this.recorder.ended(result, status);
   }
 }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -5,17 +5,25 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
+import type {BegunStream} from '../scheduling/types.js';
+import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
 import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
 import type {ResponseSink} from './exchange.js';
-import {NOT_RUN_HEADER} from './error_responses.js';
-import type {ResponseTraits, RequestProtocol} from './protocol.js';
+import {
+  NOT_RUN_HEADER,
+  SOFTWARE_VERSION_HEADER,
+  withoutInnerHeaders,
+} from './inner_headers.js';
+import type {HeaderPair, ResponseTraits, RequestProtocol} from './protocol.js';
 
 /** Progress of a stream, over all tries of its request. */
 export interface StreamProgress {
   lastEventId: number | undefined;
   /** Whether the response to the caller has begun. */
   isStarted: boolean;
+  /** Set once the caller has events, from this response or an earlier one. */
+  begun: BegunStream | undefined;
   lastEventAtMs: number;
   /** Longest gap between two events so far. */
   longestGapMs: number;
@@ -31,6 +39,10 @@
   readonly progress: StreamProgress;
   /** Whether the peer is another entry, which can itself refuse the request. */
   readonly isFromPeer: boolean;
+  /** Whether the response goes to another entry. */
+  readonly isForPeer: boolean;
+  /** The version of the upstream, unless another entry has to name it. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   readonly onHead?: (traits: ResponseTraits) => void;
   readonly onResponseStart: () => void;
   /** Called on progress, with the time of the previous one or 0. */
@@ -173,12 +185,30 @@
   }
 
   private beginOnce(): void {
-    const {response, protocol, progress, onResponseStart} = this.options;
+    const {response, progress, onResponseStart} = this.options;
     if (progress.isStarted || this.head === undefined) return;
     progress.isStarted = true;
+    progress.begun ??= {softwareVersion: this.softwareVersion()};
     onResponseStart();
-    const headers = protocol.callerHeaders(this.head.headers);
-    response.begin(this.head.status, headers, this.framing);
+    response.begin(this.head.status, this.callerHeaders(), this.framing);
+  }
+
+  private softwareVersion(): SoftwareVersion | undefined {
+    const {isFromPeer, softwareVersion} = this.options;
+    if (!isFromPeer) return softwareVersion;
+    const named = this.head?.headers[SOFTWARE_VERSION_HEADER];
+    return typeof named === 'string' ? asId<SoftwareVersion>(named) : undefined;
+  }
+
+  private callerHeaders(): readonly HeaderPair[] {
+    const {protocol, isForPeer, progress} = this.options;
+    const headers = withoutInnerHeaders(
+      protocol.callerHeaders(this.head?.headers ?? {}),
+    );
+    const version = progress.begun?.softwareVersion;
+    return isForPeer && version !== undefined
+      ? [...headers, [SOFTWARE_VERSION_HEADER, version]]
+      : headers;
   }
 }
 
--- a/src/node/ingress/types.ts
+++ b/src/node/ingress/types.ts
@@ -1,5 +1,6 @@
 /** Shared types of the ingress. */
 import type {Route} from '../routes/route_table.js';
+import type {BegunStream} from '../scheduling/types.js';
 import type {RequestId, ServiceId, UpstreamId} from '../types/ids.js';
 import type {RequestTraits} from './protocol.js';
 
@@ -28,6 +29,8 @@
   readonly avoidUpstreams: readonly UpstreamId[];
   /** The last event that the caller received. */
   readonly lastEventId: number | undefined;
+  /** Set if the caller has events of the stream. */
+  readonly begun: BegunStream | undefined;
 }
 
 /** Result of one try. */
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -141,6 +141,8 @@
     upstream: z.string(),
     /** Missing if the version of the upstream is not known. */
     softwareVersion: z.string().optional(),
+    /** The version that began the stream; missing if it is not known. */
+    begunBy: z.string().optional(),
     /** The last event that the caller has. */
     lastEventId: z.number(),
     /** Missing if the stream goes on within one response. */
--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -7,6 +7,7 @@
   type RegionId,
   type RequestId,
   type ServiceId,
+  type SoftwareVersion,
   type UpstreamId,
 } from '../../types/ids.js';
 import {Scheduler} from '../scheduler.js';
@@ -63,6 +64,7 @@
     isDraining: false,
     coldRemainingMs: 0,
     bornAtMs: 1,
+    softwareVersion: asId<SoftwareVersion>('v1'),
     ...fields,
   };
 }
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -57,6 +57,13 @@
     );
   }
 
+  /** Whether a stream may go on in some other domain, by its last digest. */
+  mayContinueElsewhere(item: WorkItem, nowMs: number): boolean {
+    return [...this.records.values()]
+      .filter(({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS)
+      .some(record => this.isAllowed(record, item));
+  }
+
   /** The offer with the lowest expected time among the allowed domains. */
   bestOffer(item: WorkItem, nowMs: number): RemoteOffer | undefined {
     return [...this.records.values()]
@@ -90,6 +97,7 @@
   }
 
   private isAllowed({digest}: DigestRecord, item: WorkItem): boolean {
+    if (!mayContinueIn(digest, item)) return false;
     return digest.region === this.ownRegion
       ? item.isAllowedHere && !item.passedDomains.includes(digest.domain)
       : item.otherRegions.includes(digest.region);
@@ -121,3 +129,15 @@
     return [{region, domain, minGainMs, expectedMs, digestAgeMs, readShare}];
   }
 }
+
+/** Whether the domain has an upstream at which a begun stream may go on. */
+function mayContinueIn(
+  {softwareVersions = []}: CapacityDigest,
+  {begun}: WorkItem,
+): boolean {
+  if (begun === undefined) return true;
+  const {softwareVersion} = begun;
+  return (
+    softwareVersion !== undefined && softwareVersions.includes(softwareVersion)
+  );
+}
--- /dev/null
+++ b/src/node/scheduling/capacity_digest.ts
@@ -0,0 +1,39 @@
+/** Builds the capacity digest that a scheduler sends to other domains. */
+import type {DomainId, RegionId, ServiceId} from '../types/ids.js';
+import {queueWaitMs} from './forecast.js';
+import type {PrefillLoad} from './prefill_load.js';
+import type {CapacityDigest} from './types.js';
+import type {UpstreamPool} from './upstream_pool.js';
+import type {WorkQueue} from './work_queue.js';
+
+/** The scheduler that a digest describes. */
+export interface DigestSource {
+  readonly region: RegionId;
+  readonly domain: DomainId;
+  readonly service: ServiceId;
+  readonly pool: UpstreamPool;
+  readonly queue: WorkQueue;
+  readonly prefillLoad: PrefillLoad;
+}
+
+/** Upstreams that get few requests a second are no capacity for others. */
+export function digestOf(
+  {region, domain, service, pool, queue, prefillLoad}: DigestSource,
+  nowMs: number,
+): CapacityDigest {
+  const all = pool.usable(nowMs);
+  const usable = all.filter(each => each.startsPerS(nowMs) === undefined);
+  const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
+  const versions = all.flatMap(each => each.softwareVersion ?? []);
+  return {
+    region,
+    domain,
+    service,
+    upstreams: usable.length,
+    softwareVersions: [...new Set(versions)],
+    freeSlots: freeSlots - queue.size,
+    freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
+    waitMs: queueWaitMs(queue.ahead(), usable, nowMs),
+    readShare: prefillLoad.share(usable, nowMs),
+  };
+}
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -39,6 +39,16 @@
     )?.upstream;
 }
 
+/** The upstreams whose software version may run the request. */
+export function fittingOf(
+  {begun}: WorkItem,
+  upstreams: readonly UpstreamState[],
+): readonly UpstreamState[] {
+  return begun === undefined
+    ? upstreams
+    : upstreams.filter(each => each.mayContinue(begun));
+}
+
 /** The upstreams at which the request has not failed. */
 export function untriedOf(
   {avoidUpstreams}: WorkItem,
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -5,6 +5,12 @@
 import type {Decision, RefusalReason, WorkItem} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
+/** Reasons for which any retry before the predicted time is refused again. */
+const UNBOUNDED_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'quarantined',
+  'version_gone',
+]);
+
 interface GrantInputs {
   readonly domain: DomainId;
   readonly queuedMs: number;
@@ -28,8 +34,8 @@
   upstream: UpstreamState,
   {domain, queuedMs, nowMs}: GrantInputs,
 ): Decision {
-  const {maxRequestsPerS} = upstream.limit;
-  const {softwareVersion} = upstream.listed;
+  const {softwareVersion, limit} = upstream;
+  const {maxRequestsPerS} = limit;
   const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
   return {
     kind: 'grant',
@@ -67,11 +73,9 @@
 
 /** Builds a refusal with the time after which the caller may retry. */
 export function refusalOf(item: WorkItem, inputs: RefusalInputs): Decision {
-  // Until the end of a quarantine any retry is refused again.
-  const maxMs =
-    inputs.reason === 'quarantined'
-      ? Number.POSITIVE_INFINITY
-      : MAX_RETRY_AFTER_MS;
+  const maxMs = UNBOUNDED_REASONS.has(inputs.reason)
+    ? Number.POSITIVE_INFINITY
+    : MAX_RETRY_AFTER_MS;
   const retryAfterMs = Math.min(
     maxMs,
     Math.max(MIN_RETRY_AFTER_MS, inputs.predictedWaitMs),
--- a/src/node/scheduling/refusal_cache.ts
+++ b/src/node/scheduling/refusal_cache.ts
@@ -85,5 +85,6 @@
     item.isRepeat,
     item.isAllowedHere,
     otherRegions.join(),
+    item.begun === undefined ? '' : `begun ${item.begun.softwareVersion}`,
   ].join(' ');
 }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -5,7 +5,13 @@
  */
 import type {DomainId, InstanceId, RequestId} from '../types/ids.js';
 import {CapacityBoard} from './capacity_board.js';
-import {chooseUpstream, hasFailedOn, untriedOf} from './choose_upstream.js';
+import {digestOf} from './capacity_digest.js';
+import {
+  chooseUpstream,
+  fittingOf,
+  hasFailedOn,
+  untriedOf,
+} from './choose_upstream.js';
 import {
   ADMISSION_SHARE_OF_TARGET,
   NO_UPSTREAM_CLOSED_MS,
@@ -13,7 +19,7 @@
   NO_UPSTREAM_WAIT_MS,
   OFFLOAD_PREFILL_SHARE,
 } from './constants.js';
-import {grantOf, refusalOf} from './decisions.js';
+import {grantOf} from './decisions.js';
 import {PrefillLoad} from './prefill_load.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -26,11 +32,11 @@
 } from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
 import {Redirects} from './redirects.js';
+import {Refusals} from './refusals.js';
 import {QuarantineGate} from './quarantine_gate.js';
 import type {
   CapacityDigest,
   Decision,
-  RefusalReason,
   Release,
   ReplacedUpstream,
   EntryPlacements,
@@ -50,6 +56,7 @@
   private readonly prefillLoad = new PrefillLoad();
   private readonly retryBudget: RetryBudget;
   private readonly quarantine: QuarantineGate;
+  private readonly refusals: Refusals;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
@@ -61,6 +68,12 @@
     this.retryBudget = new RetryBudget(options.retries);
     this.quarantine = new QuarantineGate(options.evidence);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
+    this.refusals = new Refusals({
+      pool: this.pool,
+      board: this.board,
+      queueLength: () => this.queue.size,
+      push: decision => this.decisions.push(decision),
+    });
   }
 
   get queueLength(): number {
@@ -73,14 +86,14 @@
     if (this.refuseQuarantined(item, nowMs)) return;
     if (item.isRepeat) {
       if (!this.retryBudget.allowsRetry(nowMs)) {
-        this.refuse(item, 'retry_budget', 0, nowMs);
+        this.refusals.add(item, 'retry_budget', 0, nowMs);
         return;
       }
     } else if (item.passedDomains.length === 0) {
       this.retryBudget.noteRequest(nowMs);
     }
     if (this.pool.isTooLarge(item)) {
-      this.refuse(item, 'too_large', 0, nowMs);
+      this.refusals.add(item, 'too_large', 0, nowMs);
       return;
     }
     if (item.replaces !== undefined) this.replace(item, item.replaces, nowMs);
@@ -134,7 +147,11 @@
     let open = openOf(usable, nowMs);
     let isLaneFull = this.lane.isFull(open, usable);
     this.queue.inOrder().forEach(queued => {
-      const mustWait = isLaneFull && this.lane.isLongPrefill(queued.prefillMs);
+      // The lane may have no engine at which a begun stream can go on.
+      const mustWait =
+        isLaneFull &&
+        queued.item.begun === undefined &&
+        this.lane.isLongPrefill(queued.prefillMs);
       const upstream = mustWait
         ? undefined
         : this.choose(queued.item, usable, open, nowMs);
@@ -154,20 +171,9 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const usable = this.pool
-      .usable(nowMs)
-      .filter(each => each.startsPerS(nowMs) === undefined);
-    return {
-      region: this.options.region,
-      domain: this.options.domain,
-      service,
-      upstreams: usable.length,
-      freeSlots:
-        usable.reduce((sum, each) => sum + each.freeSlots, 0) - this.queue.size,
-      freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
-      waitMs: queueWaitMs(this.queue.ahead(), usable, nowMs),
-      readShare: this.prefillLoad.share(usable, nowMs),
-    };
+    const {pool, queue, prefillLoad} = this;
+    const {region, domain} = this.options;
+    return digestOf({region, domain, service, pool, queue, prefillLoad}, nowMs);
   }
 
   // A request that runs elsewhere does not wait in the queue: its upstream may
@@ -179,15 +185,15 @@
   ): void {
     const isOwn = domain === this.options.domain;
     if (isOwn && this.pool.isLost(upstreamId, nowMs)) {
-      this.refuse(item, 'upstream_down', 0, nowMs);
+      this.refusals.add(item, 'upstream_down', 0, nowMs);
       return;
     }
-    const others = untriedOf(item, this.pool.usable(nowMs));
+    const others = untriedOf(item, this.pool.usableFor(item, nowMs));
     const upstream = this.choose(item, others, openOf(others, nowMs), nowMs);
     if (upstream !== undefined && canFinish(item, upstream, nowMs)) {
       this.grant(item, upstream, 0, nowMs);
     } else if (!this.redirects.toSibling(item, nowMs)) {
-      this.refuse(item, 'no_replacement', 0, nowMs);
+      this.refusals.add(item, 'no_replacement', 0, nowMs);
     }
   }
 
@@ -196,9 +202,9 @@
       this.sendToAllowedRegion(item, nowMs);
       return;
     }
-    const usable = this.pool.usable(nowMs);
-    this.lane.noteArrival(item, usable, nowMs);
+    this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
     this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
+    const usable = this.pool.usableFor(item, nowMs);
     if (this.offloadLongPrompt(item, usable, nowMs)) return;
     if (hasFailedOn(item, usable) && this.redirects.toSibling(item, nowMs)) {
       return;
@@ -210,7 +216,7 @@
       if (this.redirects.toSibling(item, nowMs)) return;
       // No upstream is known before the first reading of the list, so wait.
       if (this.pool.all().length === 0) this.enqueue(item, nowMs);
-      else this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
+      else this.refusals.addWithoutUpstream(item, nowMs);
       return;
     }
     const eligible = this.lane.eligible(item, usable, usable, nowMs);
@@ -228,7 +234,7 @@
     if (this.redirects.toFaster(item, expectedMs, nowMs)) return;
     const latestMs = maxFirstAnswerMs(item, expected.answerMs);
     const closedForMs = item.ageMs + expectedMs - latestMs;
-    this.refuse(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
+    this.refusals.add(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
   }
 
   // A request with others ahead of it in the queue waits for its turn.
@@ -257,7 +263,7 @@
 
   private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
     if (this.redirects.toAllowedRegion(item, nowMs)) return;
-    this.refuse(
+    this.refusals.add(
       item,
       'no_upstream',
       NO_UPSTREAM_RETRY_AFTER_MS,
@@ -295,21 +301,21 @@
     const isOverBudget = item.isRepeat && !this.retryBudget.allowsRetry(nowMs);
     if (isOverBudget) {
       this.queue.remove(item.requestId);
-      this.refuse(item, 'retry_budget', 0, nowMs);
+      this.refusals.add(item, 'retry_budget', 0, nowMs);
       return false;
     }
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
       return true;
     }
-    this.endOverdueWait(item, usable, queuedMs, nowMs);
+    this.endOverdueWait(item, fittingOf(item, usable), queuedMs, nowMs);
     return false;
   }
 
   /** Refuses a request that must not run now; returns true if it did. */
   private refuseQuarantined(item: WorkItem, nowMs: number): boolean {
     const forMs = this.quarantine.remainingMs(item, nowMs);
-    if (forMs > 0) this.refuse(item, 'quarantined', forMs, nowMs);
+    if (forMs > 0) this.refusals.add(item, 'quarantined', forMs, nowMs);
     return forMs > 0;
   }
 
@@ -322,7 +328,12 @@
     // Under overload no upstream is open most of the time and the queue is
     // long, so this saves work.
     if (open.length === 0) return undefined;
-    const eligible = this.lane.eligible(item, open, usable, nowMs);
+    const eligible = this.lane.eligible(
+      item,
+      fittingOf(item, open),
+      fittingOf(item, usable),
+      nowMs,
+    );
     return chooseUpstream(item, eligible, this.lane, nowMs);
   }
 
@@ -345,11 +356,11 @@
     const aged = {...item, ageMs: waitedMs};
     if (this.redirects.toFaster(aged, Number.POSITIVE_INFINITY, nowMs)) return;
     if (hasNoUpstream) {
-      this.refuse(item, 'no_upstream', NO_UPSTREAM_RETRY_AFTER_MS, nowMs);
+      this.refusals.addWithoutUpstream(item, nowMs);
       return;
     }
     const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
-    this.refuse(item, 'overloaded', waitMs, nowMs);
+    this.refusals.add(item, 'overloaded', waitMs, nowMs);
   }
 
   private grant(
@@ -370,24 +381,6 @@
     this.quarantine.noteStart(item, nowMs);
     this.decisions.push(decision);
   }
-
-  private refuse(
-    item: WorkItem,
-    reason: RefusalReason,
-    predictedWaitMs: number,
-    nowMs: number,
-    closedForMs = 0,
-  ): void {
-    this.decisions.push(
-      refusalOf(item, {
-        reason,
-        predictedWaitMs,
-        closedForMs,
-        usableUpstreams: this.pool.usable(nowMs).length,
-        queueLength: this.queue.size,
-      }),
-    );
-  }
 }
 
 function openOf(
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -33,6 +33,15 @@
   readonly domain: DomainId;
 }
 
+/**
+ * A stream of which the caller has events. What two software versions write
+ * does not fit together, so it goes on only at the version that began it.
+ */
+export interface BegunStream {
+  /** `undefined` if it is not known, so that the stream cannot go on. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+}
+
 /** A request that waits for an upstream. */
 export interface WorkItem {
   readonly requestId: RequestId;
@@ -50,6 +59,8 @@
   readonly remainingMs: number;
   /** Set for requests to model engines. */
   readonly prompt?: PromptSize;
+  /** Set if the request continues a stream. */
+  readonly begun?: BegunStream;
   /** Upstreams that rejected or failed the request before. */
   readonly avoidUpstreams: readonly UpstreamId[];
   /** Whether this is a retry: an upstream received the request before. */
@@ -80,8 +91,8 @@
   readonly coldRemainingMs: number;
   /** Start of its process, Unix milliseconds; a later value means a restart. */
   readonly bornAtMs: number;
-  /** `undefined` if the list names none. */
-  readonly softwareVersion?: SoftwareVersion;
+  /** `''` if the list names no versions. */
+  readonly softwareVersion: SoftwareVersion;
 }
 
 /** Properties of a service that its scheduler needs. */
@@ -108,7 +119,9 @@
   /** Its copies, or requests that share a part of its prompt, crash upstreams. */
   | 'quarantined'
   /** The upstream that would be replaced is down or gone. */
-  | 'upstream_down';
+  | 'upstream_down'
+  /** No upstream of the version that began the stream is left, or known. */
+  | 'version_gone';
 
 /** The decision of a scheduler on one request. */
 export type Decision =
@@ -228,6 +241,8 @@
   readonly domain: DomainId;
   readonly service: ServiceId;
   readonly upstreams: number;
+  /** The software versions of its usable upstreams. */
+  readonly softwareVersions?: readonly SoftwareVersion[];
   readonly freeSlots: number;
   /** Tokens free for further requests. */
   readonly freeTokens: number;
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -5,10 +5,12 @@
   RequestId,
   UpstreamId,
 } from '../types/ids.js';
+import {fittingOf} from './choose_upstream.js';
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import type {
+  BegunStream,
   ListedUpstream,
   PlacementOutcome,
   Release,
@@ -89,11 +91,22 @@
    * requests are left out for a time, unless most upstreams do.
    */
   usable(nowMs: number): readonly UpstreamState[] {
-    const available = this.available();
-    const healthy = available.filter(
-      each => each.recentFailureShare(nowMs) <= MAX_FAILURE_SHARE,
+    return withoutFailing(this.available(), nowMs);
+  }
+
+  /** Returns those of them that may run the request. */
+  usableFor(item: WorkItem, nowMs: number): readonly UpstreamState[] {
+    return item.begun === undefined
+      ? this.usable(nowMs)
+      : withoutFailing(fittingOf(item, this.available()), nowMs);
+  }
+
+  /** Whether an upstream is listed, up or not, at which the stream may go on. */
+  lists({softwareVersion}: BegunStream): boolean {
+    return this.all().some(
+      ({listed}) =>
+        listed.softwareVersion === softwareVersion && !listed.isDraining,
     );
-    return healthy.length * 2 >= available.length ? healthy : available;
   }
 
   all(): readonly UpstreamState[] {
@@ -242,6 +255,7 @@
     if (!state.isDown) this.noteSuspectProbeFailure(state, nowMs);
     const hasEnded = state.isDown && isRefused;
     if (hasEnded || this.isLost(upstreamId, nowMs)) {
+      state.endedAtMs = nowMs;
       this.crashes.confirm(upstreamId);
     }
   }
@@ -293,6 +307,7 @@
     const known = this.states.get(listed.upstreamId);
     if (known === undefined) {
       const created = new UpstreamState(listed, this.traits, this.estimates);
+      created.listedAsOfMs = reading.readAtMs - reading.lagMs;
       this.states.set(listed.upstreamId, created);
       applyCold(created, listed, reading);
       this.reportChange('listed', created, 'list');
@@ -300,8 +315,10 @@
     }
     const before = known.listed;
     known.listed = listed;
+    known.listedAsOfMs = reading.readAtMs - reading.lagMs;
     if (listed.bornAtMs > before.bornAtMs) {
       known.reset();
+      known.endedAtMs = Number.NEGATIVE_INFINITY;
       this.reportChange('reborn', known, 'list');
       this.crashes.confirm(listed.upstreamId);
     }
@@ -342,6 +359,16 @@
   }
 }
 
+function withoutFailing(
+  available: readonly UpstreamState[],
+  nowMs: number,
+): readonly UpstreamState[] {
+  const healthy = available.filter(
+    each => each.recentFailureShare(nowMs) <= MAX_FAILURE_SHARE,
+  );
+  return healthy.length * 2 >= available.length ? healthy : available;
+}
+
 function cappedColdUntil(state: UpstreamState, reading: ListReading): number {
   return Math.min(state.coldUntilMs, reading.readAtMs + COLD_MARGIN_MS);
 }
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -1,5 +1,5 @@
 /** The scheduler's view of one upstream. */
-import type {InstanceId, RequestId} from '../types/ids.js';
+import type {InstanceId, RequestId, SoftwareVersion} from '../types/ids.js';
 import {
   AVERAGE_WEIGHT,
   BASE_FIRST_ANSWER_MS,
@@ -12,6 +12,8 @@
   USABLE_CACHE_SHARE,
 } from './constants.js';
 import type {RunningRequest} from './crash_watch.js';
+import {EngineSlowness} from './engine_slowness.js';
+import {FailureShare} from './failure_share.js';
 import {NamedLimit} from './named_limit.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
@@ -20,6 +22,7 @@
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
+  BegunStream,
   ListedUpstream,
   PlacementOutcome,
   Release,
@@ -46,21 +49,10 @@
   'unreachable',
   'silent',
 ]);
-/** Weight of one first answer in the moving average of an engine's slowness. */
-const SLOWNESS_WEIGHT = 0.05;
-/** Minimum expected time of a first answer that counts in that average. */
-const MIN_SAMPLE_MS = 70;
-/**
- * Decay constant of the failure share; an upstream that failed is tried again
- * after a small multiple of it.
- */
-const FAILURE_DECAY_MS = 10_000;
 /** Checked at intervals only, as placements without a release are rare. */
 const EXPIRY_CHECK_MS = 200;
 /** Prefill of fewer tokens is as fast as fetching them. */
 const MIN_FETCH_TOKENS = 300;
-const MAX_SLOWNESS = 6;
-const MIN_SLOWNESS = 0.6;
 
 /** One upstream and the requests running on it. */
 export class UpstreamState {
@@ -77,6 +69,10 @@
   answeredAtMs = Number.NEGATIVE_INFINITY;
   /** Cold, or not known to be warm, until this time. */
   coldUntilMs = 0;
+  /** When its process was last found to have ended. */
+  endedAtMs = Number.NEGATIVE_INFINITY;
+  /** The list described it as it was at this time, or later. */
+  listedAsOfMs = Number.NEGATIVE_INFINITY;
   /** Readings of the list from before this time cannot mark it warm. */
   minWarmReadAtMs = 0;
   private readonly placements = new Map<RequestId, Placement>();
@@ -85,9 +81,8 @@
   /** Expected output tokens, summed over the placements. */
   private outputTokens = 0;
   private nextExpiryCheckAtMs = 0;
-  private failureShare = 0;
-  private failuresAtMs = 0;
-  private slowness = 1;
+  private readonly failures = new FailureShare();
+  private readonly slowness = new EngineSlowness();
   private serviceMs = INITIAL_SERVICE_MS;
   /** Placements allowed beyond the slots of a plain upstream. */
   private readonly overcommit = new SlotOvercommit();
@@ -115,6 +110,22 @@
     return this.placements.get(requestId)?.item;
   }
 
+  /**
+   * `undefined` while its process may have been replaced since the list was
+   * read: it may start again under the same id with another version.
+   */
+  get softwareVersion(): SoftwareVersion | undefined {
+    const isCurrent = this.listedAsOfMs >= this.endedAtMs;
+    return isCurrent ? this.listed.softwareVersion : undefined;
+  }
+
+  /** Whether a stream that began elsewhere may go on at it. */
+  mayContinue({softwareVersion}: BegunStream): boolean {
+    return (
+      softwareVersion !== undefined && this.softwareVersion === softwareVersion
+    );
+  }
+
   get freeSlots(): number {
     const {slots} = this.listed;
     const limit = this.isEngine ? slots : this.overcommit.placementLimit(slots);
@@ -135,13 +146,12 @@
 
   /** Share of recent requests that failed, 0 to 1; it decays with time. */
   recentFailureShare(nowMs: number): number {
-    const elapsedMs = Math.max(0, nowMs - this.failuresAtMs);
-    return this.failureShare * Math.exp(-elapsedMs / FAILURE_DECAY_MS);
+    return this.failures.at(nowMs);
   }
 
   /** Counts a stalled request as a failure. */
   noteStall(nowMs: number): void {
-    this.noteFailure(1, nowMs);
+    this.failures.note(true, nowMs);
   }
 
   /** Moving average of the time of a plain call. */
@@ -193,7 +203,7 @@
 
   /** Ratio of its answer times to those of an engine of nominal speed. */
   get slownessFactor(): number {
-    return this.slowness;
+    return this.slowness.factor;
   }
 
   /** Prefill time of the uncached part of a prompt, including any fetch. */
@@ -206,7 +216,7 @@
     const known = cached + Math.max(0, fetched);
     const missing = Math.max(0, prompt.promptTokens - known);
     return (
-      (missing / PREFILL_TOKENS_PER_MS) * this.slowness +
+      (missing / PREFILL_TOKENS_PER_MS) * this.slowness.factor +
       Math.max(0, fetched) * this.traits.fetchMsPerToken
     );
   }
@@ -215,7 +225,7 @@
   expectedMs(item: WorkItem, nowMs: number): number {
     if (!this.isEngine) return this.serviceMs;
     return (
-      BASE_FIRST_ANSWER_MS * this.slowness +
+      BASE_FIRST_ANSWER_MS * this.slowness.factor +
       this.backlogMs(nowMs) +
       this.prefillMs(item, nowMs)
     );
@@ -255,7 +265,7 @@
     this.removePlacement(placement);
     if (release.outcome === 'cancelled') return;
     if (release.outcome === 'rejected') this.overcommit.reset();
-    this.noteFailure(FAILURE_OUTCOMES.has(release.outcome) ? 1 : 0, nowMs);
+    this.failures.note(FAILURE_OUTCOMES.has(release.outcome), nowMs);
     if (release.outcome !== 'answered') return;
     this.answeredAtMs = nowMs;
     this.overcommit.note(nowMs - placement.startedAtMs, release.totalMs);
@@ -310,7 +320,7 @@
     this.usedTokens = 0;
     this.outputTokens = 0;
     this.prefill.clear();
-    this.failureShare = 0;
+    this.failures.clear();
     this.overcommit.reset();
     this.limit.clear();
   }
@@ -325,12 +335,6 @@
       : Math.min(freedPerMs, startsPerS / MS_PER_S);
   }
 
-  private noteFailure(failure: 0 | 1, nowMs: number): void {
-    const share = this.recentFailureShare(nowMs);
-    this.failureShare = share + AVERAGE_WEIGHT * (failure - share);
-    this.failuresAtMs = nowMs;
-  }
-
   private addPlacement(
     item: WorkItem,
     expectedMs: number,
@@ -356,7 +360,7 @@
 
   private meanStreamMs(): number {
     const mean = this.outputTokens / Math.max(1, this.placements.size);
-    return Math.max(1, mean) * DECODE_MS_PER_TOKEN * this.slowness;
+    return Math.max(1, mean) * DECODE_MS_PER_TOKEN * this.slowness.factor;
   }
 
   private updateEstimates(placement: Placement, release: Release): void {
@@ -367,14 +371,11 @@
     this.noteFirstAnswer(placement, release.firstAnswerMs);
   }
 
-  // For a short prompt, network delay dominates the time to first answer.
   private noteFirstAnswer(placement: Placement, firstAnswerMs: number): void {
     const {expectedMs, hasBegun} = placement;
-    if (hasBegun || firstAnswerMs <= 0 || expectedMs < MIN_SAMPLE_MS) return;
+    if (hasBegun || firstAnswerMs <= 0) return;
     placement.hasBegun = true;
-    const ratio = (this.slowness * firstAnswerMs) / expectedMs;
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
-    this.slowness += SLOWNESS_WEIGHT * (bounded - this.slowness);
+    this.slowness.note(firstAnswerMs, expectedMs);
   }
 
   private removePlacement(placement: Placement): void {
