Keep what began a stream where it outlives the entry that relayed it

What callers saw: a stream that broke off was taken up again at another entry, or after all entries had been killed, answered 200 and run to its end, by another software version than the one that began it. Cause: only the process that relayed the first event knew what had sent it; a take-up was placed like a new request. The class: the state of a conversation kept only in a process that the caller outlives. An entry now notes the attempt, service and version of each resumable stream with its first event: in its own memory, at a second entry of its domain at once, and at the nearest control member within 50 ms, where a domain's notes share calls.

--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -24,6 +24,9 @@
   type ControlInstance,
 } from './messages.js';
 
+/** Weight of one announcement in the average of a member's round trips. */
+const ROUND_TRIP_WEIGHT = 0.3;
+
 /** Dependencies of the link; `seedAddresses` may change while it runs. */
 export interface ControlLinkOptions {
   readonly members: FleetMembers;
@@ -45,6 +48,8 @@
   private timer: ReturnType<typeof setTimeout> | undefined;
   private readonly pendingCalls = new Set<InstanceId>();
   private readonly isReachable = new Map<InstanceId, boolean>();
+  /** Smoothed round trip of announcements. */
+  private readonly roundTripMs = new Map<InstanceId, number>();
   private isFetching = false;
 
   constructor(private readonly options: ControlLinkOptions) {}
@@ -77,6 +82,22 @@
     return [...this.isReachable.values()].includes(true);
   }
 
+  /** The reachable control member that answers fastest. */
+  nearestMember(): ControlInstance | undefined {
+    const roundTripMs = ({instanceId}: ControlInstance): number =>
+      this.roundTripMs.get(instanceId) ?? Number.POSITIVE_INFINITY;
+    return this.options.members
+      .controlMembers()
+      .filter(each => this.isReachable.get(each.instanceId) === true)
+      .reduce<ControlInstance | undefined>(
+        (nearest, each) =>
+          nearest === undefined || roundTripMs(each) < roundTripMs(nearest)
+            ? each
+            : nearest,
+        undefined,
+      );
+  }
+
   // A seed is identified by its host until a view lists that control member.
   private targets(): readonly ControlInstance[] {
     const known = this.options.members.controlMembers();
@@ -101,6 +122,7 @@
       acceptsChanges: true,
     };
     this.pendingCalls.add(instanceId);
+    const sentAtMs = monotonicNowMs();
     const reply = await client.call<AnnouncementReply>(
       innerAddress,
       ANNOUNCE_METHOD,
@@ -110,6 +132,7 @@
     this.pendingCalls.delete(instanceId);
     this.recordReachability(instanceId, reply.isOk());
     if (reply.isErr()) return;
+    this.recordRoundTrip(instanceId, monotonicNowMs() - sentAtMs);
     const {incarnation} = reply.value;
     if (incarnation > members.self().incarnation) {
       this.options.onStaleIncarnation(incarnation);
@@ -138,6 +161,12 @@
     this.options.onState(fetched.value);
   }
 
+  private recordRoundTrip(instanceId: InstanceId, tookMs: number): void {
+    const before = this.roundTripMs.get(instanceId) ?? tookMs;
+    const smoothedMs = before + ROUND_TRIP_WEIGHT * (tookMs - before);
+    this.roundTripMs.set(instanceId, smoothedMs);
+  }
+
   private recordReachability(
     instanceId: InstanceId,
     isReachable: boolean,
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -134,6 +134,20 @@
     );
   }
 
+  /** Live entries of a domain by rank for a job, then others of its region. */
+  rankedInDomain(
+    {domain, region}: DomainLocation,
+    job: string,
+    nowMs: number,
+  ): readonly EntryInstance[] {
+    const ranked = this.rankedEntries(region, job, nowMs);
+    const isInside = (entry: EntryInstance): boolean => entry.domain === domain;
+    return [
+      ...ranked.filter(isInside),
+      ...ranked.filter(entry => !isInside(entry)),
+    ];
+  }
+
   /**
    * The entries of another region that this one relays to. They are few, so
    * that connections between regions are reused instead of reopened, and differ
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -182,6 +182,7 @@
       retire: () => undefined,
     },
     relay: {},
+    origins: {note: () => undefined},
     paces: new UpstreamPaces(),
     limits: new UpstreamLimits(),
     log: {
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -15,31 +15,34 @@
 import {ControlLink} from '../fleet/control_link.js';
 import {FleetMembers} from '../fleet/fleet_members.js';
 import type {EntryInstance} from '../fleet/messages.js';
-import {startTextServer} from '../http/text_server.js';
 import type {Logger} from '../logging/logger.js';
 import {registerProcessGauges} from '../metrics/process_gauges.js';
 import {MetricsRegistry} from '../metrics/registry.js';
 import {RouteMatcher} from '../routes/route_matcher.js';
 import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
+import {OriginRegistry} from '../origins/origin_registry.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
 import type {Decision} from '../scheduling/types.js';
-import {InnerServer} from '../rpc/http_server.js';
+import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import {waitUntil} from '../clock/wait_until.js';
 import type {DomainId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
+import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
 import type {RequestProtocol} from './protocol.js';
-import {RelayClient, RELAY_PATH} from './relay.js';
+import {RelayClient} from './relay.js';
 import {RequestLog} from './request_log.js';
 import {registerSchedulerMethods} from './scheduler_calls.js';
 import {
   domainLocations,
+  domainsOfRegion,
   seedInnerAddresses,
   type IngressSettings,
 } from './settings.js';
+import {TableWaiters} from './table_waiters.js';
 import {UpstreamPaces} from './upstream_pace.js';
 
 /** Callers may keep using a known address this long after a stop began. */
@@ -68,6 +71,7 @@
   private readonly scheduler: SchedulerClient;
   private readonly listReader: ListReader;
   private readonly limits = new UpstreamLimits();
+  private readonly origins: OriginRegistry;
   private readonly loops: RegionLoops;
   private readonly controlLink: ControlLink;
   private readonly ingress: IngressServer;
@@ -78,7 +82,7 @@
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
   private matcher: RouteMatcher | undefined;
-  private readonly tableWaiters: (() => void)[] = [];
+  private readonly tableWaiters = new TableWaiters();
   private isStopping = false;
 
   constructor(private readonly options: IngressEntryOptions) {
@@ -103,6 +107,8 @@
       onState: state => this.applyState(state),
       onStaleIncarnation: held => this.raiseIncarnation(held),
     });
+    this.origins = this.createOrigins();
+    this.origins.register(this.router);
     this.ingress = this.createIngress();
     this.loadLog = new LoadLog({
       host: this.host,
@@ -110,7 +116,7 @@
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
     });
-    this.innerServer = this.createInnerServer();
+    this.innerServer = createInnerServer(settings, this.router, this.ingress);
     registerSchedulerMethods(this.router, {
       incarnation: () => this.incarnation,
       host: this.host,
@@ -126,15 +132,9 @@
     registerProcessGauges(this.metrics);
     await this.innerServer.start();
     await this.ingress.start();
+    const {metrics} = this;
     this.textServers.push(
-      await startTextServer(settings.readinessAddress, () => ({
-        isOk: this.isReady(),
-        text: '',
-      })),
-      await startTextServer(settings.metricsAddress, () => ({
-        isOk: true,
-        text: this.metrics.toText(),
-      })),
+      ...(await startTextServers(settings, () => this.isReady(), metrics)),
     );
     this.controlLink.start();
     this.loops.start();
@@ -183,6 +183,7 @@
     this.loadLog.stop();
     this.loops.stop();
     this.host.stop();
+    this.origins.stop();
     this.ingress.close();
     this.textServers.forEach(server => server.close());
     await Promise.all([
@@ -213,10 +214,7 @@
   }
 
   private ownDomains(): readonly DomainId[] {
-    const {settings} = this.options;
-    return domainLocations(settings)
-      .filter(each => each.region === settings.regionId)
-      .map(each => each.domain);
+    return domainsOfRegion(this.options.settings).map(each => each.domain);
   }
 
   private createScheduler(): SchedulerClient {
@@ -300,12 +298,26 @@
     });
   }
 
+  private createOrigins(): OriginRegistry {
+    const {settings} = this.options;
+    const {instanceId: self, domainId: domain, regionId: region} = settings;
+    return new OriginRegistry({
+      self,
+      location: {domain, region},
+      domains: domainsOfRegion(settings),
+      members: this.members,
+      client: this.client,
+      metrics: this.metrics,
+      nearestControlMember: () => this.controlLink.nearestMember(),
+    });
+  }
+
   private createIngress(): IngressServer {
     const {settings, protocol, logger} = this.options;
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
-      waitForTable: waitMs => this.waitForTable(waitMs),
+      waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       isStopping: () => this.isStopping,
       context: {
         region: settings.regionId,
@@ -322,35 +334,13 @@
           members: this.members,
           connections: this.connections,
         }),
+        origins: this.origins,
         log: new RequestLog(logger, this.metrics),
         metrics: this.metrics,
       },
     });
   }
 
-  private createInnerServer(): InnerServer {
-    const {innerAddress, clusterSecret} = this.options.settings;
-    return new InnerServer({
-      address: innerAddress,
-      clusterSecret,
-      router: this.router,
-      handlers: new Map([
-        [
-          RELAY_PATH,
-          (body, _request, response) =>
-            this.ingress.receiveRelayed(body, response),
-        ],
-      ]),
-    });
-  }
-
-  private waitForTable(waitMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.tableWaiters.push(resolve);
-      setTimeout(resolve, waitMs).unref();
-    });
-  }
-
   private raiseIncarnation(held: number): void {
     this.incarnation = held + 1;
     this.options.logger.warn(
@@ -367,7 +357,7 @@
     if (table !== undefined && table.version !== before.table?.version) {
       this.matcher = new RouteMatcher(table);
       this.ingress.applyLimits(table.limits);
-      this.tableWaiters.splice(0).forEach(resume => resume());
+      this.tableWaiters.resumeAll();
     }
     this.host.applyControl(state.evacuatedDomains);
     void this.loops.refresh();
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -11,7 +11,8 @@
 import type {CallerLimits, Route} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import {toGatewayError} from '../types/errors.js';
-import {asId, type RequestId} from '../types/ids.js';
+import {asId, type RequestId, type ServiceId} from '../types/ids.js';
+import type {StreamOrigin} from '../origins/origin_store.js';
 import {CallerResponse} from './caller_response.js';
 import {sendRefusal, sendRejection} from './error_responses.js';
 import {decodeRelayRequest, type RelayMetadata} from './relay.js';
@@ -50,6 +51,13 @@
   readonly isStopping: () => boolean;
 }
 
+/** What was found out about a caller's request before it runs. */
+interface CallerRequestContext {
+  readonly service: ServiceId;
+  readonly tableVersion: number;
+  readonly origin: StreamOrigin | undefined;
+}
+
 /** The HTTP server for callers. */
 export class IngressServer {
   private readonly server: Server;
@@ -150,7 +158,9 @@
       onRejected,
     );
     if (body === undefined) return;
-    const service = matcher.pickService(route, Math.random());
+    const origin = await this.findOrigin(request, route);
+    const service =
+      origin?.service ?? matcher.pickService(route, Math.random());
     if (service === undefined) {
       onRejected(
         'no_service',
@@ -161,10 +171,27 @@
     const inbound = this.fromCaller(request, body, route, receivedAtMs, {
       service,
       tableVersion: version,
+      origin,
     });
     await this.run(inbound, callerResponse, response);
   }
 
+  /** What began the stream that the caller takes up again, as far as known. */
+  private async findOrigin(
+    request: IncomingMessage,
+    route: Route,
+  ): Promise<StreamOrigin | undefined> {
+    const {protocol, origins} = this.options.context;
+    const {resumedAttemptId} = protocol.requestTraits(request.headers);
+    if (resumedAttemptId === undefined) return undefined;
+    const origin = await origins.find(resumedAttemptId);
+    // The route may lead to another service by now.
+    const isServed = route.shares.some(
+      ({service, weight}) => service === origin?.service && weight > 0,
+    );
+    return isServed ? origin : undefined;
+  }
+
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
@@ -206,12 +233,15 @@
     body: Buffer,
     route: Route,
     receivedAtMs: number,
-    choice: Pick<InboundRequest, 'service' | 'tableVersion'>,
+    {service, tableVersion, origin}: CallerRequestContext,
   ): InboundRequest {
     const traits = this.options.context.protocol.requestTraits(request.headers);
     const waitsMs = traits.waitsMs ?? Number.POSITIVE_INFINITY;
+    const {lastEventId} = traits;
+    const softwareVersion = origin?.softwareVersion;
     return {
-      ...choice,
+      service,
+      tableVersion,
       requestId: createRequestId(traits.attemptId),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -224,8 +254,8 @@
       isRelayed: false,
       isRepeat: false,
       avoidUpstreams: [],
-      lastEventId: traits.lastEventId,
-      begun: undefined,
+      lastEventId,
+      begun: lastEventId === undefined ? undefined : {softwareVersion},
     };
   }
 
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {PromptSize} from '../scheduling/types.js';
-import type {UpstreamId} from '../types/ids.js';
+import type {AttemptId, UpstreamId} from '../types/ids.js';
 
 /** Properties that the headers of a request state. */
 export interface RequestTraits {
@@ -16,7 +16,7 @@
   /** The last event that the caller received, if it resumes a stream. */
   readonly lastEventId?: number;
   /** The attempt that brought the first event of the stream it resumes. */
-  readonly resumedAttemptId?: string;
+  readonly resumedAttemptId?: AttemptId;
 }
 
 /** Per-try parameters of a request to an upstream. */
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -88,7 +88,18 @@
     } as const;
     // A grant of a warm upstream is covered by the line at the request's end.
     const isRoutine = kind === 'grant' && !decision.isCold;
-    if (!isRoutine) this.write(events[kind], request, roundNumbers(inputs));
+    if (isRoutine) return;
+    const {begun, traits} = request;
+    this.write(events[kind], request, {
+      ...roundNumbers(inputs),
+      // Tells a stream whose version has left from one whose origin is unknown.
+      ...(begun === undefined
+        ? {}
+        : {
+            begunBy: begun.softwareVersion,
+            resumedAttemptId: traits.resumedAttemptId,
+          }),
+    });
   }
 
   end(
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -7,11 +7,14 @@
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion} from '../routes/route_table.js';
+import {UNVERSIONED} from '../scheduling/software_versions.js';
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {OriginRegistry} from '../origins/origin_registry.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import {
   asId,
+  type AttemptId,
   type InstanceId,
   type RegionId,
   type RequestId,
@@ -48,6 +51,7 @@
   readonly paces: UpstreamPaces;
   readonly limits: UpstreamLimits;
   readonly relay: RelayClient;
+  readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
 }
@@ -291,11 +295,26 @@
       onResponseStart: () => {
         const firstAnswerMs = monotonicNowMs() - sentAtMs;
         this.recorder.firstAnswerMs = Math.max(1, firstAnswerMs);
+        this.noteOrigin();
       },
       ...upstream,
     });
   }
 
+  // The entry that has the caller does so, and only once a stream.
+  private noteOrigin(): void {
+    const {context, request, progress} = this;
+    const {route, service, traits, isRelayed} = request;
+    const softwareVersion = progress.begun?.softwareVersion;
+    const mayBeTakenUp =
+      route.isResumable && !isRelayed && request.begun === undefined;
+    const isKnown =
+      softwareVersion !== undefined && softwareVersion !== UNVERSIONED;
+    if (!mayBeTakenUp || !isKnown || traits.attemptId === '') return;
+    const attemptId = asId<AttemptId>(traits.attemptId);
+    context.origins.note({attemptId, service, softwareVersion});
+  }
+
   private interpret(end: ExchangeEnd, reader: ResponseReader): TryResult {
     if (end.kind === 'aborted') return end;
     if (end.kind === 'not_sent') {
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -61,6 +61,15 @@
   }));
 }
 
+/** The failure domains of the region of a process. */
+export function domainsOfRegion(
+  settings: Pick<IngressSettings, 'regionOfDomain' | 'regionId'>,
+): readonly DomainLocation[] {
+  return domainLocations(settings).filter(
+    each => each.region === settings.regionId,
+  );
+}
+
 /** Inner addresses of the control members that the settings name. */
 export function seedInnerAddresses(
   settings: Pick<IngressSettings, 'seedAddresses' | 'controlInnerPort'>,
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -134,6 +134,10 @@
     queueLength: z.number(),
     /** Above 0 if the entry reused a cached refusal. */
     decisionAgeMs: z.number(),
+    /** The version that began the stream of a take-up, if it is known. */
+    begunBy: z.string().optional(),
+    /** Set for a take-up. */
+    resumedAttemptId: z.string().optional(),
   },
   retry: {...matched, cause: z.string(), runs: z.number()},
   resumed: {
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -1,6 +1,7 @@
 /**
  * A control member: holds the replicated route table, answers the announcements
- * of entries, and executes the operators' changes and reads.
+ * of entries, keeps the origins of their streams, and executes the operators'
+ * changes and reads.
  */
 import {okAsync, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
@@ -19,6 +20,8 @@
   type CallerLocation,
 } from '../fleet/instance_registry.js';
 import type {Logger} from '../logging/logger.js';
+import {registerOriginMethods} from '../origins/origin_methods.js';
+import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
 import {
   createGroupMember,
@@ -110,6 +113,7 @@
     router.register(ANNOUNCE_METHOD, announcementSchema, announcement =>
       this.answerAnnouncement(announcement),
     );
+    registerOriginMethods(router, new OriginStore());
     router.register(
       FETCH_STATE_METHOD,
       z.object({}),
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -12,6 +12,7 @@
   PASS_MIN_GAIN_MS,
   PREFILL_TOKENS_PER_MS,
 } from './constants.js';
+import {fits} from './software_versions.js';
 import type {CapacityDigest, WorkItem} from './types.js';
 
 interface DigestRecord {
@@ -135,9 +136,8 @@
   {softwareVersions = []}: CapacityDigest,
   {begun}: WorkItem,
 ): boolean {
-  if (begun === undefined) return true;
-  const {softwareVersion} = begun;
   return (
-    softwareVersion !== undefined && softwareVersions.includes(softwareVersion)
+    begun === undefined ||
+    softwareVersions.some(version => fits(begun, version))
   );
 }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -38,7 +38,7 @@
  * does not fit together, so it goes on only at the version that began it.
  */
 export interface BegunStream {
-  /** `undefined` if it is not known, so that the stream cannot go on. */
+  /** `undefined` if it is not known: only unversioned upstreams fit then. */
   readonly softwareVersion: SoftwareVersion | undefined;
 }
 
@@ -91,7 +91,7 @@
   readonly coldRemainingMs: number;
   /** Start of its process, Unix milliseconds; a later value means a restart. */
   readonly bornAtMs: number;
-  /** `''` if the list names no versions. */
+  /** `UNVERSIONED` if the list names no versions. */
   readonly softwareVersion: SoftwareVersion;
 }
 
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -9,6 +9,7 @@
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
+import {fits} from './software_versions.js';
 import type {
   BegunStream,
   ListedUpstream,
@@ -102,10 +103,9 @@
   }
 
   /** Whether an upstream is listed, up or not, at which the stream may go on. */
-  lists({softwareVersion}: BegunStream): boolean {
+  lists(begun: BegunStream): boolean {
     return this.all().some(
-      ({listed}) =>
-        listed.softwareVersion === softwareVersion && !listed.isDraining,
+      ({listed}) => fits(begun, listed.softwareVersion) && !listed.isDraining,
     );
   }
 
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -19,6 +19,7 @@
 import {PrefixCache} from './prefix_cache.js';
 import type {PromptEstimates} from './prompt_estimates.js';
 import {sharedTokens} from './prompt_parts.js';
+import {fits} from './software_versions.js';
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
@@ -120,10 +121,8 @@
   }
 
   /** Whether a stream that began elsewhere may go on at it. */
-  mayContinue({softwareVersion}: BegunStream): boolean {
-    return (
-      softwareVersion !== undefined && this.softwareVersion === softwareVersion
-    );
+  mayContinue(begun: BegunStream): boolean {
+    return fits(begun, this.softwareVersion);
   }
 
   get freeSlots(): number {
