Log which entry reports that an upstream is down or suspected

The log could not tell whether an entry that is cut off takes upstreams from the others: upstream_down named the cause, not the entry that reported it. No change of logic.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -13,11 +13,12 @@
 import type {
   CapacityDigest,
   Decision,
+  ListReading,
   ServiceTraits,
 } from '../scheduling/types.js';
 import type {UpstreamCrash} from '../scheduling/crash_watch.js';
 import {suspectRuns} from '../scheduling/suspects.js';
-import type {ListReading, PoolChange} from '../scheduling/upstream_pool.js';
+import type {PoolChange} from '../scheduling/upstream_pool.js';
 import {toGatewayError} from '../types/errors.js';
 import type {
   DomainId,
@@ -265,7 +266,7 @@
       case 'cancel':
         return scheduler.cancel(part.requestId);
       case 'stalled':
-        return scheduler.pool.suspect(part.upstreamId, nowMs);
+        return scheduler.pool.suspect(part.upstreamId, nowMs, from);
       case 'overdue':
         return scheduler.pool.get(part.upstreamId)?.noteOverdue(part.requestId);
       case 'begun':
@@ -363,6 +364,7 @@
         service,
         upstream: change.upstreamId,
         cause: change.cause,
+        reporter: change.reporter,
         coldRemainingMs: change.coldRemainingMs,
         coldRequestsPerS: this.traitsOf(service).coldRequestsPerS,
       },
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -17,6 +17,8 @@
   upstream: z.string(),
   /** The cause of the state change. */
   cause: z.string(),
+  /** The entry whose report led to it, if it was one. */
+  reporter: z.string().optional(),
   coldRemainingMs: z.number(),
 };
 const suspectChange = {
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -95,6 +95,15 @@
   readonly softwareVersion: SoftwareVersion;
 }
 
+/** One reading of the platform's list. */
+export interface ListReading {
+  readonly upstreams: readonly ListedUpstream[];
+  /** When the reading was requested. */
+  readonly readAtMs: number;
+  /** Maximum age of the list when it is read. */
+  readonly lagMs: number;
+}
+
 /** Properties of a service that its scheduler needs. */
 export interface ServiceTraits {
   /** Requests a second that a cold upstream tolerates; 0 means no limit. */
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -6,6 +6,7 @@
   UpstreamId,
 } from '../types/ids.js';
 import {fittingOf} from './choose_upstream.js';
+import {applyCold, assumeCold, coldUntil} from './cold_time.js';
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
@@ -13,6 +14,7 @@
 import type {
   BegunStream,
   ListedUpstream,
+  ListReading,
   PlacementOutcome,
   Release,
   RunningPlacement,
@@ -22,15 +24,6 @@
 } from './types.js';
 import {UpstreamState} from './upstream_state.js';
 
-/** One reading of the platform's list. */
-export interface ListReading {
-  readonly upstreams: readonly ListedUpstream[];
-  /** When the reading was requested. */
-  readonly readAtMs: number;
-  /** Maximum age of the list when it is read. */
-  readonly lagMs: number;
-}
-
 /** A change in the assumed state of one upstream, for the log. */
 export interface PoolChange {
   readonly kind:
@@ -45,6 +38,8 @@
     | 'unlimited';
   readonly upstreamId: UpstreamId;
   readonly cause: string;
+  /** The entry whose report led to it, if it was one. */
+  readonly reporter: InstanceId | undefined;
   readonly coldRemainingMs: number;
 }
 
@@ -53,18 +48,11 @@
   'broken',
   'unreachable',
 ]);
-/**
- * The rate limit of a cold upstream applies to any one-second window, including
- * one that begins just before the upstream is warm.
- */
-const COLD_MARGIN_MS = 1_050;
 const RECENT_ANSWER_MS = 700;
 /** Covers two more probes after the one that marked the upstream as down. */
 const CONFIRMED_DOWN_MS = 1_000;
 /** Upstreams with a higher share of failed requests are avoided. */
 const MAX_FAILURE_SHARE = 0.5;
-/** Time for which an upstream of a restored domain is assumed to be cold. */
-const ASSUMED_COLD_MS = 3_000;
 
 export interface UpstreamPoolOptions {
   readonly traits: ServiceTraits;
@@ -192,19 +180,20 @@
     if (isLoss) {
       this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
     }
+    const reporter = state.requestOf(release.requestId)?.entry;
     state.end(release, nowMs);
-    if (isLoss) this.markDown(state, release.outcome, nowMs);
-    if (state.isDown) return;
-    if (release.outcome === 'silent') this.markSuspected(state, nowMs);
+    if (isLoss) this.markDown(state, release.outcome, nowMs, reporter);
+    if (state.isDown || release.outcome !== 'silent') return;
+    this.markSuspected(state, nowMs, reporter);
   }
 
   /** Marks a stalled upstream as suspected until a probe is answered. */
-  suspect(upstreamId: UpstreamId, nowMs: number): void {
+  suspect(upstreamId: UpstreamId, nowMs: number, reporter?: InstanceId): void {
     const state = this.states.get(upstreamId);
     if (state === undefined || state.isDown) return;
     // Counted as a failure: its health check may pass although it is stalled.
     state.noteStall(nowMs);
-    this.markSuspected(state, nowMs);
+    this.markSuspected(state, nowMs, reporter);
   }
 
   /**
@@ -335,27 +324,43 @@
     this.markDown(state, 'probe', nowMs);
   }
 
-  private markDown(state: UpstreamState, cause: string, nowMs: number): void {
+  private markDown(
+    state: UpstreamState,
+    cause: string,
+    nowMs: number,
+    reporter?: InstanceId,
+  ): void {
     state.isDown = true;
     state.downSinceMs = nowMs;
-    this.reportChange('down', state, cause);
+    this.reportChange('down', state, cause, reporter);
   }
 
   // An upstream that has just answered another request needs no probe.
-  private markSuspected(state: UpstreamState, nowMs: number): void {
+  private markSuspected(
+    state: UpstreamState,
+    nowMs: number,
+    reporter: InstanceId | undefined,
+  ): void {
     const hasAnswered = nowMs - state.answeredAtMs < RECENT_ANSWER_MS;
     if (state.isSuspected || hasAnswered) return;
     state.isSuspected = true;
-    this.reportChange('suspected', state, 'stalled');
+    this.reportChange('suspected', state, 'stalled', reporter);
   }
 
   private reportChange(
     kind: PoolChange['kind'],
     state: UpstreamState,
     cause: string,
+    reporter?: InstanceId,
   ): void {
     const {upstreamId, coldRemainingMs} = state.listed;
-    this.options.onPoolChange({kind, upstreamId, cause, coldRemainingMs});
+    this.options.onPoolChange({
+      kind,
+      upstreamId,
+      cause,
+      reporter,
+      coldRemainingMs,
+    });
   }
 }
 
@@ -368,30 +373,3 @@
   );
   return healthy.length * 2 >= available.length ? healthy : available;
 }
-
-function cappedColdUntil(state: UpstreamState, reading: ListReading): number {
-  return Math.min(state.coldUntilMs, reading.readAtMs + COLD_MARGIN_MS);
-}
-
-function coldUntil(atMs: number, coldRemainingMs: number): number {
-  return coldRemainingMs > 0 ? atMs + coldRemainingMs + COLD_MARGIN_MS : atMs;
-}
-
-function assumeCold(state: UpstreamState, nowMs: number): void {
-  state.coldUntilMs = Math.max(state.coldUntilMs, nowMs + ASSUMED_COLD_MS);
-  state.minWarmReadAtMs = nowMs;
-}
-
-// A reading that may predate `minWarmReadAtMs` can only extend the cold time.
-function applyCold(
-  state: UpstreamState,
-  listed: ListedUpstream,
-  reading: ListReading,
-): void {
-  const untilMs = coldUntil(reading.readAtMs, listed.coldRemainingMs);
-  const isCurrent = reading.readAtMs - reading.lagMs >= state.minWarmReadAtMs;
-  // A reading that reports the upstream as warm does not shorten the margin.
-  if (isCurrent && listed.coldRemainingMs > 0) state.coldUntilMs = untilMs;
-  else if (isCurrent) state.coldUntilMs = cappedColdUntil(state, reading);
-  else state.coldUntilMs = Math.max(state.coldUntilMs, untilMs);
-}
