--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -25,7 +25,7 @@
  * recognizes a reset by its code and treats it as the regular end of a response
  * without a length, although the rest of the body may be missing.
  */
-const connectWithResetErrors: buildConnector.connector = (options, callback) =>
+export const connectWithResetErrors: buildConnector.connector = (options, callback) =>
   connectPlain(options, (...result) => {
     const [error, socket] = result;
     if (error !== null) {
@@ -46,7 +46,10 @@
     SWEEP_INTERVAL_MS,
   );
 
-  constructor() {
+  /** `connect` opens the connections; tests replace it to cut them. */
+  constructor(
+    private readonly connect: buildConnector.connector = connectWithResetErrors,
+  ) {
     this.sweepTimer.unref();
   }
 
@@ -61,7 +64,7 @@
     }
     const pool = new Pool(`http://${address}`, {
       pipelining: 1,
-      connect: connectWithResetErrors,
+      connect: this.connect,
       keepAliveTimeout: IDLE_CONNECTION_MS,
       keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
       keepAliveTimeoutThreshold: 1_000,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -55,6 +55,8 @@
   readonly protocol: RequestProtocol;
   readonly feed: UpstreamFeed;
   readonly logger: Logger;
+  /** Connections to upstreams and other entries; default: real ones. */
+  readonly connections?: ConnectionPools;
 }
 
 /** One ingress entry. */
@@ -64,7 +66,7 @@
   private readonly client: StreamRpcClient;
   private readonly bulkClient: HttpRpcClient;
   private readonly members: FleetMembers;
-  private readonly connections = new ConnectionPools();
+  private readonly connections: ConnectionPools;
   private readonly router = new RpcRouter();
   private readonly host: SchedulerHost;
   private readonly decisions: DecisionSender;
@@ -89,6 +91,7 @@
     const {settings, logger, feed} = options;
     const {instanceId, clusterSecret} = settings;
     this.settings = settings;
+    this.connections = options.connections ?? new ConnectionPools();
     this.client = new StreamRpcClient({self: instanceId, clusterSecret});
     this.bulkClient = new HttpRpcClient({self: instanceId, clusterSecret});
     this.members = new FleetMembers(() => this.describe());
