Let each entry judge its own paths to upstreams

What callers saw: while some entries had lost their paths to all upstreams, callers of the entries with sound paths were refused as often as theirs. Cause: whether an upstream is up was one flag for a region. Any entry that could not connect set it for all, and only a probe of the scheduler's own entry cleared it, which may itself be cut off. The class: one observer's view of a path is taken for the state of what lies behind it. Now an entry that has trouble with an upstream opens a connection to it, twice; if that fails, its own requests avoid the upstream until a connection opens again.

--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -41,6 +41,10 @@
   override health(): Promise<HealthResult> {
     return Promise.resolve({kind: 'unhealthy'});
   }
+
+  override canConnect(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
 }
 
 function entry(name: string): EntryInstance {
--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -122,7 +122,10 @@
       decisions,
       scheduler: client,
       listReader: {share: () => Promise.resolve(null)},
-      feed: {list: () => Promise.resolve([])},
+      feed: {
+        list: () => Promise.resolve([]),
+        health: () => Promise.resolve({kind: 'unhealthy'}),
+      },
     });
     host.applyControl(evacuated);
     host.applyReading({readAtMs: monotonicNowMs(), lagMs: 0, upstreams});
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -34,6 +34,14 @@
 /** Asks the region's reader entry for its latest reading. */
 export const READ_REGION_METHOD = 'list.region';
 
+/** Asks another entry to probe an upstream. */
+export const PROBE_METHOD = 'schedule.probe';
+
+export const probeRequestSchema = z.object({
+  address: z.string(),
+  path: z.string(),
+});
+
 export const readListSchema = z.object({
   domain: z.string().transform(value => asId<DomainId>(value)),
 });
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -21,6 +21,7 @@
 } from './scheduler_host.js';
 import {SuspectExchange} from './suspect_exchange.js';
 import type {UpstreamFeed} from './upstream_feed.js';
+import {UpstreamProber} from './upstream_prober.js';
 
 /** Bounds the delay until a removed upstream is noticed. */
 const LIST_INTERVAL_MS = 1_000;
@@ -52,9 +53,11 @@
   private readonly probing = new Set<UpstreamId>();
 
   private readonly suspects: SuspectExchange;
+  private readonly prober: UpstreamProber;
 
   constructor(private readonly options: RegionLoopsOptions) {
     const {host} = options;
+    this.prober = new UpstreamProber(options);
     this.suspects = new SuspectExchange({
       ...options,
       evidence: host.evidence,
@@ -158,12 +161,12 @@
   }
 
   private async probe(target: ProbeTarget): Promise<void> {
-    const {feed, host, services, metrics, logger} = this.options;
+    const {host, services, metrics, logger} = this.options;
     const spec = services().find(each => each.name === target.service);
     if (spec === undefined) return;
     metrics.count('health_probes', {service: target.service});
     this.probing.add(target.upstreamId);
-    const result = await feed.health(target.address, spec.healthPath);
+    const result = await this.prober.probe(target.address, spec.healthPath);
     this.probing.delete(target.upstreamId);
     if (result.kind !== 'healthy') {
       host.noteProbeFailure(target, result.kind === 'refused');
--- a/src/node/dispatch/upstream_feed.ts
+++ b/src/node/dispatch/upstream_feed.ts
@@ -26,4 +26,7 @@
 
   /** Checks the health of an upstream; it never rejects. */
   abstract health(address: string, path: string): Promise<HealthResult>;
+
+  /** Whether a new connection to it can be opened; it never rejects. */
+  abstract canConnect(address: string): Promise<boolean>;
 }
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -183,6 +183,12 @@
     },
     relay: {},
     origins: {note: () => undefined},
+    reachability: {
+      unreachable: () => [],
+      isCutOff: false,
+      noteUse: () => undefined,
+      doubt: () => undefined,
+    },
     paces: new UpstreamPaces(),
     limits: new UpstreamLimits(),
     log: {
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -25,7 +25,10 @@
  * recognizes a reset by its code and treats it as the regular end of a response
  * without a length, although the rest of the body may be missing.
  */
-export const connectWithResetErrors: buildConnector.connector = (options, callback) =>
+export const connectWithResetErrors: buildConnector.connector = (
+  options,
+  callback,
+) =>
   connectPlain(options, (...result) => {
     const [error, socket] = result;
     if (error !== null) {
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -21,8 +21,8 @@
 import {RouteMatcher} from '../routes/route_matcher.js';
 import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
 import {OriginRegistry} from '../origins/origin_registry.js';
+import {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
-import type {Decision} from '../scheduling/types.js';
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
@@ -74,6 +74,8 @@
   private readonly listReader: ListReader;
   private readonly limits = new UpstreamLimits();
   private readonly origins: OriginRegistry;
+  private readonly paces = new UpstreamPaces();
+  private readonly reachability: UpstreamReachability;
   private readonly loops: RegionLoops;
   private readonly controlLink: ControlLink;
   private readonly ingress: IngressServer;
@@ -111,6 +113,7 @@
       onStaleIncarnation: held => this.raiseIncarnation(held),
     });
     this.origins = this.createOrigins();
+    this.reachability = this.createReachability();
     this.origins.register(this.router);
     this.ingress = this.createIngress();
     this.loadLog = new LoadLog({
@@ -141,6 +144,7 @@
     );
     this.controlLink.start();
     this.loops.start();
+    this.reachability.start();
     this.loadLog.start();
     logger.info(
       {event: 'started', region: settings.regionId, domain: settings.domainId},
@@ -187,6 +191,7 @@
     this.loops.stop();
     this.host.stop();
     this.origins.stop();
+    this.reachability.stop();
     this.ingress.close();
     this.textServers.forEach(server => server.close());
     await Promise.all([
@@ -278,7 +283,10 @@
       members: this.members,
       client: this.client,
       deliverHere: decisions => this.scheduler.deliver(self, decisions),
-      onLost: decisions => this.releaseUndelivered(decisions),
+      onLost: decisions =>
+        cancelledPlacements(decisions).forEach(({entry, part}) => {
+          void this.host.submit(entry, [part]);
+        }),
     });
   }
 
@@ -301,6 +309,19 @@
     });
   }
 
+  private createReachability(): UpstreamReachability {
+    const {feed, logger} = this.options;
+    return new UpstreamReachability({
+      canConnect: address => feed.canConnect(address),
+      heardAtMs: upstreamId => this.paces.progressAtMs(upstreamId),
+      onLost: ({address, upstreamId}) =>
+        this.connections.retire(address, upstreamId),
+      onCutOff: () => undefined,
+      logger,
+      metrics: this.metrics,
+    });
+  }
+
   private createOrigins(): OriginRegistry {
     const {settings} = this.options;
     const {instanceId: self, domainId: domain, regionId: region} = settings;
@@ -329,7 +350,8 @@
         members: this.members,
         scheduler: this.scheduler,
         connections: this.connections,
-        paces: new UpstreamPaces(),
+        paces: this.paces,
+        reachability: this.reachability,
         limits: this.limits,
         relay: new RelayClient({
           self: settings.instanceId,
@@ -375,10 +397,4 @@
       'applied a newer control state',
     );
   }
-
-  private releaseUndelivered(decisions: readonly Decision[]): void {
-    cancelledPlacements(decisions).forEach(({entry, part}) => {
-      void this.host.submit(entry, [part]);
-    });
-  }
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -7,8 +7,13 @@
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {allowsRegion} from '../routes/route_table.js';
+import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {UNVERSIONED} from '../scheduling/software_versions.js';
-import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
+import type {
+  PlacementOutcome,
+  SchedulerAnswer,
+  WorkItem,
+} from '../scheduling/types.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
@@ -51,11 +56,19 @@
   readonly paces: UpstreamPaces;
   readonly limits: UpstreamLimits;
   readonly relay: RelayClient;
+  readonly reachability: UpstreamReachability;
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
 }
 
+/** Outcomes that a lost path to the upstream may cause. */
+const TROUBLE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
+  'broken',
+  'unreachable',
+  'silent',
+]);
+
 /** Runs one request. */
 export class RequestRun {
   private readonly progress: StreamProgress;
@@ -138,6 +151,7 @@
     const {request, context} = this;
     const {route, traits} = request;
     const {begun} = this.progress;
+    const unreachable = context.reachability.unreachable();
     const nowMs = monotonicNowMs();
     const otherRegions = request.isRelayed
       ? []
@@ -157,6 +171,7 @@
       remainingMs: request.expiresAtMs - nowMs,
       ...(traits.prompt === undefined ? {} : {prompt: traits.prompt}),
       ...(begun === undefined ? {} : {begun}),
+      ...(unreachable.length === 0 ? {} : {unreachable}),
       avoidUpstreams: this.failedUpstreams,
       isRepeat: this.tries.isRepeat,
       isAllowedHere: allowsRegion(route, context.region),
@@ -191,6 +206,7 @@
     const {upstreamId} = grant;
     const sentAtMs = monotonicNowMs();
     this.recorder.sending(grant);
+    context.reachability.noteUse(grant);
     const monitor = new ProgressMonitor({
       ...context,
       grant,
@@ -237,6 +253,7 @@
       firstAnswerMs: this.recorder.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
     });
+    if (TROUBLE_OUTCOMES.has(outcome)) context.reachability.doubt(upstreamId);
     this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
     if (result.kind !== 'delivered') this.failedUpstreams.push(upstreamId);
     return result;
--- a/src/node/ingress/scheduler_calls.ts
+++ b/src/node/ingress/scheduler_calls.ts
@@ -8,6 +8,8 @@
   DECIDE_METHOD,
   DIGEST_METHOD,
   digestBatchSchema,
+  PROBE_METHOD,
+  probeRequestSchema,
   READ_LIST_METHOD,
   READ_REGION_METHOD,
   readListSchema,
@@ -31,7 +33,7 @@
   readonly decisions: DecisionSender;
   readonly scheduler: SchedulerClient;
   readonly listReader: Pick<ListReader, 'share'>;
-  readonly feed: Pick<UpstreamFeed, 'list'>;
+  readonly feed: Pick<UpstreamFeed, 'list' | 'health'>;
 }
 
 export function registerSchedulerMethods(
@@ -55,6 +57,9 @@
     return {};
   });
   router.register(READ_REGION_METHOD, z.object({}), () => listReader.share());
+  router.register(PROBE_METHOD, probeRequestSchema, ({address, path}) =>
+    feed.health(address, path),
+  );
   router.register(READ_LIST_METHOD, readListSchema, ({domain}) =>
     feed.list(domain),
   );
--- a/src/node/ingress/upstream_try.ts
+++ b/src/node/ingress/upstream_try.ts
@@ -6,6 +6,7 @@
  */
 import {monotonicNowMs} from '../clock/clock.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
 import type {UpstreamId} from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
@@ -37,6 +38,7 @@
   readonly connections: ConnectionPools;
   readonly scheduler: SchedulerClient;
   readonly paces: UpstreamPaces;
+  readonly reachability: Pick<UpstreamReachability, 'doubt'>;
   readonly grant: Grant;
   readonly request: ExchangeRequest;
   readonly reader: ResponseReader;
@@ -92,7 +94,8 @@
   }
 
   private createDetector(): StallDetector {
-    const {scheduler, paces, grant, reader, targetGapMs} = this.options;
+    const {scheduler, paces, reachability, grant, reader, targetGapMs} =
+      this.options;
     const {upstreamId, expectedMs} = grant;
     return new StallDetector({
       upstreamId,
@@ -100,7 +103,10 @@
       expectedMs,
       targetGapMs,
       progressAtMs: () => reader.progressAtMs,
-      onSuspect: () => scheduler.report('stalled', grant),
+      onSuspect: () => {
+        scheduler.report('stalled', grant);
+        reachability.doubt(upstreamId);
+      },
       onStalled: stall => void this.seekReplacement(stall),
     });
   }
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -106,6 +106,10 @@
   },
   suspect_quarantined: suspectChange,
   suspect_cleared: suspectChange,
+  path_lost: {upstream: z.string()},
+  path_regained: {upstream: z.string()},
+  paths_lost: {known: z.number()},
+  paths_regained: {known: z.number()},
   probe_answered: {
     service: z.string(),
     upstream: z.string(),
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -39,14 +39,18 @@
     )?.upstream;
 }
 
-/** The upstreams whose software version may run the request. */
+/** The upstreams that its entry reaches and whose version may run the request. */
 export function fittingOf(
-  {begun}: WorkItem,
+  {begun, unreachable = []}: WorkItem,
   upstreams: readonly UpstreamState[],
 ): readonly UpstreamState[] {
-  return begun === undefined
-    ? upstreams
-    : upstreams.filter(each => each.mayContinue(begun));
+  const fitting =
+    begun === undefined
+      ? upstreams
+      : upstreams.filter(each => each.mayContinue(begun));
+  return unreachable.length === 0
+    ? fitting
+    : fitting.filter(each => !unreachable.includes(each.listed.upstreamId));
 }
 
 /** The upstreams at which the request has not failed. */
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -184,7 +184,8 @@
     nowMs: number,
   ): void {
     const isOwn = domain === this.options.domain;
-    if (isOwn && this.pool.isLost(upstreamId, nowMs)) {
+    const isOutOfReach = item.unreachable?.includes(upstreamId) === true;
+    if (isOutOfReach || (isOwn && this.pool.isLost(upstreamId, nowMs))) {
       this.refusals.add(item, 'upstream_down', 0, nowMs);
       return;
     }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -61,6 +61,8 @@
   readonly prompt?: PromptSize;
   /** Set if the request continues a stream. */
   readonly begun?: BegunStream;
+  /** Upstreams that its entry cannot reach. */
+  readonly unreachable?: readonly UpstreamId[];
   /** Upstreams that rejected or failed the request before. */
   readonly avoidUpstreams: readonly UpstreamId[];
   /** Whether this is a retry: an upstream received the request before. */
@@ -127,7 +129,7 @@
   | 'no_replacement'
   /** Its copies, or requests that share a part of its prompt, crash upstreams. */
   | 'quarantined'
-  /** The upstream that would be replaced is down or gone. */
+  /** The upstream that would be replaced is down, gone or out of reach. */
   | 'upstream_down'
   /** No upstream of the version that began the stream is left, or known. */
   | 'version_gone';
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -85,9 +85,7 @@
 
   /** Returns those of them that may run the request. */
   usableFor(item: WorkItem, nowMs: number): readonly UpstreamState[] {
-    return item.begun === undefined
-      ? this.usable(nowMs)
-      : withoutFailing(fittingOf(item, this.available()), nowMs);
+    return withoutFailing(fittingOf(item, this.available()), nowMs);
   }
 
   /** Whether an upstream is listed, up or not, at which the stream may go on. */
@@ -176,11 +174,15 @@
   end(release: Release, nowMs: number): void {
     const state = this.states.get(release.upstreamId);
     if (state === undefined) return;
-    const isLoss = !state.isDown && DOWN_OUTCOMES.has(release.outcome);
+    const reporter = state.requestOf(release.requestId)?.entry;
+    const isPathLost =
+      release.outcome === 'unreachable' &&
+      state.hasAnsweredOther(reporter, nowMs - RECENT_ANSWER_MS);
+    const isLoss =
+      !state.isDown && !isPathLost && DOWN_OUTCOMES.has(release.outcome);
     if (isLoss) {
       this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
     }
-    const reporter = state.requestOf(release.requestId)?.entry;
     state.end(release, nowMs);
     if (isLoss) this.markDown(state, release.outcome, nowMs, reporter);
     if (state.isDown || release.outcome !== 'silent') return;
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -15,6 +15,7 @@
 import {EngineSlowness} from './engine_slowness.js';
 import {FailureShare} from './failure_share.js';
 import {NamedLimit} from './named_limit.js';
+import type {Placement} from './placement.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
 import type {PromptEstimates} from './prompt_estimates.js';
@@ -31,17 +32,6 @@
   WorkItem,
 } from './types.js';
 
-interface Placement {
-  readonly item: WorkItem;
-  readonly startedAtMs: number;
-  readonly expiresAtMs: number;
-  readonly expectedMs: number;
-  /** Tokens not shared with other requests. */
-  readonly ownTokens: number;
-  /** Whether its first answer was recorded. */
-  hasBegun: boolean;
-}
-
 const MS_PER_S = 1_000;
 /** Outcomes that count against the upstream's health. */
 const FAILURE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
@@ -68,6 +58,8 @@
   isSuspected = false;
   /** When it last completed a request successfully. */
   answeredAtMs = Number.NEGATIVE_INFINITY;
+  /** The entry that got that answer. */
+  private answeredEntry: InstanceId | undefined;
   /** Cold, or not known to be warm, until this time. */
   coldUntilMs = 0;
   /** When its process was last found to have ended. */
@@ -148,6 +140,11 @@
     return this.failures.at(nowMs);
   }
 
+  /** Whether it has lately answered another entry than this one. */
+  hasAnsweredOther(entry: InstanceId | undefined, sinceMs: number): boolean {
+    return this.answeredAtMs >= sinceMs && this.answeredEntry !== entry;
+  }
+
   /** Counts a stalled request as a failure. */
   noteStall(nowMs: number): void {
     this.failures.note(true, nowMs);
@@ -267,6 +264,7 @@
     this.failures.note(FAILURE_OUTCOMES.has(release.outcome), nowMs);
     if (release.outcome !== 'answered') return;
     this.answeredAtMs = nowMs;
+    this.answeredEntry = placement.item.entry;
     this.overcommit.note(nowMs - placement.startedAtMs, release.totalMs);
     this.updateEstimates(placement, release);
   }
