Send requests through another entry while one is cut off from upstreams

Cause: an entry knew two ways, an upstream of its region or an entry of another one. A scheduler now answers a request whose entry reaches none of the upstreams here, though they are well, with the own region: another entry, one that is connected, passes it on in one hop. An entry that reaches no upstream at all does so without asking. What a scheduler is told of a request moved into a module of its own.

--- a/src/node/dispatch/local_refusal.ts
+++ b/src/node/dispatch/local_decisions.ts
@@ -1,10 +1,11 @@
-/** Refusals that an entry decides without a scheduler. */
+/** Decisions that an entry makes without a scheduler. */
+import {UNKNOWN_MS} from '../scheduling/offload_planner.js';
 import type {
   RefusalReason,
   SchedulerAnswer,
   WorkItem,
 } from '../scheduling/types.js';
-import type {DomainId, InstanceId} from '../types/ids.js';
+import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 
 /** A request for which no scheduler has decided. */
 export interface UndecidedRequest {
@@ -34,3 +35,20 @@
     decisionAgeMs: 0,
   };
 }
+
+/** Sends a request to another entry, of this region or of another one. */
+export function localOffload(
+  {requestId, entry}: WorkItem,
+  region: RegionId,
+): SchedulerAnswer {
+  return {
+    kind: 'offload',
+    requestId,
+    entry,
+    scheduler: entry,
+    passes: 0,
+    region,
+    localWaitMs: UNKNOWN_MS,
+    remoteWaitMs: UNKNOWN_MS,
+  };
+}
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -20,7 +20,7 @@
 import type {GatewayError} from '../types/errors.js';
 import type {DomainId, InstanceId, RegionId, RequestId} from '../types/ids.js';
 import {BatchLink} from './batch_link.js';
-import {localRefusal} from './local_refusal.js';
+import {localRefusal} from './local_decisions.js';
 import {cancelledPlacements} from './decision_sender.js';
 import type {DomainChoice} from './domain_choice.js';
 import type {SchedulerScope} from './scheduler_host.js';
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -149,13 +149,27 @@
   }
 
   /**
-   * The entries of another region that this one relays to. They are few, so
+   * The entries of a region that this one relays to. They are few, so
    * that connections between regions are reused instead of reopened, and differ
    * from entry to entry, so that the load is spread over the region.
    */
   relayTargets(region: RegionId, nowMs: number): readonly EntryInstance[] {
-    const job = `relay from ${this.self().instanceId}`;
-    return this.rankedEntries(region, job, nowMs).slice(0, MAX_RELAY_TARGETS);
+    const {instanceId} = this.self();
+    const others = this.rankedEntries(
+      region,
+      `relay from ${instanceId}`,
+      nowMs,
+    ).filter(each => each.instanceId !== instanceId);
+    const connected = others.filter(each => each.isCutOff !== true);
+    const targets = connected.length > 0 ? connected : others;
+    return targets.slice(0, MAX_RELAY_TARGETS);
+  }
+
+  /** Whether another entry of the region has paths to upstreams. */
+  hasConnectedPeer(region: RegionId, nowMs: number): boolean {
+    return this.relayTargets(region, nowMs).some(
+      each => each.isCutOff !== true,
+    );
   }
 
   entry(instanceId: InstanceId): EntryInstance | undefined {
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -19,6 +19,8 @@
   readonly isStopping: boolean;
   /** Whether it schedules requests of other entries to model engines. */
   readonly isScheduling: boolean;
+  /** Whether it cannot reach any upstream. */
+  readonly isCutOff?: boolean | undefined;
 }
 
 /** One control member that entries announce themselves to. */
@@ -40,6 +42,7 @@
   isReady: z.boolean(),
   isStopping: z.boolean(),
   isScheduling: z.boolean(),
+  isCutOff: z.boolean().optional(),
 });
 
 /** Sent by an entry to a control member periodically, as a heartbeat. */
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -27,7 +27,6 @@
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import {waitUntil} from '../clock/wait_until.js';
-import type {DomainId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
@@ -38,6 +37,7 @@
 import {registerSchedulerMethods} from './scheduler_calls.js';
 import {
   domainLocations,
+  domainIdsOfRegion,
   domainsOfRegion,
   seedInnerAddresses,
   type IngressSettings,
@@ -116,19 +116,20 @@
     this.reachability = this.createReachability();
     this.origins.register(this.router);
     this.ingress = this.createIngress();
+    const {host, decisions, scheduler, listReader, metrics} = this;
     this.loadLog = new LoadLog({
-      host: this.host,
-      metrics: this.metrics,
+      host,
+      metrics,
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
     });
     this.innerServer = createInnerServer(settings, this.router, this.ingress);
     registerSchedulerMethods(this.router, {
       incarnation: () => this.incarnation,
-      host: this.host,
-      decisions: this.decisions,
-      scheduler: this.scheduler,
-      listReader: this.listReader,
+      host,
+      decisions,
+      scheduler,
+      listReader,
       feed,
     });
   }
@@ -138,9 +139,9 @@
     registerProcessGauges(this.metrics);
     await this.innerServer.start();
     await this.ingress.start();
-    const {metrics} = this;
+    const isReady = (): boolean => this.isReady();
     this.textServers.push(
-      ...(await startTextServers(settings, () => this.isReady(), metrics)),
+      ...(await startTextServers(settings, isReady, this.metrics)),
     );
     this.controlLink.start();
     this.loops.start();
@@ -218,13 +219,10 @@
       isReady: this.isReady(),
       isStopping: this.isStopping,
       isScheduling: this.loops.schedulesEngines,
+      isCutOff: this.reachability.isCutOff,
     };
   }
 
-  private ownDomains(): readonly DomainId[] {
-    return domainsOfRegion(this.options.settings).map(each => each.domain);
-  }
-
   private createScheduler(): SchedulerClient {
     const {settings, logger} = this.options;
     const {instanceId: self} = settings;
@@ -233,7 +231,7 @@
       self,
       domains: new DomainChoice({
         own: settings.domainId,
-        domains: this.ownDomains(),
+        domains: domainIdsOfRegion(settings),
         evacuated: () => this.state.evacuatedDomains,
       }),
       members: this.members,
@@ -248,7 +246,7 @@
     const {settings, feed, logger} = this.options;
     return new ListReader({
       region: settings.regionId,
-      domains: this.ownDomains(),
+      domains: domainIdsOfRegion(settings),
       self: settings.instanceId,
       members: this.members,
       feed,
@@ -316,7 +314,7 @@
       heardAtMs: upstreamId => this.paces.progressAtMs(upstreamId),
       onLost: ({address, upstreamId}) =>
         this.connections.retire(address, upstreamId),
-      onCutOff: () => undefined,
+      onCutOff: () => this.controlLink.announceToAll(),
       logger,
       metrics: this.metrics,
     });
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -6,14 +6,10 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
-import {allowsRegion} from '../routes/route_table.js';
 import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {UNVERSIONED} from '../scheduling/software_versions.js';
-import type {
-  PlacementOutcome,
-  SchedulerAnswer,
-  WorkItem,
-} from '../scheduling/types.js';
+import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
+import {localOffload} from '../dispatch/local_decisions.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
@@ -22,8 +18,6 @@
   type AttemptId,
   type InstanceId,
   type RegionId,
-  type RequestId,
-  type UpstreamId,
 } from '../types/ids.js';
 import {
   ResponseReader,
@@ -33,7 +27,6 @@
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
-import {fingerprintOf} from './fingerprint.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
@@ -44,6 +37,7 @@
 import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {UpstreamPaces} from './upstream_pace.js';
+import {WorkItems} from './work_items.js';
 import {cancelGrant, UpstreamTry, type Grant} from './upstream_try.js';
 
 export interface RequestRunContext {
@@ -72,14 +66,11 @@
 /** Runs one request. */
 export class RequestRun {
   private readonly progress: StreamProgress;
-  private readonly failedUpstreams: UpstreamId[];
   private readonly tries: TryBudget;
-  private readonly fingerprint: string;
-  private refusedRegions: RegionId[] = [];
+  private readonly items: WorkItems;
   private readonly recorder: RunRecorder;
   /** Granted while the try before it was given up. */
   private replacement: Grant | undefined;
-  private replacementsSought = 0;
 
   constructor(
     private readonly context: RequestRunContext,
@@ -95,10 +86,9 @@
       lastEventAtMs: 0,
       longestGapMs: 0,
     };
-    this.failedUpstreams = [...request.avoidUpstreams];
     this.tries = new TryBudget(request);
-    this.fingerprint = fingerprintOf(request);
     const {progress, tries} = this;
+    this.items = new WorkItems({...context, request, progress, tries});
     this.recorder = new RunRecorder({...context, request, progress, tries});
   }
 
@@ -140,61 +130,17 @@
   }
 
   private async askScheduler(): Promise<SchedulerAnswer> {
-    const {scheduler} = this.context;
+    const {scheduler, reachability, region} = this.context;
     const askedAtMs = monotonicNowMs();
-    const decision = await scheduler.acquire(this.workItem(), this.signal);
+    // The scheduler could only say the same.
+    if (reachability.isCutOff && this.items.mayUsePeer(askedAtMs)) {
+      return localOffload(this.items.next(), region);
+    }
+    const decision = await scheduler.acquire(this.items.next(), this.signal);
     this.recorder.decided(decision, monotonicNowMs() - askedAtMs);
     return decision;
   }
 
-  private workItem(): WorkItem {
-    const {request, context} = this;
-    const {route, traits} = request;
-    const {begun} = this.progress;
-    const unreachable = context.reachability.unreachable();
-    const nowMs = monotonicNowMs();
-    const otherRegions = request.isRelayed
-      ? []
-      : context.members
-          .regions()
-          .filter(region => region !== context.region)
-          .filter(region => allowsRegion(route, region))
-          .filter(region => !this.refusedRegions.includes(region));
-    return {
-      requestId: request.requestId,
-      entry: context.self,
-      service: request.service,
-      fingerprint: this.fingerprint,
-      priority: route.priority,
-      targetLatencyMs: route.targetLatencyMs,
-      ageMs: this.tries.hasRun ? 0 : nowMs - request.receivedAtMs,
-      remainingMs: request.expiresAtMs - nowMs,
-      ...(traits.prompt === undefined ? {} : {prompt: traits.prompt}),
-      ...(begun === undefined ? {} : {begun}),
-      ...(unreachable.length === 0 ? {} : {unreachable}),
-      avoidUpstreams: this.failedUpstreams,
-      isRepeat: this.tries.isRepeat,
-      isAllowedHere: allowsRegion(route, context.region),
-      otherRegions,
-      passedDomains: [],
-    };
-  }
-
-  /** Asks for another upstream in place of one that does not progress. */
-  private replacementItem({upstreamId, domain}: Grant): WorkItem {
-    const {requestId} = this.request;
-    this.replacementsSought += 1;
-    return {
-      ...this.workItem(),
-      requestId: asId<RequestId>(`${requestId}~${this.replacementsSought}`),
-      ageMs: 0,
-      avoidUpstreams: [...this.failedUpstreams, upstreamId],
-      isRepeat: true,
-      otherRegions: [],
-      replaces: {upstreamId, domain},
-    };
-  }
-
   private takeReplacement(): Grant | undefined {
     const {replacement} = this;
     this.replacement = undefined;
@@ -235,7 +181,7 @@
       request: {method, path, body, headers: headers.flat()},
       targetGapMs: request.route.targetGapMs,
       replacementItem: this.tries.mayRunAgain
-        ? () => this.replacementItem(grant)
+        ? () => this.items.replacing(grant)
         : undefined,
       signal: this.signal,
       onStallAction: action =>
@@ -255,7 +201,7 @@
     });
     if (TROUBLE_OUTCOMES.has(outcome)) context.reachability.doubt(upstreamId);
     this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
-    if (result.kind !== 'delivered') this.failedUpstreams.push(upstreamId);
+    if (result.kind !== 'delivered') this.items.avoid(upstreamId);
     return result;
   }
 
@@ -269,13 +215,18 @@
         isRepeat: this.tries.isRepeat,
         lastEventId: this.progress.lastEventId,
         begun: this.progress.begun,
+        avoidUpstreams: this.items.avoidedUpstreams,
       },
       reader,
       this.signal,
     );
     const result = this.interpret(endOfTry(ended, reader), reader);
     context.metrics.count('requests_offloaded', {region, result: result.kind});
-    if (result.kind === 'not_run') this.refusedRegions.push(region);
+    // Another entry of this region may take what a lost one could not.
+    const isPeerLost = ended.kind === 'not_sent' && region === context.region;
+    if (result.kind === 'not_run' && !isPeerLost) {
+      this.items.avoidRegion(region);
+    }
     return result;
   }
 
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -70,6 +70,13 @@
   );
 }
 
+/** Their ids. */
+export function domainIdsOfRegion(
+  settings: Pick<IngressSettings, 'regionOfDomain' | 'regionId'>,
+): readonly DomainId[] {
+  return domainsOfRegion(settings).map(each => each.domain);
+}
+
 /** Inner addresses of the control members that the settings name. */
 export function seedInnerAddresses(
   settings: Pick<IngressSettings, 'seedAddresses' | 'controlInnerPort'>,
--- /dev/null
+++ b/src/node/scheduling/__tests__/out_of_reach.spec.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  asId,
+  type InstanceId,
+  type ServiceId,
+  type UpstreamId,
+} from '../../types/ids.js';
+import type {Scheduler} from '../scheduler.js';
+import type {CapacityDigest, WorkItem} from '../types.js';
+import {
+  AWAY,
+  AWAY_A,
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  toLine,
+  upstream,
+} from './scheduling_fixture.js';
+
+const CUT_OFF = asId<InstanceId>('cut-off');
+const NAMES = ['a', 'b'].map(name => asId<UpstreamId>(name));
+
+function createWithUpstreams(): Scheduler {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  scheduler.pool.applyReading({
+    upstreams: NAMES.map(name => upstream(name)),
+    readAtMs: 0,
+    lagMs: 0,
+  });
+  const digest: CapacityDigest = {
+    region: AWAY,
+    domain: AWAY_A,
+    service: asId<ServiceId>('service'),
+    upstreams: 2,
+    freeSlots: 100,
+    freeTokens: 400_000,
+    waitMs: 0,
+    readShare: 0,
+  };
+  scheduler.board.record(digest, 0);
+  return scheduler;
+}
+
+function decideOn(
+  scheduler: Scheduler,
+  name: string,
+  fields: Partial<WorkItem>,
+): readonly string[] {
+  scheduler.submit(chat(name, {entry: CUT_OFF, ...fields}), 10);
+  return scheduler.decide(10).map(toLine);
+}
+
+// Guards against requests that are sent to an upstream which their entry cannot
+// reach, and against a way through another region while a nearer one is there.
+test('a request avoids upstreams that its entry cannot reach', () => {
+  const scheduler = createWithUpstreams();
+  const [first] = NAMES;
+  const all = {unreachable: NAMES, otherRegions: [AWAY]};
+  assert.deepEqual(
+    [
+      decideOn(scheduler, 'one', {unreachable: first ? [first] : []}),
+      decideOn(scheduler, 'peer', {...all, mayUsePeer: true}),
+      decideOn(scheduler, 'no-peer', {...all, mayUsePeer: false}),
+      decideOn(scheduler, 'homed', {unreachable: NAMES}),
+    ],
+    [
+      ['one -> b'],
+      ['peer to region home'],
+      ['no-peer to region away'],
+      ['homed refused: no_upstream'],
+    ],
+  );
+});
+
+// Guards against an entry that takes an upstream from all others because it
+// cannot open a connection to it itself.
+test('a failed connection of one entry takes no upstream from the others', () => {
+  const scheduler = createWithUpstreams();
+  const [first] = NAMES;
+  assert.ok(first !== undefined);
+  const release = (name: string, outcome: 'answered' | 'unreachable'): void =>
+    scheduler.release(
+      [
+        {
+          requestId: chat(name).requestId,
+          upstreamId: first,
+          outcome,
+          firstAnswerMs: 20,
+          totalMs: 20,
+        },
+      ],
+      20,
+    );
+  const reachable = {unreachable: NAMES.slice(1)};
+  decideOn(scheduler, 'x', {
+    ...reachable,
+    entry: asId<InstanceId>('sound'),
+  });
+  decideOn(scheduler, 'y', reachable);
+  release('x', 'answered');
+  release('y', 'unreachable');
+  const stillUp = scheduler.pool.get(first)?.isDown;
+  decideOn(scheduler, 'z', reachable);
+  scheduler.release(
+    [
+      {
+        requestId: chat('z').requestId,
+        upstreamId: first,
+        outcome: 'unreachable',
+        firstAnswerMs: 0,
+        totalMs: 800,
+      },
+    ],
+    1_000,
+  );
+  assert.deepEqual([stillUp, scheduler.pool.get(first)?.isDown], [false, true]);
+});
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -6,7 +6,7 @@
 import type {WorkItem} from './types.js';
 
 /** Logged in place of a wait that is not known. */
-const UNKNOWN_MS = -1;
+export const UNKNOWN_MS = -1;
 
 /** Destination of a request, with the predicted waits behind the choice. */
 export interface OffloadTarget {
--- a/src/node/scheduling/redirects.ts
+++ b/src/node/scheduling/redirects.ts
@@ -2,7 +2,11 @@
 import type {RegionId} from '../types/ids.js';
 import type {CapacityBoard} from './capacity_board.js';
 import {passOf, redirectOf} from './decisions.js';
-import {OffloadPlanner, type OffloadTarget} from './offload_planner.js';
+import {
+  OffloadPlanner,
+  UNKNOWN_MS,
+  type OffloadTarget,
+} from './offload_planner.js';
 import type {Decision, WorkItem} from './types.js';
 
 /** Each method returns whether it redirected the request. */
@@ -32,6 +36,30 @@
     return true;
   }
 
+  /**
+   * Sends a request that its entry cannot bring to any upstream here through
+   * another entry of the region.
+   */
+  toPeer(item: WorkItem): boolean {
+    if (item.mayUsePeer !== true) return false;
+    const target = {
+      region: this.home,
+      domain: undefined,
+      localWaitMs: UNKNOWN_MS,
+      remoteWaitMs: UNKNOWN_MS,
+    };
+    return this.follow(target, item);
+  }
+
+  /** Sends a request away that no upstream here can run for its entry. */
+  toAnywhere(item: WorkItem, isOutOfReach: boolean, nowMs: number): boolean {
+    return (
+      (isOutOfReach && this.toPeer(item)) ||
+      this.toFaster(item, Number.POSITIVE_INFINITY, nowMs) ||
+      this.toSibling(item, nowMs)
+    );
+  }
+
   /** Offloads a long prompt to a domain with a lower prefill share. */
   toLessLoaded(item: WorkItem, readShare: number, nowMs: number): boolean {
     const target = this.offloads.lessLoadedTarget(item, readShare, nowMs);
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -211,10 +211,8 @@
       return;
     }
     if (usable.length === 0) {
-      if (this.redirects.toFaster(item, Number.POSITIVE_INFINITY, nowMs)) {
-        return;
-      }
-      if (this.redirects.toSibling(item, nowMs)) return;
+      const isOutOfReach = this.pool.isOnlyOutOfReach(item, nowMs);
+      if (this.redirects.toAnywhere(item, isOutOfReach, nowMs)) return;
       // No upstream is known before the first reading of the list, so wait.
       if (this.pool.all().length === 0) this.enqueue(item, nowMs);
       else this.refusals.addWithoutUpstream(item, nowMs);
@@ -346,7 +344,12 @@
     nowMs: number,
   ): void {
     const waitedMs = item.ageMs + queuedMs;
-    if (usable.length === 0 && this.redirects.toSibling(item, nowMs)) {
+    const isPassed =
+      usable.length === 0 &&
+      ((this.pool.isOnlyOutOfReach(item, nowMs) &&
+        this.redirects.toPeer(item)) ||
+        this.redirects.toSibling(item, nowMs));
+    if (isPassed) {
       this.queue.remove(item.requestId);
       return;
     }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -63,6 +63,8 @@
   readonly begun?: BegunStream;
   /** Upstreams that its entry cannot reach. */
   readonly unreachable?: readonly UpstreamId[];
+  /** Whether another entry of the region could send it to these upstreams. */
+  readonly mayUsePeer?: boolean;
   /** Upstreams that rejected or failed the request before. */
   readonly avoidUpstreams: readonly UpstreamId[];
   /** Whether this is a retry: an upstream received the request before. */
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -88,6 +88,14 @@
     return withoutFailing(fittingOf(item, this.available()), nowMs);
   }
 
+  /** Whether some could run it if its entry reached them. */
+  isOnlyOutOfReach(item: WorkItem, nowMs: number): boolean {
+    const {unreachable = [], ...reachable} = item;
+    return (
+      unreachable.length > 0 && this.usableFor(reachable, nowMs).length > 0
+    );
+  }
+
   /** Whether an upstream is listed, up or not, at which the stream may go on. */
   lists(begun: BegunStream): boolean {
     return this.all().some(
