--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -126,8 +126,10 @@
   }
 
   private sendDigests(): void {
-    const {host, client} = this.options;
-    const digests = host.digests().filter(each => this.isOwn(each));
+    const {host, client, members} = this.options;
+    const own = host.digests().filter(each => this.isOwn(each));
+    const isCutOff = members.isOwnRegionCutOff(monotonicNowMs());
+    const digests = isCutOff ? own.map(withoutCapacity) : own;
     host.recordDigests(digests);
     const byAddress = new Map<string, CapacityDigest[]>();
     digests.forEach(digest =>
@@ -188,3 +190,7 @@
     host.noteProbe(target, result.coldRemainingMs);
   }
 }
+
+function withoutCapacity(digest: CapacityDigest): CapacityDigest {
+  return {...digest, upstreams: 0, freeSlots: 0, softwareVersions: []};
+}
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -160,9 +160,7 @@
       `relay from ${instanceId}`,
       nowMs,
     ).filter(each => each.instanceId !== instanceId);
-    const connected = others.filter(each => each.isCutOff !== true);
-    const targets = connected.length > 0 ? connected : others;
-    return targets.slice(0, MAX_RELAY_TARGETS);
+    return preferConnected(others).slice(0, MAX_RELAY_TARGETS);
   }
 
   /** Whether another entry of the region has paths to upstreams. */
@@ -172,6 +170,12 @@
     );
   }
 
+  /** Whether no entry of the own region is known to reach an upstream. */
+  isOwnRegionCutOff(nowMs: number): boolean {
+    const {region, isCutOff = false} = this.self();
+    return isCutOff && !this.hasConnectedPeer(region, nowMs);
+  }
+
   entry(instanceId: InstanceId): EntryInstance | undefined {
     const self = this.self();
     return instanceId === self.instanceId
@@ -219,6 +223,14 @@
   return entry.instanceId;
 }
 
+/** The entries that reach upstreams, or all if none does. */
+export function preferConnected(
+  entries: readonly EntryInstance[],
+): readonly EntryInstance[] {
+  const connected = entries.filter(each => each.isCutOff !== true);
+  return connected.length > 0 ? connected : entries;
+}
+
 /** The view after a reply; changes apply only to the view they start from. */
 function updatedView(
   held: FleetView | undefined,
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -1,6 +1,7 @@
 /** The live entries that have announced themselves to one control member. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {ENTRY_EXPIRY_MS} from './constants.js';
+import {preferConnected} from './fleet_members.js';
 import type {
   Announcement,
   AnnouncementReply,
@@ -17,6 +18,12 @@
  */
 const MIN_NON_SCHEDULER_SHARE = 0.75;
 
+/**
+ * Callers are kept away from entries that reach no upstream as long as at least
+ * this share of the entries remains.
+ */
+const MIN_CONNECTED_SHARE = 0.5;
+
 interface AnnouncedEntry {
   readonly entry: EntryInstance;
   readonly atMs: number;
@@ -131,7 +138,10 @@
     const inRegion = ready.filter(entry => entry.region === place.region);
     const atHome = ready.filter(entry => homeRegions.includes(entry.region));
     const others = atHome.length > 0 ? atHome : ready;
-    const chosen = inRegion.length > 0 ? preferNonSchedulers(inRegion) : others;
+    const chosen =
+      inRegion.length > 0
+        ? preferNonSchedulers(preferMostlyConnected(inRegion))
+        : others;
     return chosen.map(entry => entry.callersAddress).slice(0, limit);
   }
 
@@ -154,6 +164,16 @@
   return areEnough ? others : entries;
 }
 
+// An entry that reaches no upstream serves its callers through the others, which
+// is slower, but few others could not take all of its callers.
+function preferMostlyConnected(
+  entries: readonly EntryInstance[],
+): readonly EntryInstance[] {
+  const connected = preferConnected(entries);
+  const areEnough = connected.length >= entries.length * MIN_CONNECTED_SHARE;
+  return areEnough ? connected : entries;
+}
+
 function isSameEntry(left: EntryInstance, right: EntryInstance): boolean {
   const names = Object.keys(right) as (keyof EntryInstance)[];
   return names.every(name => left[name] === right[name]);
