Leave an upstream alone for the time that it names

What upstreams saw: one that turned requests away with Retry-After went on getting them, 73 in 1.5 s in the spec, since a rejection only led to another try. Cause: nobody read the header. An entry now notes the time for itself, as each entry is told its own; its requests exclude the upstream until then, and a grant that crosses the answer is given back. Answers are logged (upstream_notice).

--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -6,6 +6,7 @@
 import type {Dispatcher, Pool} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
 import type {Route} from '../../../routes/route_table.js';
+import {UpstreamNotices} from '../../../dispatch/upstream_notices.js';
 import {UpstreamLimits} from '../../../dispatch/upstream_limits.js';
 import type {SchedulerAnswer, WorkItem} from '../../../scheduling/types.js';
 import {
@@ -191,6 +192,7 @@
     },
     paces: new UpstreamPaces(),
     limits: new UpstreamLimits(),
+    notices: new UpstreamNotices(),
     log: {
       write: () => undefined,
       tryFailed: () => undefined,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -12,6 +12,7 @@
 import {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
 import {UpstreamLimits} from '../dispatch/upstream_limits.js';
+import {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import {ControlLink} from '../fleet/control_link.js';
 import {FleetMembers} from '../fleet/fleet_members.js';
 import type {EntryInstance} from '../fleet/messages.js';
@@ -351,6 +352,7 @@
         paces: this.paces,
         reachability: this.reachability,
         limits: this.limits,
+        notices: new UpstreamNotices(),
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -45,6 +45,10 @@
    * it names a limit. It holds until an answer does not name one any more.
    */
   readonly maxRequestsPerS?: number;
+  /** Time for which it wants no other request from this instance. */
+  readonly retryAfterMs?: number;
+  /** Whether the upstream is about to stop. */
+  readonly isLeaving: boolean;
 }
 
 /** A header as a pair of name and value. */
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -28,6 +28,7 @@
   | 'resumed'
   | 'upstream_outcome'
   | 'upstream_limit'
+  | 'upstream_notice'
   | 'ended'
   | 'rejected'
 >;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -11,6 +11,7 @@
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
 import {localOffload} from '../dispatch/local_decisions.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import {
@@ -29,7 +30,7 @@
 import type {ExchangeEnd} from './exchange.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
-import type {RequestProtocol} from './protocol.js';
+import type {RequestProtocol, ResponseTraits} from './protocol.js';
 import type {RelayClient} from './relay.js';
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
@@ -51,6 +52,7 @@
   readonly limits: UpstreamLimits;
   readonly relay: RelayClient;
   readonly reachability: UpstreamReachability;
+  readonly notices: UpstreamNotices;
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
@@ -136,11 +138,22 @@
     if (reachability.isCutOff && this.items.mayUsePeer(askedAtMs)) {
       return localOffload(this.items.next(), region);
     }
-    const decision = await scheduler.acquire(this.items.next(), this.signal);
+    const decision = await this.acquire(scheduler);
     this.recorder.decided(decision, monotonicNowMs() - askedAtMs);
     return decision;
   }
 
+  // The upstream may have turned away another request since the question.
+  private async acquire(scheduler: SchedulerClient): Promise<SchedulerAnswer> {
+    const decision = await scheduler.acquire(this.items.next(), this.signal);
+    const isForbidden =
+      decision.kind === 'grant' &&
+      this.context.notices.forbids(decision.upstreamId);
+    if (!isForbidden) return decision;
+    cancelGrant(scheduler, decision);
+    return this.acquire(scheduler);
+  }
+
   private takeReplacement(): Grant | undefined {
     const {replacement} = this;
     this.replacement = undefined;
@@ -161,8 +174,7 @@
     const reader = this.createReader(sentAtMs, {
       softwareVersion: grant.softwareVersion,
       onProgress: monitor.record,
-      onHead: ({maxRequestsPerS}) =>
-        this.noteLimit(grant, maxRequestsPerS, sentAtMs),
+      onHead: traits => this.noteAnswer(grant, traits, sentAtMs),
     });
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
@@ -230,16 +242,25 @@
     return result;
   }
 
-  private noteLimit(
+  private noteAnswer(
     grant: Grant,
-    maxRequestsPerS: number | undefined,
+    traits: ResponseTraits,
     sentAtMs: number,
   ): void {
-    const {limits, scheduler, log} = this.context;
-    scheduler.reportLimit(grant, maxRequestsPerS);
-    if (!limits.note(grant, maxRequestsPerS, sentAtMs)) return;
+    const {limits, notices, scheduler, log} = this.context;
     const {upstreamId: upstream} = grant;
-    log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
+    const {maxRequestsPerS, retryAfterMs, isLeaving} = traits;
+    scheduler.reportLimit(grant, maxRequestsPerS);
+    if (limits.note(grant, maxRequestsPerS, sentAtMs)) {
+      log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
+    }
+    const isNew = notices.note(upstream, traits);
+    if (!isNew) return;
+    log.write('upstream_notice', this.request, {
+      upstream,
+      isLeaving,
+      retryAfterMs,
+    });
   }
 
   // Without an upstream, the response comes from another entry.
--- a/src/node/ingress/work_items.ts
+++ b/src/node/ingress/work_items.ts
@@ -1,5 +1,6 @@
 /** Builds what a scheduler needs to know of one request, for each of its tries. */
 import {monotonicNowMs} from '../clock/clock.js';
+import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {allowsRegion} from '../routes/route_table.js';
@@ -22,6 +23,7 @@
   readonly region: RegionId;
   readonly members: FleetMembers;
   readonly reachability: UpstreamReachability;
+  readonly notices: UpstreamNotices;
   readonly request: InboundRequest;
   readonly progress: StreamProgress;
   readonly tries: TryBudget;
@@ -55,9 +57,10 @@
 
   /** The item of the next try. */
   next(): WorkItem {
-    const {self, region, request, progress, tries} = this.options;
+    const {self, region, request, progress, tries, notices} = this.options;
     const {route, traits} = request;
     const {begun} = progress;
+    const forbidden = notices.forbidden();
     const nowMs = monotonicNowMs();
     return {
       requestId: request.requestId,
@@ -71,6 +74,7 @@
       ...(traits.prompt === undefined ? {} : {prompt: traits.prompt}),
       ...(begun === undefined ? {} : {begun}),
       ...this.reachabilityFields(nowMs),
+      ...(forbidden.length === 0 ? {} : {forbidden}),
       avoidUpstreams: this.failedUpstreams,
       isRepeat: tries.isRepeat,
       isAllowedHere: allowsRegion(route, region),
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -172,6 +172,12 @@
     /** Requests a second from all instances; missing if the limit has ended. */
     maxRequestsPerS: z.number().optional(),
   },
+  upstream_notice: {
+    ...matched,
+    upstream: z.string(),
+    isLeaving: z.boolean(),
+    retryAfterMs: z.number().optional(),
+  },
   upstream_outcome: {
     ...matched,
     upstream: z.string(),
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -39,18 +39,19 @@
     )?.upstream;
 }
 
-/** The upstreams that its entry reaches and whose version may run the request. */
+/** The upstreams that its entry may use and whose version may run the request. */
 export function fittingOf(
-  {begun, unreachable = []}: WorkItem,
+  {begun, unreachable = [], forbidden = []}: WorkItem,
   upstreams: readonly UpstreamState[],
 ): readonly UpstreamState[] {
   const fitting =
     begun === undefined
       ? upstreams
       : upstreams.filter(each => each.mayContinue(begun));
-  return unreachable.length === 0
+  const excluded = [...unreachable, ...forbidden];
+  return excluded.length === 0
     ? fitting
-    : fitting.filter(each => !unreachable.includes(each.listed.upstreamId));
+    : fitting.filter(each => !excluded.includes(each.listed.upstreamId));
 }
 
 /** The upstreams at which the request has not failed. */
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -63,6 +63,8 @@
   readonly begun?: BegunStream;
   /** Upstreams that its entry cannot reach. */
   readonly unreachable?: readonly UpstreamId[];
+  /** Upstreams that want no requests from its entry for now. */
+  readonly forbidden?: readonly UpstreamId[];
   /** Whether another entry of the region could send it to these upstreams. */
   readonly mayUsePeer?: boolean;
   /** Upstreams that rejected or failed the request before. */
