Send nothing new to an upstream that says that it leaves

What upstreams saw: one that says in its answers that it leaves (Server-Leaving) got requests until the list showed it, 50 in a second in the spec. Cause: nobody read the header; a leaving upstream was known by the list alone, which lags. The spec failed before and passes.

--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -56,7 +56,9 @@
   /** The engine has not begun the request by the expected time. */
   | 'overdue'
   /** The engine has begun a request that was overdue. */
-  | 'begun';
+  | 'begun'
+  /** The upstream says that it is about to stop. */
+  | 'leaving';
 
 type SubmissionBody =
   | {readonly kind: 'item'; readonly item: WorkItem}
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -141,12 +141,10 @@
     this.schedulerOf(scope);
   }
 
-  /** The scopes of the schedulers on this entry. */
   scopes(): readonly SchedulerScope[] {
     return [...this.hosted.values()].map(({scope}) => scope);
   }
 
-  /** The current load of the schedulers on this entry. */
   load(): SchedulerLoad {
     const queued = [...this.hosted.values()].reduce(
       (sum, {scheduler}) => sum + scheduler.queueLength,
@@ -267,6 +265,8 @@
         return scheduler.cancel(part.requestId);
       case 'stalled':
         return scheduler.pool.suspect(part.upstreamId, nowMs, from);
+      case 'leaving':
+        return scheduler.pool.noteLeaving(part.upstreamId);
       case 'overdue':
         return scheduler.pool.get(part.upstreamId)?.noteOverdue(part.requestId);
       case 'begun':
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -256,6 +256,7 @@
     }
     const isNew = notices.note(upstream, traits);
     if (!isNew) return;
+    if (isLeaving) scheduler.report('leaving', grant);
     log.write('upstream_notice', this.request, {
       upstream,
       isLeaving,
--- a/src/node/scheduling/crash_watch.ts
+++ b/src/node/scheduling/crash_watch.ts
@@ -22,6 +22,13 @@
   readonly running: readonly RunningRequest[];
 }
 
+/** An upstream as its pool knows it. */
+export interface LostUpstream {
+  readonly listed: ListedUpstream;
+  readonly isDraining: boolean;
+  readonly runningRequests: readonly RunningRequest[];
+}
+
 /** The lost upstreams of one pool whose crash is not confirmed yet. */
 export class CrashWatch {
   private readonly suspected = new Map<UpstreamId, UpstreamCrash>();
@@ -30,10 +37,10 @@
 
   /** Records a lost upstream; one that drains is expected to end. */
   noteLost(
-    {upstreamId, bornAtMs, isDraining}: ListedUpstream,
-    running: readonly RunningRequest[],
+    {listed, isDraining, runningRequests: running}: LostUpstream,
     nowMs: number,
   ): void {
+    const {upstreamId, bornAtMs} = listed;
     if (isDraining || running.length === 0) return;
     this.suspected.set(upstreamId, {
       crashId: `${upstreamId}@${bornAtMs}`,
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -99,7 +99,7 @@
   /** Whether an upstream is listed, up or not, at which the stream may go on. */
   lists(begun: BegunStream): boolean {
     return this.all().some(
-      ({listed}) => fits(begun, listed.softwareVersion) && !listed.isDraining,
+      each => fits(begun, each.listed.softwareVersion) && !each.isDraining,
     );
   }
 
@@ -189,7 +189,7 @@
     const isLoss =
       !state.isDown && !isPathLost && DOWN_OUTCOMES.has(release.outcome);
     if (isLoss) {
-      this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
+      this.crashes.noteLost(state, nowMs);
     }
     state.end(release, nowMs);
     if (isLoss) this.markDown(state, release.outcome, nowMs, reporter);
@@ -216,6 +216,14 @@
     return state.isDown && nowMs - state.downSinceMs >= CONFIRMED_DOWN_MS;
   }
 
+  /** Records that the upstream says that it is about to stop. */
+  noteLeaving(upstreamId: UpstreamId): void {
+    const state = this.states.get(upstreamId);
+    if (state === undefined || state.isDraining) return;
+    state.isLeaving = true;
+    this.reportChange('draining', state, 'answer');
+  }
+
   /** Records the limit that the answer to a request names, or none. */
   noteLimit(
     upstreamId: UpstreamId,
@@ -235,7 +243,7 @@
   /** Upstreams that are down or suspected and must be probed. */
   toProbe(): readonly UpstreamState[] {
     return this.all().filter(
-      each => (each.isDown || each.isSuspected) && !each.listed.isDraining,
+      each => (each.isDown || each.isSuspected) && !each.isDraining,
     );
   }
 
@@ -297,7 +305,7 @@
     return this.all().filter(
       each =>
         !each.isDown &&
-        !each.listed.isDraining &&
+        !each.isDraining &&
         !this.evacuated.includes(each.listed.domain),
     );
   }
@@ -321,7 +329,8 @@
       this.reportChange('reborn', known, 'list');
       this.crashes.confirm(listed.upstreamId);
     }
-    if (listed.isDraining && !before.isDraining) {
+    const wasDraining = before.isDraining || known.isLeaving;
+    if (listed.isDraining && !wasDraining) {
       this.reportChange('draining', known, 'list');
     }
     applyCold(known, listed, reading);
@@ -330,7 +339,7 @@
   private noteSuspectProbeFailure(state: UpstreamState, nowMs: number): void {
     state.isSuspected = false;
     if (nowMs - state.answeredAtMs < RECENT_ANSWER_MS) return;
-    this.crashes.noteLost(state.listed, state.runningRequests, nowMs);
+    this.crashes.noteLost(state, nowMs);
     this.markDown(state, 'probe', nowMs);
   }
 
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -52,6 +52,8 @@
   readonly limit = new NamedLimit();
   /** Set until a probe succeeds. */
   isDown = false;
+  /** It has said itself that it is about to stop. */
+  isLeaving = false;
   /** When it was last marked as down. */
   downSinceMs = 0;
   /** An entry reported a stall; a probe decides whether it is down. */
@@ -112,6 +114,11 @@
     return isCurrent ? this.listed.softwareVersion : undefined;
   }
 
+  /** Whether it finishes what it has and gets nothing new. */
+  get isDraining(): boolean {
+    return this.isLeaving || this.listed.isDraining;
+  }
+
   /** Whether a stream that began elsewhere may go on at it. */
   mayContinue(begun: BegunStream): boolean {
     return fits(begun, this.softwareVersion);
@@ -189,7 +196,7 @@
 
   /** Whether it can accept any request now. */
   isOpen(nowMs: number): boolean {
-    if (this.isDown || this.listed.isDraining || this.freeSlots === 0) {
+    if (this.isDown || this.isDraining || this.freeSlots === 0) {
       return false;
     }
     const isPaced = this.startsPerS(nowMs) !== undefined;
@@ -298,7 +305,6 @@
       .forEach(each => this.removePlacement(each));
   }
 
-  /** Entries with placements on it. */
   entries(): readonly InstanceId[] {
     return [...new Set([...this.placements.values()].map(e => e.item.entry))];
   }
@@ -312,6 +318,7 @@
 
   /** Clears its state after a restart: nothing is cached or running. */
   reset(): void {
+    this.isLeaving = false;
     this.placements.clear();
     this.cache.clear();
     this.usedTokens = 0;
