Count slots that become free since a digest when there is no other choice

Cause: offers of other domains counted what was sent since their last digest against the slots that were free then, as if no request ended within a digest interval; short calls end many times in it. Where nothing here can run the request, slots that become free meanwhile now count too: the scheduler there can still queue or refuse it.

--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -65,11 +65,19 @@
       .some(record => this.isAllowed(record, item));
   }
 
-  /** The offer with the lowest expected time among the allowed domains. */
-  bestOffer(item: WorkItem, nowMs: number): RemoteOffer | undefined {
+  /**
+   * The offer with the lowest expected time among the allowed domains. Without
+   * another choice (`isOnlyChoice`), slots that become free after the digest
+   * count as well: the scheduler there can still queue or refuse the request.
+   */
+  bestOffer(
+    item: WorkItem,
+    nowMs: number,
+    isOnlyChoice = false,
+  ): RemoteOffer | undefined {
     return [...this.records.values()]
       .filter(record => this.isAllowed(record, item))
-      .flatMap(record => this.offer(record, item, nowMs))
+      .flatMap(record => this.offer(record, item, nowMs, isOnlyChoice))
       .reduce<RemoteOffer | undefined>(
         (best, each) =>
           best === undefined || each.expectedMs < best.expectedMs ? each : best,
@@ -108,13 +116,17 @@
     record: DigestRecord,
     item: WorkItem,
     nowMs: number,
+    isOnlyChoice: boolean,
   ): readonly RemoteOffer[] {
     const {digest, atMs, sentRequests, sentTokens} = record;
     const digestAgeMs = nowMs - atMs;
     const tokens = item.prompt?.promptTokens ?? 0;
+    const freedSlots = isOnlyChoice
+      ? (digest.slotsFreedPerMs ?? 0) * digestAgeMs
+      : 0;
     const hasRoom =
       digest.upstreams > 0 &&
-      digest.freeSlots > sentRequests &&
+      digest.freeSlots + freedSlots > sentRequests &&
       (tokens === 0 || digest.freeTokens > sentTokens + tokens);
     if (!hasRoom || digestAgeMs > DIGEST_EXPIRY_MS) return [];
     const prefillMs =
--- a/src/node/scheduling/capacity_digest.ts
+++ b/src/node/scheduling/capacity_digest.ts
@@ -32,6 +32,10 @@
     upstreams: usable.length,
     softwareVersions: [...new Set(versions)],
     freeSlots: freeSlots - queue.size,
+    slotsFreedPerMs: usable.reduce(
+      (sum, each) => sum + each.slotsFreedPerMs,
+      0,
+    ),
     freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
     waitMs: queueWaitMs(queue.ahead(), usable, nowMs),
     readShare: prefillLoad.share(usable, nowMs),
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -62,7 +62,8 @@
     localExpectedMs: number,
     nowMs: number,
   ): OffloadTarget | undefined {
-    const offer = this.board.bestOffer(item, nowMs);
+    const isOnlyChoice = !Number.isFinite(localExpectedMs);
+    const offer = this.board.bestOffer(item, nowMs, isOnlyChoice);
     const isFaster =
       offer !== undefined &&
       offer.expectedMs + offer.minGainMs < localExpectedMs &&
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -259,6 +259,8 @@
   /** The software versions of its usable upstreams. */
   readonly softwareVersions?: readonly SoftwareVersion[];
   readonly freeSlots: number;
+  /** Rate at which slots become free while all are occupied. */
+  readonly slotsFreedPerMs?: number;
   /** Tokens free for further requests. */
   readonly freeTokens: number;
   /** Predicted queue wait of a new request of the lowest priority. */
