Keep brittle upstreams from falling over

What upstreams saw: one that says in all its answers that it falls over if it must turn more than N requests away in a second (Server-Brittle) got one after the other, 50 rejections in a second in the spec, where it bears 4. Cause: nobody read the header, and a rejection only led to the next try; plain upstreams are even given more than they have slots for. The scheduler, through which all requests for an upstream go, now learns the number like a rate limit: a brittle upstream gets nine tenths of its slots, and nothing more for a second once half of the rejections that it bears have come. The specs of the platform and of the scheduler pass; the former failed before (50).

--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -8,6 +8,7 @@
 import type {
   CapacityDigest,
   Decision,
+  NamedLimits,
   Release,
   EntryPlacements,
   WorkItem,
@@ -78,13 +79,13 @@
       readonly upstreamId: UpstreamId;
       readonly requestId: RequestId;
     }
-  /** The limit that the answer to a request names; null if it names none. */
+  /** The limits that the answer to a request names. */
   | {
-      readonly kind: 'limit';
+      readonly kind: 'limits';
       readonly service: ServiceId;
       readonly upstreamId: UpstreamId;
       readonly requestId: RequestId;
-      readonly maxRequestsPerS: number | null;
+      readonly limits: NamedLimits;
     }
   /** All that the entry knows of a service, for a new scheduler. */
   | ({
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -11,6 +11,7 @@
 import {RefusalCache} from '../scheduling/refusal_cache.js';
 import type {
   Decision,
+  NamedLimits,
   PlacementOutcome,
   Release,
   RunningPlacement,
@@ -177,19 +178,23 @@
   }
 
   /**
-   * Reports the limit that an upstream names in its answer, if any, unless its
-   * scheduler knew that already when it granted the request.
+   * Reports the limits that an upstream names in its answer, unless its
+   * scheduler knew them already when it granted the request.
    */
-  reportLimit(grant: Grant, maxRequestsPerS: number | undefined): void {
-    if (grant.maxRequestsPerS === maxRequestsPerS) return;
+  reportLimits(grant: Grant, limits: NamedLimits): void {
+    const {maxRequestsPerS, maxRejectionsPerS} = limits;
+    const isKnown =
+      grant.maxRequestsPerS === maxRequestsPerS &&
+      grant.maxRejectionsPerS === maxRejectionsPerS;
+    if (isKnown) return;
     const {service, domain, upstreamId, requestId} = grant;
     this.send(this.schedulerOf(grant), {
-      kind: 'limit',
+      kind: 'limits',
       service,
       domain,
       upstreamId,
       requestId,
-      maxRequestsPerS: maxRequestsPerS ?? null,
+      limits: {maxRequestsPerS, maxRejectionsPerS},
     });
   }
 
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -273,11 +273,11 @@
         return scheduler.pool
           .get(part.upstreamId)
           ?.noteBegun(part.requestId, nowMs);
-      case 'limit':
-        return scheduler.pool.noteLimit(
+      case 'limits':
+        return scheduler.pool.noteLimits(
           part.upstreamId,
           part.requestId,
-          part.maxRequestsPerS ?? undefined,
+          part.limits,
         );
       case 'running':
         return scheduler.syncRunning(from, part, nowMs);
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -175,7 +175,7 @@
       release: ({upstreamId, outcome}: Record<string, string>) =>
         note(`released ${upstreamId}: ${outcome}`),
       report: () => undefined,
-      reportLimit: () => undefined,
+      reportLimits: () => undefined,
     },
     connections: {
       pool: (address: string) =>
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -45,6 +45,11 @@
    * it names a limit. It holds until an answer does not name one any more.
    */
   readonly maxRequestsPerS?: number;
+  /**
+   * Requests that the upstream may turn away in a second for want of room; it
+   * falls over if there are more. Undefined if it says nothing.
+   */
+  readonly maxRejectionsPerS?: number;
   /** Time for which it wants no other request from this instance. */
   readonly retryAfterMs?: number;
   /** Whether the upstream is about to stop. */
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -250,7 +250,7 @@
     const {limits, notices, scheduler, log} = this.context;
     const {upstreamId: upstream} = grant;
     const {maxRequestsPerS, retryAfterMs, isLeaving} = traits;
-    scheduler.reportLimit(grant, maxRequestsPerS);
+    scheduler.reportLimits(grant, traits);
     if (limits.note(grant, maxRequestsPerS, sentAtMs)) {
       log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
     }
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -96,6 +96,8 @@
   upstream_up: upstreamChange,
   upstream_limited: upstreamChange,
   upstream_unlimited: upstreamChange,
+  upstream_brittle: upstreamChange,
+  upstream_not_brittle: upstreamChange,
   upstream_crashed: {
     service: z.string(),
     upstream: z.string(),
--- a/src/node/scheduling/__tests__/named_limits.spec.ts
+++ b/src/node/scheduling/__tests__/named_limits.spec.ts
@@ -106,11 +106,11 @@
   const limit = () => pool.get(LIMITED)?.limit.maxRequestsPerS;
   const early = start('early', 1_000);
   const naming = start('naming', 2_000);
-  pool.noteLimit(LIMITED, naming, LIMIT_PER_S);
-  pool.noteLimit(LIMITED, early, undefined);
+  pool.noteLimits(LIMITED, naming, {maxRequestsPerS: LIMIT_PER_S});
+  pool.noteLimits(LIMITED, early, {});
   const afterEarly = limit();
   const late = start('late', 5_000);
-  pool.noteLimit(LIMITED, late, undefined);
+  pool.noteLimits(LIMITED, late, {});
   assert.deepEqual([afterEarly, limit()], [LIMIT_PER_S, undefined]);
 });
 
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -34,8 +34,9 @@
   upstream: UpstreamState,
   {domain, queuedMs, nowMs}: GrantInputs,
 ): Decision {
-  const {softwareVersion, limit} = upstream;
+  const {softwareVersion, limit, rejections} = upstream;
   const {maxRequestsPerS} = limit;
+  const {maxRejectionsPerS} = rejections;
   const fetchFrom = upstream.fetchSource(item, nowMs)?.listed.address;
   return {
     kind: 'grant',
@@ -50,6 +51,7 @@
     isCold: upstream.isCold(nowMs),
     ...(softwareVersion === undefined ? {} : {softwareVersion}),
     ...(maxRequestsPerS === undefined ? {} : {maxRequestsPerS}),
+    ...(maxRejectionsPerS === undefined ? {} : {maxRejectionsPerS}),
     ...(fetchFrom === undefined ? {} : {fetchFrom}),
   };
 }
--- a/src/node/scheduling/failure_share.ts
+++ b/src/node/scheduling/failure_share.ts
@@ -1,5 +1,6 @@
 /** The share of an upstream's recent requests that failed. */
 import {AVERAGE_WEIGHT} from './constants.js';
+import type {UpstreamState} from './upstream_state.js';
 
 /**
  * Decay constant of the share; an upstream that failed is tried again after a
@@ -29,3 +30,17 @@
     this.share = 0;
   }
 }
+
+/** Upstreams with a higher share of failed requests are avoided. */
+const MAX_FAILURE_SHARE = 0.5;
+
+/** Leaves out those that fail most of their requests, unless most do. */
+export function withoutFailing(
+  available: readonly UpstreamState[],
+  nowMs: number,
+): readonly UpstreamState[] {
+  const healthy = available.filter(
+    each => each.recentFailureShare(nowMs) <= MAX_FAILURE_SHARE,
+  );
+  return healthy.length * 2 >= available.length ? healthy : available;
+}
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -161,6 +161,8 @@
       readonly isCold: boolean;
       /** The limit that the upstream has named, as the scheduler knows it. */
       readonly maxRequestsPerS?: number;
+      /** Rejections a second that the upstream bears, if it says so. */
+      readonly maxRejectionsPerS?: number;
     }
   /** The decision is left to the scheduler of another domain of the region. */
   | {
@@ -236,6 +238,14 @@
   readonly upstreamId: UpstreamId;
 }
 
+/** What an upstream says in an answer of how much it bears, if anything. */
+export interface NamedLimits {
+  /** Requests a second from all instances together. */
+  readonly maxRequestsPerS?: number | undefined;
+  /** Requests that it may turn away in a second before it falls over. */
+  readonly maxRejectionsPerS?: number | undefined;
+}
+
 /** A rate limit that an upstream has named. */
 export interface UpstreamLimit {
   readonly upstreamId: UpstreamId;
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -10,11 +10,13 @@
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
 import {PromptEstimates} from './prompt_estimates.js';
+import {withoutFailing} from './failure_share.js';
 import {fits} from './software_versions.js';
 import type {
   BegunStream,
   ListedUpstream,
   ListReading,
+  NamedLimits,
   PlacementOutcome,
   Release,
   RunningPlacement,
@@ -35,7 +37,9 @@
     | 'down'
     | 'up'
     | 'limited'
-    | 'unlimited';
+    | 'unlimited'
+    | 'brittle'
+    | 'not_brittle';
   readonly upstreamId: UpstreamId;
   readonly cause: string;
   /** The entry whose report led to it, if it was one. */
@@ -51,8 +55,6 @@
 const RECENT_ANSWER_MS = 700;
 /** Covers two more probes after the one that marked the upstream as down. */
 const CONFIRMED_DOWN_MS = 1_000;
-/** Upstreams with a higher share of failed requests are avoided. */
-const MAX_FAILURE_SHARE = 0.5;
 
 export interface UpstreamPoolOptions {
   readonly traits: ServiceTraits;
@@ -185,7 +187,7 @@
     const reporter = state.requestOf(release.requestId)?.entry;
     const isPathLost =
       release.outcome === 'unreachable' &&
-      state.hasAnsweredOther(reporter, nowMs - RECENT_ANSWER_MS);
+      state.lastAnswer.isFromOther(reporter, nowMs - RECENT_ANSWER_MS);
     const isLoss =
       !state.isDown && !isPathLost && DOWN_OUTCOMES.has(release.outcome);
     if (isLoss) {
@@ -224,15 +226,13 @@
     this.reportChange('draining', state, 'answer');
   }
 
-  /** Records the limit that the answer to a request names, or none. */
-  noteLimit(
+  /** Records the limits that the answer to a request names, or none. */
+  noteLimits(
     upstreamId: UpstreamId,
     requestId: RequestId,
-    maxRequestsPerS: number | undefined,
+    limits: NamedLimits,
   ): void {
-    this.changeLimit(upstreamId, state =>
-      state.noteLimit(requestId, maxRequestsPerS),
-    );
+    this.changeLimit(upstreamId, state => state.noteLimits(requestId, limits));
   }
 
   /** Takes over a limit that an entry has been told. */
@@ -292,12 +292,21 @@
   ): void {
     const state = this.states.get(upstreamId);
     if (state === undefined) return;
-    const before = state.limit.maxRequestsPerS;
+    const {limit, rejections} = state;
+    const rateBefore = limit.maxRequestsPerS;
+    const rejectionsBefore = rejections.maxRejectionsPerS;
     change(state);
-    const {maxRequestsPerS} = state.limit;
-    if (before === maxRequestsPerS) return;
-    const kind = maxRequestsPerS === undefined ? 'unlimited' : 'limited';
-    this.reportChange(kind, state, `${maxRequestsPerS ?? 'no'} limit per s`);
+    const {maxRequestsPerS} = limit;
+    const {maxRejectionsPerS} = rejections;
+    if (maxRequestsPerS !== rateBefore) {
+      const kind = maxRequestsPerS === undefined ? 'unlimited' : 'limited';
+      this.reportChange(kind, state, `${maxRequestsPerS ?? 'no'} limit per s`);
+    }
+    if (maxRejectionsPerS !== rejectionsBefore) {
+      const kind = maxRejectionsPerS === undefined ? 'not_brittle' : 'brittle';
+      const cause = `${maxRejectionsPerS ?? 'any'} rejections per s`;
+      this.reportChange(kind, state, cause);
+    }
   }
 
   /** Upstreams that are neither down, draining nor in an evacuated domain. */
@@ -338,7 +347,7 @@
 
   private noteSuspectProbeFailure(state: UpstreamState, nowMs: number): void {
     state.isSuspected = false;
-    if (nowMs - state.answeredAtMs < RECENT_ANSWER_MS) return;
+    if (nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS) return;
     this.crashes.noteLost(state, nowMs);
     this.markDown(state, 'probe', nowMs);
   }
@@ -360,7 +369,7 @@
     nowMs: number,
     reporter: InstanceId | undefined,
   ): void {
-    const hasAnswered = nowMs - state.answeredAtMs < RECENT_ANSWER_MS;
+    const hasAnswered = nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS;
     if (state.isSuspected || hasAnswered) return;
     state.isSuspected = true;
     this.reportChange('suspected', state, 'stalled', reporter);
@@ -382,13 +391,3 @@
     });
   }
 }
-
-function withoutFailing(
-  available: readonly UpstreamState[],
-  nowMs: number,
-): readonly UpstreamState[] {
-  const healthy = available.filter(
-    each => each.recentFailureShare(nowMs) <= MAX_FAILURE_SHARE,
-  );
-  return healthy.length * 2 >= available.length ? healthy : available;
-}
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -14,18 +14,21 @@
 import type {RunningRequest} from './crash_watch.js';
 import {EngineSlowness} from './engine_slowness.js';
 import {FailureShare} from './failure_share.js';
+import {LastAnswer} from './last_answer.js';
 import {NamedLimit} from './named_limit.js';
 import type {Placement} from './placement.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
 import type {PromptEstimates} from './prompt_estimates.js';
-import {sharedTokens} from './prompt_parts.js';
+import {ownTokens} from './prompt_parts.js';
 import {fits} from './software_versions.js';
+import {RejectionGuard} from './rejection_guard.js';
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
   BegunStream,
   ListedUpstream,
+  NamedLimits,
   PlacementOutcome,
   Release,
   ServiceTraits,
@@ -50,6 +53,7 @@
   readonly cache = new PrefixCache();
   readonly pacer = new StartPacer();
   readonly limit = new NamedLimit();
+  readonly rejections = new RejectionGuard();
   /** Set until a probe succeeds. */
   isDown = false;
   /** It has said itself that it is about to stop. */
@@ -58,10 +62,7 @@
   downSinceMs = 0;
   /** An entry reported a stall; a probe decides whether it is down. */
   isSuspected = false;
-  /** When it last completed a request successfully. */
-  answeredAtMs = Number.NEGATIVE_INFINITY;
-  /** The entry that got that answer. */
-  private answeredEntry: InstanceId | undefined;
+  readonly lastAnswer = new LastAnswer();
   /** Cold, or not known to be warm, until this time. */
   coldUntilMs = 0;
   /** When its process was last found to have ended. */
@@ -127,7 +128,8 @@
   get freeSlots(): number {
     const {slots} = this.listed;
     const limit = this.isEngine ? slots : this.overcommit.placementLimit(slots);
-    return Math.max(0, limit - this.placements.size);
+    const allowed = this.rejections.placementLimit(slots, limit);
+    return Math.max(0, allowed - this.placements.size);
   }
 
   get freeTokens(): number {
@@ -147,11 +149,6 @@
     return this.failures.at(nowMs);
   }
 
-  /** Whether it has lately answered another entry than this one. */
-  hasAnsweredOther(entry: InstanceId | undefined, sinceMs: number): boolean {
-    return this.answeredAtMs >= sinceMs && this.answeredEntry !== entry;
-  }
-
   /** Counts a stalled request as a failure. */
   noteStall(nowMs: number): void {
     this.failures.note(true, nowMs);
@@ -191,7 +188,7 @@
   /** Whether it can accept the request now. */
   canTake(item: WorkItem, nowMs: number): boolean {
     if (!this.isOpen(nowMs)) return false;
-    return !this.isEngine || this.ownTokens(item) <= this.freeTokens;
+    return !this.isEngine || ownTokens(item) <= this.freeTokens;
   }
 
   /** Whether it can accept any request now. */
@@ -199,6 +196,7 @@
     if (this.isDown || this.isDraining || this.freeSlots === 0) {
       return false;
     }
+    if (this.rejections.isClosed(nowMs)) return false;
     const isPaced = this.startsPerS(nowMs) !== undefined;
     if (isPaced && this.pacer.readyAtMs() > nowMs) return false;
     return !this.isEngine || this.backlogMs(nowMs) <= MAX_PREFILL_BACKLOG_MS;
@@ -267,11 +265,13 @@
     if (placement === undefined) return;
     this.removePlacement(placement);
     if (release.outcome === 'cancelled') return;
-    if (release.outcome === 'rejected') this.overcommit.reset();
+    if (release.outcome === 'rejected') {
+      this.overcommit.reset();
+      this.rejections.noteRejection(nowMs);
+    }
     this.failures.note(FAILURE_OUTCOMES.has(release.outcome), nowMs);
     if (release.outcome !== 'answered') return;
-    this.answeredAtMs = nowMs;
-    this.answeredEntry = placement.item.entry;
+    this.lastAnswer.note(placement.item.entry, nowMs);
     this.overcommit.note(nowMs - placement.startedAtMs, release.totalMs);
     this.updateEstimates(placement, release);
   }
@@ -289,11 +289,13 @@
     this.noteFirstAnswer(placement, nowMs - placement.startedAtMs);
   }
 
-  /** Records the limit that the answer to a request names, or none. */
-  noteLimit(requestId: RequestId, maxRequestsPerS: number | undefined): void {
+  /** Records the limits that the answer to a request names, or none. */
+  noteLimits(requestId: RequestId, limits: NamedLimits): void {
     const placement = this.placements.get(requestId);
     if (placement === undefined) return;
-    this.limit.note(maxRequestsPerS, placement.startedAtMs);
+    const {startedAtMs} = placement;
+    this.limit.note(limits.maxRequestsPerS, startedAtMs);
+    this.rejections.note(limits.maxRejectionsPerS, startedAtMs);
   }
 
   /** Removes placements whose release never arrived. */
@@ -327,6 +329,7 @@
     this.failures.clear();
     this.overcommit.reset();
     this.limit.clear();
+    this.rejections.clear();
   }
 
   /** Rate at which slots become free when all are occupied. */
@@ -344,18 +347,18 @@
     expectedMs: number,
     nowMs: number,
   ): void {
-    const ownTokens = this.ownTokens(item);
+    const tokens = ownTokens(item);
     const replaced = this.placements.get(item.requestId);
     if (replaced !== undefined) this.removePlacement(replaced);
     this.placements.set(item.requestId, {
       item,
       startedAtMs: nowMs,
-      ownTokens,
+      ownTokens: tokens,
       expectedMs,
       hasBegun: false,
       expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
     });
-    this.usedTokens += ownTokens;
+    this.usedTokens += tokens;
     if (item.prompt === undefined) return;
     this.outputTokens += item.prompt.expectedOutputTokens;
     this.cache.touch(item.prompt.parts);
@@ -388,13 +391,4 @@
     this.usedTokens -= placement.ownTokens;
     this.outputTokens -= placement.item.prompt?.expectedOutputTokens ?? 0;
   }
-
-  // Shared parts are accounted for by the cache. A request's own tokens are its
-  // last part, tokens that belong to no part, and its expected output.
-  private ownTokens(item: WorkItem): number {
-    const {prompt} = item;
-    if (prompt === undefined) return 0;
-    const own = Math.max(0, prompt.promptTokens - sharedTokens(prompt.parts));
-    return own + prompt.expectedOutputTokens;
-  }
 }
