Let callers of the soak take streams up, at upstreams of two software versions

The soak knew one version only, and its callers never took a stream up again, so it could not see joined streams. Each region now has upstreams of two versions, a successor has the other one, and a chat that breaks off is taken up once at any entry of the region. The events of a stream must have one version, over both attempts.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -81,6 +81,18 @@
     /as a whole stream/,
     {calls: [call({route: 'once', text: STREAM.replace('id: 3', 'id: 4')})]},
   ],
+  [
+    /has events of v1 and v2/,
+    {
+      calls: [
+        call({
+          route: 'chat',
+          text: 'id: 4\ndata: piece 4 of v2\n\n',
+          takesUp: {attemptId: 'a1', lastEventId: 3, versions: ['v1']},
+        }),
+      ],
+    },
+  ],
   [
     /outside its home regions/,
     {calls: [call({route: 'homed'})], runs: [run()]},
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,6 +1,7 @@
 /** Checks the promises of the gateway against the history of one run. */
 import {domainOf} from './layout.js';
 import {
+  eventsOf,
   HOMES,
   ROUTES,
   type CallResult,
@@ -39,6 +40,7 @@
   const name = `${call.route} ${call.attemptId}`;
   const isPromise = NOT_RUN_STATUSES.includes(call.status);
   return [
+    ...(kind === 'streaming' ? checkVersions(name, call) : []),
     ...broken(runs.length > attempts, `${name} ran ${runs.length} times`),
     ...broken(
       attempts === 1 && isPromise && runs.length > 0,
@@ -67,12 +69,27 @@
   return broken(call.text !== expected, `${name} got "${call.text}"`);
 }
 
-function checkStream(name: string, {text}: CallResult): readonly string[] {
-  const expected = Array.from(
-    {length: EVENTS},
-    (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
-  ).join('');
-  return broken(text !== expected, `${name} got "${text}" as a whole stream`);
+function checkStream(name: string, call: CallResult): readonly string[] {
+  const {text, takesUp} = call;
+  const firstId = takesUp === undefined ? 0 : takesUp.lastEventId + 1;
+  const events = eventsOf(text);
+  const isWhole =
+    events.length === EVENTS - firstId &&
+    events.every(({id}, index) => id === firstId + index);
+  return broken(!isWhole, `${name} got "${text}" as a whole stream`);
+}
+
+/** A stream has one software version, over all attempts of its caller. */
+function checkVersions(
+  name: string,
+  {text, takesUp}: CallResult,
+): readonly string[] {
+  const versions = new Set([
+    ...(takesUp?.versions ?? []),
+    ...eventsOf(text).map(each => each.version),
+  ]);
+  const seen = [...versions].join(' and ');
+  return broken(versions.size > 1, `${name} has events of ${seen}`);
 }
 
 function checkUnknownRuns({calls, runs}: History): readonly string[] {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -126,6 +126,9 @@
       },
     );
     upstream.bornAtMs = lifetime + 1;
+    // Two versions side by side in each region; a successor has the other one.
+    const position = this.layout.upstreams.indexOf(place);
+    upstream.softwareVersion = (position + lifetime) % 2 === 0 ? 'v1' : 'v2';
     this.current.set(name, upstream);
     this.listed.push(upstream);
     await upstream.start();
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -13,6 +13,32 @@
   readonly isComplete: boolean;
   readonly stamp: string | undefined;
   readonly text: string;
+  /** Set if it goes on with a stream that broke off. */
+  readonly takesUp?: TakeUp;
+}
+
+/** What a caller holds of a stream when it takes it up again. */
+export interface TakeUp {
+  readonly attemptId: string;
+  readonly lastEventId: number;
+  /** Software versions that wrote the events so far. */
+  readonly versions: readonly string[];
+}
+
+/** One whole event of a stream. */
+export interface SoakEvent {
+  readonly id: number;
+  readonly version: string;
+}
+
+const EVENT_PATTERN = /^id: (\d+)\ndata: piece \1(?: of (\S+))?\n\n/gm;
+
+/** The whole events in the text of a response. */
+export function eventsOf(text: string): readonly SoakEvent[] {
+  return [...text.matchAll(EVENT_PATTERN)].map(([, id, version = '']) => ({
+    id: Number(id),
+    version,
+  }));
 }
 
 /** One change that an operator sent, or one reading. */
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -1,7 +1,13 @@
 /** Callers of one run: they keep connections and note what they get. */
 import {Agent, request} from 'undici';
 import {HEADER} from '../platform/headers.js';
-import {ROUTES, type CallResult, type RouteName} from './history.js';
+import {
+  eventsOf,
+  ROUTES,
+  type CallResult,
+  type RouteName,
+  type TakeUp,
+} from './history.js';
 import {REGIONS} from './layout.js';
 
 export const HOST = 'soak.example';
@@ -62,27 +68,59 @@
       return;
     }
     this.sent += 1;
-    const call = this.call(address, region, route, `soak-${this.sent}`);
+    const call = this.callAndTakeUp(
+      address,
+      region,
+      route,
+      `soak-${this.sent}`,
+    );
     this.underWay.add(call);
     void call.finally(() => this.underWay.delete(call));
   }
 
-  private async call(
+  /** A stream that breaks off is taken up once, at any entry of the region. */
+  private async callAndTakeUp(
     address: string,
     region: string,
     route: RouteName,
     attemptId: string,
   ): Promise<void> {
+    const first = await this.call(address, region, route, attemptId);
+    const events = eventsOf(first.text);
+    const lastEventId = events.at(-1)?.id;
+    const {entries, random} = this.options;
+    const next = pick(entries.get(region) ?? [], random);
+    const mayTakeUp = ROUTES[route].resumable && !first.isComplete;
+    if (!mayTakeUp || lastEventId === undefined || next === undefined) return;
+    const versions = events.map(each => each.version);
+    await this.call(next, region, route, `${attemptId}-again`, {
+      attemptId,
+      lastEventId,
+      versions,
+    });
+  }
+
+  private async call(
+    address: string,
+    region: string,
+    route: RouteName,
+    attemptId: string,
+    takesUp?: TakeUp,
+  ): Promise<CallResult> {
     const sentAtMs = performance.now();
-    const end = await this.exchange(address, route, attemptId);
+    const end = await this.exchange(address, route, attemptId, takesUp);
     const endedAtMs = performance.now();
-    this.calls.push({attemptId, route, region, sentAtMs, endedAtMs, ...end});
+    const call = {attemptId, route, region, sentAtMs, endedAtMs, ...end};
+    const result = takesUp === undefined ? call : {...call, takesUp};
+    this.calls.push(result);
+    return result;
   }
 
   private async exchange(
     address: string,
     route: RouteName,
     attemptId: string,
+    takesUp: TakeUp | undefined,
   ): Promise<Pick<CallResult, 'status' | 'isComplete' | 'stamp' | 'text'>> {
     const {path} = ROUTES[route];
     const seen = {status: 0, stamp: undefined as string | undefined, text: ''};
@@ -94,6 +132,12 @@
           host: HOST,
           [HEADER.attemptId]: attemptId,
           [HEADER.waitsMs]: String(PATIENCE_MS),
+          ...(takesUp === undefined
+            ? {}
+            : {
+                [HEADER.lastEventId]: String(takesUp.lastEventId),
+                [HEADER.resumedAttemptId]: takesUp.attemptId,
+              }),
         },
         body: attemptId,
         signal: AbortSignal.timeout(PATIENCE_MS),
