End a notice of an upstream with the process that gave it

An upstream that said that it leaves was left out for two minutes by its id, also if a new process had started under that id meanwhile: nothing could clear it. Notices are kept by process now, id and start, as crashes are; the grant names it. A leaving process that had named a time to come back before is reported to the scheduler too.

--- a/src/node/dispatch/upstream_notices.ts
+++ b/src/node/dispatch/upstream_notices.ts
@@ -1,8 +1,8 @@
 /** What upstreams have told this entry about sending them requests. */
 import {monotonicNowMs} from '../clock/clock.js';
-import type {UpstreamId} from '../types/ids.js';
+import type {UpstreamProcessId} from '../types/ids.js';
 
-/** A leaving upstream is gone, or at least listed as such, after this time. */
+/** A leaving process is gone, or at least listed as such, after this time. */
 const LEAVING_RETENTION_MS = 120_000;
 /** Upstreams kept; the oldest notices are dropped first. */
 const MAX_UPSTREAMS = 1_024;
@@ -15,39 +15,51 @@
   readonly isLeaving: boolean;
 }
 
-/** The upstreams to which one entry sends nothing for the time being. */
+/**
+ * The upstreams to which one entry sends nothing for the time being. What one
+ * process says does not bind the next one under the same id.
+ */
 export class UpstreamNotices {
-  private readonly untilMs = new Map<UpstreamId, number>();
+  private readonly untilMs = new Map<UpstreamProcessId, number>();
+  private readonly leaving = new Set<UpstreamProcessId>();
 
   /** Records an answer and returns whether it says something new. */
   note(
-    upstreamId: UpstreamId,
+    processId: UpstreamProcessId,
     {retryAfterMs = 0, isLeaving}: UpstreamNotice,
   ): boolean {
     const forMs = isLeaving ? LEAVING_RETENTION_MS : retryAfterMs;
     if (forMs <= 0) return false;
-    const isNew = !this.forbids(upstreamId);
-    const before = this.untilMs.get(upstreamId) ?? 0;
-    this.untilMs.delete(upstreamId);
-    this.untilMs.set(upstreamId, Math.max(before, monotonicNowMs() + forMs));
+    const isNew = isLeaving
+      ? !this.leaving.has(processId)
+      : !this.forbids(processId);
+    if (isLeaving) this.leaving.add(processId);
+    const before = this.untilMs.get(processId) ?? 0;
+    this.untilMs.delete(processId);
+    this.untilMs.set(processId, Math.max(before, monotonicNowMs() + forMs));
     const [oldest] = this.untilMs.keys();
     if (this.untilMs.size > MAX_UPSTREAMS && oldest !== undefined) {
-      this.untilMs.delete(oldest);
+      this.forget(oldest);
     }
     return isNew;
   }
 
   /** Whether nothing may be sent to the upstream now. */
-  forbids(upstreamId: UpstreamId): boolean {
-    return (this.untilMs.get(upstreamId) ?? 0) > monotonicNowMs();
+  forbids(processId: UpstreamProcessId): boolean {
+    return (this.untilMs.get(processId) ?? 0) > monotonicNowMs();
   }
 
   /** The upstreams to which nothing may be sent now. */
-  forbidden(): readonly UpstreamId[] {
+  forbidden(): readonly UpstreamProcessId[] {
     const nowMs = monotonicNowMs();
     [...this.untilMs]
       .filter(([, untilMs]) => untilMs <= nowMs)
-      .forEach(([upstreamId]) => this.untilMs.delete(upstreamId));
+      .forEach(([processId]) => this.forget(processId));
     return [...this.untilMs.keys()];
   }
+
+  private forget(processId: UpstreamProcessId): void {
+    this.untilMs.delete(processId);
+    this.leaving.delete(processId);
+  }
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -148,7 +148,7 @@
     const decision = await scheduler.acquire(this.items.next(), this.signal);
     const isForbidden =
       decision.kind === 'grant' &&
-      this.context.notices.forbids(decision.upstreamId);
+      this.context.notices.forbids(decision.processId);
     if (!isForbidden) return decision;
     cancelGrant(scheduler, decision);
     return this.acquire(scheduler);
@@ -254,7 +254,7 @@
     if (limits.note(grant, maxRequestsPerS, sentAtMs)) {
       log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
     }
-    const isNew = notices.note(upstream, traits);
+    const isNew = notices.note(grant.processId, traits);
     if (!isNew) return;
     if (isLeaving) scheduler.report('leaving', grant);
     log.write('upstream_notice', this.request, {
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream for one request. */
 import type {LongPromptLane} from './long_prompt_lane.js';
+import {processIdOf} from './upstream_process.js';
 import type {UpstreamState} from './upstream_state.js';
 import type {WorkItem} from './types.js';
 
@@ -48,10 +49,12 @@
     begun === undefined
       ? upstreams
       : upstreams.filter(each => each.mayContinue(begun));
-  const excluded = [...unreachable, ...forbidden];
-  return excluded.length === 0
-    ? fitting
-    : fitting.filter(each => !excluded.includes(each.listed.upstreamId));
+  if (unreachable.length + forbidden.length === 0) return fitting;
+  return fitting.filter(
+    ({listed}) =>
+      !unreachable.includes(listed.upstreamId) &&
+      !forbidden.includes(processIdOf(listed)),
+  );
 }
 
 /** The upstreams at which the request has not failed. */
--- a/src/node/scheduling/crash_watch.ts
+++ b/src/node/scheduling/crash_watch.ts
@@ -5,6 +5,7 @@
  */
 import type {UpstreamId} from '../types/ids.js';
 import type {ListedUpstream, WorkItem} from './types.js';
+import {processIdOf} from './upstream_process.js';
 
 /** A request that ran on an upstream. */
 export interface RunningRequest {
@@ -40,10 +41,10 @@
     {listed, isDraining, runningRequests: running}: LostUpstream,
     nowMs: number,
   ): void {
-    const {upstreamId, bornAtMs} = listed;
+    const {upstreamId} = listed;
     if (isDraining || running.length === 0) return;
     this.suspected.set(upstreamId, {
-      crashId: `${upstreamId}@${bornAtMs}`,
+      crashId: processIdOf(listed),
       upstreamId,
       atMs: nowMs,
       running,
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -3,6 +3,7 @@
 import {MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS} from './constants.js';
 import type {OffloadTarget} from './offload_planner.js';
 import type {Decision, RefusalReason, WorkItem} from './types.js';
+import {processIdOf} from './upstream_process.js';
 import type {UpstreamState} from './upstream_state.js';
 
 /** Reasons for which any retry before the predicted time is refused again. */
@@ -46,6 +47,7 @@
     domain,
     upstreamId: upstream.listed.upstreamId,
     address: upstream.listed.address,
+    processId: processIdOf(upstream.listed),
     queuedMs,
     expectedMs: upstream.expectedMs(item, nowMs),
     isCold: upstream.isCold(nowMs),
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -7,6 +7,7 @@
   ServiceId,
   SoftwareVersion,
   UpstreamId,
+  UpstreamProcessId,
 } from '../types/ids.js';
 
 /** One part of a prompt that engines may have cached. */
@@ -63,8 +64,8 @@
   readonly begun?: BegunStream;
   /** Upstreams that its entry cannot reach. */
   readonly unreachable?: readonly UpstreamId[];
-  /** Upstreams that want no requests from its entry for now. */
-  readonly forbidden?: readonly UpstreamId[];
+  /** Upstream processes that want no requests from its entry for now. */
+  readonly forbidden?: readonly UpstreamProcessId[];
   /** Whether another entry of the region could send it to these upstreams. */
   readonly mayUsePeer?: boolean;
   /** Upstreams that rejected or failed the request before. */
@@ -149,6 +150,7 @@
       readonly domain: DomainId;
       readonly upstreamId: UpstreamId;
       readonly address: string;
+      readonly processId: UpstreamProcessId;
       /** `undefined` if the version of the upstream is not known. */
       readonly softwareVersion?: SoftwareVersion;
       /** Time spent in the scheduler's queue. */
--- a/src/node/types/ids.ts
+++ b/src/node/types/ids.ts
@@ -22,6 +22,8 @@
 export type WorkspaceId = Branded<string, 'WorkspaceId'>;
 /** An upstream: a model engine or a plain service. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
+/** One process of an upstream: it may start again under the same id. */
+export type UpstreamProcessId = Branded<string, 'UpstreamProcessId'>;
 /** The version of the software that an upstream runs, not of its model. */
 export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A model that engines can load. */
