Log what entries hand over to a new scheduler, and which response ends a limit

The logs could not tell whether a scheduler that starts knows its upstreams, whether limits handed to it find their upstreams, and which status the response had that ended a limit. scheduler_started names the upstreams that are known, scheduler_handover what an entry hands over and how much of it concerns upstreams that are not listed yet, upstream_limit the status. The log lines of the schedulers move into a module of their own; no decision changes.

--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -47,6 +47,12 @@
   domain: z.string().transform(value => asId<DomainId>(value)),
 });
 
+/** The scope of one scheduler: the upstreams of a service in a domain. */
+export interface SchedulerScope {
+  readonly service: ServiceId;
+  readonly domain: DomainId;
+}
+
 /** One message from an entry to the scheduler of a service in a domain. */
 export type SubmissionPart = {readonly domain: DomainId} & SubmissionBody;
 
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -13,12 +13,8 @@
 import type {DomainId, InstanceId, RegionId, UpstreamId} from '../types/ids.js';
 import {BATCH_TIMEOUT_MS} from './batch_link.js';
 import type {ListReader} from './list_reader.js';
-import {DIGEST_METHOD} from './messages.js';
-import type {
-  ProbeTarget,
-  SchedulerHost,
-  SchedulerScope,
-} from './scheduler_host.js';
+import {DIGEST_METHOD, type SchedulerScope} from './messages.js';
+import type {ProbeTarget, SchedulerHost} from './scheduler_host.js';
 import {SuspectExchange} from './suspect_exchange.js';
 import type {UpstreamFeed} from './upstream_feed.js';
 import {UpstreamProber} from './upstream_prober.js';
--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -24,11 +24,11 @@
 import {localRefusal} from './local_decisions.js';
 import {cancelledPlacements} from './decision_sender.js';
 import type {DomainChoice} from './domain_choice.js';
-import type {SchedulerScope} from './scheduler_host.js';
 import type {UpstreamLimits} from './upstream_limits.js';
 import {
   SUBMIT_METHOD,
   type PlacementReport,
+  type SchedulerScope,
   type SubmissionPart,
   type SubmissionReply,
 } from './messages.js';
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -27,8 +27,8 @@
   ServiceId,
   UpstreamId,
 } from '../types/ids.js';
-import {logCrash} from './crash_log.js';
-import type {SubmissionPart} from './messages.js';
+import type {SchedulerScope, SubmissionPart} from './messages.js';
+import {SchedulerLog} from './scheduler_log.js';
 
 const PROBED_CHANGES: ReadonlySet<PoolChange['kind']> = new Set([
   'down',
@@ -58,12 +58,6 @@
   readonly address: string;
 }
 
-/** The scope of one scheduler: the upstreams of a service in a domain. */
-export interface SchedulerScope {
-  readonly service: ServiceId;
-  readonly domain: DomainId;
-}
-
 /** The load of the schedulers on one entry. */
 export interface SchedulerLoad {
   /** Number of requests submitted since the start. */
@@ -95,6 +89,7 @@
   private readonly system = start();
   private readonly hosted = new Map<string, HostedScheduler>();
   private readonly actor;
+  private readonly log: SchedulerLog;
   private reading: ListReading | undefined;
   private evacuated: readonly DomainId[] = [];
   private timer: ReturnType<typeof setTimeout> | undefined;
@@ -102,6 +97,7 @@
   private itemsTaken = 0;
 
   constructor(private readonly options: SchedulerHostOptions) {
+    this.log = new SchedulerLog(options);
     this.actor = spawn(
       this.system,
       (_state: undefined, message: HostMessage) => this.handle(message),
@@ -280,6 +276,7 @@
           part.limits,
         );
       case 'running':
+        this.log.handedOver(from, part, scheduler.pool);
         return scheduler.syncRunning(from, part, nowMs);
     }
   }
@@ -314,7 +311,7 @@
       known.lastUsedAtMs = nowMs;
       return known.scheduler;
     }
-    const {region, retries, logger} = this.options;
+    const {region, retries} = this.options;
     const {service, domain} = scope;
     const scheduler = new Scheduler({
       region,
@@ -325,10 +322,7 @@
       onCrash: crash => this.noteCrash(service, crash),
       evidence: this.evidence,
       onLaneChange: (members, demand) =>
-        logger.info(
-          {event: 'long_prompt_lane', service, members, demand},
-          'engines of the long-prompt lane changed',
-        ),
+        this.log.laneChanged(service, members, demand),
     });
     scheduler.setEvacuated(this.evacuated, nowMs);
     const created: HostedScheduler = {
@@ -338,10 +332,7 @@
     };
     if (this.reading !== undefined) applyReadingTo(created, this.reading);
     this.hosted.set(scopeKey(scope), created);
-    logger.info(
-      {event: 'scheduler_started', service, domain},
-      'scheduler started for a service in a domain',
-    );
+    this.log.started(scope, scheduler.pool.all().length);
     return scheduler;
   }
 
@@ -356,30 +347,15 @@
   }
 
   private notePoolChange(service: ServiceId, change: PoolChange): void {
-    const {logger, metrics} = this.options;
-    metrics.count('upstream_changes', {kind: change.kind});
-    logger.info(
-      {
-        event: `upstream_${change.kind}`,
-        service,
-        upstream: change.upstreamId,
-        cause: change.cause,
-        reporter: change.reporter,
-        coldRemainingMs: change.coldRemainingMs,
-        coldRequestsPerS: this.traitsOf(service).coldRequestsPerS,
-      },
-      'assumed state of an upstream changed',
-    );
+    this.log.poolChanged(service, change, this.traitsOf(service));
     if (PROBED_CHANGES.has(change.kind)) this.options.onDown();
   }
 
   private noteCrash(service: ServiceId, crash: UpstreamCrash): void {
-    const {logger, metrics} = this.options;
     const {crashId, atMs, running} = crash;
     const runs = suspectRuns(running);
     this.evidence.noteCrash(crashId, atMs, runs, monotonicNowMs());
-    metrics.count('upstream_crashes', {service});
-    logCrash(logger, service, crash);
+    this.log.crashed(service, crash);
   }
 }
 
--- /dev/null
+++ b/src/node/dispatch/scheduler_log.ts
@@ -0,0 +1,90 @@
+/** Log lines and counters of the schedulers on one entry. */
+import type {Logger} from '../logging/logger.js';
+import type {MetricsRegistry} from '../metrics/registry.js';
+import type {UpstreamCrash} from '../scheduling/crash_watch.js';
+import type {EntryPlacements, ServiceTraits} from '../scheduling/types.js';
+import type {PoolChange, UpstreamPool} from '../scheduling/upstream_pool.js';
+import type {InstanceId, ServiceId, UpstreamId} from '../types/ids.js';
+import {logCrash} from './crash_log.js';
+import type {SchedulerScope} from './messages.js';
+
+export interface SchedulerLogOptions {
+  readonly logger: Logger;
+  readonly metrics: MetricsRegistry;
+}
+
+/** Logs what the schedulers learn and assume. */
+export class SchedulerLog {
+  constructor(private readonly options: SchedulerLogOptions) {}
+
+  /** A scheduler without upstreams has yet to read the list. */
+  started({service, domain}: SchedulerScope, upstreams: number): void {
+    this.options.logger.info(
+      {event: 'scheduler_started', service, domain, upstreams},
+      'scheduler started for a service in a domain',
+    );
+  }
+
+  /** Logged before the scheduler applies what the entry hands over. */
+  handedOver(
+    entry: InstanceId,
+    handover: SchedulerScope & EntryPlacements,
+    pool: UpstreamPool,
+  ): void {
+    const {service, domain, placements, limits} = handover;
+    const isUnlisted = ({upstreamId}: {upstreamId: UpstreamId}): boolean =>
+      pool.get(upstreamId) === undefined;
+    this.options.logger.info(
+      {
+        event: 'scheduler_handover',
+        service,
+        domain,
+        entry,
+        placements: placements.length,
+        unlistedPlacements: placements.filter(isUnlisted).length,
+        limits: limits.map(
+          each => `${each.upstreamId}:${each.maxRequestsPerS}`,
+        ),
+        unlistedLimits: limits.filter(isUnlisted).length,
+      },
+      'entry told the scheduler what it runs and which limits it knows',
+    );
+  }
+
+  poolChanged(
+    service: ServiceId,
+    change: PoolChange,
+    {coldRequestsPerS}: Pick<ServiceTraits, 'coldRequestsPerS'>,
+  ): void {
+    const {logger, metrics} = this.options;
+    const {kind, upstreamId, ...details} = change;
+    metrics.count('upstream_changes', {kind});
+    logger.info(
+      {
+        event: `upstream_${kind}`,
+        service,
+        upstream: upstreamId,
+        ...details,
+        coldRequestsPerS,
+      },
+      'assumed state of an upstream changed',
+    );
+  }
+
+  crashed(service: ServiceId, crash: UpstreamCrash): void {
+    const {logger, metrics} = this.options;
+    metrics.count('upstream_crashes', {service});
+    logCrash(logger, service, crash);
+  }
+
+  laneChanged(
+    service: ServiceId,
+    members: readonly UpstreamId[],
+    demand: number,
+  ): void {
+    this.options.logger.info(
+      {event: 'long_prompt_lane', service, members, demand},
+      'engines of the long-prompt lane changed',
+    );
+  }
+}
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -22,6 +22,7 @@
 } from '../types/ids.js';
 import {
   ResponseReader,
+  type ResponseHead,
   type ResponseReaderOptions,
   type StreamProgress,
 } from './response_reader.js';
@@ -30,7 +31,7 @@
 import type {ExchangeEnd} from './exchange.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
-import type {RequestProtocol, ResponseTraits} from './protocol.js';
+import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
@@ -174,7 +175,7 @@
     const reader = this.createReader(sentAtMs, {
       softwareVersion: grant.softwareVersion,
       onProgress: monitor.record,
-      onHead: traits => this.noteAnswer(grant, traits, sentAtMs),
+      onHead: head => this.noteAnswer(grant, head, sentAtMs),
     });
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
@@ -244,7 +245,7 @@
 
   private noteAnswer(
     grant: Grant,
-    traits: ResponseTraits,
+    {status, traits}: ResponseHead,
     sentAtMs: number,
   ): void {
     const {limits, notices, scheduler, log} = this.context;
@@ -252,7 +253,11 @@
     const {maxRequestsPerS, retryAfterMs, isLeaving} = traits;
     scheduler.reportLimits(grant, traits);
     if (limits.note(grant, maxRequestsPerS, sentAtMs)) {
-      log.write('upstream_limit', this.request, {upstream, maxRequestsPerS});
+      log.write('upstream_limit', this.request, {
+        upstream,
+        maxRequestsPerS,
+        status,
+      });
     }
     const isNew = notices.note(grant.processId, traits);
     if (!isNew) return;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -43,7 +43,7 @@
   readonly isForPeer: boolean;
   /** The version of the upstream, unless another entry has to name it. */
   readonly softwareVersion?: SoftwareVersion | undefined;
-  readonly onHead?: (traits: ResponseTraits) => void;
+  readonly onHead?: (head: ResponseHead) => void;
   readonly onResponseStart: () => void;
   /** Called on progress, with the time of the previous one or 0. */
   readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
@@ -120,7 +120,7 @@
       throw new Error('response carries the attempt id of another request');
     }
     this.head = {status, headers, traits};
-    this.options.onHead?.(traits);
+    this.options.onHead?.(this.head);
     if (this.isSuccess && (!traits.isSigned || traits.isEncoded)) {
       throw new Error('successful response is unsigned or content-encoded');
     }
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -69,7 +69,24 @@
     domain: z.string(),
     to: z.string(),
   },
-  scheduler_started: {service: z.string(), domain: z.string()},
+  scheduler_started: {
+    service: z.string(),
+    domain: z.string(),
+    /** Upstreams that it knows; 0 if it has yet to read the list. */
+    upstreams: z.number(),
+  },
+  scheduler_handover: {
+    service: z.string(),
+    domain: z.string(),
+    /** The entry that tells what it runs and which limits it knows. */
+    entry: z.string(),
+    placements: z.number(),
+    /** `UPSTREAM:LIMIT`, in requests a second. */
+    limits: z.array(z.string()),
+    /** How many of them name an upstream that the scheduler does not list. */
+    unlistedPlacements: z.number(),
+    unlistedLimits: z.number(),
+  },
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
@@ -173,6 +190,8 @@
     upstream: z.string(),
     /** Requests a second from all instances; missing if the limit has ended. */
     maxRequestsPerS: z.number().optional(),
+    /** Of the response that says so. */
+    status: z.number(),
   },
   upstream_notice: {
     ...matched,
