Keep what entries hand over to a scheduler until the list shows its upstreams

Seen: an engine that names 1 request a second gets 17 in 4 s (11 are allowed) when the entry that schedules it is stopped as planned, and callers' requests pile up on engines that are busy already.

Cause: only entries that schedule something read the list. The other entries hand over what they run and which limits they know at once; both were dropped for upstreams that are not listed yet, and never sent again. So the new scheduler took each engine for idle and unlimited as the list came, and sent it all requests that had queued.

The change reports of a pool move to a module of their own.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -18,7 +18,7 @@
 } from '../scheduling/types.js';
 import type {UpstreamCrash} from '../scheduling/crash_watch.js';
 import {suspectRuns} from '../scheduling/suspects.js';
-import type {PoolChange} from '../scheduling/upstream_pool.js';
+import type {PoolChange} from '../scheduling/pool_changes.js';
 import {toGatewayError} from '../types/errors.js';
 import type {
   DomainId,
--- a/src/node/scheduling/__tests__/named_limits.spec.ts
+++ b/src/node/scheduling/__tests__/named_limits.spec.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {matchSnapshot} from '../../__tests__/support/snapshot.js';
-import {asId, type UpstreamId} from '../../types/ids.js';
+import {asId, type InstanceId, type UpstreamId} from '../../types/ids.js';
 import type {Scheduler} from '../scheduler.js';
-import type {Decision} from '../types.js';
+import type {Decision, WorkItem} from '../types.js';
 import {
   chat,
   createScheduler,
@@ -123,3 +123,36 @@
   const decisions = sendFor(scheduler, SECOND_MS, SECOND_MS);
   assert.ok(countOf(decisions, LIMITED) <= LIMIT_PER_S);
 });
+
+// Guards against a scheduler that takes over before it has read the list, and then
+// takes the upstreams for idle and unlimited.
+test('what is handed over before the list is read holds after it', () => {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  const {entry} = chat('any');
+  const other = asId<InstanceId>('other');
+  const placementOf = (item: WorkItem) => ({item, upstreamId: LIMITED});
+  const limits = [{upstreamId: LIMITED, maxRequestsPerS: LIMIT_PER_S}];
+  const kept = ['kept', 'ended'].map(name => placementOf(chat(name)));
+  const lost = [placementOf(chat('lost', {entry: other}))];
+  scheduler.syncRunning(entry, {placements: kept, limits}, SECOND_MS);
+  scheduler.syncRunning(other, {placements: lost, limits: []}, SECOND_MS);
+  scheduler.pruneEntries(each => each === entry);
+  scheduler.release(
+    [
+      {
+        requestId: chat('ended').requestId,
+        upstreamId: LIMITED,
+        outcome: 'answered',
+        firstAnswerMs: 20,
+        totalMs: 20,
+      },
+    ],
+    SECOND_MS,
+  );
+  const upstreams = [upstream(LIMITED)];
+  scheduler.pool.applyReading({upstreams, readAtMs: SECOND_MS, lagMs: 0});
+  const state = scheduler.pool.get(LIMITED);
+  const running = state?.runningRequests.map(({item}) => item.requestId);
+  assert.deepEqual(running, [chat('kept').requestId]);
+  assert.equal(state?.limit.maxRequestsPerS, LIMIT_PER_S);
+});
--- a/src/node/scheduling/scheduler_options.ts
+++ b/src/node/scheduling/scheduler_options.ts
@@ -4,7 +4,7 @@
 import type {UpstreamCrash} from './crash_watch.js';
 import type {RetryBudgetOptions} from './retry_budget.js';
 import type {ServiceTraits} from './types.js';
-import type {PoolChange} from './upstream_pool.js';
+import type {PoolChange} from './pool_changes.js';
 
 export interface SchedulerOptions {
   readonly region: RegionId;
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -9,6 +9,8 @@
 import {applyCold, assumeCold, coldUntil} from './cold_time.js';
 import {CrashWatch, type UpstreamCrash} from './crash_watch.js';
 import {tokensOf} from './forecast.js';
+import {PendingHandover} from './pending_handover.js';
+import {PoolChanges, type PoolChange} from './pool_changes.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import {withoutFailing} from './failure_share.js';
 import {fits} from './software_versions.js';
@@ -26,27 +28,6 @@
 } from './types.js';
 import {UpstreamState} from './upstream_state.js';
 
-/** A change in the assumed state of one upstream, for the log. */
-export interface PoolChange {
-  readonly kind:
-    | 'listed'
-    | 'unlisted'
-    | 'reborn'
-    | 'draining'
-    | 'suspected'
-    | 'down'
-    | 'up'
-    | 'limited'
-    | 'unlimited'
-    | 'brittle'
-    | 'not_brittle';
-  readonly upstreamId: UpstreamId;
-  readonly cause: string;
-  /** The entry whose report led to it, if it was one. */
-  readonly reporter: InstanceId | undefined;
-  readonly coldRemainingMs: number;
-}
-
 /** Outcomes after which an upstream is down or may have restarted cold. */
 const DOWN_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   'broken',
@@ -71,10 +52,13 @@
 
   private traits: ServiceTraits;
   private readonly crashes: CrashWatch;
+  private readonly changes: PoolChanges;
+  private readonly pending = new PendingHandover();
 
-  constructor(private readonly options: UpstreamPoolOptions) {
+  constructor(options: UpstreamPoolOptions) {
     this.traits = options.traits;
     this.crashes = new CrashWatch(options.onCrash);
+    this.changes = new PoolChanges(options.onPoolChange);
   }
 
   /**
@@ -152,7 +136,7 @@
       .filter(each => !listedIds.has(each.listed.upstreamId))
       .forEach(each => {
         this.states.delete(each.listed.upstreamId);
-        this.reportChange('unlisted', each, 'list');
+        this.changes.report('unlisted', each, 'list');
         this.crashes.confirm(each.listed.upstreamId);
       });
     reading.upstreams.forEach(listed => this.applyListed(listed, reading));
@@ -165,9 +149,12 @@
     nowMs: number,
   ): void {
     this.states.forEach(each => each.removeEntry(entry));
-    placements.forEach(({item, upstreamId}) =>
-      this.states.get(upstreamId)?.adopt(item, nowMs),
-    );
+    this.pending.removeEntries(each => each === entry);
+    placements.forEach(placement => {
+      const state = this.states.get(placement.upstreamId);
+      if (state === undefined) this.pending.addPlacement(placement);
+      else state.adopt(placement.item, nowMs);
+    });
   }
 
   /** Removes the placements of unknown entries. */
@@ -178,11 +165,13 @@
         .filter(entry => !isKnown(entry))
         .forEach(entry => upstream.removeEntry(entry)),
     );
+    this.pending.removeEntries(entry => !isKnown(entry));
   }
 
   /** Ends a placement and marks the upstream down if the outcome says so. */
   end(release: Release, nowMs: number): void {
     const state = this.states.get(release.upstreamId);
+    this.pending.end(release.requestId);
     if (state === undefined) return;
     const reporter = state.requestOf(release.requestId)?.entry;
     const isPathLost =
@@ -223,7 +212,7 @@
     const state = this.states.get(upstreamId);
     if (state === undefined || state.isDraining) return;
     state.isLeaving = true;
-    this.reportChange('draining', state, 'answer');
+    this.changes.report('draining', state, 'answer');
   }
 
   /** Records the limits that the answer to a request names, or none. */
@@ -232,12 +221,16 @@
     requestId: RequestId,
     limits: NamedLimits,
   ): void {
-    this.changeLimit(upstreamId, state => state.noteLimits(requestId, limits));
+    const state = this.states.get(upstreamId);
+    if (state === undefined) return;
+    this.changes.reportLimits(state, () => state.noteLimits(requestId, limits));
   }
 
   /** Takes over a limit that an entry has been told. */
-  adoptLimit({upstreamId, maxRequestsPerS}: UpstreamLimit): void {
-    this.changeLimit(upstreamId, state => state.limit.adopt(maxRequestsPerS));
+  adoptLimit(limit: UpstreamLimit): void {
+    const state = this.states.get(limit.upstreamId);
+    if (state === undefined) this.pending.addLimit(limit);
+    else this.adopt(state, limit);
   }
 
   /** Upstreams that are down or suspected and must be probed. */
@@ -283,30 +276,21 @@
     this.crashes.dismiss(upstreamId);
     if (!state.isDown) return;
     state.isDown = false;
-    this.reportChange('up', state, 'probe');
+    this.changes.report('up', state, 'probe');
   }
 
-  private changeLimit(
-    upstreamId: UpstreamId,
-    change: (state: UpstreamState) => void,
-  ): void {
-    const state = this.states.get(upstreamId);
-    if (state === undefined) return;
-    const {limit, rejections} = state;
-    const rateBefore = limit.maxRequestsPerS;
-    const rejectionsBefore = rejections.maxRejectionsPerS;
-    change(state);
-    const {maxRequestsPerS} = limit;
-    const {maxRejectionsPerS} = rejections;
-    if (maxRequestsPerS !== rateBefore) {
-      const kind = maxRequestsPerS === undefined ? 'unlimited' : 'limited';
-      this.reportChange(kind, state, `${maxRequestsPerS ?? 'no'} limit per s`);
-    }
-    if (maxRejectionsPerS !== rejectionsBefore) {
-      const kind = maxRejectionsPerS === undefined ? 'not_brittle' : 'brittle';
-      const cause = `${maxRejectionsPerS ?? 'any'} rejections per s`;
-      this.reportChange(kind, state, cause);
-    }
+  private adopt(state: UpstreamState, {maxRequestsPerS}: UpstreamLimit): void {
+    this.changes.reportLimits(state, () => state.limit.adopt(maxRequestsPerS));
+  }
+
+  /** Applies what entries handed over before the list showed the upstream. */
+  private adoptPending(state: UpstreamState, nowMs: number): void {
+    const {upstreamId} = state.listed;
+    this.pending.placementsOf(upstreamId).forEach(each => {
+      state.adopt(each.item, nowMs);
+    });
+    this.pending.limitsOf(upstreamId).forEach(each => this.adopt(state, each));
+    this.pending.remove(upstreamId);
   }
 
   /** Upstreams that are neither down, draining nor in an evacuated domain. */
@@ -326,7 +310,8 @@
       created.listedAsOfMs = reading.readAtMs - reading.lagMs;
       this.states.set(listed.upstreamId, created);
       applyCold(created, listed, reading);
-      this.reportChange('listed', created, 'list');
+      this.changes.report('listed', created, 'list');
+      this.adoptPending(created, reading.readAtMs);
       return;
     }
     const before = known.listed;
@@ -335,12 +320,12 @@
     if (listed.bornAtMs > before.bornAtMs) {
       known.reset();
       known.endedAtMs = Number.NEGATIVE_INFINITY;
-      this.reportChange('reborn', known, 'list');
+      this.changes.report('reborn', known, 'list');
       this.crashes.confirm(listed.upstreamId);
     }
     const wasDraining = before.isDraining || known.isLeaving;
     if (listed.isDraining && !wasDraining) {
-      this.reportChange('draining', known, 'list');
+      this.changes.report('draining', known, 'list');
     }
     applyCold(known, listed, reading);
   }
@@ -360,7 +345,7 @@
   ): void {
     state.isDown = true;
     state.downSinceMs = nowMs;
-    this.reportChange('down', state, cause, reporter);
+    this.changes.report('down', state, cause, reporter);
   }
 
   // An upstream that has just answered another request needs no probe.
@@ -372,22 +357,6 @@
     const hasAnswered = nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS;
     if (state.isSuspected || hasAnswered) return;
     state.isSuspected = true;
-    this.reportChange('suspected', state, 'stalled', reporter);
-  }
-
-  private reportChange(
-    kind: PoolChange['kind'],
-    state: UpstreamState,
-    cause: string,
-    reporter?: InstanceId,
-  ): void {
-    const {upstreamId, coldRemainingMs} = state.listed;
-    this.options.onPoolChange({
-      kind,
-      upstreamId,
-      cause,
-      reporter,
-      coldRemainingMs,
-    });
+    this.changes.report('suspected', state, 'stalled', reporter);
   }
 }
