Read the list of upstreams at once when a scheduler starts

Cause: an entry reads the list at intervals of 1 s, and only while it schedules something, so an entry that takes over waits for its next interval. The start of a scheduler now reads the list at once.

--- a/src/node/dispatch/__tests__/scheduler_backlog.spec.ts
+++ b/src/node/dispatch/__tests__/scheduler_backlog.spec.ts
@@ -48,6 +48,7 @@
     serviceSpec: () => SPEC,
     deliver: decision => decisions.push(decision),
     onDown: () => undefined,
+    onStarted: () => undefined,
   });
   t.after(() => {
     host.stop();
--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -94,6 +94,7 @@
       serviceSpec: () => SPEC,
       deliver: decision => decisions.send(decision),
       onDown: () => undefined,
+      onStarted: () => undefined,
     });
     const client = new SchedulerClient({
       region: HOME,
--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -80,6 +80,16 @@
     await this.readList();
   }
 
+  /** Reads the list at once, as a scheduler that has just started needs it. */
+  async readNow(): Promise<void> {
+    const {host, reader} = this.options;
+    if (this.isReading) return;
+    this.isReading = true;
+    const reading = await reader.read();
+    this.isReading = false;
+    if (reading !== undefined) host.applyReading(reading);
+  }
+
   private claimScopes(): void {
     const {host, services, members} = this.options;
     const own = services().flatMap(spec =>
@@ -111,14 +121,11 @@
   }
 
   private async readList(): Promise<void> {
-    const {host, reader} = this.options;
     this.claimScopes();
-    const isScheduler = host.scopes().some(each => this.isOwn(each));
-    if (!isScheduler || this.isReading) return;
-    this.isReading = true;
-    const reading = await reader.read();
-    this.isReading = false;
-    if (reading !== undefined) host.applyReading(reading);
+    const isScheduler = this.options.host
+      .scopes()
+      .some(each => this.isOwn(each));
+    if (isScheduler) await this.readNow();
   }
 
   private sendDigests(): void {
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -48,6 +48,8 @@
   readonly deliver: (decision: Decision) => void;
   /** Called when an upstream becomes down or suspected and must be probed. */
   readonly onDown: () => void;
+  /** Called when a scheduler starts, which needs a reading of the list. */
+  readonly onStarted: () => void;
 }
 
 /** An upstream that is down or suspected and must be probed. */
@@ -333,6 +335,7 @@
     if (this.reading !== undefined) applyReadingTo(created, this.reading);
     this.hosted.set(scopeKey(scope), created);
     this.log.started(scope, scheduler.pool.all().length);
+    this.options.onStarted();
     return scheduler;
   }
 
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -40,6 +40,7 @@
   domainLocations,
   domainIdsOfRegion,
   domainsOfRegion,
+  schedulerRetries,
   seedInnerAddresses,
   type IngressSettings,
 } from './settings.js';
@@ -291,20 +292,15 @@
 
   private createHost(): SchedulerHost {
     const {settings, logger} = this.options;
-    const domains = Object.keys(settings.regionOfDomain).length;
     return new SchedulerHost({
       region: settings.regionId,
       logger,
       metrics: this.metrics,
-      // The slack is divided equally among the schedulers of the domains.
-      retries: {
-        ratio: settings.retryRatio,
-        windowMs: settings.retryWindowMs,
-        slack: Math.floor(settings.retrySlack / domains),
-      },
+      retries: schedulerRetries(settings),
       serviceSpec: service => this.matcher?.service(service),
       deliver: decision => this.decisions.send(decision),
       onDown: () => setImmediate(() => this.loops.probeAll()),
+      onStarted: () => setImmediate(() => void this.loops.readNow()),
     });
   }
 
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {addressSchema, idSchema} from '../config/configuration.js';
 import type {DomainLocation} from '../fleet/fleet_members.js';
+import type {RetryBudgetOptions} from '../scheduling/retry_budget.js';
 import {
   asId,
   type DomainId,
@@ -77,6 +78,20 @@
   return domainsOfRegion(settings).map(each => each.domain);
 }
 
+/**
+ * The retry budget of one scheduler: the slack is divided equally among the
+ * schedulers of the domains.
+ */
+export function schedulerRetries({
+  retryRatio: ratio,
+  retryWindowMs: windowMs,
+  retrySlack,
+  regionOfDomain,
+}: IngressSettings): RetryBudgetOptions {
+  const domains = Object.keys(regionOfDomain).length;
+  return {ratio, windowMs, slack: Math.floor(retrySlack / domains)};
+}
+
 /** Inner addresses of the control members that the settings name. */
 export function seedInnerAddresses(
   settings: Pick<IngressSettings, 'seedAddresses' | 'controlInnerPort'>,
