End a limit only with a success that does not name it

Seen: an engine that names 2 requests a second gets 65 to 72 in 4 s (17 are allowed) while every third of its responses is a rejection without the header, and 46 to 47 while every third is a failure; all requests press on it.

Cause: the head of any response that named no limit ended the limit, whatever its status. A rejection (503, 429), a failure, a 421 of another process at a reused address and a response without an attempt id say nothing of it. What a process in need says is a state: absence ends it only where presence would be certain.

A response now says whether it is complete: only a signed success with the attempt's id is. Others change just the limits that they name, at the entry and at the scheduler, for rejections a second (brittle upstreams) as well.

--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -24,7 +24,7 @@
 import {localRefusal} from './local_decisions.js';
 import {cancelledPlacements} from './decision_sender.js';
 import type {DomainChoice} from './domain_choice.js';
-import type {UpstreamLimits} from './upstream_limits.js';
+import {saysMore, type UpstreamLimits} from './upstream_limits.js';
 import {
   SUBMIT_METHOD,
   type PlacementReport,
@@ -182,11 +182,7 @@
    * scheduler knew them already when it granted the request.
    */
   reportLimits(grant: Grant, limits: NamedLimits): void {
-    const {maxRequestsPerS, maxRejectionsPerS} = limits;
-    const isKnown =
-      grant.maxRequestsPerS === maxRequestsPerS &&
-      grant.maxRejectionsPerS === maxRejectionsPerS;
-    if (isKnown) return;
+    if (!saysMore(limits, grant)) return;
     const {service, domain, upstreamId, requestId} = grant;
     this.send(this.schedulerOf(grant), {
       kind: 'limits',
@@ -194,7 +190,7 @@
       domain,
       upstreamId,
       requestId,
-      limits: {maxRequestsPerS, maxRejectionsPerS},
+      limits,
     });
   }
 
--- a/src/node/dispatch/upstream_limits.ts
+++ b/src/node/dispatch/upstream_limits.ts
@@ -1,6 +1,6 @@
 /** The request rate limits that upstreams name in their answers. */
 import {monotonicNowMs} from '../clock/clock.js';
-import type {UpstreamLimit} from '../scheduling/types.js';
+import type {NamedLimits, UpstreamLimit} from '../scheduling/types.js';
 import type {DomainId, ServiceId, UpstreamId} from '../types/ids.js';
 
 /** An upstream and the scheduler that assigns it. */
@@ -24,16 +24,17 @@
   private readonly held = new Map<UpstreamId, HeldLimit>();
 
   /**
-   * Records what an answer says and returns whether that is new. An answer to a
+   * Records what a response says and returns whether that is new. A response to a
    * request that was sent before the limit was named does not end it.
    */
   note(
     upstream: LimitedUpstream,
-    maxRequestsPerS: number | undefined,
+    {maxRequestsPerS, isComplete}: NamedLimits,
     sentAtMs: number,
   ): boolean {
     const {service, domain, upstreamId} = upstream;
     const known = this.held.get(upstreamId);
+    if (maxRequestsPerS === undefined && !isComplete) return false;
     if (known?.maxRequestsPerS === maxRequestsPerS) return false;
     if (known !== undefined && sentAtMs < known.notedAtMs) return false;
     this.held.delete(upstreamId);
@@ -61,3 +62,13 @@
       .map(({upstreamId, maxRequestsPerS}) => ({upstreamId, maxRequestsPerS}));
   }
 }
+
+/** Whether a response says other than what the scheduler knows. */
+export function saysMore(
+  named: NamedLimits,
+  known: Partial<NamedLimits>,
+): boolean {
+  return (['maxRequestsPerS', 'maxRejectionsPerS'] as const)
+    .filter(key => named[key] !== undefined || named.isComplete)
+    .some(key => named[key] !== known[key]);
+}
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -42,7 +42,7 @@
   readonly isEncoded: boolean;
   /**
    * Requests a second that the upstream takes from all instances together, if
-   * it names a limit. It holds until an answer does not name one any more.
+   * it names a limit. It holds until a success does not name one any more.
    */
   readonly maxRequestsPerS?: number;
   /**
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -29,6 +29,7 @@
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
+import {namedLimits} from './named_limits.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
@@ -243,16 +244,15 @@
     return result;
   }
 
-  private noteAnswer(
-    grant: Grant,
-    {status, traits}: ResponseHead,
-    sentAtMs: number,
-  ): void {
+  private noteAnswer(grant: Grant, head: ResponseHead, sentAtMs: number): void {
     const {limits, notices, scheduler, log} = this.context;
     const {upstreamId: upstream} = grant;
-    const {maxRequestsPerS, retryAfterMs, isLeaving} = traits;
-    scheduler.reportLimits(grant, traits);
-    if (limits.note(grant, maxRequestsPerS, sentAtMs)) {
+    const {status, traits} = head;
+    const {retryAfterMs, isLeaving} = traits;
+    const named = namedLimits(head);
+    scheduler.reportLimits(grant, named);
+    if (limits.note(grant, named, sentAtMs)) {
+      const {maxRequestsPerS} = named;
       log.write('upstream_limit', this.request, {
         upstream,
         maxRequestsPerS,
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -16,6 +16,7 @@
   withoutInnerHeaders,
 } from './inner_headers.js';
 import type {HeaderPair, ResponseTraits, RequestProtocol} from './protocol.js';
+import {isSuccessStatus} from './response_status.js';
 
 /** Progress of a stream, over all tries of its request. */
 export interface StreamProgress {
@@ -58,8 +59,6 @@
 
 /** A larger buffered response is aborted and its connection closed. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
-const MIN_SUCCESS_STATUS = 200;
-const MIN_REDIRECT_STATUS = 300;
 
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
@@ -78,8 +77,7 @@
   constructor(private readonly options: ResponseReaderOptions) {}
 
   get isSuccess(): boolean {
-    const status = this.head?.status ?? 0;
-    return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+    return isSuccessStatus(this.head?.status ?? 0);
   }
 
   /** How the end of the response is marked on its connection. */
--- a/src/node/scheduling/__tests__/brittle_upstreams.spec.ts
+++ b/src/node/scheduling/__tests__/brittle_upstreams.spec.ts
@@ -28,6 +28,7 @@
   scheduler.decide(0);
   scheduler.pool.noteLimits(BRITTLE, chat('first').requestId, {
     maxRejectionsPerS: MAX_REJECTIONS_PER_S,
+    isComplete: true,
   });
   return scheduler;
 }
@@ -79,7 +80,7 @@
   const state = scheduler.pool.get(BRITTLE);
   scheduler.decide(10);
   const whileBrittle = state?.running;
-  scheduler.pool.noteLimits(BRITTLE, chat('c0').requestId, {});
+  scheduler.pool.noteLimits(BRITTLE, chat('c0').requestId, {isComplete: true});
   scheduler.decide(20);
   assert.deepEqual([whileBrittle, state?.running], [SLOTS - 1, SLOTS]);
 });
--- a/src/node/scheduling/__tests__/named_limits.spec.ts
+++ b/src/node/scheduling/__tests__/named_limits.spec.ts
@@ -106,14 +106,46 @@
   const limit = () => pool.get(LIMITED)?.limit.maxRequestsPerS;
   const early = start('early', 1_000);
   const naming = start('naming', 2_000);
-  pool.noteLimits(LIMITED, naming, {maxRequestsPerS: LIMIT_PER_S});
-  pool.noteLimits(LIMITED, early, {});
+  pool.noteLimits(LIMITED, naming, {
+    maxRequestsPerS: LIMIT_PER_S,
+    isComplete: true,
+  });
+  pool.noteLimits(LIMITED, early, {isComplete: true});
   const afterEarly = limit();
   const late = start('late', 5_000);
-  pool.noteLimits(LIMITED, late, {});
+  pool.noteLimits(LIMITED, late, {isComplete: true});
   assert.deepEqual([afterEarly, limit()], [LIMIT_PER_S, undefined]);
 });
 
+// Guards against a rejection, or a response that is not known to come from the
+// upstream, which ends the limits that it does not name.
+test('an incomplete response changes only the limits that it names', () => {
+  const scheduler = createWith([LIMITED]);
+  scheduler.submit(chat('naming'), SECOND_MS);
+  scheduler.submit(chat('rejected'), 2 * SECOND_MS);
+  scheduler.decide(2 * SECOND_MS);
+  const {pool} = scheduler;
+  const limits = () => {
+    const state = pool.get(LIMITED);
+    return [state?.limit.maxRequestsPerS, state?.rejections.maxRejectionsPerS];
+  };
+  pool.noteLimits(LIMITED, chat('naming').requestId, {
+    maxRequestsPerS: LIMIT_PER_S,
+    isComplete: true,
+  });
+  const rejected = chat('rejected').requestId;
+  pool.noteLimits(LIMITED, rejected, {maxRejectionsPerS: 4, isComplete: false});
+  const afterBrittle = limits();
+  pool.noteLimits(LIMITED, rejected, {isComplete: false});
+  assert.deepEqual(
+    [afterBrittle, limits()],
+    [
+      [LIMIT_PER_S, 4],
+      [LIMIT_PER_S, 4],
+    ],
+  );
+});
+
 // Guards against a scheduler that takes over and overruns a limited upstream
 // until the next answer tells it the limit.
 test('a new scheduler learns the limits from the entries', () => {
--- a/src/node/scheduling/named_limit.ts
+++ b/src/node/scheduling/named_limit.ts
@@ -1,5 +1,6 @@
 /** The request rate limit that one upstream has named. */
 import {MIN_STARTS_PER_S, NAMED_RATE_SHARE} from './constants.js';
+import type {NamedLimits} from './types.js';
 
 /** Holds the limit that the newest answer names. */
 export class NamedLimit {
@@ -19,9 +20,10 @@
       : Math.max(MIN_STARTS_PER_S, this.limitPerS * NAMED_RATE_SHARE);
   }
 
-  /** Records an answer, unless one to a later request is known. */
-  note(maxRequestsPerS: number | undefined, sentAtMs: number): void {
-    if (sentAtMs < this.sentAtMs) return;
+  /** Records a response, unless one to a later request is known. */
+  note({maxRequestsPerS, isComplete}: NamedLimits, sentAtMs: number): void {
+    const saysNothing = maxRequestsPerS === undefined && !isComplete;
+    if (saysNothing || sentAtMs < this.sentAtMs) return;
     this.sentAtMs = sentAtMs;
     this.limitPerS = maxRequestsPerS;
   }
--- a/src/node/scheduling/rejection_guard.ts
+++ b/src/node/scheduling/rejection_guard.ts
@@ -3,6 +3,8 @@
  * in a second, as it says of itself.
  */
 
+import type {NamedLimits} from './types.js';
+
 const SECOND_MS = 1_000;
 /** Requests that are on their way may be rejected too. */
 const REJECTION_SHARE = 0.5;
@@ -21,9 +23,10 @@
     return this.maxPerS;
   }
 
-  /** Records what an answer says, unless one to a later request is known. */
-  note(maxRejectionsPerS: number | undefined, sentAtMs: number): void {
-    if (sentAtMs < this.sentAtMs) return;
+  /** Records a response, unless one to a later request is known. */
+  note({maxRejectionsPerS, isComplete}: NamedLimits, sentAtMs: number): void {
+    const saysNothing = maxRejectionsPerS === undefined && !isComplete;
+    if (saysNothing || sentAtMs < this.sentAtMs) return;
     this.sentAtMs = sentAtMs;
     this.maxPerS = maxRejectionsPerS;
   }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -240,8 +240,13 @@
   readonly upstreamId: UpstreamId;
 }
 
-/** What an upstream says in an answer of how much it bears, if anything. */
+/** What an upstream says in a response of how much it bears, if anything. */
 export interface NamedLimits {
+  /**
+   * Whether a limit that it does not name has ended. A rejection or a failure
+   * need not name the limits that hold.
+   */
+  readonly isComplete: boolean;
   /** Requests a second from all instances together. */
   readonly maxRequestsPerS?: number | undefined;
   /** Requests that it may turn away in a second before it falls over. */
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -215,7 +215,7 @@
     this.changes.report('draining', state, 'answer');
   }
 
-  /** Records the limits that the answer to a request names, or none. */
+  /** Records what the response to a request says of the upstream's limits. */
   noteLimits(
     upstreamId: UpstreamId,
     requestId: RequestId,
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -289,13 +289,13 @@
     this.noteFirstAnswer(placement, nowMs - placement.startedAtMs);
   }
 
-  /** Records the limits that the answer to a request names, or none. */
+  /** Records what the response to a request says of the upstream's limits. */
   noteLimits(requestId: RequestId, limits: NamedLimits): void {
     const placement = this.placements.get(requestId);
     if (placement === undefined) return;
     const {startedAtMs} = placement;
-    this.limit.note(limits.maxRequestsPerS, startedAtMs);
-    this.rejections.note(limits.maxRejectionsPerS, startedAtMs);
+    this.limit.note(limits, startedAtMs);
+    this.rejections.note(limits, startedAtMs);
   }
 
   /** Removes placements whose release never arrived. */
