Return grants of a scheduler that was not told a limit which the entry knows

Cause: the limit has two holders, the scheduler that spaces the starts and the entries that were told, and only the first was asked before a request is sent. The scheduler forgets a limit when the upstream is unlisted for a while, when it is dropped after 10 s without a message and started again, and when the report of a limit is about a placement that it does not know; no entry told it again before the next answer, and until that came the engine got as many requests as it has slots.

A grant now says whether its scheduler was told if there is a limit. An entry that knows one returns the grant of a scheduler that was not, tells it and asks again: GrantSource, which also holds the check against upstreams that want no requests, and which replacements of stalled tries go through as well.

--- a/src/node/dispatch/scheduler_client.ts
+++ b/src/node/dispatch/scheduler_client.ts
@@ -12,7 +12,6 @@
 import type {
   Decision,
   NamedLimits,
-  PlacementOutcome,
   Release,
   RunningPlacement,
   SchedulerAnswer,
@@ -164,8 +163,9 @@
     const target = isKnown
       ? running.scheduler
       : this.schedulerOf({service, domain});
-    // A failure may be the first sign of a lost upstream.
-    const canWait = prompt !== undefined && !isFailure(release.outcome);
+    // A failure may be the first sign of a lost upstream, and a cancelled request
+    // may be submitted again, which its release must precede.
+    const canWait = prompt !== undefined && release.outcome === 'answered';
     const delayMs = canWait ? STREAM_RELEASE_DELAY_MS : 0;
     this.send(target, {kind: 'release', service, domain, release}, delayMs);
   }
@@ -390,7 +390,3 @@
     this.send(target, {kind: 'running', service, domain, placements, limits});
   }
 }
-
-function isFailure(outcome: PlacementOutcome): boolean {
-  return outcome !== 'answered' && outcome !== 'cancelled';
-}
--- a/src/node/dispatch/upstream_limits.ts
+++ b/src/node/dispatch/upstream_limits.ts
@@ -54,6 +54,11 @@
     return true;
   }
 
+  /** Requests a second that the upstream takes, as far as it has told. */
+  maxRequestsPerS(upstreamId: UpstreamId): number | undefined {
+    return this.held.get(upstreamId)?.maxRequestsPerS;
+  }
+
   /** The limits of the upstreams that one scheduler assigns. */
   of(service: ServiceId, domain: DomainId): readonly UpstreamLimit[] {
     return [...this.held.values()]
--- /dev/null
+++ b/src/node/ingress/__tests__/grant_source.spec.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {UpstreamNotices} from '../../dispatch/upstream_notices.js';
+import type {SchedulerAnswer, WorkItem} from '../../scheduling/types.js';
+import {
+  asId,
+  type RequestId,
+  type UpstreamId,
+  type UpstreamProcessId,
+} from '../../types/ids.js';
+import {GrantSource, type GrantSourceOptions} from '../grant_source.js';
+import type {Grant} from '../upstream_try.js';
+
+const LIMIT_PER_S = 2;
+const LEAVING = asId<UpstreamProcessId>('a@1');
+const REFUSED = {kind: 'refuse', reason: 'overloaded'};
+const item = {requestId: asId<RequestId>('r')} as WorkItem;
+
+function grantOf(fields: Partial<Grant>): Partial<Grant> {
+  return {
+    kind: 'grant',
+    upstreamId: asId<UpstreamId>('a'),
+    processId: LEAVING,
+    isLimitKnown: true,
+    ...fields,
+  };
+}
+
+/** What is said to the scheduler while it gives these answers in turn. */
+async function acquire(
+  answers: readonly object[],
+  heldPerS?: number,
+  notices = new UpstreamNotices(),
+): Promise<readonly string[]> {
+  const left = [...answers];
+  const said: string[] = [];
+  const scheduler: GrantSourceOptions['scheduler'] = {
+    acquire: () => {
+      said.push('acquire');
+      return Promise.resolve(left.shift() as SchedulerAnswer);
+    },
+    release: ({outcome}) => void said.push(`release: ${outcome}`),
+    reportLimits: (_grant, {maxRequestsPerS, isComplete}) =>
+      void said.push(`limit ${maxRequestsPerS}, complete: ${isComplete}`),
+  };
+  const limits = {maxRequestsPerS: () => heldPerS};
+  const source = new GrantSource({scheduler, limits, notices});
+  const answer = await source.acquire(() => item, AbortSignal.timeout(1_000));
+  return [...said, answer.kind];
+}
+
+// Guards against a scheduler that sends an upstream as many requests as if it had
+// no limit, although the entry that asks it was told the limit.
+test('a grant by a scheduler that was not told the limit is returned', async () => {
+  const granted = grantOf({maxRequestsPerS: LIMIT_PER_S});
+  const unaware = grantOf({isLimitKnown: false});
+  assert.deepEqual(
+    {
+      unaware: await acquire([unaware, granted], LIMIT_PER_S),
+      nothingToTell: await acquire([unaware]),
+      aware: await acquire([granted], LIMIT_PER_S),
+      ended: await acquire([grantOf({})], LIMIT_PER_S),
+      refused: await acquire([unaware, REFUSED], LIMIT_PER_S),
+    },
+    {
+      unaware: [
+        'acquire',
+        `limit ${LIMIT_PER_S}, complete: false`,
+        'release: cancelled',
+        'acquire',
+        'grant',
+      ],
+      nothingToTell: ['acquire', 'grant'],
+      aware: ['acquire', 'grant'],
+      ended: ['acquire', 'grant'],
+      refused: [
+        'acquire',
+        `limit ${LIMIT_PER_S}, complete: false`,
+        'release: cancelled',
+        'acquire',
+        'refuse',
+      ],
+    },
+  );
+});
+
+// Guards against a request that is sent to an upstream which has asked to be left
+// alone since the scheduler was asked.
+test('a grant for an upstream that wants no requests is returned', async () => {
+  const notices = new UpstreamNotices();
+  notices.note(LEAVING, {isLeaving: true});
+  const other = grantOf({processId: asId<UpstreamProcessId>('b@1')});
+  assert.deepEqual(await acquire([grantOf({}), other], undefined, notices), [
+    'acquire',
+    'release: cancelled',
+    'acquire',
+    'grant',
+  ]);
+});
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -62,6 +62,7 @@
       queuedMs: 0,
       expectedMs,
       isCold: false,
+      isLimitKnown: true,
       scheduler: 'self',
       passes: 0,
     }) as unknown as SchedulerAnswer;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -29,6 +29,7 @@
 import type {CallerResponse} from './caller_response.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
+import {GrantSource} from './grant_source.js';
 import {namedLimits} from './named_limits.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
@@ -72,6 +73,7 @@
   private readonly progress: StreamProgress;
   private readonly tries: TryBudget;
   private readonly items: WorkItems;
+  private readonly grants: GrantSource;
   private readonly recorder: RunRecorder;
   /** Granted while the try before it was given up. */
   private replacement: Grant | undefined;
@@ -92,6 +94,7 @@
     };
     this.tries = new TryBudget(request);
     const {progress, tries} = this;
+    this.grants = new GrantSource(context);
     this.items = new WorkItems({...context, request, progress, tries});
     this.recorder = new RunRecorder({...context, request, progress, tries});
   }
@@ -134,28 +137,20 @@
   }
 
   private async askScheduler(): Promise<SchedulerAnswer> {
-    const {scheduler, reachability, region} = this.context;
+    const {reachability, region} = this.context;
     const askedAtMs = monotonicNowMs();
     // The scheduler could only say the same.
     if (reachability.isCutOff && this.items.mayUsePeer(askedAtMs)) {
       return localOffload(this.items.next(), region);
     }
-    const decision = await this.acquire(scheduler);
+    const decision = await this.grants.acquire(
+      () => this.items.next(),
+      this.signal,
+    );
     this.recorder.decided(decision, monotonicNowMs() - askedAtMs);
     return decision;
   }
 
-  // The upstream may have turned away another request since the question.
-  private async acquire(scheduler: SchedulerClient): Promise<SchedulerAnswer> {
-    const decision = await scheduler.acquire(this.items.next(), this.signal);
-    const isForbidden =
-      decision.kind === 'grant' &&
-      this.context.notices.forbids(decision.processId);
-    if (!isForbidden) return decision;
-    cancelGrant(scheduler, decision);
-    return this.acquire(scheduler);
-  }
-
   private takeReplacement(): Grant | undefined {
     const {replacement} = this;
     this.replacement = undefined;
@@ -191,6 +186,7 @@
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
+      grants: this.grants,
       reader,
       request: {method, path, body, headers: headers.flat()},
       targetGapMs: request.route.targetGapMs,
--- a/src/node/ingress/upstream_try.ts
+++ b/src/node/ingress/upstream_try.ts
@@ -10,6 +10,7 @@
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
 import type {UpstreamId} from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
+import type {GrantSource} from './grant_source.js';
 import {exchange, type ExchangeEnd, type ExchangeRequest} from './exchange.js';
 import type {ResponseReader} from './response_reader.js';
 import {StallDetector, type Stall} from './stall_detector.js';
@@ -36,7 +37,8 @@
 
 export interface UpstreamTryOptions {
   readonly connections: ConnectionPools;
-  readonly scheduler: SchedulerClient;
+  readonly scheduler: Pick<SchedulerClient, 'report' | 'release'>;
+  readonly grants: Pick<GrantSource, 'acquire'>;
   readonly paces: UpstreamPaces;
   readonly reachability: Pick<UpstreamReachability, 'doubt'>;
   readonly grant: Grant;
@@ -112,14 +114,11 @@
   }
 
   private async seekReplacement(stall: Stall): Promise<void> {
-    const {scheduler, reader, replacementItem, signal} = this.options;
+    const {grants, reader, replacementItem, signal} = this.options;
     if (replacementItem === undefined || this.isSearching) return;
     this.isSearching = true;
     const {progressAtMs} = reader;
-    const answer = await scheduler.acquire(
-      replacementItem(),
-      this.search.signal,
-    );
+    const answer = await grants.acquire(replacementItem, this.search.signal);
     this.isSearching = false;
     const isStalled =
       !this.isEnded && !signal.aborted && reader.progressAtMs === progressAtMs;
@@ -163,7 +162,10 @@
 }
 
 /** Ends a grant that is not used. */
-export function cancelGrant(scheduler: SchedulerClient, grant: Grant): void {
+export function cancelGrant(
+  scheduler: Pick<SchedulerClient, 'release'>,
+  grant: Grant,
+): void {
   scheduler.release({
     requestId: grant.requestId,
     upstreamId: grant.upstreamId,
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -51,6 +51,7 @@
     queuedMs,
     expectedMs: upstream.expectedMs(item, nowMs),
     isCold: upstream.isCold(nowMs),
+    isLimitKnown: limit.isKnown,
     ...(softwareVersion === undefined ? {} : {softwareVersion}),
     ...(maxRequestsPerS === undefined ? {} : {maxRequestsPerS}),
     ...(maxRejectionsPerS === undefined ? {} : {maxRejectionsPerS}),
--- a/src/node/scheduling/named_limit.ts
+++ b/src/node/scheduling/named_limit.ts
@@ -8,6 +8,11 @@
   /** When the request was sent whose answer is the newest one. */
   private sentAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Whether anyone has told if there is a limit. */
+  get isKnown(): boolean {
+    return this.limitPerS !== undefined || Number.isFinite(this.sentAtMs);
+  }
+
   /** Requests a second that the upstream takes; undefined without a limit. */
   get maxRequestsPerS(): number | undefined {
     return this.limitPerS;
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -163,6 +163,8 @@
       readonly isCold: boolean;
       /** The limit that the upstream has named, as the scheduler knows it. */
       readonly maxRequestsPerS?: number;
+      /** Whether the scheduler has been told if there is such a limit. */
+      readonly isLimitKnown: boolean;
       /** Rejections a second that the upstream bears, if it says so. */
       readonly maxRejectionsPerS?: number;
     }
