Probe an upstream that one entry cannot connect to, also after a recent answer

An upstream that crashes just after an answer was then neither down nor probed; if it came back within a second or two, nobody asked it whether it is cold, and until the list showed that, up to 1.8 s later, it got requests at full rate. It is now suspected, which has it probed without taking it from anyone, and a refused probe is repeated until the last answer is old enough to decide.

--- a/src/node/scheduling/__tests__/out_of_reach.spec.ts
+++ b/src/node/scheduling/__tests__/out_of_reach.spec.ts
@@ -7,7 +7,7 @@
   type UpstreamId,
 } from '../../types/ids.js';
 import type {Scheduler} from '../scheduler.js';
-import type {CapacityDigest, WorkItem} from '../types.js';
+import type {CapacityDigest, PlacementOutcome, WorkItem} from '../types.js';
 import {
   AWAY,
   AWAY_A,
@@ -116,3 +116,50 @@
   );
   assert.deepEqual([stillUp, scheduler.pool.get(first)?.isDown], [false, true]);
 });
+
+// Guards against an engine that restarts cold, unnoticed: the first failed connection
+// after its crash is taken for a lost path, as another entry has just heard from it.
+test('a failed connection has the upstream probed, so that coldness shows', () => {
+  const scheduler = createWithUpstreams();
+  const [first] = NAMES;
+  assert.ok(first !== undefined);
+  const reachable = {unreachable: NAMES.slice(1)};
+  const end = (name: string, outcome: PlacementOutcome, nowMs: number): void =>
+    scheduler.release(
+      [
+        {
+          requestId: chat(name).requestId,
+          upstreamId: first,
+          outcome,
+          firstAnswerMs: 20,
+          totalMs: 20,
+        },
+      ],
+      nowMs,
+    );
+  const {pool} = scheduler;
+  const probed = (): readonly string[] =>
+    pool.toProbe().map(each => each.listed.upstreamId);
+  decideOn(scheduler, 'x', {...reachable, entry: asId<InstanceId>('sound')});
+  decideOn(scheduler, 'y', reachable);
+  end('x', 'answered', 20);
+  end('y', 'unreachable', 100);
+  const afterFailure = probed();
+  pool.noteProbeFailure(first, 200, true);
+  const afterRefusal = probed();
+  pool.noteProbe(first, 2_000, 600);
+  assert.deepEqual(
+    {
+      afterFailure,
+      afterRefusal,
+      afterAnswer: probed(),
+      isCold: pool.get(first)?.isCold(700),
+    },
+    {
+      afterFailure: ['a'],
+      afterRefusal: ['a'],
+      afterAnswer: [],
+      isCold: true,
+    },
+  );
+});
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -184,8 +184,10 @@
     }
     state.end(release, nowMs);
     if (isLoss) this.markDown(state, release.outcome, nowMs, reporter);
-    if (state.isDown || release.outcome !== 'silent') return;
-    this.markSuspected(state, nowMs, reporter);
+    if (state.isDown) return;
+    if (release.outcome === 'silent') this.markStalled(state, nowMs, reporter);
+    // It may have ended just after its last answer, and return cold.
+    if (isPathLost) this.markSuspected(state, release.outcome, reporter);
   }
 
   /** Marks a stalled upstream as suspected until a probe is answered. */
@@ -194,7 +196,7 @@
     if (state === undefined || state.isDown) return;
     // Counted as a failure: its health check may pass although it is stalled.
     state.noteStall(nowMs);
-    this.markSuspected(state, nowMs, reporter);
+    this.markStalled(state, nowMs, reporter);
   }
 
   /**
@@ -252,7 +254,7 @@
   ): void {
     const state = this.states.get(upstreamId);
     if (state === undefined) return;
-    if (!state.isDown) this.noteSuspectProbeFailure(state, nowMs);
+    if (!state.isDown) this.noteSuspectProbeFailure(state, nowMs, isRefused);
     const hasEnded = state.isDown && isRefused;
     if (hasEnded || this.isLost(upstreamId, nowMs)) {
       state.endedAtMs = nowMs;
@@ -330,9 +332,16 @@
     applyCold(known, listed, reading);
   }
 
-  private noteSuspectProbeFailure(state: UpstreamState, nowMs: number): void {
-    state.isSuspected = false;
-    if (nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS) return;
+  // A busy upstream may miss a probe, but it does not refuse one: that is probed
+  // again until its last answer is old enough, or the probe succeeds.
+  private noteSuspectProbeFailure(
+    state: UpstreamState,
+    nowMs: number,
+    isRefused: boolean,
+  ): void {
+    const hasAnswered = nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS;
+    state.isSuspected = hasAnswered && isRefused;
+    if (hasAnswered) return;
     this.crashes.noteLost(state, nowMs);
     this.markDown(state, 'probe', nowMs);
   }
@@ -349,14 +358,22 @@
   }
 
   // An upstream that has just answered another request needs no probe.
-  private markSuspected(
+  private markStalled(
     state: UpstreamState,
     nowMs: number,
     reporter: InstanceId | undefined,
   ): void {
     const hasAnswered = nowMs - state.lastAnswer.atMs < RECENT_ANSWER_MS;
-    if (state.isSuspected || hasAnswered) return;
+    if (!hasAnswered) this.markSuspected(state, 'stalled', reporter);
+  }
+
+  private markSuspected(
+    state: UpstreamState,
+    cause: string,
+    reporter: InstanceId | undefined,
+  ): void {
+    if (state.isSuspected) return;
     state.isSuspected = true;
-    this.changes.report('suspected', state, 'stalled', reporter);
+    this.changes.report('suspected', state, cause, reporter);
   }
 }
