Try the paths to silent upstreams once another path is lost

Seen: all four entries of centro-a are cut off from all upstreams from 6.0 s on; one of them finds out at 10.5 s only (paths_lost).

Cause: when a path is lost, the entry tries its paths to all upstreams but those it has heard from in the last 700 ms, and those were not tried again until a request had trouble there. Silent ones are now tried once, at the interval of the retries. The spec has 1 of 3 paths lost after 1.6 s before, all after.

--- a/src/node/reachability/__tests__/upstream_reachability.spec.ts
+++ b/src/node/reachability/__tests__/upstream_reachability.spec.ts
@@ -20,10 +20,10 @@
   /** Upstreams that have just sent something. */
   readonly heard = new Set<string>();
   readonly lines: string[] = [];
-  tries = 0;
+  readonly triedAddresses: string[] = [];
   readonly reachability = new UpstreamReachability({
     canConnect: address => {
-      this.tries += 1;
+      this.triedAddresses.push(address);
       return Promise.resolve(!this.closed.has(address));
     },
     heardAtMs: id =>
@@ -81,11 +81,43 @@
   fixture.reachability.doubt(idOf('a'));
   await advanceClock(t, 100, 10);
   assert.deepEqual(
-    [fixture.reachability.unreachable(), fixture.tries, fixture.lines],
+    [
+      fixture.reachability.unreachable(),
+      fixture.triedAddresses.length,
+      fixture.lines,
+    ],
     [['a'], 2, ['lost a']],
   );
 });
 
+// Guards against an entry that takes seconds to find out that it is cut off, since
+// the upstreams that it had just heard from are tried only when a request fails.
+test('an upstream that falls silent after another is lost is tried', async t => {
+  const fixture = new Fixture(t);
+  fixture.close(NAMES);
+  ['b', 'c'].forEach(name => fixture.heard.add(name));
+  fixture.reachability.doubt(idOf('a'));
+  await advanceClock(t, 100, 10);
+  const lost = fixture.reachability.unreachable();
+  fixture.heard.clear();
+  await advanceClock(t, 1_500, 10);
+  assert.deepEqual([lost, fixture.reachability.unreachable()], [['a'], NAMES]);
+});
+
+// Guards against connections that are opened for ever while one upstream is down.
+test('a silent upstream is tried once after another is lost', async t => {
+  const fixture = new Fixture(t);
+  fixture.close(['a']);
+  ['b', 'c'].forEach(name => fixture.heard.add(name));
+  fixture.reachability.doubt(idOf('a'));
+  await advanceClock(t, 100, 10);
+  fixture.heard.clear();
+  const triedOf = (name: string): number =>
+    fixture.triedAddresses.filter(each => each === name).length;
+  await advanceClock(t, 10_000, 10);
+  assert.deepEqual([triedOf('b'), triedOf('c')], [1, 1]);
+});
+
 // Guards against a lost packet that takes a sound path.
 test('a single failed connection loses no path', async t => {
   const fixture = new Fixture(t);
--- a/src/node/reachability/upstream_reachability.ts
+++ b/src/node/reachability/upstream_reachability.ts
@@ -59,6 +59,8 @@
   private readonly known = new Map<UpstreamId, KnownUpstream>();
   private timer: ReturnType<typeof setInterval> | undefined;
   private wasCutOff = false;
+  /** When a path was last lost. */
+  private lostAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: UpstreamReachabilityOptions) {}
 
@@ -115,6 +117,20 @@
       .sort((left, right) => left.triedAtMs - right.triedAtMs)
       .slice(0, MAX_RETRIES_PER_ROUND)
       .forEach(each => void this.tryToConnect(each));
+    this.trySilent();
+  }
+
+  // An upstream that was heard from just before another one was lost is tried once
+  // if it has been silent since: its path may be lost as well.
+  private trySilent(): void {
+    const heardAfterMs = monotonicNowMs() - RECENTLY_HEARD_MS;
+    [...this.known.values()]
+      .filter(each => !isUnreachable(each) && each.triedAtMs < this.lostAtMs)
+      .filter(({upstreamId}) => {
+        const heardAtMs = this.options.heardAtMs(upstreamId);
+        return heardAtMs < heardAfterMs && heardAtMs < this.lostAtMs;
+      })
+      .forEach(each => void this.tryToConnect(each));
   }
 
   private async tryToConnect(known: KnownUpstream): Promise<void> {
@@ -133,11 +149,13 @@
   private change(known: KnownUpstream, isReachable: boolean): void {
     const {logger, metrics, onLost} = this.options;
     const {upstreamId: upstream, usedAtMs} = known;
-    known.unreachableSinceMs = isReachable ? undefined : monotonicNowMs();
+    const nowMs = monotonicNowMs();
+    known.unreachableSinceMs = isReachable ? undefined : nowMs;
+    if (!isReachable) this.lostAtMs = nowMs;
     const event = isReachable ? 'path_regained' : 'path_lost';
     metrics.count('path_changes', {event});
     logger.info(
-      {event, upstream, usedAgoMs: Math.round(monotonicNowMs() - usedAtMs)},
+      {event, upstream, usedAgoMs: Math.round(nowMs - usedAtMs)},
       isReachable ? 'upstream reachable' : 'upstream unreachable from here',
     );
     if (!isReachable) onLost(known);
