Offer urgent requests the room that they would get in another region

Cause: the digest of a domain told the wait of a request of the lowest priority and the slots that its whole queue leaves. An urgent request would overtake that queue. A digest now tells the queue and the wait ahead of each priority, and a request that can run nowhere else is offered what it would find. Requests with another choice see what they saw before.

--- a/src/node/scheduling/__tests__/out_of_reach.spec.ts
+++ b/src/node/scheduling/__tests__/out_of_reach.spec.ts
@@ -11,6 +11,7 @@
 import {
   AWAY,
   AWAY_A,
+  brief,
   chat,
   createScheduler,
   ENGINE_TRAITS,
@@ -163,3 +164,49 @@
     },
   );
 });
+
+// Guards against urgent requests that are refused although another region would serve
+// them before the less urgent ones which queue there.
+test('a request without upstreams is offered the room that it would get', () => {
+  const scheduler = createWithUpstreams();
+  scheduler.board.record(
+    {
+      region: AWAY,
+      domain: AWAY_A,
+      service: asId<ServiceId>('service'),
+      upstreams: 2,
+      freeSlots: -10,
+      freeTokens: 400_000,
+      waitMs: 2_000,
+      loads: [
+        {priority: -1, queued: 0, waitMs: 0},
+        {priority: 2, queued: 20, waitMs: 2_000},
+      ],
+      readShare: 0,
+    },
+    0,
+  );
+  const fields = {unreachable: NAMES, otherRegions: [AWAY]};
+  scheduler.submit(chat('urgent', fields), 10);
+  scheduler.submit(brief('patient', fields), 10);
+  assert.deepEqual(scheduler.decide(10).map(toLine), [
+    'urgent to region away',
+    'patient refused: no_upstream',
+  ]);
+});
+
+// Guards against a digest that hides what a request would overtake.
+test('a digest tells the load ahead of each priority', () => {
+  const scheduler = createScheduler(ENGINE_TRAITS);
+  // Before the list is read, all requests wait.
+  [brief('patient'), chat('urgent')].forEach(item => scheduler.submit(item, 0));
+  const {loads = []} = scheduler.digest(asId<ServiceId>('service'), 0);
+  assert.deepEqual(
+    loads.map(({priority, queued}) => [priority, queued]),
+    [
+      [-1, 0],
+      [0, 1],
+      [2, 2],
+    ],
+  );
+});
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -68,7 +68,8 @@
   /**
    * The offer with the lowest expected time among the allowed domains. Without
    * another choice (`isOnlyChoice`), slots that become free after the digest
-   * count as well: the scheduler there can still queue or refuse the request.
+   * count as well, and only those queued requests which the request would not
+   * overtake: the scheduler there can still queue or refuse it.
    */
   bestOffer(
     item: WorkItem,
@@ -121,12 +122,12 @@
     const {digest, atMs, sentRequests, sentTokens} = record;
     const digestAgeMs = nowMs - atMs;
     const tokens = item.prompt?.promptTokens ?? 0;
-    const freedSlots = isOnlyChoice
-      ? (digest.slotsFreedPerMs ?? 0) * digestAgeMs
-      : 0;
+    const {freeSlots, waitMs} = isOnlyChoice
+      ? roomWithoutChoice(digest, item, digestAgeMs)
+      : digest;
     const hasRoom =
       digest.upstreams > 0 &&
-      digest.freeSlots + freedSlots > sentRequests &&
+      freeSlots > sentRequests &&
       (tokens === 0 || digest.freeTokens > sentTokens + tokens);
     if (!hasRoom || digestAgeMs > DIGEST_EXPIRY_MS) return [];
     const prefillMs =
@@ -135,8 +136,7 @@
     const isNear = region === this.ownRegion;
     const costMs = isNear ? PASS_COST_MS : OFFLOAD_COST_MS;
     const minGainMs = isNear ? PASS_MIN_GAIN_MS : OFFLOAD_MIN_GAIN_MS;
-    const expectedMs =
-      digest.waitMs + prefillMs + BASE_FIRST_ANSWER_MS + costMs;
+    const expectedMs = waitMs + prefillMs + BASE_FIRST_ANSWER_MS + costMs;
     const sentShare = prefillMs / Math.max(1, digestAgeMs + DIGEST_EXPIRY_MS);
     const readShare = digest.readShare + sentShare;
     return [{region, domain, minGainMs, expectedMs, digestAgeMs, readShare}];
@@ -153,3 +153,20 @@
     softwareVersions.some(version => fits(begun, version))
   );
 }
+
+/** What a domain offers to a request that can run nowhere else. */
+function roomWithoutChoice(
+  digest: CapacityDigest,
+  {priority}: WorkItem,
+  digestAgeMs: number,
+): Pick<CapacityDigest, 'freeSlots' | 'waitMs'> {
+  const {loads = [], freeSlots, slotsFreedPerMs = 0, waitMs} = digest;
+  const freedSlots = slotsFreedPerMs * digestAgeMs;
+  const queued = loads.at(-1)?.queued ?? 0;
+  const load = loads.filter(each => each.priority <= priority).at(-1);
+  const overtaken = load === undefined ? 0 : queued - load.queued;
+  return {
+    freeSlots: freeSlots + freedSlots + overtaken,
+    waitMs: load?.waitMs ?? waitMs,
+  };
+}
--- a/src/node/scheduling/capacity_digest.ts
+++ b/src/node/scheduling/capacity_digest.ts
@@ -16,6 +16,9 @@
   readonly prefillLoad: PrefillLoad;
 }
 
+/** A request of this priority overtakes the whole queue. */
+const MORE_URGENT_THAN_ALL = -1;
+
 /** Upstreams that get few requests a second are no capacity for others. */
 export function digestOf(
   {region, domain, service, pool, queue, prefillLoad}: DigestSource,
@@ -32,6 +35,11 @@
     upstreams: usable.length,
     softwareVersions: [...new Set(versions)],
     freeSlots: freeSlots - queue.size,
+    loads: [MORE_URGENT_THAN_ALL, ...queue.priorities()].map(priority => {
+      const ahead = queue.ahead(priority);
+      const waitMs = queueWaitMs(ahead, usable, nowMs);
+      return {priority, queued: ahead.requests, waitMs};
+    }),
     slotsFreedPerMs: usable.reduce(
       (sum, each) => sum + each.slotsFreedPerMs,
       0,
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -269,6 +269,15 @@
   readonly limits: readonly UpstreamLimit[];
 }
 
+/** What a new request of a priority would wait for in a scheduler's queue. */
+export interface PriorityLoad {
+  /** Holds for this priority and less urgent ones, up to the next load. */
+  readonly priority: number;
+  /** Queued requests ahead of it. */
+  readonly queued: number;
+  readonly waitMs: number;
+}
+
 /** Capacity of a scheduler's domain, sent to schedulers of other domains. */
 export interface CapacityDigest {
   readonly region: RegionId;
@@ -284,6 +293,8 @@
   readonly freeTokens: number;
   /** Predicted queue wait of a new request of the lowest priority. */
   readonly waitMs: number;
+  /** The loads for requests that overtake others, most urgent first. */
+  readonly loads?: readonly PriorityLoad[];
   /** Share of the engines' time that prefill takes; above 1 when overloaded. */
   readonly readShare: number;
 }
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -87,6 +87,11 @@
     return this.isLowPriorityTurn() ? this.inOrder()[0] : undefined;
   }
 
+  /** The priorities of the queued requests, most urgent first. */
+  priorities(): readonly number[] {
+    return [...new Set(this.items.map(each => each.item.priority))];
+  }
+
   /** The load ahead of a new request of this priority. */
   ahead(priority = Number.POSITIVE_INFINITY): QueueLoad {
     return this.items.reduce<QueueLoad>(
