Use grants that name a limit, also those of schedulers of the former version

While two software versions run side by side, a scheduler of the former one does not say whether it was told of a limit (isLimitKnown). An entry that knows one returned its grants, although they named the limit, and asked again until the request's deadline. Found while reading the diff; the spec fails before. Between processes of this version nothing changes, as a scheduler that names a limit knows it.

--- a/src/node/ingress/__tests__/grant_source.spec.ts
+++ b/src/node/ingress/__tests__/grant_source.spec.ts
@@ -84,6 +84,17 @@
   );
 });
 
+// Guards against grants that are returned for ever: a scheduler of the software version
+// before does not say whether it was told.
+test('a grant that names the limit is used, whatever else it says', async () => {
+  const granted = grantOf({maxRequestsPerS: LIMIT_PER_S});
+  const {isLimitKnown, ...former} = granted;
+  assert.deepEqual(
+    [isLimitKnown, await acquire([former], LIMIT_PER_S)],
+    [true, ['acquire', 'grant']],
+  );
+});
+
 // Guards against a request that is sent to an upstream which has asked to be left
 // alone since the scheduler was asked.
 test('a grant for an upstream that wants no requests is returned', async () => {
--- a/src/node/ingress/grant_source.ts
+++ b/src/node/ingress/grant_source.ts
@@ -47,7 +47,8 @@
 
   /** The limit that the upstream has told this entry and not the scheduler. */
   private unknownLimitPerS(grant: Grant): number | undefined {
-    return grant.isLimitKnown
+    const isKnown = grant.isLimitKnown || grant.maxRequestsPerS !== undefined;
+    return isKnown
       ? undefined
       : this.options.limits.maxRequestsPerS(grant.upstreamId);
   }
