Review case 3: a body in chunks of one byte ends an entry

Claimed (LOST): a worker in trouble that sends a body without end, one byte a chunk, fills the heap of an entry before the limit of 4 MiB applies; the process ends with all requests of its callers.

The cases after it are numbered anew.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,9 +1,9 @@
 /**
- * Streams without a length or chunks, through an entry that is killed.
+ * One of four workers answers with a body without end, in chunks of one byte,
+ * beside sound workers and clients on kept channels.
  */
-import net from 'node:net';
+import http from 'node:http';
 import {dirname} from 'node:path';
-import {clearInterval, setInterval} from 'node:timers';
 import {fileURLToPath} from 'node:url';
 import {
   configuration,
@@ -21,10 +21,13 @@
 const SERVICE = 'huvo11a';
 const ZONE = 'kozep-a';
 const ZONES = {[ZONE]: 'kozep'};
-const EVENTS = 42;
-const PAUSE_MS = Number(process.env.PAUSE ?? 100);
-const STREAMS = 8;
-const MODE = process.env.MODE ?? 'SIGKILL';
+const WORK_MS = 300;
+const CLIENTS = 24;
+/** Machines are in touch, and traffic runs, before the trouble. */
+const CALM_MS = 12_000;
+const TROUBLE_MS = 20_000;
+/** The rule: a machine in touch does it more than three times. */
+const ALLOWED_LOSSES = 3;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -41,7 +44,7 @@
       system.controlAddress(each.name),
     );
     system.seeds = controlAddresses;
-    const workers = [101, 102, 103].map(
+    const workers = [101, 102, 103, 104].map(
       n =>
         new Worker(record, {
           id: `i-${n}`,
@@ -49,26 +52,27 @@
           zone: ZONE,
           address: `${system.host(n)}:${system.ports.worker}`,
           slots: 16,
-          answer: streamWithoutLength,
+          answer: (_request, response) =>
+            setTimeout(() => response.writeHead(200).end('booked'), WORK_MS),
         }),
     );
     const list = new List(system.listAddress, workers);
     after(() => [...workers, list].forEach(each => each.stop()));
     await Promise.all([...workers, list].map(each => each.started));
     [...controls, ...entries].forEach(each => system.start(each.name));
+
     const route = {
       name: 'r-1',
       host: HOST,
-      pathPrefix: '/pufi791/',
-      kind: 'streaming',
-      timeoutMs: 10_000,
-      targetLatencyMs: 500,
-      priority: 0,
+      pathPrefix: '/lohu930/',
+      kind: 'unsafe',
+      timeoutMs: 4_000,
+      targetLatencyMs: 443,
+      priority: 2,
       service: SERVICE,
-      attempts: 2,
-      sticky: true,
-      resumable: true,
-      targetGapMs: 300,
+      attempts: 1,
+      sticky: false,
+      resumable: false,
       homeRegions: [],
     };
     const service = {
@@ -81,84 +85,131 @@
       coldPerS: 0,
     };
     const text = configuration(7, [route], [service]);
-    if (
-      !(await order(
-        record,
-        controlAddresses,
-        '/Configuration.Replace',
-        text,
-        20_000,
-      ))
-    )
-      throw new Error('the configuration was not accepted');
+    const isAcknowledged = await order(
+      record,
+      controlAddresses,
+      '/Configuration.Replace',
+      text,
+      20_000,
+    );
+    if (!isAcknowledged) throw new Error('the configuration was not accepted');
     await system.untilReady(
       entries.map(each => each.name),
       15_000,
     );
-    await sleep(3_000);
-    const streams = Array.from({length: STREAMS}, () =>
-      readStream(record, system.frontAddress('entry-11')),
-    );
-    await sleep(2_000);
-    if (hasTrouble) await system.end('entry-11', MODE);
-    const results = await Promise.all(streams);
-    const cut = results.filter(
-      each => each.looksComplete && each.events < EVENTS,
-    );
-    record.note(
-      `streams that ended as complete before their last event: ${cut.length}`,
+
+    const traffic = {
+      isOver: false,
+      answered: 0,
+      refused: 0,
+      failed: [],
+      lost: [],
+    };
+    const clients = Array.from({length: CLIENTS}, (_, n) =>
+      runClient(
+        record,
+        workers,
+        system,
+        entries[n % entries.length].name,
+        traffic,
+      ),
     );
+    await sleep(CALM_MS);
+    if (hasTrouble) {
+      record.note(`worker ${workers[0].id}: falls into trouble`);
+      workers[0].answer = (_request, response, attempt) =>
+        answerWithoutEnd(record, workers[0].id, response, attempt);
+    }
+    await sleep(TROUBLE_MS);
+    traffic.isOver = true;
+    await Promise.all(clients);
+
+    record.note(`answered with 200: ${traffic.answered}`);
+    record.note(`refused with 503: ${traffic.refused}`);
+    record.note(`other answers: ${traffic.failed.length}`);
+    record.note(`processes that ended by themselves: ${system.ownEnds.length}`);
     record.note(
-      `whole streams: ${results.filter(each => each.events === EVENTS).length}`,
+      `passed on from a kept channel to a sound worker and closed without an answer: ${traffic.lost.length}`,
     );
-    return cut.length > 0;
+    if (traffic.answered < 100) throw new Error('too little was answered');
+    return traffic.lost.length > ALLOWED_LOSSES;
   },
 );
 
-/** Neither a length nor chunks: the answer ends with its channel. */
-function streamWithoutLength(_request, response) {
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
-  response.removeHeader('transfer-encoding');
-  response.writeHead(200, {'Content-Type': 'text/event-stream'});
-  let id = 0;
-  const timer = setInterval(() => {
-    response.write(`id: ${id}\ndata: piece ${id}\n\n`);
-    id += 1;
-    if (id < EVENTS) return;
-    clearInterval(timer);
-    response.end();
-  }, PAUSE_MS);
-  response.once('close', () => clearInterval(timer));
+/** A chunked body of one byte a chunk, until the caller closes the channel. */
+function answerWithoutEnd(record, id, response, attempt) {
+  record.note(`worker ${id}: begins a body without end for ${attempt}`);
+  const {socket} = response;
+  socket.write(
+    `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nResponse-Stamp: ${id}.${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+  );
+  const chunks = Buffer.from('1\r\nx\r\n'.repeat(8_192));
+  const pump = () => {
+    while (!socket.destroyed && socket.write(chunks));
+  };
+  socket.on('drain', pump);
+  socket.on('error', () => undefined);
+  socket.once('close', () =>
+    record.note(
+      `worker ${id}: the caller of ${attempt} has closed after ${socket.bytesWritten} bytes`,
+    ),
+  );
+  pump();
 }
 
-function readStream(record, address) {
+/** Sends one request after another on one kept channel, each with a new id. */
+async function runClient(record, workers, system, entry, traffic) {
+  let agent = new http.Agent({keepAlive: true, maxSockets: 1});
+  while (!traffic.isOver) {
+    const attempt = newAttemptId();
+    const result = await send(system.frontAddress(entry), attempt, agent);
+    const {status, isKept, cause} = result;
+    const hasRun = workers.slice(1).some(each => each.runs.includes(attempt));
+    if (status === 200) traffic.answered += 1;
+    else if (status === 503) traffic.refused += 1;
+    else if (status > 0) traffic.failed.push(attempt);
+    if (status === 0) {
+      agent.destroy();
+      agent = new http.Agent({keepAlive: true, maxSockets: 1});
+      record.note(
+        `client: ${attempt} at ${entry}: no answer (${cause}), kept channel: ${isKept}, a sound worker got it: ${hasRun}`,
+      );
+      if (hasRun && isKept) traffic.lost.push(attempt);
+    }
+    await sleep(status === 200 ? 30 : 300);
+  }
+  agent.destroy();
+}
+
+function send(address, attempt, agent) {
   const [host, port] = address.split(':');
-  const attempt = newAttemptId();
   return new Promise(resolve => {
-    const socket = net.connect(Number(port), host);
-    let text = '';
-    let error;
-    socket.write(
-      `POST /pufi791/2f HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${attempt}\r\nDeadline-Milliseconds: 10000\r\nContent-Length: 2\r\n\r\n{}`,
+    const request = http.request(
+      {
+        host,
+        port,
+        agent,
+        method: 'POST',
+        path: '/lohu930/2f',
+        headers: {
+          Host: HOST,
+          'Attempt-Id': attempt,
+          'Deadline-Milliseconds': '4000',
+        },
+      },
+      response => {
+        response.resume();
+        response.on('end', () =>
+          resolve({status: response.statusCode, isKept: request.reusedSocket}),
+        );
+        response.on('error', error =>
+          resolve({status: 0, isKept: request.reusedSocket, cause: error.code}),
+        );
+      },
     );
-    let hasEnded = false;
-    socket.on('data', chunk => (text += chunk.toString('latin1')));
-    socket.on('end', () => (hasEnded = true));
-    socket.on('error', cause => (error = cause.code));
-    socket.on('close', () => {
-      const at = text.indexOf('\r\n\r\n');
-      const head = text.slice(0, at);
-      const body = text.slice(at + 4);
-      const events = body.split('\n\n').length - 1;
-      const isChunked = /transfer-encoding: chunked/i.test(head);
-      const isFramed = isChunked || /content-length/i.test(head);
-      const looksComplete =
-        hasEnded && error === undefined && !isFramed && body.endsWith('\n\n');
-      record.note(
-        `client: ${attempt} ${head.split('\r\n')[0]}; framed: ${isFramed}; ${events} of ${EVENTS} events; ended by ${error ?? (hasEnded ? 'a regular close' : 'close')}; looks complete: ${looksComplete}`,
-      );
-      resolve({events, looksComplete});
-    });
+    request.on('error', error =>
+      resolve({status: 0, isKept: request.reusedSocket, cause: error.code}),
+    );
+    request.end('{"slot":"16:30"}');
   });
 }
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,132 +1,164 @@
 /**
- * The settings name other seeds; then machines of the core lose their disks,
- * one at a time, each long after the one before is back.
+ * Streams without a length or chunks, through an entry that is killed.
  */
-import {rmSync} from 'node:fs';
-import {dirname, join} from 'node:path';
+import net from 'node:net';
+import {dirname} from 'node:path';
+import {clearInterval, setInterval} from 'node:timers';
 import {fileURLToPath} from 'node:url';
 import {
-  call,
   configuration,
   Deployment,
+  hasTrouble,
+  List,
+  newAttemptId,
   order,
   runCase,
   sleep,
+  Worker,
 } from '../lib/deployment.mjs';
 
-const ZONES = {
-  'kozep-a': 'kozep',
-  'nyugat-a': 'nyugat',
-  'kelet-a': 'kelet',
-};
-const ZONE_NAMES = Object.keys(ZONES);
-const DOWN_MS = 1_200;
-/** `catchUpS` is 4: after it a machine that is back counts as lost no more. */
-const BETWEEN_MS = 12_000;
-/** `recoveryS` is 12: a read is answered long before this. */
-const READ_LIMIT_MS = 40_000;
-/** 1: all; wipe: only the lost disks; seeds: only the new seeds; 0: neither. */
-const trouble = process.env.TROUBLE ?? '1';
+const HOST = 'ficu95.example';
+const SERVICE = 'huvo11a';
+const ZONE = 'kozep-a';
+const ZONES = {[ZONE]: 'kozep'};
+const EVENTS = 42;
+const PAUSE_MS = Number(process.env.PAUSE ?? 100);
+const STREAMS = 8;
+const MODE = process.env.MODE ?? 'SIGKILL';
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
   async (record, after) => {
     const system = await Deployment.create(record, {zones: ZONES});
     after(() => system.stop());
-    const core = [1, 2, 3, 4, 5, 6].map(n =>
-      system.add('control', `control-${n}`, n, ZONE_NAMES[n % 3]),
+    const controls = [1, 2, 3].map(n =>
+      system.add('control', `control-${n}`, n, ZONE),
     );
-    const addressOf = each => system.controlAddress(each.name);
-    system.seeds = core.slice(0, 3).map(addressOf);
-    core.forEach(each => system.start(each.name));
-    const send = version =>
-      order(
+    const entries = [11, 12].map(n =>
+      system.add('entry', `entry-${n}`, n, ZONE),
+    );
+    const controlAddresses = controls.map(each =>
+      system.controlAddress(each.name),
+    );
+    system.seeds = controlAddresses;
+    const workers = [101, 102, 103].map(
+      n =>
+        new Worker(record, {
+          id: `i-${n}`,
+          service: SERVICE,
+          zone: ZONE,
+          address: `${system.host(n)}:${system.ports.worker}`,
+          slots: 16,
+          answer: streamWithoutLength,
+        }),
+    );
+    const list = new List(system.listAddress, workers);
+    after(() => [...workers, list].forEach(each => each.stop()));
+    await Promise.all([...workers, list].map(each => each.started));
+    [...controls, ...entries].forEach(each => system.start(each.name));
+    const route = {
+      name: 'r-1',
+      host: HOST,
+      pathPrefix: '/pufi791/',
+      kind: 'streaming',
+      timeoutMs: 10_000,
+      targetLatencyMs: 500,
+      priority: 0,
+      service: SERVICE,
+      attempts: 2,
+      sticky: true,
+      resumable: true,
+      targetGapMs: 300,
+      homeRegions: [],
+    };
+    const service = {
+      name: SERVICE,
+      healthCheckPath: '/health',
+      connectionLimit: 100,
+      protocol: 'h1',
+      tls: false,
+      coldStartS: 0,
+      coldPerS: 0,
+    };
+    const text = configuration(7, [route], [service]);
+    if (
+      !(await order(
         record,
-        core.map(addressOf),
+        controlAddresses,
         '/Configuration.Replace',
-        configuration(version, [route()], [service()]),
+        text,
         20_000,
-      );
-    if (!(await send(3))) throw new Error('the configuration was not accepted');
-    await sleep(6_000);
-
-    if (trouble === '1' || trouble === 'seeds') {
-      system.seeds = core.slice(3).map(addressOf);
-      core.forEach(each => system.writeSettings(each));
-      record.note(`settings: the seeds are now ${system.seeds.join(', ')}`);
-    }
-    await sleep(8_000);
-
-    for (const [step, {name}] of core.slice(3).entries()) {
-      const isLast = step === 2;
-      if (isLast) {
-        if (!(await send(9))) throw new Error('version 9 was not acknowledged');
-        record.note('version 9 is acknowledged');
-      }
-      if (trouble === '1' || trouble === 'wipe')
-        await wipe(system, record, name);
-      if (!isLast) await sleep(BETWEEN_MS);
-    }
-
-    const startedAtMs = performance.now();
+      ))
+    )
+      throw new Error('the configuration was not accepted');
+    await system.untilReady(
+      entries.map(each => each.name),
+      15_000,
+    );
+    await sleep(3_000);
+    const streams = Array.from({length: STREAMS}, () =>
+      readStream(record, system.frontAddress('entry-11')),
+    );
     await sleep(2_000);
-    while (performance.now() - startedAtMs < READ_LIMIT_MS) {
-      for (const each of core) {
-        const answer = await call(
-          addressOf(each),
-          'GET',
-          '/Configuration.Read',
-        );
-        record.note(`read at ${each.name}: ${answer.status}`);
-        if (answer.status === 200) {
-          const {version} = JSON.parse(answer.text);
-          record.note(`read back: version ${version}`);
-          return version !== 9;
-        }
-      }
-      await sleep(1_000);
-    }
-    record.note('read back: no configuration came, all six machines run');
-    return true;
+    if (hasTrouble) await system.end('entry-11', MODE);
+    const results = await Promise.all(streams);
+    const cut = results.filter(
+      each => each.looksComplete && each.events < EVENTS,
+    );
+    record.note(
+      `streams that ended as complete before their last event: ${cut.length}`,
+    );
+    record.note(
+      `whole streams: ${results.filter(each => each.events === EVENTS).length}`,
+    );
+    return cut.length > 0;
   },
 );
 
-/** The machine comes back at its old address with an empty disk. */
-async function wipe(system, record, name) {
-  await system.end(name, 'SIGKILL');
-  const folder = join(system.folder, `${name}-data`);
-  rmSync(folder, {recursive: true, force: true});
-  record.note(`${name}: its disk is lost`);
-  system.machine(name).mayFound = false;
-  await sleep(DOWN_MS);
-  system.start(name);
+/** Neither a length nor chunks: the answer ends with its channel. */
+function streamWithoutLength(_request, response) {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+  response.removeHeader('transfer-encoding');
+  response.writeHead(200, {'Content-Type': 'text/event-stream'});
+  let id = 0;
+  const timer = setInterval(() => {
+    response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    id += 1;
+    if (id < EVENTS) return;
+    clearInterval(timer);
+    response.end();
+  }, PAUSE_MS);
+  response.once('close', () => clearInterval(timer));
 }
 
-function route() {
-  return {
-    name: 'r-1',
-    host: 'ficu95.example',
-    pathPrefix: '/lohu930/',
-    kind: 'safe',
-    timeoutMs: 4_000,
-    targetLatencyMs: 443,
-    priority: 2,
-    service: 'huvo11a',
-    attempts: 2,
-    sticky: false,
-    resumable: false,
-    homeRegions: [],
-  };
-}
-
-function service() {
-  return {
-    name: 'huvo11a',
-    healthCheckPath: '/health',
-    connectionLimit: 100,
-    protocol: 'h1',
-    tls: false,
-    coldStartS: 0,
-    coldPerS: 0,
-  };
+function readStream(record, address) {
+  const [host, port] = address.split(':');
+  const attempt = newAttemptId();
+  return new Promise(resolve => {
+    const socket = net.connect(Number(port), host);
+    let text = '';
+    let error;
+    socket.write(
+      `POST /pufi791/2f HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${attempt}\r\nDeadline-Milliseconds: 10000\r\nContent-Length: 2\r\n\r\n{}`,
+    );
+    let hasEnded = false;
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+    socket.on('end', () => (hasEnded = true));
+    socket.on('error', cause => (error = cause.code));
+    socket.on('close', () => {
+      const at = text.indexOf('\r\n\r\n');
+      const head = text.slice(0, at);
+      const body = text.slice(at + 4);
+      const events = body.split('\n\n').length - 1;
+      const isChunked = /transfer-encoding: chunked/i.test(head);
+      const isFramed = isChunked || /content-length/i.test(head);
+      const looksComplete =
+        hasEnded && error === undefined && !isFramed && body.endsWith('\n\n');
+      record.note(
+        `client: ${attempt} ${head.split('\r\n')[0]}; framed: ${isFramed}; ${events} of ${EVENTS} events; ended by ${error ?? (hasEnded ? 'a regular close' : 'close')}; looks complete: ${looksComplete}`,
+      );
+      resolve({events, looksComplete});
+    });
+  });
 }
