--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -155,9 +155,11 @@
   let agent = new http.Agent({keepAlive: true, maxSockets: 1});
   while (!traffic.isOver) {
     const attempt = newAttemptId();
+    record.note(`client: ${attempt} sent to ${entry}`);
     const result = await send(system.frontAddress(entry), attempt, agent);
     const {status, isKept, cause} = result;
     const hasRun = workers.some(each => each.runs.includes(attempt));
+    if (status > 0) record.note(`client: ${attempt} answered ${status}`);
     if (status === 200) traffic.answered += 1;
     else if (status === 503) traffic.refused += 1;
     else if (status > 0) traffic.failed.push(attempt);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -139,6 +139,7 @@
     const socket = net.connect(Number(port), host);
     let text = '';
     let error;
+    record.note(`client: ${attempt} sent to ${address}`);
     socket.write(
       `POST /pufi791/2f HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${attempt}\r\nDeadline-Milliseconds: 10000\r\nContent-Length: 2\r\n\r\n{}`,
     );
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -422,10 +422,16 @@
 export async function runCase(folder, body) {
   const record = new Record(folder);
   const cleanups = [];
+  const finish = async code => {
+    for (const cleanup of cleanups.splice(0)) await cleanup();
+    process.exit(code);
+  };
   const limit = setTimeout(() => {
     record.note('the case took too long');
-    process.exit(2);
-  }, 115_000);
+    void finish(2);
+  }, 112_000);
+  process.once('SIGTERM', () => void finish(2));
+  process.once('SIGINT', () => void finish(2));
   let code = 2;
   try {
     const broken = await body(record, cleanup => cleanups.unshift(cleanup));
@@ -434,7 +440,6 @@
   } catch (error) {
     record.note(`could not run: ${error.stack}`);
   }
-  for (const cleanup of cleanups) await cleanup();
   clearTimeout(limit);
-  process.exit(code);
+  await finish(code);
 }
