--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -21,8 +21,8 @@
 const SERVICE = 'huvo11a';
 const ZONE = 'kozep-a';
 const ZONES = {[ZONE]: 'kozep'};
-const WORK_MS = 300;
-const CLIENTS = 24;
+const WORK_MS = 1_500;
+const CLIENTS = 40;
 /** Machines are in touch, and traffic runs, before the item appears. */
 const CALM_MS = 12_000;
 const TROUBLE_MS = 20_000;
@@ -67,7 +67,7 @@
       pathPrefix: '/lohu930/',
       kind: 'unsafe',
       timeoutMs: 4_000,
-      targetLatencyMs: 443,
+      targetLatencyMs: 3_000,
       priority: 2,
       service: SERVICE,
       attempts: 1,
@@ -171,7 +171,7 @@
       );
       if (hasRun && isKept) traffic.lost.push(attempt);
     }
-    await sleep(status === 200 ? 30 : 300);
+    await sleep(status === 200 ? 10 + 200 * Math.random() : 300);
   }
   agent.destroy();
 }
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -21,14 +21,13 @@
 const SERVICE = 'huvo11a';
 const ZONE = 'kozep-a';
 const ZONES = {[ZONE]: 'kozep'};
-const WORK_MS = 300;
-const CLIENTS = 24;
+const WORK_MS = 5_000;
+const CLIENTS = 48;
 /** Machines are in touch, and traffic runs, before the trouble. */
 const CALM_MS = 12_000;
 const TROUBLE_MS = 25_000;
-/** The rule: on two machines at least, three times. */
-const MACHINES = 2;
-const ENDS = 3;
+/** The rule: a machine in touch does it more than three times. */
+const ALLOWED_LOSSES = 3;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -52,7 +51,7 @@
           service: SERVICE,
           zone: ZONE,
           address: `${system.host(n)}:${system.ports.worker}`,
-          slots: 16,
+          slots: 32,
           answer: (_request, response) =>
             setTimeout(() => response.writeHead(200).end('booked'), WORK_MS),
         }),
@@ -67,8 +66,8 @@
       host: HOST,
       pathPrefix: '/lohu930/',
       kind: 'unsafe',
-      timeoutMs: 4_000,
-      targetLatencyMs: 443,
+      timeoutMs: 10_000,
+      targetLatencyMs: 8_000,
       priority: 2,
       service: SERVICE,
       attempts: 1,
@@ -132,15 +131,8 @@
     record.note(
       `passed on from a kept channel to a sound worker and closed without an answer: ${traffic.lost.length}`,
     );
-    if (traffic.answered < 100) throw new Error('too little was answered');
-    const faulty = entries.filter(
-      ({name}) =>
-        system.ownEnds.filter(end => end.name === name).length >= ENDS,
-    );
-    record.note(
-      `machines whose process ended by itself three times: ${faulty.length}`,
-    );
-    return faulty.length >= MACHINES;
+    if (traffic.answered < 50) throw new Error('too little was answered');
+    return traffic.lost.length > ALLOWED_LOSSES;
   },
 );
 
@@ -186,7 +178,7 @@
       );
       if (hasRun && isKept) traffic.lost.push(attempt);
     }
-    await sleep(status === 200 ? 30 : 300);
+    await sleep(status === 200 ? 10 + 200 * Math.random() : 300);
   }
   agent.destroy();
 }
@@ -204,7 +196,7 @@
         headers: {
           Host: HOST,
           'Attempt-Id': attempt,
-          'Deadline-Milliseconds': '4000',
+          'Deadline-Milliseconds': '10000',
         },
       },
       response => {
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec node review/5/case.mjs
+exec node review/5/case.mjs review/5/record.txt
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -31,7 +31,7 @@
 /** Notes a line in the case's record, with the time since the start. */
 export class Record {
   constructor(folder) {
-    this.path = join(folder, 'record.txt');
+    this.path = process.argv[2] ?? join(folder, 'record.txt');
     this.startedAtMs = performance.now();
     writeFileSync(this.path, `trouble: ${hasTrouble ? 'yes' : 'no'}\n`);
   }
