Remove control members that the group does not need

Cause: the leader removed a silent member only if as many members answered as had ever answered at once. While the new member ran beside the old one that number became four, and it stayed four after the old one had left. The same happened without a plan if the new member joined within the 2.5 s in which the silence of the old one was not noticed. The number was kept by each process.

Now the settings name how many members may be lost at once; the leader removes a silent member if the others that answer bear that. A member asks to be removed at a planned stop under the same condition, and to join again if it finds no leader: its own log cannot tell it that it was removed while it was cut off. A reply to a ping names the identity, so that a process without its disk does not answer for its former identity.

--- a/src/node/replication/group_member.ts
+++ b/src/node/replication/group_member.ts
@@ -22,6 +22,8 @@
     > {
   /** Internal address of this instance, `host:port`. */
   readonly address: string;
+  /** Instances that may know the group. @default the other founders */
+  readonly contacts?: () => readonly string[];
   /** Votes this member requests. @default its weight as a founder, or 0 */
   readonly weight?: number;
 }
@@ -62,9 +64,12 @@
     client,
     methodPrefix,
     member: {memberId, address, weight},
-    contacts: founders
-      .filter(founder => founder.instance !== instance)
-      .map(founder => founder.address),
+    contacts:
+      options.contacts ??
+      (() =>
+        founders
+          .filter(founder => founder.instance !== instance)
+          .map(founder => founder.address)),
     retryMs: options.retryMs,
   });
   return {
--- a/src/node/replication/joining.ts
+++ b/src/node/replication/joining.ts
@@ -5,6 +5,7 @@
  * has caught up, so that the old vote is removed before the new one counts.
  */
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import {GatewayError} from '../types/errors.js';
 import type {MemberId} from '../types/ids.js';
@@ -67,7 +68,18 @@
     : {kind: 'set_weight', memberId, weight};
 }
 
-/** Registers `<prefix>.join`, which calls `replaceIdentity`. */
+/** The reply to a request to join: `null`, or where to ask instead. */
+const joinReplySchema = z
+  .object({leaderAddress: z.string().optional()})
+  .nullable();
+
+type JoinReply = z.output<typeof joinReplySchema>;
+
+/**
+ * Registers `<prefix>.join`, which calls `replaceIdentity` on the leader. Other
+ * members name the leader: a member without a disk knows only the addresses in
+ * its settings, and the leader need not be among them.
+ */
 export function registerJoinMethod(
   log: AnyLog,
   router: RpcRouter,
@@ -76,7 +88,7 @@
   router.register(
     `${methodPrefix}.join`,
     memberSchema,
-    async (member, context) => {
+    async (member, context): Promise<JoinReply> => {
       if (instanceOf(member.memberId) !== context.sender) {
         throw new GatewayError({
           code: 'forbidden',
@@ -99,7 +111,7 @@
   /** This member with the weight that it requests. */
   readonly member: ReplicaMember;
   /** Addresses of other instances that may know the leader. */
-  readonly contacts: readonly string[];
+  readonly contacts: () => readonly string[];
   /** @default 500 */
   readonly retryMs?: number;
 }
@@ -109,7 +121,7 @@
  * has joined with its weight. Returns a function that stops the attempts.
  */
 export function startJoining(options: JoiningOptions): () => void {
-  const {log, member, contacts, retryMs = DEFAULT_RETRY_MS} = options;
+  const {log, member, retryMs = DEFAULT_RETRY_MS} = options;
   let timer: ReturnType<typeof setTimeout> | undefined;
   let isStopped = false;
   let attempt = 0;
@@ -123,15 +135,15 @@
   };
   const run = async (): Promise<void> => {
     if (isStopped || isDone()) return;
-    const addresses = [...leaderAddress(log), ...contacts];
+    const known = leaderAddress(log);
+    const addresses = [
+      ...(known === undefined ? [] : [known]),
+      ...options.contacts(),
+    ];
     const address = addresses[attempt++ % addresses.length];
     if (address !== undefined) {
-      await options.client.call(
-        address,
-        `${options.methodPrefix}.join`,
-        member,
-        JOIN_TIMEOUT_MS,
-      );
+      // A contact that is cut off must not delay the next one.
+      await requestJoinAt(options, address);
     }
     if (!isStopped) timer = setTimeout(() => void run(), retryMs);
   };
@@ -142,9 +154,31 @@
   };
 }
 
-function leaderAddress(log: AnyLog): readonly string[] {
+/** Asks one member, and the leader that it names. */
+async function requestJoinAt(
+  options: JoiningOptions,
+  address: string,
+): Promise<void> {
+  const leader = await requestJoin(options, address);
+  if (leader !== undefined) await requestJoin(options, leader);
+}
+
+/** Asks one member; returns the address of the leader if that is another. */
+async function requestJoin(
+  {client, methodPrefix, member}: JoiningOptions,
+  address: string,
+): Promise<string | undefined> {
+  const reply = await client.call<unknown>(
+    address,
+    `${methodPrefix}.join`,
+    member,
+    JOIN_TIMEOUT_MS,
+  );
+  const parsed = joinReplySchema.safeParse(reply.unwrapOr(null));
+  return parsed.data?.leaderAddress;
+}
+
+function leaderAddress(log: AnyLog): string | undefined {
   const {members, leader} = log.status();
-  return members
-    .filter(known => known.memberId === leader)
-    .map(known => known.address);
+  return members.find(known => known.memberId === leader)?.address;
 }
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -172,16 +172,8 @@
     await this.options.storage.close();
   }
 
-  /** Stops immediately, as a crash would; `stop` still closes the files. */
-  abort(): void {
-    this.halt('this member was aborted');
-  }
-
-  private get memberId(): MemberId {
-    return this.options.memberId;
-  }
-
-  private async transferLeadership(): Promise<void> {
+  /** Ends the leadership of this member, if another voter can lead. */
+  async transferLeadership(): Promise<void> {
     const hasSuccessor = currentMembers(this.state).some(
       member => member.weight > 0 && member.memberId !== this.memberId,
     );
@@ -196,6 +188,15 @@
     });
   }
 
+  /** Stops immediately, as a crash would; `stop` still closes the files. */
+  abort(): void {
+    this.halt('this member was aborted');
+  }
+
+  private get memberId(): MemberId {
+    return this.options.memberId;
+  }
+
   private halt(message: string): void {
     if (this.isStopped) return;
     this.isStopped = true;
--- /dev/null
+++ b/src/node/routes/__tests__/control_group.spec.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {pauseClock} from '../../__tests__/support/clock.js';
+import {ControlGroup} from './support/control_group.js';
+
+const FIRST = ['a', 'b', 'c'];
+/** Time in which a member that comes back has to count again. */
+const CATCH_UP_MS = 4_000;
+const DOWN_MS = 1_200;
+
+// Guards against the vote of a replaced member that counts towards the quorum
+// for good: the next lost disk would end the group.
+test('a lost disk after a planned replacement leaves a quorum', async context => {
+  pauseClock(context);
+  const group = new ControlGroup(context, FIRST);
+  group.start(FIRST, true);
+  await group.advance(5_000);
+  assert.ok(await group.replaceTable(3));
+  group.start(['d']);
+  await group.advance(6_000);
+  await group.stop('a');
+  group.seeds = ['b', 'c', 'd'];
+  await group.advance(10_000);
+  assert.ok(await group.replaceTable(9));
+  group.kill('b', true);
+  await group.advance(DOWN_MS);
+  group.start(['b']);
+  await group.advance(CATCH_UP_MS);
+  assert.equal(await group.readVersion(), 9);
+});
+
+// Guards against the time between the planned stop of a replaced member and its
+// removal for silence, in which one lost disk would end the group.
+test('a lost disk right after a replaced member has stopped leaves a quorum', async context => {
+  pauseClock(context);
+  const group = new ControlGroup(context, FIRST);
+  group.start(FIRST, true);
+  await group.advance(5_000);
+  group.start(['d']);
+  await group.advance(CATCH_UP_MS);
+  assert.ok(await group.replaceTable(9));
+  const stopped = group.stop('a');
+  await group.advance(1_000);
+  group.kill('b', true);
+  await stopped;
+  group.start(['b']);
+  await group.advance(CATCH_UP_MS);
+  assert.equal(await group.readVersion(), 9);
+});
+
+// Guards against a replacement without a planned stop that joins before the
+// silence of the member before it is noticed.
+test('a lost disk after an unplanned replacement leaves a quorum', async context => {
+  pauseClock(context);
+  const group = new ControlGroup(context, FIRST);
+  group.start(FIRST, true);
+  await group.advance(5_000);
+  group.kill('a', true);
+  group.start(['d']);
+  await group.advance(10_000);
+  assert.ok(await group.replaceTable(9));
+  group.kill('b', true);
+  await group.advance(DOWN_MS);
+  group.start(['b']);
+  await group.advance(CATCH_UP_MS);
+  assert.equal(await group.readVersion(), 9);
+});
+
+// Guards against a member that was removed while it was silent and never asks
+// to join again, since its own log still lists it.
+test('a member that was removed while it was cut off joins again', async context => {
+  pauseClock(context);
+  const group = new ControlGroup(context, FIRST);
+  group.start(FIRST, true);
+  await group.advance(5_000);
+  group.start(['d']);
+  await group.advance(CATCH_UP_MS);
+  group.network.isolate('a:1');
+  await group.advance(10_000);
+  group.network.healAll();
+  await group.advance(CATCH_UP_MS);
+  assert.ok(await group.replaceTable(9));
+  ['b', 'c'].forEach(name => group.kill(name, false));
+  await group.advance(3_000);
+  group.start(['b']);
+  await group.advance(CATCH_UP_MS);
+  assert.equal(await group.readVersion(), 9);
+});
+
+// Guards against members that leave at a planned restart and do not get their
+// votes back.
+test('a planned restart of all members in turn keeps all votes', async context => {
+  pauseClock(context);
+  const group = new ControlGroup(context, FIRST);
+  const all = [...FIRST, 'd', 'e', 'f'];
+  group.start(all, true);
+  await group.advance(8_000);
+  for (const name of all) {
+    await group.stop(name);
+    group.start([name]);
+    await group.advance(1_000);
+  }
+  await group.advance(CATCH_UP_MS);
+  assert.ok(await group.replaceTable(9));
+  ['a', 'd'].forEach(name => group.kill(name, true));
+  await group.advance(3_000);
+  assert.equal(await group.readVersion(), 9);
+});
--- a/src/node/routes/__tests__/membership_manager.spec.ts
+++ b/src/node/routes/__tests__/membership_manager.spec.ts
@@ -13,7 +13,6 @@
 import {
   asId,
   asNumber,
-  type InstanceId,
   type LogIndex,
   type MemberId,
   type Term,
@@ -59,6 +58,7 @@
     return {
       memberId: member('a').memberId,
       role: 'leader',
+      leader: member('a').memberId,
       term: asNumber<Term>(1),
       commitIndex: asNumber<LogIndex>(1),
       appliedIndex: asNumber<LogIndex>(1),
@@ -115,9 +115,9 @@
     router: new RpcRouter(),
     logger: pino({level: 'silent'}),
     self: member('a'),
-    instanceId: asId<InstanceId>('a'),
     methodPrefix: 'test',
-    founderAddresses: ['a:1', 'b:1', 'c:1'],
+    toleratedLosses: 1,
+    seedAddresses: () => ['a:1', 'b:1', 'c:1'],
   });
   manager.start();
   await advance(2_000);
--- /dev/null
+++ b/src/node/routes/__tests__/support/control_group.ts
@@ -0,0 +1,133 @@
+/** Control members with disks on an in-memory network and a paused clock. */
+import type {TestContext} from 'node:test';
+import {pino} from 'pino';
+import {advanceClock} from '../../../__tests__/support/advance_clock.js';
+import {FaultFileLayer} from '../../../__tests__/support/fault_file_layer.js';
+import {MemoryNetwork} from '../../../__tests__/support/memory_network.js';
+import {FileReplicaStorage} from '../../../replication/replica_storage.js';
+import {RpcRouter} from '../../../rpc/rpc.js';
+import {asId, type InstanceId} from '../../../types/ids.js';
+import {ControlPlane} from '../../control_plane.js';
+import type {RouteTable} from '../../route_table.js';
+
+/** Coarser than a heartbeat would be slow; finer gains nothing here. */
+const STEP_MS = 10;
+
+export function tableOf(version: number): RouteTable {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    source: '',
+  };
+}
+
+/** Starts, stops and crashes control members; `name:1` is an address. */
+export class ControlGroup {
+  readonly network = new MemoryNetwork({delayMs: 1});
+  private readonly disks = new Map<string, FaultFileLayer>();
+  private readonly members = new Map<string, ControlPlane>();
+
+  /** `seeds` are named by the settings of members that start from now on. */
+  constructor(
+    private readonly context: TestContext,
+    public seeds: readonly string[],
+  ) {
+    context.after(async () => {
+      const stopped = Promise.all(this.names.map(name => this.stop(name)));
+      await advanceClock(context, 5_000, STEP_MS);
+      await stopped;
+    });
+  }
+
+  get names(): readonly string[] {
+    return [...this.members.keys()];
+  }
+
+  /** Starts members; `mayFound` is set at the first start of all alone. */
+  start(names: readonly string[], mayFound = false): void {
+    names.forEach(name => {
+      const address = `${name}:1`;
+      const router = new RpcRouter();
+      const disk = this.disks.get(name) ?? new FaultFileLayer();
+      disk.restart();
+      this.disks.set(name, disk);
+      const control = new ControlPlane({
+        instanceId: asId<InstanceId>(name),
+        innerAddress: address,
+        founderAddresses: this.seeds.map(seed => `${seed}:1`),
+        mayFound,
+        storage: new FileReplicaStorage(disk, 'routes'),
+        client: this.network.attach(address, name, router),
+        router,
+        logger: pino({level: 'silent'}),
+        onFailure: error => {
+          throw error;
+        },
+      });
+      this.members.set(name, control);
+      void control.start();
+    });
+  }
+
+  /** Stops a member as planned. */
+  async stop(name: string): Promise<void> {
+    const control = this.members.get(name);
+    this.members.delete(name);
+    const stopped = control?.stop();
+    await advanceClock(this.context, 3_000, STEP_MS);
+    await stopped;
+    this.network.detach(`${name}:1`);
+  }
+
+  /** Ends a member at once; `isDiskLost` leaves it an empty disk. */
+  kill(name: string, isDiskLost: boolean): void {
+    const control = this.members.get(name);
+    this.members.delete(name);
+    this.network.detach(`${name}:1`);
+    this.disks.get(name)?.crash();
+    if (isDiskLost) this.disks.get(name)?.empty();
+    void control?.stop().catch(() => undefined);
+  }
+
+  advance(durationMs: number): Promise<void> {
+    return advanceClock(this.context, durationMs, STEP_MS);
+  }
+
+  /** Sends a table to each member until one acknowledges it. */
+  async replaceTable(version: number): Promise<boolean> {
+    for (const control of this.members.values()) {
+      const result = await this.waitFor(control.replaceTable(tableOf(version)));
+      if (result?.isOk() === true) return true;
+    }
+    return false;
+  }
+
+  /** The version that a confirmed read returns, or `undefined` without one. */
+  async readVersion(): Promise<number | undefined> {
+    for (const control of this.members.values()) {
+      const state = await this.waitFor(control.readState());
+      if (state?.isOk() === true) return state.value.table?.version;
+    }
+    return undefined;
+  }
+
+  private async waitFor<Value>(
+    promise: PromiseLike<Value> | undefined,
+  ): Promise<Value | undefined> {
+    let settled: {value: Value} | undefined;
+    void promise?.then(value => {
+      settled = {value};
+    });
+    for (let step = 0; step < 60 && settled === undefined; step++) {
+      await this.advance(100);
+    }
+    return settled?.value;
+  }
+}
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -47,6 +47,7 @@
 
 const METHOD_PREFIX = 'routes.raft';
 const MEMBER_WEIGHT = 1;
+const DEFAULT_TOLERATED_LOSSES = 1;
 const EXPIRY_CHECK_INTERVAL_MS = 250;
 /** Low because each log entry may hold a whole route table. */
 const SNAPSHOT_EVERY_ENTRIES = 64;
@@ -68,6 +69,13 @@
   readonly founderAddresses: readonly string[];
   /** Whether a new group may be formed: the first start of the whole system. */
   readonly mayFound: boolean;
+  /**
+   * Inner addresses of members that may know the group, as the settings name
+   * them now. @default `founderAddresses`
+   */
+  readonly seedAddresses?: () => readonly string[];
+  /** Members that may be lost at the same time. @default 1 */
+  readonly toleratedLosses?: number;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -142,6 +150,7 @@
       founders: options.mayFound
         ? founders
         : [placeholderFounder(), ...founders],
+      contacts: () => this.seedAddresses(),
       weight: MEMBER_WEIGHT,
       methodPrefix: METHOD_PREFIX,
       stateMachine: this.machine,
@@ -159,11 +168,12 @@
     this.startServices(this.member);
   }
 
-  /** Transfers leadership and closes the log. */
+  /** Transfers leadership, leaves a group with other voters, closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
-    this.membership?.stop();
     this.abortController.abort();
+    await this.member?.replica.transferLeadership();
+    await this.membership?.leave();
     await this.member?.stop();
   }
 
@@ -212,7 +222,7 @@
   private startServices(
     member: GroupMember<ControlChange, ControlChangeResult>,
   ): void {
-    const {client, router, logger, instanceId, innerAddress, founderAddresses} =
+    const {client, router, logger, innerAddress, toleratedLosses} =
       this.options;
     this.forwardChange = createForwarder({
       log: member.replica,
@@ -234,13 +244,20 @@
         address: innerAddress,
         weight: MEMBER_WEIGHT,
       },
-      instanceId,
       methodPrefix: METHOD_PREFIX,
-      founderAddresses,
+      toleratedLosses: toleratedLosses ?? DEFAULT_TOLERATED_LOSSES,
+      seedAddresses: () => this.seedAddresses(),
     });
     this.membership.start();
   }
 
+  private seedAddresses(): readonly string[] {
+    const {seedAddresses, founderAddresses, innerAddress} = this.options;
+    return (seedAddresses?.() ?? founderAddresses).filter(
+      address => address !== innerAddress,
+    );
+  }
+
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
     this.registry.record(announcement.entry, monotonicNowMs());
     return {
--- a/src/node/routes/membership_manager.ts
+++ b/src/node/routes/membership_manager.ts
@@ -1,7 +1,7 @@
 /**
- * Maintains the voters of the control group: the leader removes an unresponsive
- * member once a replacement has joined, and a member that was removed while it
- * was unreachable asks to rejoin.
+ * Maintains the voters of the control group. The leader removes a member that
+ * is unresponsive or stops as planned if the others bear the tolerated losses
+ * without it; a member that was removed asks to rejoin.
  */
 import {z} from 'zod';
 import {monotonicNowMs} from '../clock/clock.js';
@@ -19,7 +19,16 @@
 const PING_TIMEOUT_MS = 1_000;
 /** Longer than an election, but less than a replacement may need to catch up. */
 const UNRESPONSIVE_AFTER_MS = 2_500;
-const ABSENT_CHECKS_TO_REJOIN = 6;
+/** A process that could not check for this long knows nothing of the others. */
+const MAX_CHECK_GAP_MS = 1_500;
+/** Longer than an election takes. */
+const ABSENT_CHECKS_TO_REJOIN = 3;
+const LEAVE_TIMEOUT_MS = 1_000;
+const LEAVE_ATTEMPTS = 4;
+const LEAVE_RETRY_MS = 250;
+
+/** Members of earlier versions reply without their identity. */
+const pingReplySchema = z.object({memberId: z.string().optional()});
 
 export interface MembershipManagerOptions {
   readonly log: ReplicatedLog<never, unknown>;
@@ -27,26 +36,28 @@
   readonly router: RpcRouter;
   readonly logger: Logger;
   readonly self: ReplicaMember;
-  readonly instanceId: InstanceId;
   readonly methodPrefix: string;
-  readonly founderAddresses: readonly string[];
+  /** Members that may be lost at the same time while the group goes on. */
+  readonly toleratedLosses: number;
+  /** Addresses of instances that may know the group. */
+  readonly seedAddresses: () => readonly string[];
 }
 
 /** Pings the members of one group and adjusts its membership. */
 export class MembershipManager {
   private readonly lastResponseAtMs = new Map<MemberId, number>();
   private timer: ReturnType<typeof setInterval> | undefined;
-  private largestLiveCount: number;
+  private lastCheckAtMs = 0;
   private isRemoving = false;
   private absentChecks = 0;
   private stopJoining: (() => void) | undefined;
 
   constructor(private readonly options: MembershipManagerOptions) {
-    this.largestLiveCount = options.founderAddresses.length;
-    options.router.register(
-      `${options.methodPrefix}.ping`,
-      z.object({}),
-      () => ({}),
+    const {router, methodPrefix, self} = options;
+    const {memberId} = self;
+    router.register(`${methodPrefix}.ping`, z.object({}), () => ({memberId}));
+    router.register(`${methodPrefix}.leave`, z.object({}), (_, {sender}) =>
+      this.releaseInstance(sender),
     );
   }
 
@@ -56,92 +67,161 @@
 
   stop(): void {
     clearInterval(this.timer);
-    this.stopJoining?.();
+    this.endJoining();
+  }
+
+  /**
+   * Before a planned stop: asks the leader to remove this member, unless the
+   * group needs its vote to bear the tolerated losses. Without this, the vote
+   * of a replaced member would count until its silence is noticed.
+   */
+  async leave(): Promise<void> {
+    this.stop();
+    const {log, client, self, methodPrefix} = this.options;
+    if (!this.isSurplus(self.memberId, log.status().members)) return;
+    for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt++) {
+      const leader = leaderOf(log);
+      if (leader !== undefined && leader.memberId !== self.memberId) {
+        const method = `${methodPrefix}.leave`;
+        const {address} = leader;
+        const left = await client.call(address, method, {}, LEAVE_TIMEOUT_MS);
+        if (left.isOk()) return;
+      }
+      await new Promise(resolve => setTimeout(resolve, LEAVE_RETRY_MS));
+    }
   }
 
   private check(): void {
     const {members, role} = this.options.log.status();
     const nowMs = monotonicNowMs();
+    if (nowMs - this.lastCheckAtMs > MAX_CHECK_GAP_MS) {
+      this.lastResponseAtMs.clear();
+    }
+    this.lastCheckAtMs = nowMs;
     members.forEach(member => this.pingMember(member, nowMs));
-    const live = members.filter(member => !this.isUnresponsive(member, nowMs));
-    this.largestLiveCount = Math.max(this.largestLiveCount, live.length);
-    if (role === 'leader') this.removeReplaced(members, live.length, nowMs);
-    this.rejoinIfRemoved(members);
+    if (role === 'leader') this.removeUnresponsive(members, nowMs);
+    this.rejoinIfAbsent(members);
   }
 
   private pingMember(member: ReplicaMember, nowMs: number): void {
     const {client, methodPrefix, self} = this.options;
-    if (!this.lastResponseAtMs.has(member.memberId)) {
-      this.lastResponseAtMs.set(member.memberId, nowMs);
-    }
-    if (member.memberId === self.memberId) {
-      this.lastResponseAtMs.set(member.memberId, nowMs);
-      return;
+    const {memberId, address} = member;
+    if (!this.lastResponseAtMs.has(memberId) || memberId === self.memberId) {
+      this.lastResponseAtMs.set(memberId, nowMs);
     }
+    if (memberId === self.memberId) return;
     void client
-      .call(member.address, `${methodPrefix}.ping`, {}, PING_TIMEOUT_MS)
-      .map(() => this.lastResponseAtMs.set(member.memberId, monotonicNowMs()));
+      .call<unknown>(address, `${methodPrefix}.ping`, {}, PING_TIMEOUT_MS)
+      .map(reply => this.noteReply(memberId, reply));
   }
 
-  private isUnresponsive(member: ReplicaMember, nowMs: number): boolean {
-    const lastResponseAtMs =
-      this.lastResponseAtMs.get(member.memberId) ?? nowMs;
+  // An instance that lost its disk answers at the address of its old identity.
+  private noteReply(memberId: MemberId, reply: unknown): void {
+    const parsed = pingReplySchema.safeParse(reply);
+    const repliedId = parsed.data?.memberId ?? memberId;
+    if (repliedId !== memberId) return;
+    this.lastResponseAtMs.set(memberId, monotonicNowMs());
+  }
+
+  private isUnresponsive({memberId}: ReplicaMember, nowMs: number): boolean {
+    const lastResponseAtMs = this.lastResponseAtMs.get(memberId) ?? nowMs;
     return nowMs - lastResponseAtMs > UNRESPONSIVE_AFTER_MS;
   }
 
-  private removeReplaced(
+  /** Whether the group bears the tolerated losses without this member. */
+  private isSurplus(
+    memberId: MemberId,
+    members: readonly ReplicaMember[],
+  ): boolean {
+    const nowMs = monotonicNowMs();
+    const others = members
+      .filter(member => member.memberId !== memberId && member.weight > 0)
+      .filter(member => !this.isUnresponsive(member, nowMs));
+    return others.length >= 2 * this.options.toleratedLosses + 1;
+  }
+
+  private removeUnresponsive(
     members: readonly ReplicaMember[],
-    liveCount: number,
     nowMs: number,
   ): void {
-    const unresponsive = members.find(member =>
-      this.isUnresponsive(member, nowMs),
+    const removable = members
+      .filter(member => this.isUnresponsive(member, nowMs))
+      .find(({memberId}) => this.isSurplus(memberId, members));
+    if (removable === undefined || this.isRemoving) return;
+    void this.remove(removable.memberId, 'unresponsive');
+  }
+
+  /** Removes a member that stops as planned if the group bears it. */
+  private async releaseInstance(instance: InstanceId): Promise<null> {
+    const {members} = this.options.log.status();
+    const leaving = members.find(
+      ({memberId}) => instanceOf(memberId) === instance,
     );
-    const isReplaced = liveCount >= this.largestLiveCount;
-    if (unresponsive === undefined || !isReplaced || this.isRemoving) return;
+    if (leaving !== undefined && this.isSurplus(leaving.memberId, members)) {
+      await this.remove(leaving.memberId, 'stopping');
+    }
+    return null;
+  }
+
+  private async remove(
+    memberId: MemberId,
+    reason: 'unresponsive' | 'stopping',
+  ): Promise<void> {
     const {log, logger} = this.options;
-    const {memberId} = unresponsive;
     logger.info(
-      {event: 'member_removed', peer: memberId, liveCount},
-      'removing an unresponsive member that has been replaced',
+      {event: 'member_removed', peer: memberId, reason},
+      'removing a member that the group does not need',
     );
     this.isRemoving = true;
-    void log.changeMembership({kind: 'remove', memberId}).match(
-      () => {
-        this.isRemoving = false;
-      },
-      error => {
-        this.isRemoving = false;
-        logger.warn(
-          {event: 'member_removal_failed', peer: memberId, err: error},
-          'failed to remove an unresponsive member',
-        );
-      },
+    const removed = await log.changeMembership({kind: 'remove', memberId});
+    this.isRemoving = false;
+    if (removed.isOk()) return;
+    logger.warn(
+      {event: 'member_removal_failed', peer: memberId, err: removed.error},
+      'failed to remove a member',
     );
   }
 
-  private rejoinIfRemoved(members: readonly ReplicaMember[]): void {
-    const {log, client, self, methodPrefix, logger, instanceId} = this.options;
-    const isMember = members.some(
-      member => instanceOf(member.memberId) === instanceId,
-    );
+  // A member that was removed while it was cut off still finds itself in its own
+  // log, but no leader sends it anything.
+  private rejoinIfAbsent(members: readonly ReplicaMember[]): void {
+    const {log, client, self, methodPrefix, logger} = this.options;
+    const isListed = members.some(each => each.memberId === self.memberId);
+    const isMember = isListed && log.status().leader !== undefined;
     this.absentChecks = isMember ? 0 : this.absentChecks + 1;
-    if (this.absentChecks < ABSENT_CHECKS_TO_REJOIN) return;
-    this.absentChecks = 0;
+    if (isMember) this.endJoining();
+    const isJoining = this.stopJoining !== undefined;
+    if (isJoining || this.absentChecks < ABSENT_CHECKS_TO_REJOIN) return;
     logger.info(
       {event: 'rejoining'},
-      'this member is not in the group; rejoining',
+      'this member has no leader or is not in the group; rejoining',
     );
-    this.stopJoining?.();
     this.stopJoining = startJoining({
       log,
       client,
       methodPrefix,
       member: self,
-      contacts: [
-        ...members.map(member => member.address),
-        ...this.options.founderAddresses,
-      ].filter(address => address !== self.address),
+      contacts: () => this.contacts(),
     });
   }
+
+  private endJoining(): void {
+    this.stopJoining?.();
+    this.stopJoining = undefined;
+  }
+
+  private contacts(): readonly string[] {
+    const {log, self, seedAddresses} = this.options;
+    const known = log.status().members.map(member => member.address);
+    return [...known, ...seedAddresses()].filter(
+      address => address !== self.address,
+    );
+  }
+}
+
+function leaderOf(
+  log: MembershipManagerOptions['log'],
+): ReplicaMember | undefined {
+  const {members, leader} = log.status();
+  return members.find(({memberId}) => memberId === leader);
 }
--- a/src/node/routes/settings.ts
+++ b/src/node/routes/settings.ts
@@ -12,6 +12,8 @@
   dataFolder: z.string().min(1),
   /** Whether a new group may be formed: the first start of the whole system. */
   mayFound: z.boolean(),
+  /** Members that may be lost at the same time; the group keeps that many spare. */
+  toleratedLosses: z.number().int().min(0).optional(),
 });
 
 export type ControlPlaneSettings = z.infer<typeof controlPlaneSettingsSchema>;
