Survive an address in the list that cannot be read

Cause: the list took any characters and any port for an address; the HTTP client throws on it, and the promise of the request was awaited by nobody. An error in the handling of one request ended the process.

--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -51,6 +51,19 @@
   return status;
 }
 
+/**
+ * Ends a request whose handling threw an error. An upstream may have run it, so
+ * nothing is promised.
+ */
+export function sendUnexpectedError(response: CallerResponse): number {
+  if (response.isEnded) return 0;
+  if (response.isBegun) {
+    response.terminate();
+    return 0;
+  }
+  return sendFailure(response, {kind: 'failed', cause: 'unexpected error'});
+}
+
 /** Rejects a request that exceeds a limit or matches no route. */
 export function sendRejection(
   response: CallerResponse,
--- a/src/node/ingress/exchange.ts
+++ b/src/node/ingress/exchange.ts
@@ -1,6 +1,9 @@
 /** One HTTP exchange with an upstream or another entry. */
 import type {IncomingHttpHeaders} from 'node:http';
+import {Result} from 'neverthrow';
 import type {Dispatcher, Pool} from 'undici';
+import {toGatewayError} from '../types/errors.js';
+import type {ConnectionPools} from './connections.js';
 
 /** Time limit to obtain a connection on which the request can be written. */
 export const CONNECT_TIMEOUT_MS = 800;
@@ -34,6 +37,34 @@
   /** The signal was aborted. */
   | {readonly kind: 'aborted'; readonly isSent: boolean};
 
+/** The peer of an exchange. */
+export interface ExchangePeer {
+  /** `host:port`. */
+  readonly address: string;
+  /** Distinguishes peers that use the same address in succession. */
+  readonly key?: string;
+}
+
+/**
+ * Sends a request to a peer. An address that cannot be used, as one that another
+ * program wrote to a list, ends the exchange as not sent.
+ */
+export function exchangeWith(
+  connections: Pick<ConnectionPools, 'pool'>,
+  {address, key}: ExchangePeer,
+  request: ExchangeRequest,
+  sink: ResponseSink,
+  signal: AbortSignal,
+): Promise<ExchangeEnd> {
+  const pool = Result.fromThrowable(
+    () => connections.pool(address, key),
+    thrown => toGatewayError(thrown, 'exchange.connect', address),
+  )();
+  if (pool.isOk()) return exchange(pool.value, request, sink, signal);
+  const cause = `unusable address: ${pool.error.message}`;
+  return Promise.resolve({kind: 'not_sent', cause});
+}
+
 /** Sends a request; aborting the signal closes its connection. */
 export function exchange(
   pool: Pool,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -14,7 +14,11 @@
 import {asId, type RequestId, type ServiceId} from '../types/ids.js';
 import type {StreamOrigin} from '../origins/origin_store.js';
 import {CallerResponse} from './caller_response.js';
-import {sendRefusal, sendRejection} from './error_responses.js';
+import {
+  sendRefusal,
+  sendRejection,
+  sendUnexpectedError,
+} from './error_responses.js';
 import {decodeRelayRequest, type RelayMetadata} from './relay.js';
 import type {RejectionReason} from './request_log.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
@@ -73,7 +77,7 @@
         requestTimeout: 0,
         highWaterMark: 65_536,
       },
-      (request, response) => void this.receive(request, response),
+      (request, response) => this.accept(request, response),
     );
     this.applyLimits(DEFAULT_LIMITS);
   }
@@ -121,12 +125,26 @@
     await this.run(inbound, callerResponse, response);
   }
 
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    const {isStopping} = this.options;
+    const callerResponse = new CallerResponse(response, isStopping);
+    this.receive(request, response, callerResponse).catch((thrown: unknown) => {
+      const error = toGatewayError(thrown, 'ingress.receive', 'self');
+      const status = sendUnexpectedError(callerResponse);
+      this.options.context.log.crashed(
+        this.requestIdOf(request),
+        error,
+        status,
+      );
+    });
+  }
+
   private async receive(
     request: IncomingMessage,
     response: ServerResponse,
+    callerResponse: CallerResponse,
   ): Promise<void> {
-    const {isStopping, matcher: currentMatcher} = this.options;
-    const callerResponse = new CallerResponse(response, isStopping);
+    const {matcher: currentMatcher} = this.options;
     const receivedAtMs = monotonicNowMs();
     if (currentMatcher() === undefined) {
       await this.options.waitForTable(TABLE_WAIT_MS);
@@ -223,9 +241,13 @@
     status: number,
     tableVersion: number,
   ): void {
-    const {log, protocol} = this.options.context;
-    const {attemptId} = protocol.requestTraits(request.headers);
-    log.rejected(createRequestId(attemptId), reason, status, tableVersion);
+    const {log} = this.options.context;
+    log.rejected(this.requestIdOf(request), reason, status, tableVersion);
+  }
+
+  private requestIdOf({headers}: IncomingMessage): RequestId {
+    const {protocol} = this.options.context;
+    return createRequestId(protocol.requestTraits(headers).attemptId);
   }
 
   private fromCaller(
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -16,7 +16,7 @@
   UpstreamId,
 } from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
-import {exchange, type ResponseSink, type ExchangeEnd} from './exchange.js';
+import {exchangeWith, type ResponseSink, type ExchangeEnd} from './exchange.js';
 import type {InboundRequest} from './types.js';
 
 /** Path for relayed requests on the inner listener. */
@@ -66,8 +66,9 @@
       return {kind: 'not_sent', cause: `no live entry in region ${region}`};
     }
     const body = encodeRelayRequest(metadataOf(request, nowMs), request.body);
-    const end = await exchange(
-      connections.pool(entry.innerAddress),
+    const end = await exchangeWith(
+      connections,
+      {address: entry.innerAddress},
       {
         method: 'POST',
         path: RELAY_PATH,
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -10,6 +10,7 @@
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
+import type {GatewayError} from '../types/errors.js';
 import type {RequestId, SoftwareVersion, UpstreamId} from '../types/ids.js';
 import type {InboundRequest, TryResult} from './types.js';
 
@@ -31,6 +32,7 @@
   | 'upstream_notice'
   | 'ended'
   | 'rejected'
+  | 'request_crashed'
 >;
 
 /** Why a request was rejected before it was assigned to a service. */
@@ -142,6 +144,12 @@
     this.writeLine('rejected', {requestId, tableVersion, reason, status}, true);
   }
 
+  /** A request whose handling threw an error that nothing expected. */
+  crashed(requestId: RequestId, error: GatewayError, status: number): void {
+    this.metrics.count('requests_crashed');
+    this.writeLine('request_crashed', {requestId, err: error, status}, true);
+  }
+
   write(
     event: RequestEvent,
     request: InboundRequest,
--- a/src/node/ingress/upstream_try.ts
+++ b/src/node/ingress/upstream_try.ts
@@ -11,7 +11,11 @@
 import type {UpstreamId} from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
 import type {GrantSource} from './grant_source.js';
-import {exchange, type ExchangeEnd, type ExchangeRequest} from './exchange.js';
+import {
+  exchangeWith,
+  type ExchangeEnd,
+  type ExchangeRequest,
+} from './exchange.js';
 import type {ResponseReader} from './response_reader.js';
 import {StallDetector, type Stall} from './stall_detector.js';
 import {RESPONSE_TIMEOUT_CAUSE} from './try_outcome.js';
@@ -67,9 +71,15 @@
   async run(): Promise<UpstreamTryEnd> {
     const {connections, grant, request, reader, signal} = this.options;
     const detector = this.createDetector();
-    const pool = connections.pool(grant.address, grant.upstreamId);
+    const {address, upstreamId: key} = grant;
     const either = AbortSignal.any([signal, this.giveUp.signal]);
-    const end = await exchange(pool, request, reader, either);
+    const end = await exchangeWith(
+      connections,
+      {address, key},
+      request,
+      reader,
+      either,
+    );
     this.isEnded = true;
     detector.stop();
     this.search.abort();
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -51,6 +51,8 @@
   reloaded: {seedAddresses: z.array(z.string())},
   reload_failed: {problems: z.string()},
   settings_unreadable: {},
+  unhandled_rejection: {},
+  uncaught_exception: {},
   log_failed: {},
   // Dependencies.
   control_lost: peerChange,
@@ -141,6 +143,7 @@
     status: z.number(),
     tableVersion: z.number(),
   },
+  request_crashed: {requestId: z.string(), status: z.number()},
   granted: {...matched, scheduler: z.string(), upstreamId: z.string()},
   offloaded: {
     ...matched,
