Bound the pieces of a response, not only its bytes

Cause: a buffered response was a list of its chunks, bounded by the sum of their bytes; a chunk costs some hundred bytes. The splitter of resumable streams copied the event at each chunk.

--- a/src/node/adapters/upstream/plain_http.ts
+++ b/src/node/adapters/upstream/plain_http.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 import {Agent, type Dispatcher} from 'undici';
 import {monotonicNowMs} from '../../clock/clock.js';
+import {ByteBuffer, PIECE_COST_BYTES} from '../../http/byte_buffer.js';
 import {GatewayError} from '../../types/errors.js';
 import {asId, type Digest} from '../../types/ids.js';
 import {
@@ -94,23 +95,24 @@
   maxBytes: number,
 ): Promise<ServiceAnswer> {
   const hash = createHash('sha256');
-  const chunks: Uint8Array[] = [];
+  const kept = new ByteBuffer({maxBytes});
   let bodySizeBytes = 0;
+  let chunks = 0;
   for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
     hash.update(chunk);
     bodySizeBytes += chunk.byteLength;
-    if (bodySizeBytes > MAX_DIGESTED_BYTES) {
+    chunks += 1;
+    if (bodySizeBytes + chunks * PIECE_COST_BYTES > MAX_DIGESTED_BYTES) {
       throw new Error(`an answer of over ${MAX_DIGESTED_BYTES} bytes`);
     }
-    if (bodySizeBytes <= maxBytes) chunks.push(chunk);
-    else chunks.length = 0;
+    if (bodySizeBytes <= maxBytes) kept.append(chunk);
   }
   return {
     status: response.statusCode,
     headers,
     bodyDigest: asId<Digest>(hash.digest('hex')),
     bodySizeBytes,
-    ...(bodySizeBytes <= maxBytes ? {body: Buffer.concat(chunks)} : {}),
+    ...(bodySizeBytes <= maxBytes ? {body: kept.take()} : {}),
   };
 }
 
--- a/src/node/entry/model_attempt.ts
+++ b/src/node/entry/model_attempt.ts
@@ -10,6 +10,7 @@
   UpstreamPeer,
 } from '../adapters/upstream/model_upstream.js';
 import {monotonicNowMs} from '../clock/clock.js';
+import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 import {GatewayError, toGatewayError} from '../types/errors.js';
 import {asId, type RequestId} from '../types/ids.js';
 import {createTimeLimit, type TimeLimit} from '../utils.js';
@@ -222,19 +223,19 @@
   }
 
   private async collect(body: Readable): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const bytes = new ByteBuffer({
+      maxBytes: MAX_UNSTREAMED_BYTES,
+      bytesPerPiece: PIECE_COST_BYTES,
+    });
     try {
       for await (const chunk of body) {
-        sizeBytes += (chunk as Buffer).length;
-        if (sizeBytes > MAX_UNSTREAMED_BYTES) throw this.endedEarly('broken');
-        chunks.push(chunk as Buffer);
+        if (!bytes.append(chunk as Buffer)) throw this.endedEarly('broken');
       }
     } catch (thrown) {
       if (this.options.signal.aborted) throw this.callerDisconnected();
       return this.probe(this.failureOf(thrown));
     }
-    return Buffer.concat(chunks);
+    return bytes.take();
   }
 
   // The error of a call that was already sent: unless the upstream reports that
--- a/src/node/http/bounded_body.ts
+++ b/src/node/http/bounded_body.ts
@@ -1,6 +1,7 @@
 /** Reads response bodies from other processes, up to a size limit. */
 import type {Dispatcher} from 'undici';
 import {GatewayError} from '../types/errors.js';
+import {ByteBuffer, PIECE_COST_BYTES} from './byte_buffer.js';
 
 type ResponseBody = Dispatcher.ResponseData['body'];
 
@@ -22,12 +23,10 @@
   maxBytes: number,
   peer: string,
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let sizeBytes = 0;
+  const bytes = new ByteBuffer({maxBytes, bytesPerPiece: PIECE_COST_BYTES});
   // Throwing out of the loop destroys the body and its connection.
   for await (const chunk of body as AsyncIterable<Uint8Array>) {
-    sizeBytes += chunk.byteLength;
-    if (sizeBytes > maxBytes) {
+    if (!bytes.append(chunk)) {
       throw new GatewayError({
         code: 'too_large',
         message: `the answer is larger than ${maxBytes} bytes`,
@@ -36,7 +35,6 @@
         work: 'unknown',
       });
     }
-    chunks.push(chunk);
   }
-  return Buffer.concat(chunks);
+  return bytes.take();
 }
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {GatewayError} from '../types/errors.js';
+import {ByteBuffer} from './byte_buffer.js';
 
 /** How long a closing server waits for active connections. */
 const CLOSE_TIMEOUT_MS = 5_000;
@@ -72,14 +73,9 @@
     return Promise.reject(tooLarge());
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const body = new ByteBuffer({maxBytes});
     const onData = (chunk: Buffer): void => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
+      if (body.append(chunk)) return;
       request.off('data', onData).pause();
       reject(tooLarge());
     };
@@ -95,7 +91,7 @@
       );
     request
       .on('data', onData)
-      .on('end', () => resolve(Buffer.concat(chunks)))
+      .on('end', () => resolve(body.take()))
       .on('error', onDisconnect)
       .on('close', onDisconnect);
     if (request.destroyed) onDisconnect();
--- a/src/node/ingress/__tests__/unbounded_responses.spec.ts
+++ b/src/node/ingress/__tests__/unbounded_responses.spec.ts
@@ -12,6 +12,8 @@
 const MAX_SERVED_BYTES = 48 * MIB;
 /** Covers the limits of the reader and the socket buffers. */
 const MAX_ACCEPTED_BYTES = 16 * MIB;
+/** The heap may grow by garbage, but not with each chunk that came. */
+const MAX_HELD_BYTES = 64 * MIB;
 const ATTEMPT_ID = 'attempt';
 const CHUNK = Buffer.alloc(64 * 1024, 'x');
 
@@ -99,6 +101,8 @@
 }
 
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+const CHUNKED_HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const ONE_BYTE_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(1_000));
 
 const CASES = [
   {name: 'a response head', head: 'HTTP/1.1 200 OK\r\nx-more: ', piece: CHUNK},
@@ -108,6 +112,18 @@
     piece: Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(1_000)),
   },
   {name: 'a plain response', head: HEAD, piece: CHUNK},
+  {
+    name: 'a plain response in chunks of one byte',
+    head: CHUNKED_HEAD,
+    piece: ONE_BYTE_CHUNKS,
+  },
+  {
+    name: 'an event in chunks of one byte',
+    head: CHUNKED_HEAD,
+    piece: ONE_BYTE_CHUNKS,
+    isStream: true,
+    isResumable: true,
+  },
   {name: 'an event', head: HEAD, piece: CHUNK, isStream: true},
   {
     name: 'an event of a resumable stream',
@@ -124,9 +140,12 @@
   test(`${name} without end is aborted and its connection closed`, async t => {
     const {address, sent} = await serveUnbounded(t, head, piece);
     const reader = createReader(isStream, isResumable);
+    const heapUsedBytes = process.memoryUsage().heapUsed;
     const end = await exchangeWith(t, address, reader);
     assert.equal(end.kind, 'broken');
     const sentBytes = await sent;
+    const heldBytes = process.memoryUsage().heapUsed - heapUsedBytes;
+    assert.ok(heldBytes <= MAX_HELD_BYTES, `${heldBytes} bytes of heap`);
     assert.ok(sentBytes <= MAX_ACCEPTED_BYTES, `${sentBytes} bytes were sent`);
   }),
 );
--- a/src/node/ingress/event_splitter.ts
+++ b/src/node/ingress/event_splitter.ts
@@ -1,11 +1,12 @@
 /** Splits a stream of server-sent events at event boundaries. */
+import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 
 const EMPTY = Buffer.alloc(0);
 /** Blank lines, with each of the line ends that streams may use. */
 const ENDS_OF_EVENT = ['\n\n', '\r\n\r\n', '\r\r'].map(end => Buffer.from(end));
 /** Bytes of an end that may stand in an earlier chunk. */
 const MAX_SPLIT_BYTES = 3;
-/** A stream with a longer event is considered faulty and aborted. */
+/** A stream with a longer event, or one in as many pieces, is aborted. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const ID_PATTERN = /(?:^|[\r\n])id:\s*(\d+)/g;
 
@@ -19,6 +20,7 @@
 /** Follows the events of a stream and enforces their maximum length. */
 export class EventMeter {
   private bytesSinceEnd = 0;
+  private piecesSinceEnd = 0;
   private tail: Buffer = EMPTY;
   private hasBytes = false;
 
@@ -41,8 +43,11 @@
       end === undefined
         ? this.bytesSinceEnd + chunk.length
         : bytes.length - end;
+    this.piecesSinceEnd = end === undefined ? this.piecesSinceEnd + 1 : 0;
     this.tail = bytes.subarray(-MAX_SPLIT_BYTES);
-    if (this.bytesSinceEnd > MAX_EVENT_BYTES) {
+    const costBytes =
+      this.bytesSinceEnd + this.piecesSinceEnd * PIECE_COST_BYTES;
+    if (costBytes > MAX_EVENT_BYTES) {
       throw new Error(`stream event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
   }
@@ -53,26 +58,24 @@
  * the middle of an event, the caller has not received a part of it.
  */
 export class EventSplitter {
-  private remainder: Buffer = EMPTY;
+  private readonly pending = new ByteBuffer({
+    maxBytes: Number.POSITIVE_INFINITY,
+  });
 
   /** Buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.remainder.length;
+    return this.pending.length;
   }
 
   /** Adds bytes and returns the events that they complete, if any. */
   push(chunk: Buffer): EventBatch | undefined {
-    const bytes =
-      this.remainder.length === 0
-        ? chunk
-        : Buffer.concat([this.remainder, chunk]);
-    const cut = endOfLastEvent(bytes);
+    const cut = this.endWithin(chunk);
     if (cut === undefined) {
-      this.remainder = bytes;
+      this.pending.append(chunk);
       return undefined;
     }
-    this.remainder = cut === bytes.length ? EMPTY : bytes.subarray(cut);
-    const whole = bytes.subarray(0, cut);
+    const whole = this.complete(chunk.subarray(0, cut));
+    this.pending.append(chunk.subarray(cut));
     const ids = [...whole.toString('latin1').matchAll(ID_PATTERN)];
     return {
       bytes: whole,
@@ -81,11 +84,24 @@
     };
   }
 
+  /** The end of the last event that the chunk completes, as a position in it. */
+  private endWithin(chunk: Buffer): number | undefined {
+    // Only the new bytes can complete an event, with the last ones before them.
+    const tail = this.pending.view().subarray(-MAX_SPLIT_BYTES);
+    const searched = tail.length === 0 ? chunk : Buffer.concat([tail, chunk]);
+    const end = endOfLastEvent(searched);
+    return end === undefined ? undefined : end - tail.length;
+  }
+
+  private complete(lastBytes: Buffer): Buffer {
+    if (this.pending.length === 0) return lastBytes;
+    this.pending.append(lastBytes);
+    return this.pending.take();
+  }
+
   /** Bytes after the last event: a stream may end without a blank line. */
   takeRemainder(): Buffer {
-    const rest = this.remainder;
-    this.remainder = EMPTY;
-    return rest;
+    return this.pending.take();
   }
 }
 
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
+import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 import type {BegunStream} from '../scheduling/types.js';
 import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
@@ -70,8 +71,10 @@
   progressAtMs = 0;
   private readonly splitter = new EventSplitter();
   private readonly meter = new EventMeter();
-  private readonly chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new ByteBuffer({
+    maxBytes: MAX_BUFFERED_BYTES,
+    bytesPerPiece: PIECE_COST_BYTES,
+  });
   private isRelaying = false;
 
   constructor(private readonly options: ResponseReaderOptions) {}
@@ -108,7 +111,7 @@
 
   /** The body of a buffered response. */
   body(): Buffer {
-    return Buffer.concat(this.chunks);
+    return this.buffered.view();
   }
 
   onHead(status: number, headers: IncomingHttpHeaders): void {
@@ -148,12 +151,10 @@
   }
 
   private buffer(chunk: Buffer): void {
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
-      this.chunks.length = 0;
-      throw new Error(`response exceeds ${MAX_BUFFERED_BYTES} bytes`);
-    }
-    this.chunks.push(chunk);
+    if (this.buffered.append(chunk)) return;
+    throw new Error(
+      `response exceeds ${MAX_BUFFERED_BYTES} bytes or has too many chunks`,
+    );
   }
 
   private relayBytes(bytes: Buffer, resume: () => void): boolean {
