Drop expired origins in a loop

32,768 origins that expire at the same moment were dropped by a recursion as deep, which exceeds the stack: the request or message that asked failed.

--- a/src/node/origins/__tests__/origin_store.spec.ts
+++ b/src/node/origins/__tests__/origin_store.spec.ts
@@ -48,3 +48,13 @@
   const kept = names.filter(name => versionIn(store, name, 0) !== undefined);
   assert.deepEqual([kept.length, kept.at(-1)], [32_768, 'attempt-39999']);
 });
+
+// Guards against an error in the handling of a request when many origins expire
+// at the same moment.
+test('a full store expires at once', () => {
+  const store = new OriginStore();
+  Array.from({length: 32_768}, (_, number) =>
+    store.add(originOf(`a${number}`), 0),
+  );
+  assert.equal(versionIn(store, 'a1', 2 * MINUTE_MS), undefined);
+});
--- a/src/node/origins/origin_store.ts
+++ b/src/node/origins/origin_store.ts
@@ -40,9 +40,9 @@
   }
 
   private dropExpired(nowMs: number): void {
-    const [oldest] = this.held.values();
-    if (oldest === undefined || nowMs - oldest.notedAtMs < RETENTION_MS) return;
-    this.held.delete(oldest.origin.attemptId);
-    this.dropExpired(nowMs);
+    for (const [attemptId, {notedAtMs}] of this.held) {
+      if (nowMs - notedAtMs < RETENTION_MS) return;
+      this.held.delete(attemptId);
+    }
   }
 }
