Name the leader to a control member that asks to join

Cause: a follower refused the request to join without an address of the leader, and a member without a disk knows no addresses beside its settings.

Now a follower answers with the address of the leader, and the member asks there at once. A silent contact delays the next one by 1 s instead of 5 s.

--- a/src/node/replication/joining.ts
+++ b/src/node/replication/joining.ts
@@ -19,6 +19,8 @@
 
 const DEFAULT_RETRY_MS = 500;
 const JOIN_TIMEOUT_MS = 5000;
+/** A contact without a reply for this long is not waited for. */
+const NEXT_CONTACT_MS = 1000;
 
 function incarnationOf(memberId: MemberId): number {
   return Number(memberId.slice(instanceOf(memberId).length + 1));
@@ -97,6 +99,9 @@
           peer: context.sender,
         });
       }
+      if (log.status().role !== 'leader') {
+        return {leaderAddress: leaderAddress(log)};
+      }
       const result = await replaceIdentity(log, member);
       if (result.isErr()) throw result.error;
       return null;
@@ -143,7 +148,10 @@
     const address = addresses[attempt++ % addresses.length];
     if (address !== undefined) {
       // A contact that is cut off must not delay the next one.
-      await requestJoinAt(options, address);
+      await Promise.race([
+        requestJoinAt(options, address),
+        new Promise(resolve => setTimeout(resolve, NEXT_CONTACT_MS)),
+      ]);
     }
     if (!isStopped) timer = setTimeout(() => void run(), retryMs);
   };
--- a/src/node/routes/__tests__/control_group.spec.ts
+++ b/src/node/routes/__tests__/control_group.spec.ts
@@ -87,6 +87,27 @@
   assert.equal(await group.readVersion(), 9);
 });
 
+// Guards against a member without a disk that cannot join because the leader is
+// not among the addresses of its settings: each lost disk would cost a vote.
+test('members that lose their disks join through followers', async context => {
+  pauseClock(context);
+  const later = ['d', 'e', 'f'];
+  const group = new ControlGroup(context, FIRST);
+  group.start([...FIRST, ...later], true);
+  await group.advance(8_000);
+  assert.ok(await group.replaceTable(9));
+  group.seeds = later;
+  for (const name of later) {
+    group.kill(name, true);
+    await group.advance(DOWN_MS);
+    group.start([name]);
+    await group.advance(CATCH_UP_MS);
+  }
+  ['a', 'b'].forEach(name => group.kill(name, false));
+  await group.advance(3_000);
+  assert.equal(await group.readVersion(), 9);
+});
+
 // Guards against members that leave at a planned restart and do not get their
 // votes back.
 test('a planned restart of all members in turn keeps all votes', async context => {
