Soak planned stops and kills beside streams without a length

The soak gets profiles: `mixed` as before with the same plans, `rolls` with planned stops of all entries in turn and streams of 1.6 s, `kills` with kills of entries. In the last two half of the upstreams mark no end of their streams, and under planned stops alone all that reached an upstream must be answered whole.

Streams that the stop or the kill cuts end by a regular close and look whole.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -56,6 +56,7 @@
     operator: [order('replace', 4), order('read', 4, {sentAtMs: 9_000})],
     unexpectedExits: [],
     slowStops: [],
+    losesNothing: false,
     calmAtMs: CALM_AT_MS,
     ...fields,
   });
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -25,6 +25,7 @@
   return [
     ...history.calls.flatMap(call => checkCall(call, history)),
     ...checkUnknownRuns(history),
+    ...checkLost(history),
     ...checkReadings(history.operator),
     ...checkFinalReading(history.operator),
     ...checkEvacuations(history),
@@ -99,6 +100,18 @@
     .map(run => `an upstream ran ${run.attemptId}, which nobody sent`);
 }
 
+/** Under planned work alone, what reached an upstream is answered whole. */
+function checkLost({calls, runs, losesNothing}: History): readonly string[] {
+  if (!losesNothing) return [];
+  const ran = new Set(runs.map(run => run.attemptId));
+  return calls
+    .filter(call => ran.has(call.attemptId) && !call.isComplete)
+    .map(
+      ({route, attemptId, status}) =>
+        `${route} ${attemptId} was cut, its status was ${status}`,
+    );
+}
+
 function confirmed(
   records: readonly OperatorRecord[],
   kind: OperatorRecord['kind'],
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -12,9 +12,9 @@
   STOP_GRACE_MS,
   type UnexpectedExit,
 } from './member_process.js';
+import type {SoakProfile} from './profile.js';
 import {TcpProxy} from './tcp_proxy.js';
 
-const EVENT_PAUSE_MS = 25;
 /** A process may need this long beyond its grace to be gone. */
 const STOP_MARGIN_MS = 500;
 
@@ -32,7 +32,11 @@
   private readonly listed: StandInUpstream[] = [];
   private readonly past: StandInUpstream[] = [];
 
-  constructor(slot: number, folder: string) {
+  constructor(
+    slot: number,
+    folder: string,
+    private readonly profile: SoakProfile,
+  ) {
     mkdirSync(folder, {recursive: true});
     this.layout = createLayout(slot);
     const {processes, upstreams, listAddress} = this.layout;
@@ -115,6 +119,7 @@
   private async addUpstream(place: UpstreamPlace): Promise<void> {
     const {name, domain, address, proxyAddress} = place;
     const lifetime = this.past.filter(each => each.address === address).length;
+    const position = this.layout.upstreams.indexOf(place);
     const upstream = new StandInUpstream(
       `${name}-${lifetime}`,
       SERVICE,
@@ -122,12 +127,12 @@
       {
         address,
         listedAddress: proxyAddress,
-        eventPauseMs: EVENT_PAUSE_MS,
+        eventPauseMs: this.profile.eventPauseMs,
+        isUnframed: this.profile.isUnframed(position),
       },
     );
     upstream.bornAtMs = lifetime + 1;
     // Two versions side by side in each region; a successor has the other one.
-    const position = this.layout.upstreams.indexOf(place);
     upstream.softwareVersion = (position + lifetime) % 2 === 0 ? 'v1' : 'v2';
     this.current.set(name, upstream);
     this.listed.push(upstream);
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -72,6 +72,8 @@
   readonly slowStops: readonly string[];
   /** From then on no fault was in effect. */
   readonly calmAtMs: number;
+  /** Whether each request that reached an upstream must be answered whole. */
+  readonly losesNothing: boolean;
 }
 
 export const ROUTES = {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import sade from 'sade';
 import {wallNowMs} from '../src/node/clock/clock.js';
+import {PROFILES, profileOf, type SoakProfile} from './profile.js';
 import {runSoak, type SoakResult} from './soak_run.js';
 
 const SEED_LIMIT = 1_000_000_000;
@@ -14,6 +15,8 @@
   readonly seed?: number;
   /** Number of the first loopback network; soaks at the same time differ. */
   readonly slot: number;
+  /** Name of the profile. */
+  readonly profile: string;
 }
 
 async function soak(command: SoakCommand): Promise<void> {
@@ -23,12 +26,14 @@
     (_, index) => first + index,
   );
   const failed: number[] = [];
+  const profile = profileOf(command.profile);
   const lanes = Array.from({length: command.parallel}, async (_, lane) => {
     const own = seeds.filter((_, index) => index % command.parallel === lane);
     await own.reduce(
       (before, seed) =>
         before.then(async () => {
-          if (!(await runSeed(seed, command.slot + lane))) failed.push(seed);
+          const isKept = await runSeed(seed, command.slot + lane, profile);
+          if (!isKept) failed.push(seed);
         }),
       Promise.resolve(),
     );
@@ -42,9 +47,13 @@
 }
 
 /** Runs a seed and prints it; the folder of a failed one is kept. */
-async function runSeed(seed: number, slot: number): Promise<boolean> {
+async function runSeed(
+  seed: number,
+  slot: number,
+  profile: SoakProfile,
+): Promise<boolean> {
   const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
-  const result = await runSoak({seed, slot, folder}).catch(
+  const result = await runSoak({seed, slot, folder, profile}).catch(
     (thrown: unknown): SoakResult => ({
       seed,
       faults: [],
@@ -75,6 +84,11 @@
     .option('--parallel', 'How many at the same time', 1)
     .option('--seed', 'The first seed; default: from the wall clock')
     .option('--slot', 'The first loopback network that is used', 0)
+    .option(
+      '--profile',
+      `Kind of run: ${PROFILES.map(each => each.name).join(', ')}`,
+      'mixed',
+    )
     .action((command: SoakCommand) => {
       void soak(command);
     })
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -2,12 +2,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {seededRandom} from '../src/node/__tests__/support/random.js';
 import {checkHistory} from './checks.js';
-import {drawFaults, type Fault} from './fault_plan.js';
+import type {Fault} from './fault_plan.js';
 import {runFaults} from './fault_runner.js';
 import {Fleet} from './fleet.js';
 import type {History} from './history.js';
 import {REGIONS} from './layout.js';
 import {Operator} from './operator.js';
+import {MixedFaults, type SoakProfile} from './profile.js';
 import {Traffic} from './traffic.js';
 
 const START_LIMIT_MS = 20_000;
@@ -24,6 +25,8 @@
   readonly folder: string;
   /** @default 40 */
   readonly callsPerS?: number;
+  /** @default mixed faults */
+  readonly profile?: SoakProfile;
 }
 
 /** What one run showed. */
@@ -38,7 +41,8 @@
 /** Runs one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const {seed, slot, folder, callsPerS = 40} = options;
-  const fleet = new Fleet(slot, folder);
+  const profile = options.profile ?? new MixedFaults();
+  const fleet = new Fleet(slot, folder, profile);
   const {processes} = fleet.layout;
   const controls = processes.filter(each => each.role === 'control');
   const entries = processes.filter(each => each.role === 'entry');
@@ -64,7 +68,7 @@
       operator,
       entries.map(each => each.sideAddress),
     );
-    const faults = drawFaults(seed, fleet.layout);
+    const faults = profile.faultsOf(seed, fleet.layout);
     traffic.start();
     operator.start();
     await runFaults(faults, fleet, operator);
@@ -73,7 +77,10 @@
     operator.stop();
     await traffic.stop();
     await readAtTheEnd(operator, READ_ATTEMPTS);
-    const history = historyOf(fleet, traffic, operator, calmAtMs);
+    const history = {
+      ...historyOf(fleet, traffic, operator, calmAtMs),
+      losesNothing: profile.losesNothing,
+    };
     const served = traffic.calls.filter(each => each.status === 200).length;
     const problems = checkHistory(history);
     return {seed, faults, calls: traffic.calls.length, served, problems};
@@ -89,7 +96,7 @@
   traffic: Traffic,
   operator: Operator,
   calmAtMs: number,
-): History {
+): Omit<History, 'losesNothing'> {
   return {
     calls: traffic.calls,
     runs: fleet.upstreams.flatMap(each => each.runs),
