Mark the end of each response to a caller

Cause: an upstream response without a length was passed on without one, so that each end of the process or of a connection looked like the end of the response; the same between an entry and the one that relays for it. Now a response always has a length or chunks, and only the entry, which has seen how the upstream's connection ended, marks the end. A resumed stream whose second upstream closes without a length before its first event is broken off.

--- a/src/node/ingress/__tests__/ended_streams.spec.ts
+++ b/src/node/ingress/__tests__/ended_streams.spec.ts
@@ -61,3 +61,17 @@
   });
   matchSnapshot(import.meta.url, 'whole', lines);
 });
+
+// Guards against a resumed stream whose second upstream closes before its first
+// event and is taken for one that has gone on to the end.
+test('a resumed stream that ends before its first event is broken off', async t => {
+  const lines = await runStream(t, {
+    upstreams: {
+      first: [event(100, 0), TORN_EVENT],
+      second: [{atMs: 100, text: ''}],
+    },
+    decisions: [grant('first'), grant('second')],
+    runMs: RUN_MS,
+  });
+  matchSnapshot(import.meta.url, 'resumed and empty', lines);
+});
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -246,6 +246,7 @@
 
 function fakeResponse(note: (line: string) => void) {
   return {
+    req: {httpVersion: '1.1'},
     setHeader: () => undefined,
     appendHeader: () => undefined,
     writeHead: () => undefined,
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -345,7 +345,7 @@
       const headers = context.protocol.callerHeaders(
         reader.head?.headers ?? {},
       );
-      response.sendComplete(status, headers, reader.body(), reader.framing);
+      response.sendComplete(status, headers, reader.body());
     }
     return {kind: 'delivered', status};
   }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -8,7 +8,7 @@
 import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 import type {BegunStream} from '../scheduling/types.js';
 import {asId, type SoftwareVersion} from '../types/ids.js';
-import type {CallerResponse, Framing} from './caller_response.js';
+import type {CallerResponse} from './caller_response.js';
 import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
 import type {ResponseSink} from './exchange.js';
 import {
@@ -83,24 +83,13 @@
     return isSuccessStatus(this.head?.status ?? 0);
   }
 
-  /** How the end of the response is marked on its connection. */
-  get framing(): Framing {
-    const headers = this.head?.headers ?? {};
-    const isFramed =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    return isFramed ? 'framed' : 'until_close';
-  }
-
   /**
    * Whether a stream whose end is only marked by that of its connection has
    * ended inside an event or before the first one: its upstream broke it off.
    */
   get isTorn(): boolean {
-    if (!this.isRelaying || this.framing === 'framed') return false;
-    const {progress} = this.options;
-    const hasNoEvent = this.meter.isEmpty && !progress.isStarted;
-    return this.meter.isInsideEvent || hasNoEvent;
+    if (!this.isRelaying || this.isFramed) return false;
+    return this.meter.isInsideEvent || this.meter.isEmpty;
   }
 
   /** Whether another entry refused the request before any upstream got it. */
@@ -109,6 +98,15 @@
     return isFromPeer && this.head?.headers[NOT_RUN_HEADER] !== undefined;
   }
 
+  /** Whether a length or chunks mark the end of the response. */
+  private get isFramed(): boolean {
+    const headers = this.head?.headers ?? {};
+    return (
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined
+    );
+  }
+
   /** The body of a buffered response. */
   body(): Buffer {
     return this.buffered.view();
@@ -189,7 +187,7 @@
     progress.isStarted = true;
     progress.begun ??= {softwareVersion: this.softwareVersion()};
     onResponseStart();
-    response.begin(this.head.status, this.callerHeaders(), this.framing);
+    response.begin(this.head.status, this.callerHeaders());
   }
 
   private softwareVersion(): SoftwareVersion | undefined {
