Handle errors of a connection whose upgrade is refused

The users report FAULT, processes that end by themselves. One way to it was found by trying: a request for an upgrade at the inner listener without valid credentials, as after a step of the wall clock, whose connection is then reset ended the process. The HTTP server hands the socket over with the event and no longer handles its errors; the refusal returned before a listener was set.

Whether this is what the users saw is not known.

--- a/src/node/rpc/stream_server.ts
+++ b/src/node/rpc/stream_server.ts
@@ -31,6 +31,9 @@
 
   /** Handles the `upgrade` event of the listener. */
   accept(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+    // The HTTP server no longer handles errors of a socket that is upgraded; the
+    // peer detects the closed connection and opens a new one.
+    socket.on('error', () => socket.destroy());
     const header = request.headers[AUTHENTICATION_HEADER];
     const credentials = typeof header === 'string' ? header : '';
     const sender = this.options.verifier.verify(
@@ -70,8 +73,6 @@
     });
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
-    // The peer detects the closed connection and opens a new one.
-    socket.on('error', () => socket.destroy());
     socket.on('data', (chunk: Buffer) => {
       try {
         reader.push(chunk);
