Wait for an address that the former process still holds

A process that was started again while another socket held one of its addresses ended by itself at once (EADDRINUSE), and again at the next start. A listener now tries such an address again for 10 s, also one that is not assigned to the machine yet.

--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -1,6 +1,7 @@
 /** Helpers for Node's `http` servers, shared by all listeners. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {monotonicNowMs} from '../clock/clock.js';
 import {GatewayError} from '../types/errors.js';
 import {ByteBuffer} from './byte_buffer.js';
 
@@ -20,8 +21,34 @@
   };
 }
 
-/** Starts a server; resolves with its bound address. */
-export function listen(server: Server, address: string): Promise<string> {
+/** Errors of an address that the former process or the machine still holds. */
+const TRANSIENT_LISTEN_CODES: readonly unknown[] = [
+  'EADDRINUSE',
+  'EADDRNOTAVAIL',
+];
+const LISTEN_RETRY_MS = 200;
+const LISTEN_PATIENCE_MS = 10_000;
+
+/**
+ * Starts a server; resolves with its bound address. An address that is in use or
+ * not assigned yet is tried again for some seconds: a process that ends instead
+ * would be started again, and end again.
+ */
+export async function listen(server: Server, address: string): Promise<string> {
+  const deadlineMs = monotonicNowMs() + LISTEN_PATIENCE_MS;
+  for (;;) {
+    try {
+      return await listenOnce(server, address);
+    } catch (thrown) {
+      const {code} = thrown as NodeJS.ErrnoException;
+      const isTransient = TRANSIENT_LISTEN_CODES.includes(code);
+      if (!isTransient || monotonicNowMs() >= deadlineMs) throw thrown;
+    }
+    await new Promise(resolve => setTimeout(resolve, LISTEN_RETRY_MS));
+  }
+}
+
+function listenOnce(server: Server, address: string): Promise<string> {
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
