Keep callers of bound requests in a region that restarts

Cause: only ready entries were named. Without one in the caller's region, and none ready in the homes that all bound routes of the host share, or no such home at all, all regions were named. Now the entries of the caller's own region that stop or start go before those of other regions, for hosts with bound requests.

Evidence: "callers of a home region whose entries restart stay there" failed before and passes.

--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -85,6 +85,29 @@
   );
 });
 
+// Guards against requests bound to one region that are sent to another one while
+// all entries of their region restart in turn.
+test('callers of a home region whose entries restart stay there', () => {
+  const registry = new InstanceRegistry('1', () => undefined);
+  const north = asId<RegionId>('north');
+  registry.record(entry('n1', 'north'), 0);
+  registry.record(entry('s1', 'south'), 0);
+  const ask = (homeRegions?: readonly RegionId[]): readonly string[] =>
+    registry.addressesFor({region: north, domain: undefined}, 9, homeRegions);
+  registry.record(entry('n1', 'north', {isStopping: true}), 100);
+  // Routes without a common home bind their requests too.
+  const stopping = [ask([north]), ask([]), ask()];
+  registry.record(entry('n1', 'north', {isReady: false, incarnation: 2}), 200);
+  const starting = ask([north]);
+  registry.record(entry('s1', 'south'), 5_000);
+  registry.expire(5_000);
+  const lost = ask([north]);
+  assert.deepEqual(
+    [...stopping, starting, lost],
+    [['n1:2'], ['n1:2'], ['s1:2'], ['n1:2'], ['s1:2']],
+  );
+});
+
 // Guards against callers that slow down the entry that schedules for a whole
 // domain, and against too few entries for the callers of a region.
 test('callers avoid scheduling entries while enough others remain', () => {
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -124,24 +124,27 @@
 
   /**
    * Addresses for a caller: ready entries of its own region. If that has none,
-   * those of `homeRegions`, so that requests bound to these regions are not
-   * received elsewhere; of all regions if these have none either.
+   * those of `homeRegions` (`undefined` for a host without bound requests), so that requests bound to these regions are not
+   * received elsewhere. If these have none either, entries of its own region that
+   * stop or start: a planned restart of all of them must not lead bound requests
+   * to a third region. Entries of all regions if none of these is known.
    */
   addressesFor(
     place: CallerLocation,
     limit: number,
-    homeRegions: readonly RegionId[] = [],
+    homeRegions?: readonly RegionId[],
   ): readonly string[] {
-    const ready = [...this.announced.values()]
-      .map(each => each.entry)
-      .filter(entry => entry.isReady && !entry.isStopping);
-    const inRegion = ready.filter(entry => entry.region === place.region);
-    const atHome = ready.filter(entry => homeRegions.includes(entry.region));
-    const others = atHome.length > 0 ? atHome : ready;
-    const chosen =
-      inRegion.length > 0
-        ? preferNonSchedulers(preferMostlyConnected(inRegion))
-        : others;
+    const known = [...this.announced.values()].map(each => each.entry);
+    const ready = known.filter(entry => entry.isReady && !entry.isStopping);
+    const isInRegion = ({region}: EntryInstance): boolean =>
+      region === place.region;
+    const choices = [
+      preferNonSchedulers(preferMostlyConnected(ready.filter(isInRegion))),
+      ready.filter(entry => homeRegions?.includes(entry.region)),
+      homeRegions === undefined ? [] : known.filter(isInRegion),
+      ready,
+    ];
+    const chosen = choices.find(entries => entries.length > 0) ?? [];
     return chosen.map(entry => entry.callersAddress).slice(0, limit);
   }
 
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -130,10 +130,10 @@
 export function homesOf(
   routes: readonly Route[],
   host: string,
-): readonly RegionId[] {
+): readonly RegionId[] | undefined {
   const homes = routes
     .filter(route => route.host === host && route.homeRegions.length > 0)
     .map(route => route.homeRegions);
-  const [first = []] = homes;
-  return first.filter(region => homes.every(each => each.includes(region)));
+  const [first] = homes;
+  return first?.filter(region => homes.every(each => each.includes(region)));
 }
