Refuse requests that would outlast a planned stop

Cause: a stopping entry took any request until its end, kept 1.2 s of its grace for closing, and did not count requests that were still arriving. Now it refuses a request, as not run, if requests of its route took longer lately than is left, twice that once callers could know of the stop; it closes idle connections from 1 s on, and all of them 0.5 s before the end of the grace.

Evidence: the spec of the planned stop failed before.

--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -2,7 +2,13 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
+import {
+  KilledEntries,
+  MixedFaults,
+  PlannedStops,
+  type SoakProfile,
+} from '../profile.js';
 import {runSoak} from '../soak_run.js';
 
 /** Beside the slots of soaks that are run by hand. */
@@ -18,20 +24,33 @@
 ];
 const FRESH_SEEDS: readonly number[] = [1];
 
+async function soak(
+  t: TestContext,
+  seed: number,
+  profile: SoakProfile,
+): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), `soak-spec-${seed}-`));
+  const result = await runSoak({
+    seed,
+    slot: SLOT,
+    folder,
+    callsPerS: CALLS_PER_S,
+    profile,
+  });
+  const problems = result.problems.slice(0, SHOWN_PROBLEMS);
+  assert.deepEqual(problems, [], JSON.stringify(result.faults));
+  t.diagnostic(`${result.served} of ${result.calls} calls served`);
+  rmSync(folder, {recursive: true});
+}
+
 // Guards the promises that callers, upstreams and operators rely on while the
 // real programs are killed, paused, rolled and cut off from each other.
 [...REGRESSION_SEEDS, ...FRESH_SEEDS].forEach(seed =>
-  test(`soak of seed ${seed}`, async t => {
-    const folder = mkdtempSync(join(tmpdir(), `soak-spec-${seed}-`));
-    const result = await runSoak({
-      seed,
-      slot: SLOT,
-      folder,
-      callsPerS: CALLS_PER_S,
-    });
-    const problems = result.problems.slice(0, SHOWN_PROBLEMS);
-    assert.deepEqual(problems, [], JSON.stringify(result.faults));
-    t.diagnostic(`${result.served} of ${result.calls} calls served`);
-    rmSync(folder, {recursive: true});
-  }),
+  test(`soak of seed ${seed}`, t => soak(t, seed, new MixedFaults())),
+);
+
+// Guards against requests that planned stops cut, and against streams that a stop
+// or a kill cuts and that look complete.
+[new PlannedStops(), new KilledEntries()].forEach(profile =>
+  test(`soak of seed 1 with ${profile.name}`, t => soak(t, 1, profile)),
 );
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -8,6 +8,7 @@
   type History,
   type OperatorRecord,
 } from './history.js';
+import {TIMEOUT_MS} from './traffic.js';
 
 /** Time in which all entries obey a change, with the members in touch. */
 const APPLY_MS = 3_000;
@@ -104,12 +105,16 @@
 function checkLost({calls, runs, losesNothing}: History): readonly string[] {
   if (!losesNothing) return [];
   const ran = new Set(runs.map(run => run.attemptId));
-  return calls
-    .filter(call => ran.has(call.attemptId) && !call.isComplete)
-    .map(
-      ({route, attemptId, status}) =>
-        `${route} ${attemptId} was cut, its status was ${status}`,
-    );
+  return (
+    calls
+      .filter(call => ran.has(call.attemptId) && !call.isComplete)
+      // The time limit of the route ends a request at any time.
+      .filter(call => call.endedAtMs - call.sentAtMs < TIMEOUT_MS)
+      .map(
+        ({route, attemptId, status}) =>
+          `${route} ${attemptId} was cut, its status was ${status}`,
+      )
+  );
 }
 
 function confirmed(
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -41,7 +41,7 @@
  */
 export class PlannedStops extends SoakProfile {
   override readonly name = 'rolls';
-  override readonly eventPauseMs = 400;
+  override readonly eventPauseMs = 350;
   override readonly losesNothing = true;
 
   override isUnframed(position: number): boolean {
--- a/src/node/ingress/__tests__/unexpected_errors.spec.ts
+++ b/src/node/ingress/__tests__/unexpected_errors.spec.ts
@@ -5,6 +5,7 @@
 import {ConnectionPools} from '../connections.js';
 import {exchangeWith, type ExchangeEnd} from '../exchange.js';
 import {IngressServer} from '../ingress_server.js';
+import {PlannedStop} from '../planned_stop.js';
 import type {RequestRunContext} from '../request_run.js';
 
 async function endOfExchange(
@@ -51,7 +52,7 @@
       throw new Error('broken matcher');
     },
     waitForTable: () => Promise.resolve(),
-    isStopping: () => false,
+    plannedStop: new PlannedStop(8_000),
   });
   const address = await server.start();
   t.after(() => server.close());
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -1,6 +1,6 @@
 /** Wires up an ingress entry: listeners, scheduling and shutdown. */
 import type {Server} from 'node:http';
-import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
+import {wallNowMs} from '../clock/clock.js';
 import {
   cancelledPlacements,
   DecisionSender,
@@ -27,11 +27,11 @@
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
-import {waitUntil} from '../clock/wait_until.js';
 import {ConnectionPools} from './connections.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
+import {PlannedStop} from './planned_stop.js';
 import type {RequestProtocol} from './protocol.js';
 import {RelayClient} from './relay.js';
 import {RequestLog} from './request_log.js';
@@ -47,11 +47,6 @@
 import {TableWaiters} from './table_waiters.js';
 import {UpstreamPaces} from './upstream_pace.js';
 
-/** Callers may keep using a known address this long after a stop began. */
-const MIN_DRAIN_MS = 3_000;
-/** Time reserved for closing connections before the process is killed. */
-const CLOSE_RESERVE_MS = 1_200;
-
 export interface IngressEntryOptions {
   readonly settings: IngressSettings;
   readonly protocol: RequestProtocol;
@@ -89,12 +84,13 @@
   private state: ControlState = EMPTY_CONTROL_STATE;
   private matcher: RouteMatcher | undefined;
   private readonly tableWaiters = new TableWaiters();
-  private isStopping = false;
+  private readonly plannedStop: PlannedStop;
 
   constructor(private readonly options: IngressEntryOptions) {
     const {settings, logger, feed} = options;
     const {instanceId, clusterSecret} = settings;
     this.settings = settings;
+    this.plannedStop = new PlannedStop(settings.stopGraceMs);
     this.connections = options.connections ?? new ConnectionPools();
     this.client = new StreamRpcClient({self: instanceId, clusterSecret});
     this.bulkClient = new HttpRpcClient({self: instanceId, clusterSecret});
@@ -166,20 +162,14 @@
 
   /** Leaves the directory, waits for requests in flight and closes. */
   async stop(): Promise<void> {
-    const {logger, settings} = this.options;
-    const startedAtMs = monotonicNowMs();
-    this.isStopping = true;
+    const {logger} = this.options;
+    this.plannedStop.begin();
     this.controlLink.announceToAll();
     logger.info(
       {event: 'stopping', requestsInFlight: this.ingress.requestsInFlight},
       'planned stop started',
     );
-    const maxDrainMs = settings.stopGraceMs - CLOSE_RESERVE_MS;
-    await waitUntil(() => {
-      const elapsedMs = monotonicNowMs() - startedAtMs;
-      const isIdle = this.ingress.requestsInFlight === 0;
-      return elapsedMs >= maxDrainMs || (isIdle && elapsedMs >= MIN_DRAIN_MS);
-    });
+    await this.plannedStop.untilDrained(this.ingress);
     await this.abort();
     logger.info(
       {event: 'stopped', requestsInFlight: this.ingress.requestsInFlight},
@@ -206,7 +196,7 @@
   }
 
   private isReady(): boolean {
-    return this.matcher !== undefined && !this.isStopping;
+    return this.matcher !== undefined && !this.plannedStop.hasBegun;
   }
 
   private describe(): EntryInstance {
@@ -219,7 +209,7 @@
       innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
       callersAddress: settings.callerAddress,
       isReady: this.isReady(),
-      isStopping: this.isStopping,
+      isStopping: this.plannedStop.hasBegun,
       isScheduling: this.loops.schedulesEngines,
       isCutOff: this.reachability.isCutOff,
     };
@@ -337,7 +327,7 @@
       address: settings.callerAddress,
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
-      isStopping: () => this.isStopping,
+      plannedStop: this.plannedStop,
       context: {
         region: settings.regionId,
         self: settings.instanceId,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -21,6 +21,7 @@
 } from './error_responses.js';
 import {decodeRelayRequest, type RelayMetadata} from './relay.js';
 import type {RejectionReason} from './request_log.js';
+import type {PlannedStop} from './planned_stop.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
 import type {InboundRequest} from './types.js';
 
@@ -40,6 +41,8 @@
 /** Usual time from the start of an entry until it has a route table. */
 const EXPECTED_STARTUP_MS = 1_800;
 const MIN_STARTUP_RETRY_MS = 400;
+/** `retry-after` of an entry that stops: another one takes the request now. */
+const STOPPING_RETRY_MS = 0;
 /** `retry-after` if the route has no service to choose from. */
 const NO_SERVICE_RETRY_MS = 1_000;
 const REQUEST_ID_RANDOM_BYTES = 6;
@@ -52,7 +55,7 @@
   readonly matcher: () => RouteMatcher | undefined;
   /** Resolves when there is a route table, or after `waitMs`. */
   readonly waitForTable: (waitMs: number) => Promise<void>;
-  readonly isStopping: () => boolean;
+  readonly plannedStop: PlannedStop;
 }
 
 /** What was found out about a caller's request before it runs. */
@@ -86,7 +89,7 @@
     return listen(this.server, this.options.address);
   }
 
-  /** Requests that have no final response yet. */
+  /** Requests that have no final response yet, also those still arriving. */
   get requestsInFlight(): number {
     return this.openRequests;
   }
@@ -97,6 +100,11 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Closes connections without a request, so that callers open others. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Closes the listener and all connections immediately. */
   close(): void {
     this.server.close();
@@ -105,6 +113,18 @@
 
   /** Runs a request relayed by another entry. */
   async receiveRelayed(bytes: Buffer, response: ServerResponse): Promise<void> {
+    this.openRequests += 1;
+    try {
+      await this.runRelayed(bytes, response);
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
+  private async runRelayed(
+    bytes: Buffer,
+    response: ServerResponse,
+  ): Promise<void> {
     const {metadata, body} = decodeRelayRequest(bytes);
     const callerResponse = new CallerResponse(response, () => false);
     const matcher = this.options.matcher();
@@ -120,23 +140,33 @@
       );
       return;
     }
-    const version = matcher.table.version;
+    const {version} = matcher.table;
+    if (this.options.plannedStop.isTooLateFor(route)) {
+      const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, true);
+      const requestId = asId<RequestId>(metadata.requestId);
+      this.options.context.log.rejected(requestId, 'stopping', status, version);
+      return;
+    }
     const inbound = this.fromRelay(metadata, body, route, version);
     await this.run(inbound, callerResponse, response);
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
-    const {isStopping} = this.options;
-    const callerResponse = new CallerResponse(response, isStopping);
-    this.receive(request, response, callerResponse).catch((thrown: unknown) => {
-      const error = toGatewayError(thrown, 'ingress.receive', 'self');
-      const status = sendUnexpectedError(callerResponse);
-      this.options.context.log.crashed(
-        this.requestIdOf(request),
-        error,
-        status,
-      );
-    });
+    const {plannedStop, context} = this.options;
+    const callerResponse = new CallerResponse(
+      response,
+      () => plannedStop.hasBegun,
+    );
+    this.openRequests += 1;
+    this.receive(request, response, callerResponse)
+      .catch((thrown: unknown) => {
+        const error = toGatewayError(thrown, 'ingress.receive', 'self');
+        const status = sendUnexpectedError(callerResponse);
+        context.log.crashed(this.requestIdOf(request), error, status);
+      })
+      .finally(() => {
+        this.openRequests -= 1;
+      });
   }
 
   private async receive(
@@ -176,6 +206,10 @@
       onRejected,
     );
     if (body === undefined) return;
+    if (this.options.plannedStop.isTooLateFor(route)) {
+      onRejected('stopping', sendRefusal(callerResponse, STOPPING_RETRY_MS));
+      return;
+    }
     const origin = await this.findOrigin(request, route);
     const service =
       origin?.service ?? matcher.pickService(route, Math.random());
@@ -321,16 +355,17 @@
       if (!callerResponse.isEnded) cancellation.abort();
     });
     const {context} = this.options;
-    this.openRequests += 1;
     try {
-      await new RequestRun(
+      const result = await new RequestRun(
         context,
         inbound,
         callerResponse,
         cancellation.signal,
       ).run();
+      if (result.kind === 'delivered') {
+        this.options.plannedStop.noteAnswered(inbound);
+      }
     } finally {
-      this.openRequests -= 1;
       clearTimeout(timer);
     }
   }
--- /dev/null
+++ b/src/node/ingress/planned_stop.ts
@@ -0,0 +1,83 @@
+/** A planned stop of an entry: its times, and which requests it still takes. */
+import {monotonicNowMs} from '../clock/clock.js';
+import {waitUntil} from '../clock/wait_until.js';
+import type {Route} from '../routes/route_table.js';
+import {RequestDurations} from './request_durations.js';
+import type {InboundRequest} from './types.js';
+
+/** Callers may keep using a known address this long after a stop began. */
+const MIN_DRAIN_MS = 3_000;
+/**
+ * From then on a stop closes idle connections: the directory has named other
+ * entries for as long as its answers hold, and a request on a kept connection
+ * could only be refused later.
+ */
+const CLOSE_IDLE_AFTER_MS = 1_000;
+/** Time reserved for closing connections before the process is killed. */
+const CLOSE_RESERVE_MS = 500;
+/** Factor on the expected duration of a request whose caller comes late. */
+const LATE_REQUEST_MARGIN = 2;
+
+/** The requests of an entry while it stops. */
+export interface StoppingRequests {
+  readonly requestsInFlight: number;
+  /** Closes connections without a request. */
+  closeIdle(): void;
+}
+
+/** The planned stop of one entry, before and after it begins. */
+export class PlannedStop {
+  private readonly durations = new RequestDurations();
+  private startedAtMs: number | undefined;
+
+  /** The process is killed `graceMs` after the stop began. */
+  constructor(private readonly graceMs: number) {}
+
+  get hasBegun(): boolean {
+    return this.startedAtMs !== undefined;
+  }
+
+  begin(): void {
+    this.startedAtMs = monotonicNowMs();
+  }
+
+  /** Records a request that was answered whole. */
+  noteAnswered({route, receivedAtMs}: InboundRequest): void {
+    const nowMs = monotonicNowMs();
+    this.durations.note(route.name, nowMs - receivedAtMs, nowMs);
+  }
+
+  /**
+   * Whether a request is left to other entries, since it is not likely to end
+   * before the connections close. From a caller that could know of the stop only
+   * requests with some margin are taken: requests grow longer while entries stop
+   * under load.
+   */
+  isTooLateFor({name, timeoutMs}: Route): boolean {
+    if (!this.hasBegun) return false;
+    const recentMs = this.durations.longestMs(name, monotonicNowMs());
+    const isKnownToCallers = this.elapsedMs >= MIN_DRAIN_MS;
+    const margin = isKnownToCallers ? LATE_REQUEST_MARGIN : 1;
+    const leftMs = this.maxDrainMs - this.elapsedMs;
+    return (recentMs ?? timeoutMs) * margin > leftMs;
+  }
+
+  /** Resolves when no request is left, or the connections have to close. */
+  untilDrained(requests: StoppingRequests): Promise<void> {
+    return waitUntil(() => {
+      const {elapsedMs} = this;
+      if (elapsedMs >= CLOSE_IDLE_AFTER_MS) requests.closeIdle();
+      const isIdle = requests.requestsInFlight === 0;
+      const isIdleLongEnough = isIdle && elapsedMs >= MIN_DRAIN_MS;
+      return isIdleLongEnough || elapsedMs >= this.maxDrainMs;
+    });
+  }
+
+  private get elapsedMs(): number {
+    return monotonicNowMs() - (this.startedAtMs ?? monotonicNowMs());
+  }
+
+  private get maxDrainMs(): number {
+    return this.graceMs - CLOSE_RESERVE_MS;
+  }
+}
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -40,6 +40,7 @@
   | 'no_route_table'
   | 'no_route'
   | 'no_service'
+  | 'stopping'
   | 'headers_too_large'
   | 'body_too_large'
   | 'body_incomplete';
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -100,11 +100,12 @@
   }
 
   /** Resolves when the caller has its final response. */
-  async run(): Promise<void> {
+  async run(): Promise<TryResult> {
     const result = await this.tryUntilFinal();
     const unused = this.takeReplacement();
     if (unused !== undefined) cancelGrant(this.context.scheduler, unused);
     this.finish(result);
+    return result;
   }
 
   private async tryUntilFinal(): Promise<TryResult> {
