--- a/src/node/ingress/planned_stop.ts
+++ b/src/node/ingress/planned_stop.ts
@@ -49,14 +49,15 @@
 
   /**
    * Whether a request is left to other entries, since it is not likely to end
-   * before the connections close. From a caller that could know of the stop only
-   * requests with some margin are taken: requests grow longer while entries stop
-   * under load.
+   * before the connections close. From a caller that could know of the stop no
+   * stream is taken, and other requests with some margin: they grow longer while
+   * entries stop under load, streams most.
    */
-  isTooLateFor({name, timeoutMs}: Route): boolean {
+  isTooLateFor({name, kind, timeoutMs}: Route): boolean {
     if (!this.hasBegun) return false;
-    const recentMs = this.durations.longestMs(name, monotonicNowMs());
     const isKnownToCallers = this.elapsedMs >= MIN_DRAIN_MS;
+    if (isKnownToCallers && kind === 'stream') return true;
+    const recentMs = this.durations.longestMs(name, monotonicNowMs());
     const margin = isKnownToCallers ? LATE_REQUEST_MARGIN : 1;
     const leftMs = this.maxDrainMs - this.elapsedMs;
     return (recentMs ?? timeoutMs) * margin > leftMs;
