Send complete answers without a length as they came

A plain upstream that sends no length crashed within its answer and its connection ended regularly.

A buffered answer without a length again goes on without one, as before; it is written at once, so a stop or a kill hardly meets it. Streams keep their chunks.

--- a/src/node/ingress/__tests__/caller_response.spec.ts
+++ b/src/node/ingress/__tests__/caller_response.spec.ts
@@ -80,6 +80,19 @@
   assert.ok(streamed.text.endsWith(LAST_CHUNK));
 });
 
+// Guards against framing that is added to a complete upstream response without a
+// length and makes one that a crash cut look whole.
+test('a complete response without framing is sent without framing', async () => {
+  const {text} = await receive({
+    respond: response =>
+      response.sendComplete(200, [], Buffer.from('body'), 'until_close'),
+  });
+  const isFramed =
+    text.includes('content-length') || text.includes('transfer-encoding');
+  assert.equal(isFramed, false);
+  assert.ok(text.endsWith('body'));
+});
+
 // Guards against a terminated stream that looks complete to the caller.
 test('a terminated stream has no last chunk', async () => {
   assert.ok(!(await stream('terminated')).text.endsWith(LAST_CHUNK));
--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -5,9 +5,16 @@
 const HTTP_WITHOUT_CHUNKS = '1.0';
 
 /**
- * Is either sent complete, or begun once and then ended or terminated. It always
- * has a length or chunks, also if that of the upstream has none: else each end of
- * this process or of the connection would look like the end of the response.
+ * How the upstream marked the end of a complete response: by its length or
+ * chunks, or by the end of its connection, which a crash may have caused.
+ */
+export type Framing = 'framed' | 'until_close';
+
+/**
+ * Is either sent complete, or begun once and then ended or terminated. What is
+ * begun has a length or chunks, also if the upstream's response has none: else
+ * each end of this process or of the connection would look like its end. What is
+ * sent complete without framing stays so, as nobody can tell whether it is whole.
  */
 export class CallerResponse {
   private hasBegun = false;
@@ -32,12 +39,19 @@
     status: number,
     headers: readonly HeaderPair[],
     body: Buffer,
+    framing: Framing = 'framed',
   ): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.hasEnded = true;
     this.setHeaders(headers);
-    this.response.setHeader('content-length', String(body.length));
+    if (framing === 'framed') {
+      this.response.setHeader('content-length', String(body.length));
+    } else {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+      this.response.setHeader('connection', 'close');
+    }
     this.response.writeHead(status);
     this.response.end(body);
   }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -346,7 +346,7 @@
       const headers = context.protocol.callerHeaders(
         reader.head?.headers ?? {},
       );
-      response.sendComplete(status, headers, reader.body());
+      response.sendComplete(status, headers, reader.body(), reader.framing);
     }
     return {kind: 'delivered', status};
   }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -8,7 +8,7 @@
 import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 import type {BegunStream} from '../scheduling/types.js';
 import {asId, type SoftwareVersion} from '../types/ids.js';
-import type {CallerResponse} from './caller_response.js';
+import type {CallerResponse, Framing} from './caller_response.js';
 import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
 import type {ResponseSink} from './exchange.js';
 import {
@@ -88,7 +88,7 @@
    * ended inside an event or before the first one: its upstream broke it off.
    */
   get isTorn(): boolean {
-    if (!this.isRelaying || this.isFramed) return false;
+    if (!this.isRelaying || this.framing === 'framed') return false;
     return this.meter.isInsideEvent || this.meter.isEmpty;
   }
 
@@ -98,13 +98,13 @@
     return isFromPeer && this.head?.headers[NOT_RUN_HEADER] !== undefined;
   }
 
-  /** Whether a length or chunks mark the end of the response. */
-  private get isFramed(): boolean {
+  /** How the end of the response is marked on its connection. */
+  get framing(): Framing {
     const headers = this.head?.headers ?? {};
-    return (
+    const isFramed =
       headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined
-    );
+      headers['transfer-encoding'] !== undefined;
+    return isFramed ? 'framed' : 'until_close';
   }
 
   /** The body of a buffered response. */
