--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -2,6 +2,7 @@
 import {seededRandom} from '../src/node/__tests__/support/random.js';
 import {drawFaults, type Fault} from './fault_plan.js';
 import type {Layout} from './layout.js';
+import {pick} from './traffic.js';
 
 /** One kind of run. */
 export abstract class SoakProfile {
@@ -31,6 +32,26 @@
   }
 }
 
+/** Runs in which half of the upstreams mark no end of their streams. */
+abstract class HalfUnframed extends SoakProfile {
+  override isUnframed(position: number): boolean {
+    return position % 2 === 0;
+  }
+
+  override faultsOf(seed: number, {processes}: Layout): readonly Fault[] {
+    const entries = processes.filter(each => each.role === 'entry');
+    return this.faultsOn(
+      entries.map(each => each.name),
+      seededRandom(seed),
+    );
+  }
+
+  protected abstract faultsOn(
+    entries: readonly string[],
+    random: () => number,
+  ): readonly Fault[];
+}
+
 const FIRST_ROLL_MS = 1_000;
 const SHORTEST_GAP_MS = 2_000;
 const GAP_RANGE_MS = 2_500;
@@ -39,24 +60,21 @@
  * Planned stops of all entries in turn, twice, and nothing else. Streams take
  * about half of the time that a stop may take.
  */
-export class PlannedStops extends SoakProfile {
+export class PlannedStops extends HalfUnframed {
   override readonly name = 'rolls';
   override readonly eventPauseMs = 350;
   override readonly losesNothing = true;
 
-  override isUnframed(position: number): boolean {
-    return position % 2 === 0;
-  }
-
-  override faultsOf(seed: number, {processes}: Layout): readonly Fault[] {
-    const random = seededRandom(seed);
-    const entries = processes.filter(each => each.role === 'entry');
+  protected override faultsOn(
+    entries: readonly string[],
+    random: () => number,
+  ): readonly Fault[] {
     const gapMs = SHORTEST_GAP_MS + random() * GAP_RANGE_MS;
-    return [...entries, ...entries].map(({name}, position) => ({
+    return [...entries, ...entries].map((target, position) => ({
       kind: 'terminate',
       atMs: Math.round(FIRST_ROLL_MS + position * gapMs),
       durationMs: 0,
-      target: name,
+      target,
     }));
   }
 }
@@ -66,25 +84,22 @@
 const LONGEST_DOWN_MS = 800;
 
 /** Kills of entries, half of whose upstreams mark no end of their streams. */
-export class KilledEntries extends SoakProfile {
+export class KilledEntries extends HalfUnframed {
   override readonly name = 'kills';
   override readonly eventPauseMs = 150;
   override readonly losesNothing = false;
 
-  override isUnframed(position: number): boolean {
-    return position % 2 === 0;
-  }
-
-  override faultsOf(seed: number, {processes}: Layout): readonly Fault[] {
-    const random = seededRandom(seed);
-    const entries = processes.filter(each => each.role === 'entry');
+  protected override faultsOn(
+    entries: readonly string[],
+    random: () => number,
+  ): readonly Fault[] {
     return Array.from({length: KILLS}, (): Fault => {
-      const position = Math.floor(random() * entries.length);
+      const target = pick(entries, random) ?? '';
       return {
         kind: 'kill',
         atMs: Math.round(random() * KILLS_MS),
         durationMs: Math.round(random() * LONGEST_DOWN_MS),
-        target: entries[position]?.name ?? '',
+        target,
       };
     }).sort((left, right) => left.atMs - right.atMs);
   }
