Log when the list has items that cannot be read

The incident of the unreadable address could not be seen in the logs before the process ended, and skipped items left no line since. A change in the number of skipped items of a domain is now logged as list_items_skipped.

--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -58,6 +58,7 @@
   control_lost: peerChange,
   control_regained: peerChange,
   list_lost: {domain: z.string()},
+  list_items_skipped: {domain: z.string(), skippedCount: z.number()},
   list_regained: {domain: z.string()},
   state_fetch_failed: peerChange,
   // State of entries.
@@ -233,6 +234,7 @@
   member_removed: peerChange,
   member_removal_failed: peerChange,
   rejoining: {},
+  leave_failed: {},
 } as const satisfies Record<string, z.ZodRawShape>;
 
 /** The name of an event. */
