--- a/src/node/routes/membership_manager.ts
+++ b/src/node/routes/membership_manager.ts
@@ -77,7 +77,7 @@
    */
   async leave(): Promise<void> {
     this.stop();
-    const {log, client, self, methodPrefix} = this.options;
+    const {log, client, self, methodPrefix, logger} = this.options;
     if (!this.isSurplus(self.memberId, log.status().members)) return;
     for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt++) {
       const leader = leaderOf(log);
@@ -89,6 +89,10 @@
       }
       await new Promise(resolve => setTimeout(resolve, LEAVE_RETRY_MS));
     }
+    logger.warn(
+      {event: 'leave_failed'},
+      'stopping as a member; the leader removes it once its silence is noticed',
+    );
   }
 
   private check(): void {
@@ -98,11 +102,19 @@
       this.lastResponseAtMs.clear();
     }
     this.lastCheckAtMs = nowMs;
+    this.forgetFormerMembers(members);
     members.forEach(member => this.pingMember(member, nowMs));
     if (role === 'leader') this.removeUnresponsive(members, nowMs);
     this.rejoinIfAbsent(members);
   }
 
+  private forgetFormerMembers(members: readonly ReplicaMember[]): void {
+    const current = new Set(members.map(({memberId}) => memberId));
+    [...this.lastResponseAtMs.keys()]
+      .filter(memberId => !current.has(memberId))
+      .forEach(memberId => this.lastResponseAtMs.delete(memberId));
+  }
+
   private pingMember(member: ReplicaMember, nowMs: number): void {
     const {client, methodPrefix, self} = this.options;
     const {memberId, address} = member;
