Drop the durations of routes without recent requests

"routes without recent requests are dropped" fails without the change: 100 routes are kept, 11 are allowed.

--- a/src/node/ingress/__tests__/request_durations.spec.ts
+++ b/src/node/ingress/__tests__/request_durations.spec.ts
@@ -32,3 +32,12 @@
   durations.note(CHAT, 500, 12_000);
   assert.equal(durations.longestMs(CHAT, 12_500), 500);
 });
+
+// Guards against an entry that keeps each route that a configuration ever named.
+test('routes without recent requests are dropped', () => {
+  const durations = new RequestDurations();
+  Array.from({length: 100}, (_, number) =>
+    durations.note(asId<RouteId>(`route-${number}`), 10, number * 1_000),
+  );
+  assert.ok(durations.size <= 11, `${durations.size} routes are kept`);
+});
--- a/src/node/ingress/request_durations.ts
+++ b/src/node/ingress/request_durations.ts
@@ -22,9 +22,15 @@
   note(route: RouteId, durationMs: number, nowMs: number): void {
     const durations = this.current(route, nowMs);
     durations.longestMs = Math.max(durations.longestMs, durationMs);
+    if (!this.recent.has(route)) this.dropOld(nowMs);
     this.recent.set(route, durations);
   }
 
+  /** Routes for which durations are kept. */
+  get size(): number {
+    return this.recent.size;
+  }
+
   /** The longest duration of the last seconds, `undefined` without any. */
   longestMs(route: RouteId, nowMs: number): number | undefined {
     const {longestMs, previousLongestMs} = this.current(route, nowMs);
@@ -32,6 +38,13 @@
     return recentMs === 0 ? undefined : recentMs;
   }
 
+  // Configurations may rename their routes without end.
+  private dropOld(nowMs: number): void {
+    [...this.recent]
+      .filter(([, {periodStartMs}]) => nowMs - periodStartMs >= 2 * PERIOD_MS)
+      .forEach(([route]) => this.recent.delete(route));
+  }
+
   private current(route: RouteId, nowMs: number): RecentDurations {
     const known = this.recent.get(route);
     const ageMs = nowMs - (known?.periodStartMs ?? -Infinity);
