Soak: check that entries obey confirmed configurations

The users report CONFIG from real processes; the soak checked what is read back, not what entries obey. Each version now adds a route of its own. After the faults each entry must know the route of a version 3 s after its confirmation, and must have dropped the ones of former versions. Probes are larger than the limit of bodies, so that no upstream runs them.

Evidence: two forged histories are caught.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -57,6 +57,7 @@
     unexpectedExits: [],
     slowStops: [],
     losesNothing: false,
+    probes: [],
     calmAtMs: CALM_AT_MS,
     ...fields,
   });
@@ -98,6 +99,22 @@
     /outside its home regions/,
     {calls: [call({route: 'homed'})], runs: [run()]},
   ],
+  [
+    /did not serve a route of version 4/,
+    {probes: [{entry: 'e', version: 4, sentAtMs: 19_500, status: 404}]},
+  ],
+  [
+    /served a route that was dropped after version 4/,
+    {
+      operator: [
+        order('replace', 4),
+        order('replace', 7),
+        order('read', 7, {sentAtMs: 9_000}),
+      ],
+      probes: [{entry: 'e', version: 4, sentAtMs: 19_500, status: 413}],
+    },
+  ],
+  [/was cut/, {calls: [call({isComplete: false})], losesNothing: true}],
   [/which nobody sent/, {runs: [run(), run({attemptId: 'a7'})]}],
   [
     /version 4 was read after 7 was confirmed/,
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -15,6 +15,10 @@
 /** Time from the end of all faults until everything is in touch again. */
 const SETTLE_MS = 6_000;
 const EVACUATION_MS = 5_000;
+/** Longest time from the sending of a probe to its handling. */
+const PROBE_MS = 1_000;
+const NOT_FOUND = 404;
+const TOO_LARGE = 413;
 /** Share of the calm calls that must be served. */
 const SERVED_SHARE = 0.97;
 const EVENTS = 5;
@@ -27,6 +31,7 @@
     ...history.calls.flatMap(call => checkCall(call, history)),
     ...checkUnknownRuns(history),
     ...checkLost(history),
+    ...checkApplied(history),
     ...checkReadings(history.operator),
     ...checkFinalReading(history.operator),
     ...checkEvacuations(history),
@@ -101,6 +106,46 @@
     .map(run => `an upstream ran ${run.attemptId}, which nobody sent`);
 }
 
+/**
+ * After the faults each entry obeys a version in time, and drops the routes of
+ * the ones before it.
+ */
+function checkApplied({
+  probes,
+  operator,
+  calmAtMs,
+}: History): readonly string[] {
+  const replaced = confirmed(operator, 'replace');
+  return probes
+    .filter(probe => probe.sentAtMs > calmAtMs + SETTLE_MS)
+    .flatMap(({entry, version, sentAtMs, status}) => {
+      const newestMs = (isNewest: (other: number) => boolean): number =>
+        Math.min(
+          ...replaced
+            .filter(each => isNewest(each.version))
+            .map(each => each.endedAtMs),
+        );
+      const isDue = newestMs(other => other === version) + APPLY_MS < sentAtMs;
+      const isOver = newestMs(other => other > version) + APPLY_MS < sentAtMs;
+      const isReplaced = operator.some(
+        each =>
+          each.kind === 'replace' &&
+          each.version > version &&
+          each.sentAtMs < sentAtMs + PROBE_MS,
+      );
+      return [
+        ...broken(
+          isDue && !isReplaced && status === NOT_FOUND,
+          `${entry} did not serve a route of version ${version}`,
+        ),
+        ...broken(
+          isOver && status === TOO_LARGE,
+          `${entry} served a route that was dropped after version ${version}`,
+        ),
+      ];
+    });
+}
+
 /** Under planned work alone, what reached an upstream is answered whole. */
 function checkLost({calls, runs, losesNothing}: History): readonly string[] {
   if (!losesNothing) return [];
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -1,5 +1,7 @@
 /** What callers, upstreams and operators saw during one run. */
 
+import type {RouteProbe} from './route_probes.js';
+
 /** How the response to one call ended. */
 export interface CallResult {
   readonly attemptId: string;
@@ -63,6 +65,7 @@
 }
 
 export interface History {
+  readonly probes: readonly RouteProbe[];
   readonly calls: readonly CallResult[];
   readonly runs: readonly UpstreamRun[];
   readonly operator: readonly OperatorRecord[];
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -15,6 +15,13 @@
 const CHANGE_INTERVAL_MS = 1_200;
 const READ_INTERVAL_MS = 700;
 
+export const MAX_BODY_BYTES = 100_000;
+
+/** Path of the route that only one version has. */
+export function pathOfVersion(version: number): string {
+  return `/added-${version}/`;
+}
+
 /** The configuration of a version. */
 export function configurationOf(version: number): string {
   return configurationText({
@@ -22,12 +29,20 @@
     host: HOST,
     service: SERVICE,
     timeoutMs: TIMEOUT_MS,
-    maxBodyBytes: 100_000,
-    routes: Object.entries(ROUTES).map(([name, route]) => ({
-      ...route,
-      name,
-      homeRegions: name === 'homed' ? HOMES : [],
-    })),
+    maxBodyBytes: MAX_BODY_BYTES,
+    routes: [
+      ...Object.entries(ROUTES).map(([name, route]) => ({
+        ...route,
+        name,
+        homeRegions: name === 'homed' ? HOMES : [],
+      })),
+      {
+        name: `added-${version}`,
+        path: pathOfVersion(version),
+        kind: 'safe',
+        attempts: 1,
+      },
+    ],
   });
 }
 
@@ -50,10 +65,22 @@
     ];
   }
 
+  /** Sends no more changes; readings go on. */
+  pauseChanges(): void {
+    clearInterval(this.timers[0]);
+  }
+
   stop(): void {
     this.timers.forEach(timer => clearInterval(timer));
   }
 
+  /** Versions that were confirmed, the newest one last. */
+  get confirmedVersions(): readonly number[] {
+    return this.records
+      .filter(each => each.kind === 'replace' && each.status === 200)
+      .map(each => each.version);
+  }
+
   /** Sends the next version to one member. */
   async replace(): Promise<boolean> {
     this.version += 3;
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -9,6 +9,7 @@
 import {REGIONS} from './layout.js';
 import {Operator} from './operator.js';
 import {MixedFaults, type SoakProfile} from './profile.js';
+import {RouteProbes} from './route_probes.js';
 import {Traffic} from './traffic.js';
 
 const START_LIMIT_MS = 20_000;
@@ -16,6 +17,10 @@
 /** Settling, and some seconds in which everything must be served. */
 const CALM_MS = 10_000;
 const READ_ATTEMPTS = 20;
+/** The newest versions are probed, also those that have just been replaced. */
+const PROBED_VERSIONS = 4;
+/** The last version has to be in force within 3 s. */
+const LAST_VERSION_MS = 5_000;
 
 export interface SoakOptions {
   readonly seed: number;
@@ -62,6 +67,10 @@
       ]),
     ),
   });
+  const probes = new RouteProbes(
+    entries.map(each => each.mainAddress),
+    () => operator.confirmedVersions.slice(-PROBED_VERSIONS),
+  );
   try {
     await fleet.start();
     await untilServed(
@@ -73,30 +82,44 @@
     operator.start();
     await runFaults(faults, fleet, operator);
     const calmAtMs = performance.now();
-    await sleep(CALM_MS);
+    await keepCalm(operator, probes);
     operator.stop();
     await traffic.stop();
     await readAtTheEnd(operator, READ_ATTEMPTS);
     const history = {
       ...historyOf(fleet, traffic, operator, calmAtMs),
       losesNothing: profile.losesNothing,
+      probes: probes.probes,
     };
     const served = traffic.calls.filter(each => each.status === 200).length;
     const problems = checkHistory(history);
     return {seed, faults, calls: traffic.calls.length, served, problems};
   } finally {
     operator.stop();
+    probes.stop();
     await traffic.stop();
     await fleet.stop();
   }
 }
 
+/** The time after the faults, at whose end no version is replaced any more. */
+async function keepCalm(
+  operator: Operator,
+  probes: RouteProbes,
+): Promise<void> {
+  probes.start();
+  await sleep(CALM_MS);
+  operator.pauseChanges();
+  await sleep(LAST_VERSION_MS);
+  probes.stop();
+}
+
 function historyOf(
   fleet: Fleet,
   traffic: Traffic,
   operator: Operator,
   calmAtMs: number,
-): Omit<History, 'losesNothing'> {
+): Omit<History, 'losesNothing' | 'probes'> {
   return {
     calls: traffic.calls,
     runs: fleet.upstreams.flatMap(each => each.runs),
