Deliver answers to slow readers before a planned stop ends

Callers saw: an answer that was ready was cut when its entry stopped as planned, because they read slowly. With a length the cut shows, without one the answer looks complete.

Cause: a request counted as in flight until its answer was handed to the connection, and Node takes a connection for idle once the response has ended, although bytes still wait for the reader.

A request is in flight until its bytes have left the process or its connection has closed, and a connection is idle once its responses are delivered; closeServer keeps the same rule for all listeners.

--- a/src/node/entry/caller_server.ts
+++ b/src/node/entry/caller_server.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {Configuration, WorkspaceConfig} from '../config/configuration.js';
+import {waitForDelivery} from '../http/delivery.js';
 import {
   closeServer,
   listen,
@@ -37,7 +38,7 @@
 };
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 /** A connection whose caller has not read its answer by then is destroyed. */
-const DELIVERY_TIMEOUT_MS = 30_000;
+export const DELIVERY_TIMEOUT_MS = 30_000;
 /** Short: answers are delivered before, so open connections have no request. */
 const CLOSE_TIMEOUT_MS = 1_000;
 const MAX_CONNECTIONS = 10_000;
@@ -101,7 +102,7 @@
       (request, response) => {
         void options.inFlight.track(async () => {
           await this.answer(request, response);
-          await waitForDelivery(response);
+          await waitForDelivery(response, DELIVERY_TIMEOUT_MS);
         });
       },
     );
@@ -292,21 +293,6 @@
   return controller.signal;
 }
 
-/**
- * Resolves when the answer is delivered or the connection has closed; destroys
- * the connection after `DELIVERY_TIMEOUT_MS`.
- */
-export async function waitForDelivery(response: ServerResponse): Promise<void> {
-  if (response.closed || response.writableFinished) return;
-  await new Promise<void>(resolve => {
-    const timer = setTimeout(() => response.destroy(), DELIVERY_TIMEOUT_MS);
-    response.once('close', () => {
-      clearTimeout(timer);
-      resolve();
-    });
-  });
-}
-
 function parseUrl(request: IncomingMessage): URL {
   try {
     return new URL(request.url ?? '/', 'http://entry');
--- a/src/node/entry/gateway.ts
+++ b/src/node/entry/gateway.ts
@@ -8,6 +8,7 @@
 import {listEntries} from '../decisions/entry_list/entry_list.js';
 import type {MembershipView} from '../membership/membership_view.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
+import {waitForDelivery} from '../http/delivery.js';
 import type {RpcContext} from '../rpc/rpc.js';
 import {GatewayError, toGatewayError} from '../types/errors.js';
 import {
@@ -20,7 +21,7 @@
 import {
   abortWhenClosed,
   callerDigestOf,
-  waitForDelivery,
+  DELIVERY_TIMEOUT_MS,
   RequestHandler,
 } from './caller_server.js';
 import {envelopeSchema, type ForwardEnvelope} from './forwarding.js';
@@ -136,7 +137,7 @@
         });
         sendError(response, error);
       }
-      await waitForDelivery(response);
+      await waitForDelivery(response, DELIVERY_TIMEOUT_MS);
     });
   }
 
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -4,6 +4,11 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import {GatewayError} from '../types/errors.js';
 import {ByteBuffer} from './byte_buffer.js';
+import {
+  closeIdleConnections,
+  stopListening,
+  trackConnections,
+} from './open_connections.js';
 
 /** How long a closing server waits for active connections. */
 const CLOSE_TIMEOUT_MS = 5_000;
@@ -35,6 +40,7 @@
  * would be started again, and end again.
  */
 export async function listen(server: Server, address: string): Promise<string> {
+  trackConnections(server);
   const deadlineMs = monotonicNowMs() + LISTEN_PATIENCE_MS;
   for (;;) {
     try {
@@ -65,18 +71,15 @@
  * still open after the timeout are closed too: Node stops enforcing its limits
  * for slow senders when a server closes, so one could block the stop forever.
  */
-export function closeServer(
+export async function closeServer(
   server: Server,
   timeoutMs = CLOSE_TIMEOUT_MS,
 ): Promise<void> {
-  return new Promise(resolve => {
-    const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
-    server.close(() => {
-      clearTimeout(timer);
-      resolve();
-    });
-    server.closeIdleConnections();
-  });
+  const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
+  const closed = stopListening(server);
+  closeIdleConnections(server);
+  await closed;
+  clearTimeout(timer);
 }
 
 /**
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,6 +7,8 @@
   type ServerResponse,
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
+import {waitForDelivery} from '../http/delivery.js';
+import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
 import type {CallerLimits, Route} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
@@ -89,7 +91,10 @@
     return listen(this.server, this.options.address);
   }
 
-  /** Requests that have no final response yet, also those still arriving. */
+  /**
+   * Requests whose final response has not left this process, also those that are
+   * still arriving.
+   */
   get requestsInFlight(): number {
     return this.openRequests;
   }
@@ -102,7 +107,7 @@
 
   /** Closes connections without a request, so that callers open others. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    closeIdleConnections(this.server);
   }
 
   /** Closes the listener and all connections immediately. */
@@ -116,6 +121,7 @@
     this.openRequests += 1;
     try {
       await this.runRelayed(bytes, response);
+      await waitForDelivery(response);
     } finally {
       this.openRequests -= 1;
     }
@@ -152,21 +158,30 @@
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
+    this.openRequests += 1;
+    void this.receiveGuarded(request, response)
+      .then(() => waitForDelivery(response))
+      .finally(() => {
+        this.openRequests -= 1;
+      });
+  }
+
+  private async receiveGuarded(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const {plannedStop, context} = this.options;
     const callerResponse = new CallerResponse(
       response,
       () => plannedStop.hasBegun,
     );
-    this.openRequests += 1;
-    this.receive(request, response, callerResponse)
-      .catch((thrown: unknown) => {
-        const error = toGatewayError(thrown, 'ingress.receive', 'self');
-        const status = sendUnexpectedError(callerResponse);
-        context.log.crashed(this.requestIdOf(request), error, status);
-      })
-      .finally(() => {
-        this.openRequests -= 1;
-      });
+    try {
+      await this.receive(request, response, callerResponse);
+    } catch (thrown) {
+      const error = toGatewayError(thrown, 'ingress.receive', 'self');
+      const status = sendUnexpectedError(callerResponse);
+      context.log.crashed(this.requestIdOf(request), error, status);
+    }
   }
 
   private async receive(
