--- a/src/node/ingress/__tests__/exchange.spec.ts
+++ b/src/node/ingress/__tests__/exchange.spec.ts
@@ -5,6 +5,7 @@
 import {ConnectionPools} from '../connections.js';
 import {exchange, type ExchangeEnd} from '../exchange.js';
 
+const RESETS = 5;
 const HEAD = 'HTTP/1.1 200 OK\r\nx-signed: 1\r\n';
 
 interface ObservedExchange {
@@ -61,6 +62,23 @@
   );
 });
 
+// Guards against a reset that the runtime reports as an orderly end, as it arrives
+// together with the data before it.
+test('a reset right behind data is no regular end', async () => {
+  const ends = await Promise.all(
+    Array.from({length: RESETS}, () =>
+      exchangeWith(socket => {
+        socket.write(`${HEAD}connection: close\r\n\r\nhalf`);
+        socket.resetAndDestroy();
+      }),
+    ),
+  );
+  assert.deepEqual(
+    ends.map(({end}) => end.kind),
+    ends.map(() => 'broken'),
+  );
+});
+
 // Guards against a request that is reported as not run after it was written.
 test('a connection lost before any response is "broken"', async () => {
   const lost = await exchangeWith(socket => socket.destroy());
