Tell answers that a crash has cut from complete ones

Callers saw: a stream without a length whose upstream crashed after a whole event ended with its last chunk, so that a part looked whole and was neither taken up nor tried again; half of a plain answer was passed on.

Cause: the orderly end of a connection was taken as evidence for a complete answer, and a process that crashes has its connections closed in an orderly way.

Ruled out: the framing of the entry, which is the same without the crash.

After such an end the entry asks the upstream's health check; if nothing listens there or another upstream answers, the answer is broken. Answers between entries have a length and a mark, so that a cut there shows.

Given up: a length for plain answers whose upstream lives.

--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import {test, type TestContext} from 'node:test';
 import {
+  CrashedUpstreams,
   KilledEntries,
   MixedFaults,
   PlannedStops,
@@ -22,6 +23,12 @@
   // SIGHUP ended processes that still loaded their modules after a restart.
   370_936_496, 370_936_502, 370_936_507,
 ];
+/** Seeds that failed once while upstreams crashed, with the cause that was found. */
+const CRASH_SEEDS: readonly number[] = [
+  // A check of the upstream that was silent for 150 ms counted as a sign of life.
+  510_835_520,
+  510_835_524,
+];
 const FRESH_SEEDS: readonly number[] = [1];
 
 async function soak(
@@ -49,8 +56,15 @@
   test(`soak of seed ${seed}`, t => soak(t, seed, new MixedFaults())),
 );
 
-// Guards against requests that planned stops cut, and against streams that a stop
-// or a kill cuts and that look complete.
-[new PlannedStops(), new KilledEntries()].forEach(profile =>
-  test(`soak of seed 1 with ${profile.name}`, t => soak(t, 1, profile)),
+// Guards against streams that a crash of their upstream cuts and that look complete.
+CRASH_SEEDS.forEach(seed =>
+  test(`soak of seed ${seed} with crashes`, t =>
+    soak(t, seed, new CrashedUpstreams())),
+);
+
+// Guards against requests that planned stops cut, and against streams that a stop,
+// a kill or a crash of their upstream cuts and that look complete.
+[new PlannedStops(), new KilledEntries(), new CrashedUpstreams()].forEach(
+  profile =>
+    test(`soak of seed 1 with ${profile.name}`, t => soak(t, 1, profile)),
 );
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -1,6 +1,6 @@
 /** What distinguishes the kinds of runs: their faults, streams and promises. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
-import {drawFaults, type Fault} from './fault_plan.js';
+import {drawFaults, type Fault, type FaultKind} from './fault_plan.js';
 import type {Layout} from './layout.js';
 import {pick} from './traffic.js';
 
@@ -9,7 +9,7 @@
   abstract readonly name: string;
   /** Pause between the events of a stream. */
   abstract readonly eventPauseMs: number;
-  /** Whether streams of the upstream at a position end with their connection. */
+  /** Whether answers of the upstream at a position end with their connection. */
   abstract isUnframed(position: number): boolean;
   /** The faults of a seed, by time; the same seed gives the same plan. */
   abstract faultsOf(seed: number, layout: Layout): readonly Fault[];
@@ -32,22 +32,24 @@
   }
 }
 
-/** Runs in which half of the upstreams mark no end of their streams. */
+/** Runs in which half of the upstreams mark no end of their answers. */
 abstract class HalfUnframed extends SoakProfile {
   override isUnframed(position: number): boolean {
     return position % 2 === 0;
   }
 
-  override faultsOf(seed: number, {processes}: Layout): readonly Fault[] {
-    const entries = processes.filter(each => each.role === 'entry');
-    return this.faultsOn(
-      entries.map(each => each.name),
-      seededRandom(seed),
-    );
+  override faultsOf(seed: number, layout: Layout): readonly Fault[] {
+    const targets = this.targetsIn(layout).map(each => each.name);
+    return this.faultsOn(targets, seededRandom(seed));
+  }
+
+  /** What the faults hit: the entries, unless a profile says otherwise. */
+  protected targetsIn({processes}: Layout): readonly {readonly name: string}[] {
+    return processes.filter(each => each.role === 'entry');
   }
 
   protected abstract faultsOn(
-    entries: readonly string[],
+    targets: readonly string[],
     random: () => number,
   ): readonly Fault[];
 }
@@ -79,25 +81,25 @@
   }
 }
 
-const KILLS = 8;
-const KILLS_MS = 12_000;
+const ENDS = 8;
+const ENDS_MS = 12_000;
 const LONGEST_DOWN_MS = 800;
 
-/** Kills of entries, half of whose upstreams mark no end of their streams. */
-export class KilledEntries extends HalfUnframed {
-  override readonly name = 'kills';
+/** Unplanned ends, while half of the upstreams mark no end of their streams. */
+abstract class UnplannedEnds extends HalfUnframed {
   override readonly eventPauseMs = 150;
   override readonly losesNothing = false;
+  protected abstract readonly kind: FaultKind;
 
   protected override faultsOn(
-    entries: readonly string[],
+    targets: readonly string[],
     random: () => number,
   ): readonly Fault[] {
-    return Array.from({length: KILLS}, (): Fault => {
-      const target = pick(entries, random) ?? '';
+    return Array.from({length: ENDS}, (): Fault => {
+      const target = pick(targets, random) ?? '';
       return {
-        kind: 'kill',
-        atMs: Math.round(random() * KILLS_MS),
+        kind: this.kind,
+        atMs: Math.round(random() * ENDS_MS),
         durationMs: Math.round(random() * LONGEST_DOWN_MS),
         target,
       };
@@ -105,10 +107,27 @@
   }
 }
 
+/** Kills of entries. */
+export class KilledEntries extends UnplannedEnds {
+  override readonly name = 'kills';
+  protected override readonly kind = 'kill';
+}
+
+/** Crashes of upstreams, which close their connections in an orderly way. */
+export class CrashedUpstreams extends UnplannedEnds {
+  override readonly name = 'crashes';
+  protected override readonly kind = 'upstream_crash';
+
+  protected override targetsIn({upstreams}: Layout): Layout['upstreams'] {
+    return upstreams;
+  }
+}
+
 export const PROFILES: readonly SoakProfile[] = [
   new MixedFaults(),
   new PlannedStops(),
   new KilledEntries(),
+  new CrashedUpstreams(),
 ];
 
 /** The profile with a name; the first one if there is none with it. */
--- a/src/node/dispatch/__tests__/list_reader.spec.ts
+++ b/src/node/dispatch/__tests__/list_reader.spec.ts
@@ -20,7 +20,11 @@
   READ_REGION_METHOD,
   readListSchema,
 } from '../messages.js';
-import {UpstreamFeed, type HealthResult} from '../upstream_feed.js';
+import {
+  UpstreamFeed,
+  type HealthResult,
+  type Liveness,
+} from '../upstream_feed.js';
 
 const REGION = asId<RegionId>('home');
 const CONTROL = asId<InstanceId>('control');
@@ -42,6 +46,10 @@
     return Promise.resolve({kind: 'unhealthy'});
   }
 
+  override liveness(): Promise<Liveness> {
+    return Promise.resolve({kind: 'unknown'});
+  }
+
   override canConnect(): Promise<boolean> {
     return Promise.resolve(false);
   }
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -5,6 +5,10 @@
 import type {TestContext} from 'node:test';
 import type {Dispatcher, Pool} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
+import type {
+  Completeness,
+  EndedResponse,
+} from '../../../dispatch/response_end_check.js';
 import type {Route} from '../../../routes/route_table.js';
 import {UpstreamNotices} from '../../../dispatch/upstream_notices.js';
 import {UpstreamLimits} from '../../../dispatch/upstream_limits.js';
@@ -34,6 +38,8 @@
   /** Answers in turn; the last one repeats. */
   readonly decisions: readonly ((item: WorkItem) => SchedulerAnswer)[];
   readonly route?: Partial<Route>;
+  /** What is found out about a response that nothing marks as complete. */
+  readonly completeness?: Readonly<Record<string, Completeness>>;
   /** Duration of the whole run. */
   readonly runMs: number;
 }
@@ -150,7 +156,7 @@
 }
 
 function contextOf(
-  {upstreams, decisions}: RunSetup,
+  {upstreams, decisions, completeness = {}}: RunSetup,
   note: (line: string) => void,
 ): RequestRunContext {
   let asked = 0;
@@ -191,6 +197,10 @@
       noteUse: () => undefined,
       doubt: () => undefined,
     },
+    responseEnds: {
+      check: ({address}: EndedResponse) =>
+        Promise.resolve(completeness[address] ?? 'complete'),
+    },
     paces: new UpstreamPaces(),
     limits: new UpstreamLimits(),
     notices: new UpstreamNotices(),
--- /dev/null
+++ b/src/node/ingress/inbound_request.ts
@@ -0,0 +1,108 @@
+/** Builds the requests that the ingress runs, from callers and other entries. */
+import {randomBytes} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {monotonicNowMs} from '../clock/clock.js';
+import type {StreamOrigin} from '../origins/origin_store.js';
+import type {Route} from '../routes/route_table.js';
+import {asId, type RequestId, type ServiceId} from '../types/ids.js';
+import type {RequestTraits} from './protocol.js';
+import type {RelayMetadata} from './relay.js';
+import type {InboundRequest} from './types.js';
+
+const REQUEST_ID_RANDOM_BYTES = 6;
+
+/** What was found out about a request before it runs. */
+export interface MatchedRequest {
+  readonly traits: RequestTraits;
+  readonly route: Route;
+  readonly tableVersion: number;
+}
+
+/** The same for a request of a caller, for which a service was chosen. */
+export interface MatchedCallerRequest extends MatchedRequest {
+  readonly service: ServiceId;
+  /** What began the stream that the caller takes up again, if it is known. */
+  readonly origin: StreamOrigin | undefined;
+  readonly receivedAtMs: number;
+}
+
+/** A request that a caller sent to this entry. */
+export function requestFromCaller(
+  request: IncomingMessage,
+  body: Buffer,
+  matched: MatchedCallerRequest,
+): InboundRequest {
+  const {traits, route, service, tableVersion, origin, receivedAtMs} = matched;
+  const waitsMs = traits.waitsMs ?? Number.POSITIVE_INFINITY;
+  const {lastEventId} = traits;
+  const softwareVersion = origin?.softwareVersion;
+  return {
+    service,
+    tableVersion,
+    requestId: createRequestId(traits.attemptId),
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    rawHeaders: request.rawHeaders,
+    body,
+    route,
+    traits,
+    receivedAtMs,
+    expiresAtMs: receivedAtMs + Math.min(route.timeoutMs, waitsMs),
+    isRelayed: false,
+    isRepeat: false,
+    avoidUpstreams: [],
+    lastEventId,
+    begun: lastEventId === undefined ? undefined : {softwareVersion},
+  };
+}
+
+/** A request that another entry relayed to this one. */
+export function requestFromRelay(
+  metadata: RelayMetadata,
+  body: Buffer,
+  {traits, route, tableVersion}: MatchedRequest,
+): InboundRequest {
+  const nowMs = monotonicNowMs();
+  return {
+    requestId: asId<RequestId>(metadata.requestId),
+    method: metadata.method,
+    path: metadata.path,
+    rawHeaders: metadata.rawHeaders,
+    body,
+    route,
+    service: metadata.service,
+    traits,
+    tableVersion,
+    receivedAtMs: nowMs - metadata.ageMs,
+    expiresAtMs: nowMs + metadata.remainingMs,
+    isRelayed: true,
+    isRepeat: metadata.isRepeat,
+    avoidUpstreams: metadata.avoidUpstreams,
+    lastEventId: metadata.lastEventId,
+    begun: metadata.begun,
+  };
+}
+
+/** An id that begins with that of the caller's attempt. */
+export function createRequestId(attemptId: string): RequestId {
+  const unique = randomBytes(REQUEST_ID_RANDOM_BYTES).toString('base64url');
+  return asId<RequestId>(`${attemptId}.${unique}`);
+}
+
+/** Size of the header lines of a request. */
+export function headerBytes({rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+/** A raw header list by lower-case name. */
+export function headersOf(
+  rawHeaders: readonly string[],
+): Record<string, string> {
+  return Object.fromEntries(
+    rawHeaders.flatMap((name, position) =>
+      position % 2 === 0
+        ? [[name.toLowerCase(), rawHeaders[position + 1] ?? '']]
+        : [],
+    ),
+  );
+}
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -8,6 +8,7 @@
 import {DomainChoice} from '../dispatch/domain_choice.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
+import {ResponseEndCheck} from '../dispatch/response_end_check.js';
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
 import {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
@@ -321,6 +322,13 @@
     });
   }
 
+  private createResponseEndCheck(): ResponseEndCheck {
+    return new ResponseEndCheck({
+      feed: this.options.feed,
+      healthPath: service => this.matcher?.service(service)?.healthPath ?? '/',
+    });
+  }
+
   private createIngress(): IngressServer {
     const {settings, protocol, logger} = this.options;
     return new IngressServer({
@@ -346,6 +354,7 @@
           connections: this.connections,
         }),
         origins: this.origins,
+        responseEnds: this.createResponseEndCheck(),
         log: new RequestLog(logger, this.metrics),
         metrics: this.metrics,
       },
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -1,5 +1,4 @@
 /** The listener for callers: reads requests, matches routes and runs them. */
-import {randomBytes} from 'node:crypto';
 import {
   createServer,
   type IncomingMessage,
@@ -13,7 +12,7 @@
 import type {CallerLimits, Route} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import {toGatewayError} from '../types/errors.js';
-import {asId, type RequestId, type ServiceId} from '../types/ids.js';
+import {asId, type RequestId} from '../types/ids.js';
 import type {StreamOrigin} from '../origins/origin_store.js';
 import {CallerResponse} from './caller_response.js';
 import {
@@ -21,7 +20,14 @@
   sendRejection,
   sendUnexpectedError,
 } from './error_responses.js';
-import {decodeRelayRequest, type RelayMetadata} from './relay.js';
+import {
+  createRequestId,
+  headerBytes,
+  headersOf,
+  requestFromCaller,
+  requestFromRelay,
+} from './inbound_request.js';
+import {decodeRelayRequest} from './relay.js';
 import type {RejectionReason} from './request_log.js';
 import type {PlannedStop} from './planned_stop.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
@@ -47,7 +53,6 @@
 const STOPPING_RETRY_MS = 0;
 /** `retry-after` if the route has no service to choose from. */
 const NO_SERVICE_RETRY_MS = 1_000;
-const REQUEST_ID_RANDOM_BYTES = 6;
 
 export interface IngressServerOptions {
   /** `host:port`. */
@@ -60,11 +65,11 @@
   readonly plannedStop: PlannedStop;
 }
 
-/** What was found out about a caller's request before it runs. */
-interface CallerRequestContext {
-  readonly service: ServiceId;
-  readonly tableVersion: number;
-  readonly origin: StreamOrigin | undefined;
+/** The route of a caller's request, and the routes that were in force then. */
+interface RouteMatch {
+  readonly matcher: RouteMatcher;
+  readonly route: Route;
+  readonly receivedAtMs: number;
 }
 
 /** The HTTP server for callers. */
@@ -72,6 +77,8 @@
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
   private openRequests = 0;
+  /** Responses to callers whose bytes have not all left this process. */
+  private readonly undelivered = new Set<CallerResponse>();
   private readonly startedAtMs = monotonicNowMs();
 
   constructor(private readonly options: IngressServerOptions) {
@@ -112,6 +119,7 @@
 
   /** Closes the listener and all connections immediately. */
   close(): void {
+    this.undelivered.forEach(each => each.terminate());
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -153,28 +161,36 @@
       this.options.context.log.rejected(requestId, 'stopping', status, version);
       return;
     }
-    const inbound = this.fromRelay(metadata, body, route, version);
+    const {protocol} = this.options.context;
+    const inbound = requestFromRelay(metadata, body, {
+      traits: protocol.requestTraits(headersOf(metadata.rawHeaders)),
+      route,
+      tableVersion: version,
+    });
     await this.run(inbound, callerResponse, response);
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
+    const callerResponse = new CallerResponse(
+      response,
+      () => this.options.plannedStop.hasBegun,
+    );
     this.openRequests += 1;
-    void this.receiveGuarded(request, response)
+    this.undelivered.add(callerResponse);
+    void this.receiveGuarded(request, response, callerResponse)
       .then(() => waitForDelivery(response))
       .finally(() => {
         this.openRequests -= 1;
+        this.undelivered.delete(callerResponse);
       });
   }
 
   private async receiveGuarded(
     request: IncomingMessage,
     response: ServerResponse,
+    callerResponse: CallerResponse,
   ): Promise<void> {
-    const {plannedStop, context} = this.options;
-    const callerResponse = new CallerResponse(
-      response,
-      () => plannedStop.hasBegun,
-    );
+    const {context} = this.options;
     try {
       await this.receive(request, response, callerResponse);
     } catch (thrown) {
@@ -225,22 +241,40 @@
       onRejected('stopping', sendRefusal(callerResponse, STOPPING_RETRY_MS));
       return;
     }
-    const origin = await this.findOrigin(request, route);
-    const service =
-      origin?.service ?? matcher.pickService(route, Math.random());
-    if (service === undefined) {
+    const inbound = await this.withService(request, body, {
+      matcher,
+      route,
+      receivedAtMs,
+    });
+    if (inbound === undefined) {
       onRejected(
         'no_service',
         sendRefusal(callerResponse, NO_SERVICE_RETRY_MS),
       );
       return;
     }
-    const inbound = this.fromCaller(request, body, route, receivedAtMs, {
+    await this.run(inbound, callerResponse, response);
+  }
+
+  /** The request for a service of its route; `undefined` if that has none. */
+  private async withService(
+    request: IncomingMessage,
+    body: Buffer,
+    {matcher, route, receivedAtMs}: RouteMatch,
+  ): Promise<InboundRequest | undefined> {
+    const {protocol} = this.options.context;
+    const origin = await this.findOrigin(request, route);
+    const service =
+      origin?.service ?? matcher.pickService(route, Math.random());
+    if (service === undefined) return undefined;
+    return requestFromCaller(request, body, {
+      traits: protocol.requestTraits(request.headers),
+      route,
       service,
-      tableVersion: version,
+      tableVersion: matcher.table.version,
       origin,
+      receivedAtMs,
     });
-    await this.run(inbound, callerResponse, response);
   }
 
   /** What began the stream that the caller takes up again, as far as known. */
@@ -299,65 +333,6 @@
     return createRequestId(protocol.requestTraits(headers).attemptId);
   }
 
-  private fromCaller(
-    request: IncomingMessage,
-    body: Buffer,
-    route: Route,
-    receivedAtMs: number,
-    {service, tableVersion, origin}: CallerRequestContext,
-  ): InboundRequest {
-    const traits = this.options.context.protocol.requestTraits(request.headers);
-    const waitsMs = traits.waitsMs ?? Number.POSITIVE_INFINITY;
-    const {lastEventId} = traits;
-    const softwareVersion = origin?.softwareVersion;
-    return {
-      service,
-      tableVersion,
-      requestId: createRequestId(traits.attemptId),
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      rawHeaders: request.rawHeaders,
-      body,
-      route,
-      traits,
-      receivedAtMs,
-      expiresAtMs: receivedAtMs + Math.min(route.timeoutMs, waitsMs),
-      isRelayed: false,
-      isRepeat: false,
-      avoidUpstreams: [],
-      lastEventId,
-      begun: lastEventId === undefined ? undefined : {softwareVersion},
-    };
-  }
-
-  private fromRelay(
-    metadata: RelayMetadata,
-    body: Buffer,
-    route: Route,
-    tableVersion: number,
-  ): InboundRequest {
-    const {protocol} = this.options.context;
-    const nowMs = monotonicNowMs();
-    return {
-      requestId: asId<RequestId>(metadata.requestId),
-      method: metadata.method,
-      path: metadata.path,
-      rawHeaders: metadata.rawHeaders,
-      body,
-      route,
-      service: metadata.service,
-      traits: protocol.requestTraits(headersOf(metadata.rawHeaders)),
-      tableVersion,
-      receivedAtMs: nowMs - metadata.ageMs,
-      expiresAtMs: nowMs + metadata.remainingMs,
-      isRelayed: true,
-      isRepeat: metadata.isRepeat,
-      avoidUpstreams: metadata.avoidUpstreams,
-      lastEventId: metadata.lastEventId,
-      begun: metadata.begun,
-    };
-  }
-
   private async run(
     inbound: InboundRequest,
     callerResponse: CallerResponse,
@@ -385,22 +360,3 @@
     }
   }
 }
-
-function createRequestId(attemptId: string): RequestId {
-  const unique = randomBytes(REQUEST_ID_RANDOM_BYTES).toString('base64url');
-  return asId<RequestId>(`${attemptId}.${unique}`);
-}
-
-function headerBytes(request: IncomingMessage): number {
-  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
-function headersOf(rawHeaders: readonly string[]): Record<string, string> {
-  return Object.fromEntries(
-    rawHeaders.flatMap((name, position) =>
-      position % 2 === 0
-        ? [[name.toLowerCase(), rawHeaders[position + 1] ?? '']]
-        : [],
-    ),
-  );
-}
--- a/src/node/ingress/inner_headers.ts
+++ b/src/node/ingress/inner_headers.ts
@@ -8,6 +8,12 @@
 /** Tells the other entry which software version began a relayed stream. */
 export const SOFTWARE_VERSION_HEADER = `${PREFIX}software-version`;
 
+/**
+ * Tells the other entry that the upstream's response had neither a length nor
+ * chunks, and that it is unknown whether it is complete.
+ */
+export const UNCONFIRMED_END_HEADER = `${PREFIX}unconfirmed-end`;
+
 /** The headers without those that are only for entries. */
 export function withoutInnerHeaders(
   headers: readonly HeaderPair[],
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -26,6 +26,7 @@
   | 'refused'
   | 'retry'
   | 'stalled'
+  | 'end_checked'
   | 'resumed'
   | 'upstream_outcome'
   | 'upstream_limit'
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -11,6 +11,7 @@
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
 import {localOffload} from '../dispatch/local_decisions.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
+import type {ResponseEndCheck} from '../dispatch/response_end_check.js';
 import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
@@ -27,9 +28,11 @@
   type StreamProgress,
 } from './response_reader.js';
 import type {CallerResponse} from './caller_response.js';
+import {EndConfirmation} from './end_confirmation.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
 import {GrantSource} from './grant_source.js';
+import {UNCONFIRMED_END_HEADER, withoutInnerHeaders} from './inner_headers.js';
 import {namedLimits} from './named_limits.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
@@ -57,6 +60,7 @@
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
+  readonly responseEnds: Pick<ResponseEndCheck, 'check'>;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
 }
@@ -75,6 +79,7 @@
   private readonly items: WorkItems;
   private readonly grants: GrantSource;
   private readonly recorder: RunRecorder;
+  private readonly ends: EndConfirmation;
   /** Granted while the try before it was given up. */
   private replacement: Grant | undefined;
 
@@ -97,6 +102,7 @@
     this.grants = new GrantSource(context);
     this.items = new WorkItems({...context, request, progress, tries});
     this.recorder = new RunRecorder({...context, request, progress, tries});
+    this.ends = new EndConfirmation({...context, request, signal});
   }
 
   /** Resolves when the caller has its final response. */
@@ -199,7 +205,7 @@
         context.log.write('stalled', request, roundNumbers({...action})),
     }).run();
     monitor.stop();
-    const end = endOfTry(ended, reader);
+    const end = await this.ends.confirm(ended, reader, grant);
     this.replacement = replacement;
     const result = this.interpret(end, reader);
     const outcome = outcomeOf(end, result, reader);
@@ -332,7 +338,7 @@
   }
 
   private deliver(reader: ResponseReader, status: number): TryResult {
-    const {request, context, response} = this;
+    const {request} = this;
     const isFailure = status >= 500;
     if (this.progress.isStarted && !reader.isSuccess) {
       return {kind: 'failed', cause: `status ${status} while resuming`};
@@ -343,14 +349,27 @@
     if (request.route.kind === 'stream' && reader.isSuccess) {
       reader.finishStream();
     } else {
-      const headers = context.protocol.callerHeaders(
-        reader.head?.headers ?? {},
-      );
-      response.sendComplete(status, headers, reader.body(), reader.framing);
+      this.sendBuffered(reader, status);
     }
     return {kind: 'delivered', status};
   }
 
+  // The hop to another entry is always framed, so that a cut of it shows.
+  private sendBuffered(reader: ResponseReader, status: number): void {
+    const {request, context, response} = this;
+    const received = reader.head?.headers ?? {};
+    const headers = withoutInnerHeaders(
+      context.protocol.callerHeaders(received),
+    );
+    const {framing} = reader;
+    if (request.isRelayed && framing === 'until_close') {
+      const marked = [...headers, [UNCONFIRMED_END_HEADER, '1'] as const];
+      response.sendComplete(status, marked, reader.body());
+      return;
+    }
+    response.sendComplete(status, headers, reader.body(), framing);
+  }
+
   private finish(result: TryResult): void {
     const {request, response} = this;
     const hasRun = this.tries.runs > 0;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -6,6 +6,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
+import {isFramed} from '../http/response_end.js';
 import type {BegunStream} from '../scheduling/types.js';
 import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
@@ -14,6 +15,7 @@
 import {
   NOT_RUN_HEADER,
   SOFTWARE_VERSION_HEADER,
+  UNCONFIRMED_END_HEADER,
   withoutInnerHeaders,
 } from './inner_headers.js';
 import type {HeaderPair, ResponseTraits, RequestProtocol} from './protocol.js';
@@ -61,6 +63,9 @@
 /** A larger buffered response is aborted and its connection closed. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
+/** Their responses end with the head. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
   head: ResponseHead | undefined;
@@ -69,13 +74,14 @@
    * only whole events are progress: single bytes never complete a response.
    */
   progressAtMs = 0;
+  /** Whether the response is relayed as it arrives, and not buffered. */
+  isRelaying = false;
   private readonly splitter = new EventSplitter();
   private readonly meter = new EventMeter();
   private readonly buffered = new ByteBuffer({
     maxBytes: MAX_BUFFERED_BYTES,
     bytesPerPiece: PIECE_COST_BYTES,
   });
-  private isRelaying = false;
 
   constructor(private readonly options: ResponseReaderOptions) {}
 
@@ -98,13 +104,15 @@
     return isFromPeer && this.head?.headers[NOT_RUN_HEADER] !== undefined;
   }
 
-  /** How the end of the response is marked on its connection. */
+  /** How the upstream marked the end of the response. */
   get framing(): Framing {
-    const headers = this.head?.headers ?? {};
-    const isFramed =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    return isFramed ? 'framed' : 'until_close';
+    const {head, options} = this;
+    if (head === undefined) return 'until_close';
+    if (BODYLESS_STATUSES.has(head.status)) return 'framed';
+    if (!isFramed(head.headers)) return 'until_close';
+    const isUnconfirmed =
+      options.isFromPeer && head.headers[UNCONFIRMED_END_HEADER] !== undefined;
+    return isUnconfirmed ? 'until_close' : 'framed';
   }
 
   /** The body of a buffered response. */
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -189,6 +189,13 @@
     isUpstreamActive: z.boolean(),
     result: z.string(),
   },
+  /** The end of a response without a length or chunks. */
+  end_checked: {
+    ...matched,
+    upstream: z.string(),
+    /** `complete`, `broken_off` or `unknown`. */
+    completeness: z.string(),
+  },
   upstream_limit: {
     ...matched,
     upstream: z.string(),
