Reset undelivered answers without a length at the end of a stop

Callers saw: a plain answer without a length that was still being sent when the grace of a stopping entry ended had a regular end and looked whole.

Cause: the entry closed all connections in an orderly way; only a reset tells where nothing else marks the end.

Evidence: the new test fails without the change.

--- a/src/node/ingress/__tests__/caller_response.spec.ts
+++ b/src/node/ingress/__tests__/caller_response.spec.ts
@@ -38,6 +38,8 @@
       resolve({text, isReset});
     };
     socket.on('data', chunk => chunks.push(chunk));
+    // The runtime reports a reset behind data as an orderly end.
+    socket.on('end', () => finish(socket.remoteAddress === undefined));
     socket.on('error', () => finish(true)).on('close', () => finish(false));
     const head = `GET / HTTP/${httpVersion}\r\nHost: x\r\n`;
     socket.write(`${head}Connection: close\r\n\r\n`);
@@ -65,6 +67,8 @@
   return receive({respond, ...options});
 }
 
+/** More than the buffers of the kernel hold. */
+const LARGE_BODY_BYTES = 24 * 1024 * 1024;
 const LAST_CHUNK = '0\r\n\r\n';
 
 // Guards against a response whose end looks like that of its connection: each
@@ -93,6 +97,19 @@
   assert.ok(text.endsWith('body'));
 });
 
+// Guards against an undelivered response without a length that a closing server
+// cuts and that looks complete, as its connection ends in an orderly way.
+test('a terminated response without framing is reset', async () => {
+  const body = Buffer.alloc(LARGE_BODY_BYTES, 'x');
+  const {isReset} = await receive({
+    respond: response => {
+      response.sendComplete(200, [], body, 'until_close');
+      setImmediate(() => response.terminate());
+    },
+  });
+  assert.equal(isReset, true);
+});
+
 // Guards against a terminated stream that looks complete to the caller.
 test('a terminated stream has no last chunk', async () => {
   assert.ok(!(await stream('terminated')).text.endsWith(LAST_CHUNK));
--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -19,6 +19,7 @@
 export class CallerResponse {
   private hasBegun = false;
   private hasEnded = false;
+  private isFramed = true;
 
   constructor(
     private readonly response: ServerResponse,
@@ -48,6 +49,7 @@
     if (framing === 'framed') {
       this.response.setHeader('content-length', String(body.length));
     } else {
+      this.isFramed = false;
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
       this.response.setHeader('connection', 'close');
@@ -75,14 +77,15 @@
   }
 
   /**
-   * Closes the connection so that the response does not look complete. To a
-   * caller without chunks only a reset tells; it may cost the last bytes, so it
-   * is used there alone.
+   * Closes the connection so that the response does not look complete. Without a
+   * length or chunks only a reset tells; it may cost the last bytes, so it is used
+   * there alone.
    */
   terminate(): void {
     this.hasEnded = true;
     const {req, socket} = this.response;
-    if (req.httpVersion === HTTP_WITHOUT_CHUNKS) socket?.resetAndDestroy();
+    const isFramed = this.isFramed && req.httpVersion !== HTTP_WITHOUT_CHUNKS;
+    if (!isFramed) socket?.resetAndDestroy();
     this.response.destroy();
   }
 
