Record no answer of a plain service that was reset as whole

Callers saw: nothing yet; the project's own interface recorded an answer without a length that was reset on its way as the whole answer of the call, and would have given the same half to each resend.

Evidence: the new test failed before.

The connector moves to http/connector.ts for both interfaces; the circular import of connections.ts and exchange.ts ends with it.

--- a/src/node/adapters/upstream/__tests__/plain_http.spec.ts
+++ b/src/node/adapters/upstream/__tests__/plain_http.spec.ts
@@ -168,3 +168,14 @@
   await upstream.close();
   assert.equal(service.connections.length, 2);
 });
+
+// Guards against half of an answer that is recorded as the whole one, because the
+// reset of its connection looks like its end.
+test('an answer without a length that is reset has an unknown outcome', async t => {
+  const {address} = await startService(t, ({socket}) => {
+    socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+    socket.resetAndDestroy();
+  });
+  const {kind} = await dispatch(t, address);
+  assert.equal(kind, 'unknown');
+});
--- a/src/node/adapters/upstream/openai/openai_upstream.ts
+++ b/src/node/adapters/upstream/openai/openai_upstream.ts
@@ -2,7 +2,9 @@
 import type {Readable} from 'node:stream';
 import {Agent, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {createConnector} from '../../../http/connector.js';
 import {readBoundedJson} from '../../../http/bounded_body.js';
+import {isFramed} from '../../../http/response_end.js';
 import {GatewayError, type ErrorCode} from '../../../types/errors.js';
 import {asId, type ModelId, type RequestId} from '../../../types/ids.js';
 import {timeoutSignal} from '../../../utils.js';
@@ -45,8 +47,7 @@
 // is truncated. Event streams are safe, because their last event marks the end.
 function isTruncationDetectable({headers}: Dispatcher.ResponseData): boolean {
   return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined ||
+    isFramed(headers) ||
     String(headers['content-type']).startsWith('text/event-stream')
   );
 }
@@ -85,7 +86,7 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createConnector(CONNECT_TIMEOUT_MS),
   });
 
   // Idle pooled connections may have stalled unnoticed. Calls that check
@@ -95,7 +96,7 @@
     pipelining: 0,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createConnector(CONNECT_TIMEOUT_MS),
   });
 
   override async open(
--- a/src/node/adapters/upstream/plain_http.ts
+++ b/src/node/adapters/upstream/plain_http.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 import {Agent, type Dispatcher} from 'undici';
 import {monotonicNowMs} from '../../clock/clock.js';
+import {createConnector} from '../../http/connector.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../../http/byte_buffer.js';
 import {GatewayError} from '../../types/errors.js';
 import {asId, type Digest} from '../../types/ids.js';
@@ -126,7 +127,7 @@
     this.maxAnswerBytes = options.maxAnswerBytes ?? 8 * 1024 * 1024;
     this.agent = new Agent({
       pipelining: options.reuseConnections === true ? 1 : 0,
-      connect: {timeout: options.connectTimeoutMs ?? 1_000},
+      connect: createConnector(options.connectTimeoutMs ?? 1_000),
       // The deadline passed to `dispatch` aborts a request instead.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -1,8 +1,10 @@
 /** Connection pools to upstreams and other entries, one for each address. */
-import type {Socket} from 'node:net';
-import {buildConnector, Pool} from 'undici';
+import {Pool, type buildConnector} from 'undici';
 import {monotonicNowMs} from '../clock/clock.js';
-import {CONNECT_TIMEOUT_MS} from './exchange.js';
+import {createConnector} from '../http/connector.js';
+
+/** Time limit to obtain a connection on which the request can be written. */
+export const CONNECT_TIMEOUT_MS = 800;
 
 /** Idle connections are closed before the peer does: a reset costs a try. */
 const IDLE_CONNECTION_MS = 4_000;
@@ -17,46 +19,6 @@
   usedAtMs: number;
 }
 
-const connectPlain = buildConnector({timeout: CONNECT_TIMEOUT_MS});
-const RESET_CODE = 'ECONNRESET';
-const REPORTED_RESET_CODE = 'ERR_ANSWER_RESET';
-
-/**
- * Connects and makes resets of the connection errors that the client library
- * reports. It recognizes a reset by its code and treats it as the regular end of a
- * response without a length, although the rest of the body may be missing; the
- * runtime reports one that comes right behind data as an orderly end.
- */
-export const connectWithResetErrors: buildConnector.connector = (
-  options,
-  callback,
-) =>
-  connectPlain(options, (...result) => {
-    const [error, socket] = result;
-    if (error !== null) {
-      callback(error, null);
-      return;
-    }
-    socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
-      if (cause.code === RESET_CODE) cause.code = REPORTED_RESET_CODE;
-    });
-    reportResetsAtEnd(socket);
-    callback(null, socket);
-  });
-
-// A connection that was reset has no peer any more; one that the peer has closed in
-// an orderly way still has. `remoteAddress` asks the kernel when it is first read.
-function reportResetsAtEnd(socket: Socket): void {
-  const push = socket.push.bind(socket);
-  socket.push = (chunk, encoding) => {
-    const isReset = chunk === null && socket.remoteAddress === undefined;
-    if (!isReset) return push(chunk, encoding);
-    const cause = new Error('connection reset behind data');
-    socket.destroy(Object.assign(cause, {code: REPORTED_RESET_CODE}));
-    return false;
-  };
-}
-
 /** The connection pools of one process. */
 export class ConnectionPools {
   private readonly pools = new Map<string, TrackedPool>();
@@ -67,7 +29,9 @@
 
   /** `connect` opens the connections; tests replace it to cut them. */
   constructor(
-    private readonly connect: buildConnector.connector = connectWithResetErrors,
+    private readonly connect: buildConnector.connector = createConnector(
+      CONNECT_TIMEOUT_MS,
+    ),
   ) {
     this.sweepTimer.unref();
   }
--- a/src/node/ingress/exchange.ts
+++ b/src/node/ingress/exchange.ts
@@ -3,10 +3,7 @@
 import {Result} from 'neverthrow';
 import type {Dispatcher, Pool} from 'undici';
 import {toGatewayError} from '../types/errors.js';
-import type {ConnectionPools} from './connections.js';
-
-/** Time limit to obtain a connection on which the request can be written. */
-export const CONNECT_TIMEOUT_MS = 800;
+import {CONNECT_TIMEOUT_MS, type ConnectionPools} from './connections.js';
 
 /** A peer that sends more interim (1xx) responses is considered faulty. */
 const MAX_INTERIM_RESPONSES = 16;
