--- a/src/node/ingress/end_confirmation.ts
+++ b/src/node/ingress/end_confirmation.ts
@@ -14,6 +14,9 @@
 import type {InboundRequest} from './types.js';
 import type {Grant} from './upstream_try.js';
 
+/** Their responses end with the head. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 export interface EndConfirmationOptions {
   readonly responseEnds: Pick<ResponseEndCheck, 'check'>;
   readonly log: Pick<RequestLog, 'write'>;
@@ -52,7 +55,10 @@
   private isOpenToDoubt(reader: ResponseReader): boolean {
     const {head, framing} = reader;
     if (head === undefined || head.traits.isNotRun) return false;
-    return framing === 'until_close' && this.options.request.method !== 'HEAD';
+    const hasBody =
+      this.options.request.method !== 'HEAD' &&
+      !BODYLESS_STATUSES.has(head.status);
+    return hasBody && framing === 'until_close';
   }
 
   private check(
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -63,9 +63,6 @@
 /** A larger buffered response is aborted and its connection closed. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
-/** Their responses end with the head. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
   head: ResponseHead | undefined;
@@ -107,9 +104,7 @@
   /** How the upstream marked the end of the response. */
   get framing(): Framing {
     const {head, options} = this;
-    if (head === undefined) return 'until_close';
-    if (BODYLESS_STATUSES.has(head.status)) return 'framed';
-    if (!isFramed(head.headers)) return 'until_close';
+    if (head === undefined || !isFramed(head.headers)) return 'until_close';
     const isUnconfirmed =
       options.isFromPeer && head.headers[UNCONFIRMED_END_HEADER] !== undefined;
     return isUnconfirmed ? 'until_close' : 'framed';
