Give large answers without a length one before a kill can cut them

Callers saw: an entry that was killed while a caller read a plain answer without a length slowly left it with a part that had a regular end and looked whole.

Cause: of a large answer the part that the kernel has not taken yet waits in the process; only a length or chunks tell that it is missing.

The kernel takes 16 KiB at once, so a smaller answer keeps its framing; a larger one gets a length if its upstream lives on. The entry that relays an answer says which of both it is.

--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -14,7 +14,7 @@
  * Is either sent complete, or begun once and then ended or terminated. What is
  * begun has a length or chunks, also if the upstream's response has none: else
  * each end of this process or of the connection would look like its end. What is
- * sent complete without framing stays so, as nobody can tell whether it is whole.
+ * sent complete without framing is small, or may not be whole.
  */
 export class CallerResponse {
   private hasBegun = false;
--- a/src/node/ingress/end_confirmation.ts
+++ b/src/node/ingress/end_confirmation.ts
@@ -6,9 +6,10 @@
   Completeness,
   ResponseEndCheck,
 } from '../dispatch/response_end_check.js';
+import {monotonicNowMs} from '../clock/clock.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {ExchangeEnd} from './exchange.js';
-import type {RequestLog} from './request_log.js';
+import {roundNumbers, type RequestLog} from './request_log.js';
 import type {ResponseReader} from './response_reader.js';
 import {endOfTry} from './try_outcome.js';
 import type {InboundRequest} from './types.js';
@@ -32,8 +33,7 @@
 
   /**
    * The end of a try. A stream whose completeness is unknown counts as broken,
-   * as its caller can take it up again; a plain response is passed on, without a
-   * length as it came, since its upstream may also cut it and live on.
+   * as its caller can take it up again; a plain response is passed on.
    */
   async confirm(
     ended: ExchangeEnd,
@@ -42,8 +42,10 @@
   ): Promise<ExchangeEnd> {
     const end = endOfTry(ended, reader);
     if (end.kind !== 'complete' || !this.isOpenToDoubt(reader)) return end;
+    const endedAtMs = monotonicNowMs();
     const completeness = await this.check(reader, grant);
-    this.report(completeness, grant);
+    reader.noteCompleteness(completeness);
+    this.report(completeness, grant, monotonicNowMs() - endedAtMs);
     if (completeness === 'broken_off') {
       return {kind: 'broken', cause: 'upstream ended with its response'};
     }
@@ -75,9 +77,17 @@
     return Promise.race([checked, aborted]);
   }
 
-  private report(completeness: Completeness, {upstreamId}: Grant): void {
+  private report(
+    completeness: Completeness,
+    {upstreamId}: Grant,
+    checkMs: number,
+  ): void {
     const {log, metrics, request} = this.options;
     metrics.count('unframed_responses', {completeness});
-    log.write('end_checked', request, {upstream: upstreamId, completeness});
+    log.write('end_checked', request, {
+      upstream: upstreamId,
+      completeness,
+      ...roundNumbers({checkMs}),
+    });
   }
 }
--- a/src/node/ingress/inner_headers.ts
+++ b/src/node/ingress/inner_headers.ts
@@ -10,9 +10,9 @@
 
 /**
  * Tells the other entry that the upstream's response had neither a length nor
- * chunks, and that it is unknown whether it is complete.
+ * chunks, and what is known of its completeness.
  */
-export const UNCONFIRMED_END_HEADER = `${PREFIX}unconfirmed-end`;
+export const UNFRAMED_HEADER = `${PREFIX}unframed`;
 
 /** The headers without those that are only for entries. */
 export function withoutInnerHeaders(
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -27,12 +27,12 @@
   type ResponseReaderOptions,
   type StreamProgress,
 } from './response_reader.js';
+import {sendBuffered} from './buffered_response.js';
 import type {CallerResponse} from './caller_response.js';
 import {EndConfirmation} from './end_confirmation.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
 import {GrantSource} from './grant_source.js';
-import {UNCONFIRMED_END_HEADER, withoutInnerHeaders} from './inner_headers.js';
 import {namedLimits} from './named_limits.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
@@ -338,7 +338,7 @@
   }
 
   private deliver(reader: ResponseReader, status: number): TryResult {
-    const {request} = this;
+    const {request, context, response} = this;
     const isFailure = status >= 500;
     if (this.progress.isStarted && !reader.isSuccess) {
       return {kind: 'failed', cause: `status ${status} while resuming`};
@@ -349,27 +349,16 @@
     if (request.route.kind === 'stream' && reader.isSuccess) {
       reader.finishStream();
     } else {
-      this.sendBuffered(reader, status);
+      const {protocol} = context;
+      sendBuffered(reader, status, {
+        protocol,
+        response,
+        isForPeer: request.isRelayed,
+      });
     }
     return {kind: 'delivered', status};
   }
 
-  // The hop to another entry is always framed, so that a cut of it shows.
-  private sendBuffered(reader: ResponseReader, status: number): void {
-    const {request, context, response} = this;
-    const received = reader.head?.headers ?? {};
-    const headers = withoutInnerHeaders(
-      context.protocol.callerHeaders(received),
-    );
-    const {framing} = reader;
-    if (request.isRelayed && framing === 'until_close') {
-      const marked = [...headers, [UNCONFIRMED_END_HEADER, '1'] as const];
-      response.sendComplete(status, marked, reader.body());
-      return;
-    }
-    response.sendComplete(status, headers, reader.body(), framing);
-  }
-
   private finish(result: TryResult): void {
     const {request, response} = this;
     const hasRun = this.tries.runs > 0;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -7,6 +7,7 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
 import {isFramed} from '../http/response_end.js';
+import type {Completeness} from '../dispatch/response_end_check.js';
 import type {BegunStream} from '../scheduling/types.js';
 import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
@@ -15,7 +16,7 @@
 import {
   NOT_RUN_HEADER,
   SOFTWARE_VERSION_HEADER,
-  UNCONFIRMED_END_HEADER,
+  UNFRAMED_HEADER,
   withoutInnerHeaders,
 } from './inner_headers.js';
 import type {HeaderPair, ResponseTraits, RequestProtocol} from './protocol.js';
@@ -73,6 +74,7 @@
   progressAtMs = 0;
   /** Whether the response is relayed as it arrives, and not buffered. */
   isRelaying = false;
+  private foundCompleteness: Completeness | undefined;
   private readonly splitter = new EventSplitter();
   private readonly meter = new EventMeter();
   private readonly buffered = new ByteBuffer({
@@ -103,11 +105,14 @@
 
   /** How the upstream marked the end of the response. */
   get framing(): Framing {
-    const {head, options} = this;
+    const {head} = this;
     if (head === undefined || !isFramed(head.headers)) return 'until_close';
-    const isUnconfirmed =
-      options.isFromPeer && head.headers[UNCONFIRMED_END_HEADER] !== undefined;
-    return isUnconfirmed ? 'until_close' : 'framed';
+    return this.namedCompleteness === undefined ? 'framed' : 'until_close';
+  }
+
+  /** What is known of a response whose end the upstream has not marked. */
+  get completeness(): Completeness {
+    return this.foundCompleteness ?? this.namedCompleteness ?? 'unknown';
   }
 
   /** The body of a buffered response. */
@@ -142,6 +147,11 @@
     return batch === undefined ? true : this.relayEvents(batch, resume);
   }
 
+  /** Records what was found out about a response without a marked end. */
+  noteCompleteness(completeness: Completeness): void {
+    this.foundCompleteness = completeness;
+  }
+
   /** Ends the caller's stream after the upstream completed its response. */
   finishStream(): void {
     const {response} = this.options;
@@ -193,6 +203,13 @@
     response.begin(this.head.status, this.callerHeaders());
   }
 
+  /** What the entry that relayed the response says; `undefined` if it is framed. */
+  private get namedCompleteness(): Completeness | undefined {
+    const named = this.head?.headers[UNFRAMED_HEADER];
+    if (!this.options.isFromPeer || named === undefined) return undefined;
+    return named === 'complete' ? 'complete' : 'unknown';
+  }
+
   private softwareVersion(): SoftwareVersion | undefined {
     const {isFromPeer, softwareVersion} = this.options;
     if (!isFromPeer) return softwareVersion;
