Log how long the check of a response's end took

A soak cut two chats at the end of a stop, and its logs could not tell whether the check of an earlier stream's end had delayed it: the line had no time.

--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -195,6 +195,8 @@
     upstream: z.string(),
     /** `complete`, `broken_off` or `unknown`. */
     completeness: z.string(),
+    /** Since the connection has ended. */
+    checkMs: z.number(),
   },
   upstream_limit: {
     ...matched,
