Log the requests that a planned stop cuts

On-call engineers saw: a caller's stream was cut at the end of a stop, and no log line had its id; the line of the stop told only that one was in flight.

A run is aborted when its response closes undelivered, and a stop waits for the runs, at most until 200 ms before the end of its grace.

--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -171,11 +171,11 @@
       'planned stop started',
     );
     await this.plannedStop.untilDrained(this.ingress);
+    const {requestsInFlight} = this.ingress;
     await this.abort();
-    logger.info(
-      {event: 'stopped', requestsInFlight: this.ingress.requestsInFlight},
-      'entry stopped',
-    );
+    // Their log lines tell what became of them.
+    await this.plannedStop.untilEnded(this.ingress);
+    logger.info({event: 'stopped', requestsInFlight}, 'entry stopped');
   }
 
   /** Closes everything without waiting for requests in flight. */
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -342,7 +342,7 @@
     const leftMs = inbound.expiresAtMs - monotonicNowMs();
     const timer = setTimeout(() => cancellation.abort(), Math.max(0, leftMs));
     response.once('close', () => {
-      if (!callerResponse.isEnded) cancellation.abort();
+      if (!response.writableFinished) cancellation.abort();
     });
     const {context} = this.options;
     try {
--- a/src/node/ingress/planned_stop.ts
+++ b/src/node/ingress/planned_stop.ts
@@ -15,6 +15,8 @@
 const CLOSE_IDLE_AFTER_MS = 1_000;
 /** Time reserved for closing connections before the process is killed. */
 const CLOSE_RESERVE_MS = 500;
+/** The part of it in which the process exits. */
+const EXIT_RESERVE_MS = 200;
 /** Factor on the expected duration of a request whose caller comes late. */
 const LATE_REQUEST_MARGIN = 2;
 
@@ -74,6 +76,16 @@
     });
   }
 
+  /** Resolves when the requests that lost their connections have ended. */
+  async untilEnded(requests: StoppingRequests): Promise<void> {
+    if (requests.requestsInFlight === 0) return;
+    await waitUntil(
+      () =>
+        requests.requestsInFlight === 0 ||
+        this.elapsedMs >= this.graceMs - EXIT_RESERVE_MS,
+    );
+  }
+
   private get elapsedMs(): number {
     return monotonicNowMs() - (this.startedAtMs ?? monotonicNowMs());
   }
