Record no answer of a plain service that a crash may have cut

Callers saw: nothing yet; the project's own interface recorded half of an answer without a length as the whole one if the service crashed within it, and would have given it to each resend, with a length.

Evidence: the new test failed before (answered, half of the body). A whole answer of a service that lives on is recorded as before.

The check of a response's end is shared by both interfaces; here it sends OPTIONS *, which asks for nothing.

--- a/src/node/adapters/upstream/__tests__/plain_http.spec.ts
+++ b/src/node/adapters/upstream/__tests__/plain_http.spec.ts
@@ -169,6 +169,26 @@
   assert.equal(service.connections.length, 2);
 });
 
+// Guards against half of an answer that is recorded as the whole one, because a
+// crash of the service closes its connections in an orderly way.
+test('an answer without a length has an unknown outcome if its service ends', async t => {
+  const service = await startService(t, ({socket}) => {
+    socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+    void service.stop();
+  });
+  const {kind} = await dispatch(t, service.address);
+  assert.equal(kind, 'unknown');
+});
+
+// Guards against a whole answer that is taken for half of one.
+test('an answer without a length is recorded if its service lives on', async t => {
+  const {address} = await startService(t, ({socket}) => {
+    socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole');
+  });
+  const outcome = await dispatch(t, address);
+  assert.equal(outcome.kind, 'answered');
+});
+
 // Guards against half of an answer that is recorded as the whole one, because the
 // reset of its connection looks like its end.
 test('an answer without a length that is reset has an unknown outcome', async t => {
--- a/src/node/adapters/upstream/plain_http.ts
+++ b/src/node/adapters/upstream/plain_http.ts
@@ -2,7 +2,11 @@
 import {createHash} from 'node:crypto';
 import {Agent, type Dispatcher} from 'undici';
 import {monotonicNowMs} from '../../clock/clock.js';
+import {ResponseEndCheck} from '../../dispatch/response_end_check.js';
+import type {Liveness} from '../../dispatch/upstream_feed.js';
 import {createConnector} from '../../http/connector.js';
+import {probeLiveness} from '../../http/liveness.js';
+import {isFramed} from '../../http/response_end.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../../http/byte_buffer.js';
 import {GatewayError} from '../../types/errors.js';
 import {asId, type Digest} from '../../types/ids.js';
@@ -121,6 +125,9 @@
 export class PlainHttpUpstream extends ServiceUpstream {
   private readonly agent: Agent;
   private readonly maxAnswerBytes: number;
+  private readonly responseEnds = new ResponseEndCheck(({address}, timeoutMs) =>
+    pingService(address, timeoutMs),
+  );
 
   constructor(options: PlainHttpUpstreamOptions = {}) {
     super();
@@ -165,6 +172,19 @@
     await this.agent.close();
   }
 
+  private async hasEnded({
+    upstreamId,
+    address,
+  }: ServiceTarget): Promise<boolean> {
+    const completeness = await this.responseEnds.check({
+      upstreamId,
+      address,
+      isStream: false,
+      isLeaving: false,
+    });
+    return completeness === 'broken_off';
+  }
+
   private async readOutcome(
     target: ServiceTarget,
     response: Dispatcher.ResponseData,
@@ -185,10 +205,25 @@
       };
     }
     const answer = await readAnswer(response, headers, this.maxAnswerBytes);
+    if (!isFramed(response.headers) && (await this.hasEnded(target))) {
+      throw new Error('the service has ended with its answer');
+    }
     return {kind: 'answered', answer};
   }
 }
 
+/** Asks for nothing but a sign of life, on any path. */
+async function pingService(
+  address: string,
+  timeoutMs: number,
+): Promise<Liveness> {
+  const probe = {address, method: 'OPTIONS', path: '*', timeoutMs};
+  const result = await probeLiveness(probe);
+  return result.kind === 'alive'
+    ? {kind: 'alive', upstreamId: undefined}
+    : result;
+}
+
 function failedOutcome(target: ServiceTarget, error: unknown): DispatchOutcome {
   const kind = failedBeforeSending(error) ? 'not_run' : 'unknown';
   const cause = error instanceof Error ? error.message : String(error);
--- a/src/node/dispatch/__tests__/response_end_check.spec.ts
+++ b/src/node/dispatch/__tests__/response_end_check.spec.ts
@@ -3,7 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {listen} from '../../http/server.js';
 import {probeLiveness} from '../../http/liveness.js';
-import {asId, type ServiceId, type UpstreamId} from '../../types/ids.js';
+import {asId, type UpstreamId} from '../../types/ids.js';
 import {ResponseEndCheck, type EndedResponse} from '../response_end_check.js';
 import type {Liveness} from '../upstream_feed.js';
 
@@ -11,16 +11,12 @@
 const ENDED: EndedResponse = {
   upstreamId: UPSTREAM,
   address: '127.0.0.1:1',
-  service: asId<ServiceId>('svc'),
   isStream: true,
   isLeaving: false,
 };
 
 function checkOf(found: Liveness, ended: Partial<EndedResponse> = {}) {
-  const check = new ResponseEndCheck({
-    feed: {liveness: () => Promise.resolve(found)},
-    healthPath: () => '/health',
-  });
+  const check = new ResponseEndCheck(() => Promise.resolve(found));
   return check.check({...ENDED, ...ended});
 }
 
--- a/src/node/dispatch/response_end_check.ts
+++ b/src/node/dispatch/response_end_check.ts
@@ -3,8 +3,8 @@
  * connection marks. A process that crashes has its connections closed in the same
  * orderly way as one that has finished its response; only the latter lives on.
  */
-import type {ServiceId, UpstreamId} from '../types/ids.js';
-import type {UpstreamFeed} from './upstream_feed.js';
+import type {UpstreamId} from '../types/ids.js';
+import type {Liveness} from './upstream_feed.js';
 
 export type Completeness =
   /** As far as the upstream knows: it lives on. */
@@ -19,7 +19,6 @@
   readonly upstreamId: UpstreamId;
   /** `host:port`. */
   readonly address: string;
-  readonly service: ServiceId;
   readonly isStream: boolean;
   /** Whether the upstream has said that it is about to stop. */
   readonly isLeaving: boolean;
@@ -35,27 +34,26 @@
 /** The caller of a plain response waits for all of it. */
 const PLAIN_TIMEOUT_MS = 150;
 
-export interface ResponseEndCheckOptions {
-  readonly feed: Pick<UpstreamFeed, 'liveness'>;
-  /** Path of the health check of a service. */
-  readonly healthPath: (service: ServiceId) => string;
-}
-
 /** Checks the upstreams of responses without a length or chunks. */
-export class ResponseEndCheck {
-  constructor(private readonly options: ResponseEndCheckOptions) {}
+export class ResponseEndCheck<Ended extends EndedResponse> {
+  /** `probe` tells whether the upstream lives; it never rejects. */
+  constructor(
+    private readonly probe: (
+      response: Ended,
+      timeoutMs: number,
+    ) => Promise<Liveness>,
+  ) {}
 
   /**
    * Call it as soon as the connection has ended in an orderly way: a process
    * that is back at the address under the same id counts as the one before.
    * Never rejects.
    */
-  async check(response: EndedResponse): Promise<Completeness> {
-    const {feed, healthPath} = this.options;
-    const {address, service, upstreamId, isStream, isLeaving} = response;
+  async check(response: Ended): Promise<Completeness> {
+    const {upstreamId, isStream, isLeaving} = response;
     const timeoutMs = isStream ? STREAM_TIMEOUT_MS : PLAIN_TIMEOUT_MS;
     await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
-    const found = await feed.liveness(address, healthPath(service), timeoutMs);
+    const found = await this.probe(response, timeoutMs);
     switch (found.kind) {
       case 'alive':
         return (found.upstreamId ?? upstreamId) === upstreamId
--- a/src/node/http/liveness.ts
+++ b/src/node/http/liveness.ts
@@ -16,22 +16,25 @@
 export interface LivenessProbe {
   /** `host:port`. */
   readonly address: string;
+  /** @default GET */
+  readonly method?: string;
   readonly path: string;
   readonly timeoutMs: number;
 }
 
 const REFUSED_CODE = 'ECONNREFUSED';
 
-/** Sends one GET request on a connection of its own; never rejects. */
+/** Sends one request without a body on a connection of its own; never rejects. */
 export function probeLiveness({
   address,
+  method = 'GET',
   path,
   timeoutMs,
 }: LivenessProbe): Promise<LivenessResult> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
     let isConnected = false;
-    const request = sendRequest({host, port, path, agent: false});
+    const request = sendRequest({host, port, method, path, agent: false});
     const end = (result: LivenessResult): void => {
       clearTimeout(timer);
       request.destroy();
--- a/src/node/ingress/end_confirmation.ts
+++ b/src/node/ingress/end_confirmation.ts
@@ -4,10 +4,12 @@
  */
 import type {
   Completeness,
+  EndedResponse,
   ResponseEndCheck,
 } from '../dispatch/response_end_check.js';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
+import type {ServiceId} from '../types/ids.js';
 import type {ExchangeEnd} from './exchange.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {ResponseReader} from './response_reader.js';
@@ -18,8 +20,13 @@
 /** Their responses end with the head. */
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** The try of a request whose response has ended. */
+export interface EndedTry extends EndedResponse {
+  readonly service: ServiceId;
+}
+
 export interface EndConfirmationOptions {
-  readonly responseEnds: Pick<ResponseEndCheck, 'check'>;
+  readonly responseEnds: Pick<ResponseEndCheck<EndedTry>, 'check'>;
   readonly log: Pick<RequestLog, 'write'>;
   readonly metrics: MetricsRegistry;
   readonly request: InboundRequest;
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -29,6 +29,7 @@
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import {ConnectionPools} from './connections.js';
+import type {EndedTry} from './end_confirmation.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
@@ -322,10 +323,11 @@
     });
   }
 
-  private createResponseEndCheck(): ResponseEndCheck {
-    return new ResponseEndCheck({
-      feed: this.options.feed,
-      healthPath: service => this.matcher?.service(service)?.healthPath ?? '/',
+  private createResponseEndCheck(): ResponseEndCheck<EndedTry> {
+    const {feed} = this.options;
+    return new ResponseEndCheck(({address, service}, timeoutMs) => {
+      const path = this.matcher?.service(service)?.healthPath ?? '/';
+      return feed.liveness(address, path, timeoutMs);
     });
   }
 
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -29,7 +29,7 @@
 } from './response_reader.js';
 import {sendBuffered} from './buffered_response.js';
 import type {CallerResponse} from './caller_response.js';
-import {EndConfirmation} from './end_confirmation.js';
+import {EndConfirmation, type EndedTry} from './end_confirmation.js';
 import type {ConnectionPools} from './connections.js';
 import type {ExchangeEnd} from './exchange.js';
 import {GrantSource} from './grant_source.js';
@@ -60,7 +60,7 @@
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
-  readonly responseEnds: Pick<ResponseEndCheck, 'check'>;
+  readonly responseEnds: Pick<ResponseEndCheck<EndedTry>, 'check'>;
   readonly log: RequestLog;
   readonly metrics: MetricsRegistry;
 }
