Give each call of a model engine a connection of its own

Callers saw: nothing yet. On the project's own interface a late second copy of an engine's answer became the answer to the next call on its kept connection.

Cause: calls and orders shared kept connections. Only whole answers were compared with the request id, and an answer without one was accepted; refusals (x-not-run), rejections (400, 413, 422) and the answers to orders were not compared at all.

A copy right behind its answer, on an idle connection, did no harm. An order that the engine refused with 409 counted as accepted. An answer with the id of another request was taken for a refusal of this one.

Why the fix works: a connection carries one exchange and closes behind it, as with plain services, so nothing that comes late has a next request to meet. That also needs nothing from engines that name no ids. Where an id is named it is compared for refusals too. The limit of 256 connections an engine goes with the pool; admission bounds the calls.

--- a/src/node/adapters/upstream/openai/openai_upstream.ts
+++ b/src/node/adapters/upstream/openai/openai_upstream.ts
@@ -1,10 +1,10 @@
 /** Client for model engines with an OpenAI-compatible HTTP API. */
 import type {Readable} from 'node:stream';
-import {Agent, request, type Dispatcher} from 'undici';
+import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import {createConnector} from '../../../http/connector.js';
 import {readBoundedJson} from '../../../http/bounded_body.js';
 import {isFramed} from '../../../http/response_end.js';
+import {createSingleUseAgent} from '../../../http/single_use_agent.js';
 import {GatewayError, type ErrorCode} from '../../../types/errors.js';
 import {asId, type ModelId, type RequestId} from '../../../types/ids.js';
 import {timeoutSignal} from '../../../utils.js';
@@ -17,8 +17,7 @@
   type UpstreamPeer,
 } from '../model_upstream.js';
 
-const CONNECTIONS_PER_UPSTREAM = 256;
-const KEEP_ALIVE_TIMEOUT_MS = 15_000;
+const REQUEST_ID_HEADER = 'x-request-id';
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONTROL_TIMEOUT_MS = 1_000;
 const MAX_LOAD_BYTES = 1024 * 1024;
@@ -52,6 +51,37 @@
   );
 }
 
+/** Whether the answer bears the id of another request. */
+function namesAnother(
+  {headers}: Dispatcher.ResponseData,
+  requestId: RequestId,
+): boolean {
+  const answeredId = headers[REQUEST_ID_HEADER];
+  return answeredId !== undefined && answeredId !== requestId;
+}
+
+/** The error of a request that the engine refused before it ran, if it did. */
+function refusalOf(
+  {headers, statusCode}: Dispatcher.ResponseData,
+  {upstreamId: peer}: UpstreamPeer,
+): GatewayError | undefined {
+  const refusal = {step: 'upstream.open', peer, work: 'not_run'} as const;
+  if (headers['x-not-run'] !== undefined) {
+    return new GatewayError({
+      ...refusal,
+      code: 'upstream_refused',
+      message: 'the upstream refused the work before it ran',
+    });
+  }
+  return INVALID_REQUEST_STATUSES.has(statusCode)
+    ? new GatewayError({
+        ...refusal,
+        code: statusCode === 413 ? 'too_large' : 'bad_request',
+        message: `the model engine refused the request with status ${statusCode}`,
+      })
+    : undefined;
+}
+
 function errorCodeOf(thrown: unknown): string {
   const code = (thrown as {code?: unknown} | null)?.code;
   return typeof code === 'string' ? code : '';
@@ -78,26 +108,9 @@
 
 /** Client for OpenAI-compatible engines. */
 export class OpenAiUpstream extends ModelUpstream {
-  // The gateway sets its own progress deadlines for each stream, so the
-  // library's header and body timeouts are off.
-  private readonly agent = new Agent({
-    connections: CONNECTIONS_PER_UPSTREAM,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: createConnector(CONNECT_TIMEOUT_MS),
-  });
-
-  // Idle pooled connections may have stalled unnoticed. Calls that check
-  // whether the upstream is reachable, and those that cancel or resume an
-  // answer, open a new connection.
-  private readonly freshAgent = new Agent({
-    pipelining: 0,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: createConnector(CONNECT_TIMEOUT_MS),
-  });
+  // Engines may omit the request id, and the answers to orders have none. A kept
+  // connection may also have stalled unnoticed.
+  private readonly agent = createSingleUseAgent(CONNECT_TIMEOUT_MS);
 
   override async open(
     peer: UpstreamPeer,
@@ -109,30 +122,17 @@
       signal: call.signal,
       headers: {
         'content-type': 'application/json',
-        'x-request-id': call.requestId,
+        [REQUEST_ID_HEADER]: call.requestId,
         'x-priority': String(call.priority),
         'x-deadline-ms': String(Math.round(call.remainingMs)),
       },
     });
-    if (answer.headers['x-not-run'] !== undefined) {
-      await answer.body.dump();
-      throw new GatewayError({
-        code: 'upstream_refused',
-        message: 'the upstream refused the work before it ran',
-        step: 'upstream.open',
-        peer: peer.upstreamId,
-        work: 'not_run',
-      });
-    }
-    if (INVALID_REQUEST_STATUSES.has(answer.statusCode)) {
+    const refusal = namesAnother(answer, call.requestId)
+      ? undefined
+      : refusalOf(answer, peer);
+    if (refusal !== undefined) {
       await answer.body.dump();
-      throw new GatewayError({
-        code: answer.statusCode === 413 ? 'too_large' : 'bad_request',
-        message: `the model engine refused the request with status ${answer.statusCode}`,
-        step: 'upstream.open',
-        peer: peer.upstreamId,
-        work: 'not_run',
-      });
+      throw refusal;
     }
     return this.validateAnswer(answer, peer, call.requestId, 0);
   }
@@ -147,7 +147,6 @@
     const answer = await this.send(peer, `${path}?offset=${offsetBytes}`, {
       method: 'GET',
       signal,
-      dispatcher: this.freshAgent,
     });
     return this.validateAnswer(answer, peer, requestId, offsetBytes, true);
   }
@@ -159,7 +158,6 @@
     const path = `/v1/streams/${encodeURIComponent(requestId)}`;
     const answer = await this.send(peer, path, {
       method: 'DELETE',
-      dispatcher: this.freshAgent,
       signal: timeoutSignal(CONTROL_TIMEOUT_MS),
     });
     await answer.body.dump();
@@ -168,7 +166,6 @@
   override async readLoad(peer: UpstreamPeer): Promise<UpstreamLoad> {
     const answer = await this.send(peer, '/load', {
       method: 'GET',
-      dispatcher: this.freshAgent,
       signal: timeoutSignal(CONTROL_TIMEOUT_MS),
     });
     const load = loadSchema.parse(
@@ -195,15 +192,13 @@
   }
 
   override async close(): Promise<void> {
-    await Promise.all([this.agent.destroy(), this.freshAgent.destroy()]);
+    await this.agent.destroy();
   }
 
   private async send(
     peer: UpstreamPeer,
     path: string,
-    options: Omit<Dispatcher.RequestOptions, 'path' | 'origin'> & {
-      readonly dispatcher?: Dispatcher;
-    },
+    options: Omit<Dispatcher.RequestOptions, 'path' | 'origin'>,
   ): Promise<Dispatcher.ResponseData> {
     try {
       return await request(`http://${peer.address}${path}`, {
@@ -225,12 +220,12 @@
     isResume = false,
   ): ModelAnswer {
     const {headers} = answer;
-    const answeredId = headers['x-request-id'];
     const answeredOffset = Number(headers['x-stream-offset'] ?? 0);
-    // A new call is the only one on its connection, so the answer may omit the
+    // A call is the only one on its connection, so the answer may omit the
     // request ID. A resumed answer must carry it.
     const isForRequest =
-      answeredId === requestId || (answeredId === undefined && !isResume);
+      !namesAnother(answer, requestId) &&
+      (!isResume || headers[REQUEST_ID_HEADER] !== undefined);
     const mayBeTruncated = !isTruncationDetectable(answer);
     if (
       answer.statusCode === 200 &&
