--- a/src/node/adapters/directory/http_client_directory.ts
+++ b/src/node/adapters/directory/http_client_directory.ts
@@ -1,5 +1,6 @@
 /** Publishes to the platform's directory as JSON over HTTP. */
 import {request} from 'undici';
+import {createSingleUseAgent} from '../../http/single_use_agent.js';
 import {timeoutSignal} from '../../utils.js';
 import {ClientDirectory} from './client_directory.js';
 
@@ -7,6 +8,8 @@
 
 /** Sends `PUT /directory/<domain>` to the platform. */
 export class HttpClientDirectory extends ClientDirectory {
+  private readonly agent = createSingleUseAgent(TIMEOUT_MS);
+
   /** `address` is `host:port`. */
   constructor(private readonly address: string) {
     super();
@@ -20,6 +23,7 @@
       `http://${this.address}/directory/${encodeURIComponent(domainId)}`,
       {
         method: 'PUT',
+        dispatcher: this.agent,
         body: JSON.stringify(addresses),
         headers: {'content-type': 'application/json'},
         signal: timeoutSignal(TIMEOUT_MS),
