Remove the option to reuse connections to plain services

The answers of plain services name no id, so the option could not be made safe, for idempotent calls neither.

--- a/src/node/adapters/upstream/plain_http.ts
+++ b/src/node/adapters/upstream/plain_http.ts
@@ -1,12 +1,12 @@
 /** Sends requests to plain services over HTTP/1.1 with `undici`. */
 import {createHash} from 'node:crypto';
-import {Agent, type Dispatcher} from 'undici';
+import type {Agent, Dispatcher} from 'undici';
 import {monotonicNowMs} from '../../clock/clock.js';
 import {ResponseEndCheck} from '../../dispatch/response_end_check.js';
 import type {Liveness} from '../../dispatch/upstream_feed.js';
-import {createConnector} from '../../http/connector.js';
 import {probeLiveness} from '../../http/liveness.js';
 import {isFramed} from '../../http/response_end.js';
+import {createSingleUseAgent} from '../../http/single_use_agent.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../../http/byte_buffer.js';
 import {GatewayError} from '../../types/errors.js';
 import {asId, type Digest} from '../../types/ids.js';
@@ -51,12 +51,6 @@
 export interface PlainHttpUpstreamOptions {
   /** @default 1000 */
   readonly connectTimeoutMs?: number;
-  /**
-   * Keeps connections open between requests. For idempotent calls only: a
-   * reused connection may already be closed or stalled, and then it is unknown
-   * whether the call ran. @default false
-   */
-  readonly reuseConnections?: boolean;
   /**
    * Maximum size of a returned body. For larger bodies only the digest and size
    * are returned. @default 8 MiB
@@ -132,13 +126,9 @@
   constructor(options: PlainHttpUpstreamOptions = {}) {
     super();
     this.maxAnswerBytes = options.maxAnswerBytes ?? 8 * 1024 * 1024;
-    this.agent = new Agent({
-      pipelining: options.reuseConnections === true ? 1 : 0,
-      connect: createConnector(options.connectTimeoutMs ?? 1_000),
-      // The deadline passed to `dispatch` aborts a request instead.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    // Answers bear no id, and on a kept connection that is closed or stalled it
+    // would be unknown whether a call ran.
+    this.agent = createSingleUseAgent(options.connectTimeoutMs ?? 1_000);
   }
 
   override async dispatch(
