End a call whose HTTP response belongs to another call

Callers saw: nothing; no process of the project sends a response twice. A response with the id of an earlier call was dropped, and the call that read it never ended, whatever its timeout. A loop that waits for one at a time, such as the reading of the list through another region, would stand still for good.

Why the fix works: the ids are compared before the JSON-RPC library drops the response, and the call ends as unreachable, work unknown, so that operators' changes are sent again under their operation id or reported as unknown.

--- a/src/node/rpc/http_client.ts
+++ b/src/node/rpc/http_client.ts
@@ -2,6 +2,7 @@
 import {
   JSONRPCClient,
   JSONRPCErrorException,
+  type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {Agent, request} from 'undici';
@@ -39,6 +40,22 @@
   return toTransportError(thrown, code, address);
 }
 
+/** Without this check, a call whose response never comes would not end. */
+function requireReplyTo(
+  payload: unknown,
+  {id}: JSONRPCResponse,
+  address: string,
+): void {
+  if (id === (payload as JSONRPCRequest).id) return;
+  throw new GatewayError({
+    code: 'unreachable',
+    message: 'the response belongs to another call',
+    step: 'rpc.send',
+    peer: address,
+    work: 'unknown',
+  });
+}
+
 /**
  * Calls other instances over HTTP. A call that times out destroys its
  * connection, so a stalled connection is never reused.
@@ -138,6 +155,8 @@
         peer: address,
       });
     }
-    return (await response.body.json()) as JSONRPCResponse;
+    const reply = (await response.body.json()) as JSONRPCResponse;
+    requireReplyTo(payload, reply, address);
+    return reply;
   }
 }
