Relay no answer of another domain that names another request

Callers saw: nothing; entries send each answer once. An answer on a kept connection between entries was not compared with the id of the request, although all answers behind the check of the envelope bear it.

Evidence: the new test failed before: an answer of 200 with another id was relayed whole, and an error that says not run was passed on as this request's own.

Why the fix works: an answer with another id ends the forwarding as unreachable, work unknown, and closes the connection. A copy that bears the same id, of a request that is forwarded twice, can't be told; entries send none.

--- a/src/node/entry/__tests__/http_forwarding.spec.ts
+++ b/src/node/entry/__tests__/http_forwarding.spec.ts
@@ -125,3 +125,32 @@
     ['unreachable', 'unknown'],
   ]);
 });
+
+// Guards against a caller that gets the answer to another request, or is told that
+// its request has not run because another one has not.
+test('an answer of another domain that names another request is not relayed', async t => {
+  const cases: ReadonlyArray<readonly [string, string]> = [
+    ['200 OK', 'not its own'],
+    [
+      '503 Service Unavailable',
+      JSON.stringify({error: {code: 'not_ready', work: 'not_run'}}),
+    ],
+  ];
+  const outcomes = await Promise.all(
+    cases.map(async ([status, body]) => {
+      const inner = await startRawServer(t, ({socket}) => {
+        socket.write(
+          `HTTP/1.1 ${status}\r\nx-request-id: forwarded-0\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+        );
+      });
+      const envelope = envelopeOf(STREAM, 1_000);
+      const {address, errors} = await startForwarding(t, inner, envelope);
+      await (await fetch(`http://${address}/`)).text();
+      return errors.map(({code, work}) => [code, work]);
+    }),
+  );
+  assert.deepEqual(
+    outcomes,
+    cases.map(() => [['unreachable', 'unknown']]),
+  );
+});
--- a/src/node/entry/forwarding.ts
+++ b/src/node/entry/forwarding.ts
@@ -154,6 +154,7 @@
     deadlines: ProgressDeadlines,
   ): Promise<void> {
     const answer = await this.send(address, envelope, signal);
+    requireAnswerTo(envelope, answer, address);
     const work = answer.headers[WORK_HEADER];
     if (answer.statusCode >= 400 && work !== 'ran') {
       throw await this.readError(answer, address);
@@ -275,6 +276,25 @@
   }
 }
 
+// A connection is used for one request after the other, and an error says whether
+// this one ran.
+function requireAnswerTo(
+  {requestId}: ForwardEnvelope,
+  {headers, body}: Dispatcher.ResponseData,
+  address: string,
+): void {
+  const answeredId = headers[REQUEST_ID_HEADER];
+  if (answeredId === undefined || answeredId === requestId) return;
+  body.on('error', () => undefined).destroy();
+  throw new GatewayError({
+    code: 'unreachable',
+    message: 'the answer belongs to another request',
+    step: STEP,
+    peer: address,
+    work: 'unknown',
+  });
+}
+
 function isEventStream({headers}: Dispatcher.ResponseData): boolean {
   return String(headers['content-type']).startsWith('text/event-stream');
 }
