Log the requests and retries that each scheduler counts

No line said how many repeats a scheduler had granted, of how many requests, how many it had refused, and that its count had begun anew. retry_budget says so, once a second for each scheduler with retries in its window.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -71,6 +71,7 @@
 interface HostedScheduler {
   readonly scope: SchedulerScope;
   readonly scheduler: Scheduler;
+  readonly startedAtMs: number;
   lastUsedAtMs: number;
 }
 
@@ -151,6 +152,16 @@
     return {itemsTaken: this.itemsTaken, queueLength: queued};
   }
 
+  /** Logs the retries that the schedulers count, unless there are none. */
+  logRetries(): void {
+    const nowMs = monotonicNowMs();
+    this.hosted.forEach(({scope, scheduler, startedAtMs}) => {
+      const counts = scheduler.retryBudget.counts(nowMs);
+      if (counts.retries + counts.refusals === 0) return;
+      this.log.retriesDecided(scope, counts, nowMs - startedAtMs);
+    });
+  }
+
   applyReading(reading: ListReading): void {
     this.reading = reading;
     this.hosted.forEach(hosted => applyReadingTo(hosted, reading));
@@ -330,6 +341,7 @@
     const created: HostedScheduler = {
       scope: {service, domain},
       scheduler,
+      startedAtMs: nowMs,
       lastUsedAtMs: nowMs,
     };
     if (this.reading !== undefined) applyReadingTo(created, this.reading);
--- a/src/node/dispatch/scheduler_log.ts
+++ b/src/node/dispatch/scheduler_log.ts
@@ -4,6 +4,7 @@
 import type {UpstreamCrash} from '../scheduling/crash_watch.js';
 import type {EntryPlacements, ServiceTraits} from '../scheduling/types.js';
 import type {PoolChange} from '../scheduling/pool_changes.js';
+import type {RetryCounts} from '../scheduling/retry_budget.js';
 import type {UpstreamPool} from '../scheduling/upstream_pool.js';
 import type {InstanceId, ServiceId, UpstreamId} from '../types/ids.js';
 import {logCrash} from './crash_log.js';
@@ -52,6 +53,24 @@
     );
   }
 
+  /** Logged at intervals while the scheduler decides on retries. */
+  retriesDecided(
+    {service, domain}: SchedulerScope,
+    counts: RetryCounts,
+    schedulerAgeMs: number,
+  ): void {
+    this.options.logger.info(
+      {
+        event: 'retry_budget',
+        service,
+        domain,
+        ...counts,
+        schedulerAgeMs: Math.round(schedulerAgeMs),
+      },
+      'requests and retries that a scheduler counts in the window',
+    );
+  }
+
   poolChanged(
     service: ServiceId,
     change: PoolChange,
--- a/src/node/ingress/load_log.ts
+++ b/src/node/ingress/load_log.ts
@@ -1,4 +1,4 @@
-/** Logs the load of an entry, to show whether it keeps up. */
+/** Logs the load of an entry, and how many retries its schedulers count. */
 import type {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {Logger} from '../logging/logger.js';
 import {LoadMonitor, type LoadReport} from '../metrics/load_monitor.js';
@@ -35,6 +35,7 @@
 
   private write(report: LoadReport): void {
     const {host, logger, requestsInFlight} = this.options;
+    host.logRetries();
     const {itemsTaken, queueLength} = host.load();
     const itemsScheduled = itemsTaken - this.previousItemsTaken;
     this.previousItemsTaken = itemsTaken;
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -90,6 +90,17 @@
     unlistedPlacements: z.number(),
     unlistedLimits: z.number(),
   },
+  retry_budget: {
+    service: z.string(),
+    domain: z.string(),
+    /** In the window, by the scheduler of the service in the domain. */
+    requests: z.number(),
+    retries: z.number(),
+    /** Retries that it refused. */
+    refusals: z.number(),
+    /** Its count began with zero so long ago. */
+    schedulerAgeMs: z.number(),
+  },
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
--- a/src/node/scheduling/retry_budget.ts
+++ b/src/node/scheduling/retry_budget.ts
@@ -10,10 +10,19 @@
   readonly slack: number;
 }
 
+/** What was counted in the window. */
+export interface RetryCounts {
+  readonly requests: number;
+  readonly retries: number;
+  /** Retries that were refused. */
+  readonly refusals: number;
+}
+
 interface Bucket {
   readonly number: number;
   requests: number;
   retries: number;
+  refusals: number;
 }
 
 /** Counts requests and retries over a sliding window. */
@@ -30,21 +39,28 @@
     this.bucketAt(nowMs).retries += 1;
   }
 
+  noteRefusal(nowMs: number): void {
+    this.bucketAt(nowMs).refusals += 1;
+  }
+
   /** Whether one more retry stays within the budget. */
   allowsRetry(nowMs: number): boolean {
     const {ratio, slack} = this.options;
-    this.bucketAt(nowMs);
-    const requests = this.buckets.reduce(
-      (sum, bucket) => sum + bucket.requests,
-      0,
-    );
-    const retries = this.buckets.reduce(
-      (sum, bucket) => sum + bucket.retries,
-      0,
-    );
+    const {requests, retries} = this.counts(nowMs);
     return retries + 1 <= ratio * requests + slack;
   }
 
+  counts(nowMs: number): RetryCounts {
+    this.bucketAt(nowMs);
+    const sumOf = (count: keyof RetryCounts): number =>
+      this.buckets.reduce((sum, bucket) => sum + bucket[count], 0);
+    return {
+      requests: sumOf('requests'),
+      retries: sumOf('retries'),
+      refusals: sumOf('refusals'),
+    };
+  }
+
   private bucketAt(nowMs: number): Bucket {
     const lengthMs = this.options.windowMs / BUCKETS_PER_WINDOW;
     const number = Math.floor(nowMs / lengthMs);
@@ -54,7 +70,7 @@
     );
     const last = this.buckets.at(-1);
     if (last?.number === number) return last;
-    const bucket: Bucket = {number, requests: 0, retries: 0};
+    const bucket: Bucket = {number, requests: 0, retries: 0, refusals: 0};
     this.buckets.push(bucket);
     return bucket;
   }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -50,11 +50,11 @@
 export class Scheduler {
   readonly pool: UpstreamPool;
   readonly board: CapacityBoard;
+  readonly retryBudget: RetryBudget;
   private readonly redirects: Redirects;
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
   private readonly prefillLoad = new PrefillLoad();
-  private readonly retryBudget: RetryBudget;
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
   private decisions: Decision[] = [];
@@ -84,12 +84,8 @@
   submit(item: WorkItem, nowMs: number): void {
     if (this.queue.has(item.requestId)) return;
     if (this.refuseQuarantined(item, nowMs)) return;
-    if (item.isRepeat) {
-      if (!this.retryBudget.allowsRetry(nowMs)) {
-        this.refusals.add(item, 'retry_budget', 0, nowMs);
-        return;
-      }
-    } else if (item.passedDomains.length === 0) {
+    if (this.refuseOverBudget(item, nowMs)) return;
+    if (!item.isRepeat && item.passedDomains.length === 0) {
       this.retryBudget.noteRequest(nowMs);
     }
     if (this.pool.isTooLarge(item)) {
@@ -293,16 +289,12 @@
     nowMs: number,
   ): boolean {
     const queuedMs = nowMs - queuedAtMs;
-    if (this.refuseQuarantined(item, nowMs)) {
+    const isRefused =
+      this.refuseQuarantined(item, nowMs) || this.refuseOverBudget(item, nowMs);
+    if (isRefused) {
       this.queue.remove(item.requestId);
       return false;
     }
-    const isOverBudget = item.isRepeat && !this.retryBudget.allowsRetry(nowMs);
-    if (isOverBudget) {
-      this.queue.remove(item.requestId);
-      this.refusals.add(item, 'retry_budget', 0, nowMs);
-      return false;
-    }
     if (upstream !== undefined) {
       this.grant(item, upstream, queuedMs, nowMs);
       return true;
@@ -318,6 +310,14 @@
     return forMs > 0;
   }
 
+  /** Refuses a repeat beyond the retry budget; returns true if it did. */
+  private refuseOverBudget(item: WorkItem, nowMs: number): boolean {
+    if (!item.isRepeat || this.retryBudget.allowsRetry(nowMs)) return false;
+    this.retryBudget.noteRefusal(nowMs);
+    this.refusals.add(item, 'retry_budget', 0, nowMs);
+    return true;
+  }
+
   private choose(
     item: WorkItem,
     usable: readonly UpstreamState[],
