Count a try after a rejection in another region as a repeat

Upstreams got repeats that no retry budget had granted: an entry that relays a request to another region and gets it back as not run could not tell whether an upstream there had turned it away. It took the next try for the first one, so its scheduler counted another request in place of a retry and granted it without a limit.

An entry now names in its refusal whether upstreams rejected the request or none had it. Versions that say neither are taken to have sent it; a former version reads the new values as before.

--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -22,6 +22,8 @@
   type ServiceId,
 } from '../../../types/ids.js';
 import {CallerResponse} from '../../caller_response.js';
+import type {ResponseSink} from '../../exchange.js';
+import {NOT_RUN_HEADER} from '../../inner_headers.js';
 import {RequestRun, type RequestRunContext} from '../../request_run.js';
 import type {InboundRequest} from '../../types.js';
 import {UpstreamPaces} from '../../upstream_pace.js';
@@ -38,6 +40,10 @@
   /** Answers in turn; the last one repeats. */
   readonly decisions: readonly ((item: WorkItem) => SchedulerAnswer)[];
   readonly route?: Partial<Route>;
+  /** Whether another entry relayed the request here; default false. */
+  readonly isRelayed?: boolean;
+  /** Headers with which another entry refuses the request, if it is relayed. */
+  readonly peerRefusal?: Readonly<Record<string, string>>;
   /** What is found out about a response that nothing marks as complete. */
   readonly completeness?: Readonly<Record<string, Completeness>>;
   /** Duration of the whole run. */
@@ -46,6 +52,9 @@
 
 /** The text of a piece at which the upstream breaks the connection. */
 export const BROKEN = 'broken';
+/** The text of a piece with which the upstream turns the request away. */
+export const REJECTED = 'rejected';
+const NOT_EXECUTED_HEADER = 'not-executed';
 
 const STEP_MS = 20;
 const TIMEOUT_MS = 6_000;
@@ -74,6 +83,15 @@
     }) as unknown as SchedulerAnswer;
 }
 
+/** Sends the request to another region. */
+export function offload({requestId}: WorkItem): SchedulerAnswer {
+  return {
+    kind: 'offload',
+    requestId,
+    region: 'away',
+  } as unknown as SchedulerAnswer;
+}
+
 export function refuse(reason: string) {
   return ({requestId}: WorkItem): SchedulerAnswer =>
     ({
@@ -100,7 +118,7 @@
   const response = new CallerResponse(fakeResponse(note), () => false);
   const run = new RequestRun(
     contextOf(setup, note),
-    requestOf(setup.route),
+    requestOf(setup),
     response,
     abort.signal,
   ).run();
@@ -120,7 +138,7 @@
   }, Promise.resolve());
 }
 
-function requestOf(route: Partial<Route> = {}): InboundRequest {
+function requestOf({route, isRelayed = false}: RunSetup): InboundRequest {
   return {
     requestId: asId<RequestId>('request'),
     method: 'POST',
@@ -147,7 +165,7 @@
     tableVersion: 1,
     receivedAtMs: Date.now(),
     expiresAtMs: Date.now() + TIMEOUT_MS,
-    isRelayed: false,
+    isRelayed,
     isRepeat: false,
     avoidUpstreams: [],
     lastEventId: undefined,
@@ -156,7 +174,7 @@
 }
 
 function contextOf(
-  {upstreams, decisions, completeness = {}}: RunSetup,
+  {upstreams, decisions, completeness = {}, peerRefusal = {}}: RunSetup,
   note: (line: string) => void,
 ): RequestRunContext {
   let asked = 0;
@@ -166,10 +184,10 @@
     protocol: {
       upstreamHeaders: () => [],
       callerHeaders: () => [],
-      responseTraits: () => ({
+      responseTraits: (_status: number, headers: Record<string, string>) => ({
         isSigned: true,
         isEncoded: false,
-        isNotRun: false,
+        isNotRun: headers[NOT_EXECUTED_HEADER] !== undefined,
       }),
     },
     members: {regions: () => ['home']},
@@ -189,7 +207,12 @@
         fakePool(address, upstreams[address] ?? [], note),
       retire: () => undefined,
     },
-    relay: {},
+    relay: {
+      send: (_region: RegionId, _request: unknown, sink: ResponseSink) => {
+        sink.onHead(503, peerRefusal);
+        return Promise.resolve({kind: 'complete'});
+      },
+    },
     origins: {note: () => undefined},
     reachability: {
       unreachable: () => [],
@@ -237,6 +260,12 @@
           handler.onResponseError?.(controller, new Error(BROKEN));
           return;
         }
+        if (text === REJECTED) {
+          const headers = {[NOT_EXECUTED_HEADER]: '1'};
+          handler.onResponseStart?.(controller, 503, headers, '');
+          handler.onResponseEnd?.(controller, {});
+          return;
+        }
         if (position === 0) {
           handler.onResponseStart?.(controller, 200, {}, 'OK');
         }
@@ -258,7 +287,9 @@
   return {
     req: {httpVersion: '1.1'},
     setHeader: () => undefined,
-    appendHeader: () => undefined,
+    appendHeader: (name: string, value: string) => {
+      if (name === NOT_RUN_HEADER) note(`caller gets ${name}: ${value}`);
+    },
     writeHead: () => undefined,
     write: (bytes: Buffer) => {
       const ids = [...bytes.toString().matchAll(/id: (\d+)/g)];
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -1,6 +1,7 @@
 /** Error responses that the ingress itself generates. */
 import type {CallerResponse} from './caller_response.js';
-import {NOT_RUN_HEADER} from './inner_headers.js';
+import {NOT_RUN_HEADER, type NotRun} from './inner_headers.js';
+import type {TryBudget} from './try_budget.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 const REJECTION_CODES = {
@@ -16,11 +17,12 @@
 /**
  * Refuses a request that did not run and will not run. `retry-after` has
  * jitter, so that callers refused at the same time do not retry all at once.
+ * `relayed` tells the entry that relayed the request what became of it.
  */
 export function sendRefusal(
   response: CallerResponse,
   retryAfterMs: number,
-  isRelayed = false,
+  relayed?: NotRun,
   code: 'overloaded' | 'quarantined' = 'overloaded',
 ): number {
   const status = 503;
@@ -30,7 +32,7 @@
     [
       ['retry-after', (jitteredMs / MS_PER_S).toFixed(2)],
       ['content-type', 'application/json'],
-      ...(isRelayed ? [[NOT_RUN_HEADER, '1'] as const] : []),
+      ...(relayed === undefined ? [] : [[NOT_RUN_HEADER, relayed] as const]),
     ],
     errorBody(code, 'not_run'),
   );
@@ -81,8 +83,8 @@
 export function sendFinalResponse(
   result: TryResult,
   response: CallerResponse,
-  hasRun: boolean,
-  request: InboundRequest,
+  {runs, wasAtUpstream}: Pick<TryBudget, 'runs' | 'wasAtUpstream'>,
+  {isRelayed}: InboundRequest,
 ): number {
   if (result.kind === 'delivered') return result.status;
   if (response.isBegun) {
@@ -90,14 +92,16 @@
     return 0;
   }
   const mayHaveRun =
-    hasRun ||
+    runs > 0 ||
     result.kind === 'failed' ||
     (result.kind === 'aborted' && result.isSent);
   if (mayHaveRun) return sendFailure(response, result);
   const {cause, retryAfterMs} =
     result.kind === 'not_run' ? result : NOT_RUN_WITHOUT_CAUSE;
   const code = cause === 'quarantined' ? 'quarantined' : 'overloaded';
-  return sendRefusal(response, retryAfterMs, request.isRelayed, code);
+  const notRun = wasAtUpstream ? 'rejected' : 'unsent';
+  const relayed = isRelayed ? notRun : undefined;
+  return sendRefusal(response, retryAfterMs, relayed, code);
 }
 
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -145,7 +145,11 @@
     const route = matcher?.match(metadata.host, metadata.path);
     if (matcher === undefined || route === undefined) {
       const reason = matcher === undefined ? 'no_route_table' : 'no_route';
-      const status = sendRefusal(callerResponse, this.startupRetryMs(), true);
+      const status = sendRefusal(
+        callerResponse,
+        this.startupRetryMs(),
+        'unsent',
+      );
       this.options.context.log.rejected(
         asId<RequestId>(metadata.requestId),
         reason,
@@ -156,7 +160,7 @@
     }
     const {version} = matcher.table;
     if (this.options.plannedStop.isTooLateFor(route)) {
-      const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, true);
+      const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, 'unsent');
       const requestId = asId<RequestId>(metadata.requestId);
       this.options.context.log.rejected(requestId, 'stopping', status, version);
       return;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -320,7 +320,7 @@
       return {kind: 'not_run', cause: end.cause, retryAfterMs: 0};
     }
     const {head} = reader;
-    if (!reader.isRefusedByPeer) this.tries.noteAtUpstream();
+    if (!reader.isUnsentByPeer) this.tries.noteAtUpstream();
     if (head?.traits.isNotRun === true || reader.isRefusedByPeer) {
       this.tries.noteNotRun();
       return {
@@ -361,8 +361,7 @@
 
   private finish(result: TryResult): void {
     const {request, response} = this;
-    const hasRun = this.tries.runs > 0;
-    const status = sendFinalResponse(result, response, hasRun, request);
+    const status = sendFinalResponse(result, response, this.tries, request);
     this.recorder.ended(result, status);
   }
 }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -15,6 +15,7 @@
 import type {ResponseSink} from './exchange.js';
 import {
   NOT_RUN_HEADER,
+  type NotRun,
   SOFTWARE_VERSION_HEADER,
   UNFRAMED_HEADER,
   withoutInnerHeaders,
@@ -97,10 +98,15 @@
     return this.meter.isInsideEvent || this.meter.isEmpty;
   }
 
-  /** Whether another entry refused the request before any upstream got it. */
+  /** Whether another entry refused the request, which did not run. */
   get isRefusedByPeer(): boolean {
-    const {isFromPeer} = this.options;
-    return isFromPeer && this.head?.headers[NOT_RUN_HEADER] !== undefined;
+    return this.peerRefusal !== undefined;
+  }
+
+  /** Whether it did so before any upstream got the request. */
+  get isUnsentByPeer(): boolean {
+    const unsent: NotRun = 'unsent';
+    return this.peerRefusal === unsent;
   }
 
   /** How the upstream marked the end of the response. */
@@ -161,6 +167,11 @@
     response.end();
   }
 
+  private get peerRefusal(): string | string[] | undefined {
+    const {isFromPeer} = this.options;
+    return isFromPeer ? this.head?.headers[NOT_RUN_HEADER] : undefined;
+  }
+
   private buffer(chunk: Buffer): void {
     if (this.buffered.append(chunk)) return;
     throw new Error(
--- a/src/node/ingress/try_budget.ts
+++ b/src/node/ingress/try_budget.ts
@@ -35,6 +35,11 @@
     return this.request.isRepeat || this.atUpstreamCount > 0;
   }
 
+  /** Whether an upstream may have had it since it came to this entry. */
+  get wasAtUpstream(): boolean {
+    return this.atUpstreamCount > 0;
+  }
+
   // After a run the target counts anew: a late answer is better than none.
   get hasRun(): boolean {
     return this.runCount > 0 || this.request.isRepeat;
