Grant retries for the requests of their own window only

A scheduler counted requests over up to 1.1 windows, so that when everything failed after a sound time it granted a window more retries than its requests allow, with no scheduler lost: at 100 requests a second 220 retries at once, where 210 are allowed. Of the oldest bucket the retries still count, and the requests do not any more; 20 buckets in place of 10 keep what that costs to a twentieth.

--- /dev/null
+++ b/src/node/scheduling/__tests__/retry_budget.spec.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RetryBudget} from '../retry_budget.js';
+
+const WINDOW_MS = 10_000;
+const OPTIONS = {windowMs: WINDOW_MS, ratio: 0.2, slack: 10};
+const RETRY_INTERVAL_MS = 0.25;
+
+/** How many of the retries that are asked for at a steady pace are granted. */
+function grantedFrom(
+  budget: RetryBudget,
+  startMs: number,
+  endMs: number,
+): number {
+  const length = Math.floor((endMs - startMs) / RETRY_INTERVAL_MS);
+  return Array.from({length}, (_, index) => {
+    const nowMs = startMs + index * RETRY_INTERVAL_MS;
+    if (!budget.allowsRetry(nowMs)) return 0;
+    budget.noteRetry(nowMs);
+    return 1;
+  }).reduce<number>((sum, each) => sum + each, 0);
+}
+
+function noteRequests(
+  budget: RetryBudget,
+  startMs: number,
+  endMs: number,
+  perS: number,
+): void {
+  const length = ((endMs - startMs) * perS) / 1_000;
+  Array.from({length}, (_, index) => startMs + (index * 1_000) / perS).forEach(
+    atMs => budget.noteRequest(atMs),
+  );
+}
+
+// Guards against retries that are granted for requests from before the window: the
+// deployment then repeats more than its budget allows in a window.
+test('retries of a window are granted for requests of that window', () => {
+  const perS = 100;
+  const mostInWindow = OPTIONS.ratio * perS * (WINDOW_MS / 1_000);
+  const granted = [0, 250, 500, 999].map(offsetMs => {
+    const budget = new RetryBudget(OPTIONS);
+    const startMs = 20_000 + offsetMs;
+    noteRequests(budget, startMs - 15_000, startMs, perS);
+    return grantedFrom(budget, startMs, startMs + 100);
+  });
+  const most = Math.max(...granted);
+  assert.ok(most <= mostInWindow + OPTIONS.slack, `${granted.join()} granted`);
+  assert.ok(most >= 0.9 * mostInWindow, `only ${granted.join()} granted`);
+});
+
+// Guards against retries that a window forgets while they are still in it.
+test('no window has more retries than the slack without requests', () => {
+  const budget = new RetryBudget(OPTIONS);
+  const granted = [
+    grantedFrom(budget, 20_950, 21_050),
+    grantedFrom(budget, 21_050, 30_940),
+    grantedFrom(budget, 30_950, 35_000),
+  ];
+  assert.deepEqual(granted.slice(0, 2), [OPTIONS.slack, 0]);
+  assert.equal(granted[2], OPTIONS.slack);
+});
--- a/src/node/scheduling/retry_budget.ts
+++ b/src/node/scheduling/retry_budget.ts
@@ -1,6 +1,6 @@
 /** Limits retries at upstreams to a share of the requests. */
 
-const BUCKETS_PER_WINDOW = 10;
+const BUCKETS_PER_WINDOW = 20;
 
 export interface RetryBudgetOptions {
   readonly windowMs: number;
@@ -25,7 +25,11 @@
   refusals: number;
 }
 
-/** Counts requests and retries over a sliding window. */
+/**
+ * Counts requests and retries over a sliding window. Of the oldest bucket, which is
+ * partly outside the window, the retries count and the requests do not, so that no
+ * window has more retries than its requests allow.
+ */
 export class RetryBudget {
   private buckets: Bucket[] = [];
 
@@ -51,13 +55,14 @@
   }
 
   counts(nowMs: number): RetryCounts {
-    this.bucketAt(nowMs);
-    const sumOf = (count: keyof RetryCounts): number =>
-      this.buckets.reduce((sum, bucket) => sum + bucket[count], 0);
+    const {number} = this.bucketAt(nowMs);
+    const inside = this.buckets.filter(
+      bucket => bucket.number > number - BUCKETS_PER_WINDOW,
+    );
     return {
-      requests: sumOf('requests'),
-      retries: sumOf('retries'),
-      refusals: sumOf('refusals'),
+      requests: sumOf(inside, 'requests'),
+      retries: sumOf(this.buckets, 'retries'),
+      refusals: sumOf(this.buckets, 'refusals'),
     };
   }
 
@@ -75,3 +80,7 @@
     return bucket;
   }
 }
+
+function sumOf(buckets: readonly Bucket[], count: keyof RetryCounts): number {
+  return buckets.reduce((sum, bucket) => sum + bucket[count], 0);
+}
