Count a request for the retry budget where it is granted

A request that goes to another region was counted by both schedulers, and so was one that a silent scheduler had got before, so the share of retries was reckoned from more requests than callers had sent. Each request now counts once an upstream is granted for its first try, as a retry does. The spec failed before: the scheduler that sent the request away counted one request, as did the one that granted it.

--- a/src/node/scheduling/__tests__/retry_budget.spec.ts
+++ b/src/node/scheduling/__tests__/retry_budget.spec.ts
@@ -1,10 +1,30 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {asId, type ServiceId} from '../../types/ids.js';
 import {RetryBudget} from '../retry_budget.js';
+import type {CapacityDigest} from '../types.js';
+import {
+  AWAY,
+  AWAY_A,
+  chat,
+  createScheduler,
+  ENGINE_TRAITS,
+  upstream,
+} from './scheduling_fixture.js';
 
 const WINDOW_MS = 10_000;
 const OPTIONS = {windowMs: WINDOW_MS, ratio: 0.2, slack: 10};
 const RETRY_INTERVAL_MS = 0.25;
+const ELSEWHERE: CapacityDigest = {
+  region: AWAY,
+  domain: AWAY_A,
+  service: asId<ServiceId>('service'),
+  upstreams: 2,
+  freeSlots: 100,
+  freeTokens: 400_000,
+  waitMs: 0,
+  readShare: 0,
+};
 
 /** How many of the retries that are asked for at a steady pace are granted. */
 function grantedFrom(
@@ -60,3 +80,24 @@
   assert.deepEqual(granted.slice(0, 2), [OPTIONS.slack, 0]);
   assert.equal(granted[2], OPTIONS.slack);
 });
+
+// Guards against a share of retries that is reckoned from the same requests in two
+// regions: each scheduler that a request passes has counted it.
+test('a request counts where it is granted, and only there', () => {
+  const counts = [true, false].map(isDraining => {
+    const scheduler = createScheduler(ENGINE_TRAITS);
+    scheduler.pool.applyReading({
+      readAtMs: 0,
+      lagMs: 0,
+      upstreams: [upstream('a', {isDraining})],
+    });
+    scheduler.board.record(ELSEWHERE, 0);
+    scheduler.submit(chat('x', {otherRegions: [AWAY]}), 1);
+    const [decision] = scheduler.takeDecisions();
+    return [decision?.kind, scheduler.retryBudget.counts(1).requests];
+  });
+  assert.deepEqual(counts, [
+    ['offload', 0],
+    ['grant', 1],
+  ]);
+});
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -85,9 +85,6 @@
     if (this.queue.has(item.requestId)) return;
     if (this.refuseQuarantined(item, nowMs)) return;
     if (this.refuseOverBudget(item, nowMs)) return;
-    if (!item.isRepeat && item.passedDomains.length === 0) {
-      this.retryBudget.noteRequest(nowMs);
-    }
     if (this.pool.isTooLarge(item)) {
       this.refusals.add(item, 'too_large', 0, nowMs);
       return;
@@ -376,6 +373,7 @@
     this.queue.remove(item.requestId);
     this.queue.noteGrant();
     if (item.isRepeat) this.retryBudget.noteRetry(nowMs);
+    else this.retryBudget.noteRequest(nowMs);
     const decision = grantOf(item, upstream, {
       domain: this.options.domain,
       queuedMs,
