Keep each entry's retries to a share of the budget

Callers' services got more repeats in a window than the deployment's retry budget allows while control members or entries were lost. Only the scheduler of a service in a domain counted, and a new one began with an empty count: each move spent the slack again, and so did each of several schedulers while the views of entries differed.

Each entry now counts what it sends to upstreams itself, whichever scheduler granted it, and keeps its retries to the ratio of its own requests plus an equal part of the slack; the sum over all entries stays within the budget however many schedulers there are. No message changes, and the schedulers keep their budget, which also binds entries of former versions. retry_share logs the counts.

--- a/src/node/dispatch/__tests__/support/memory_region.ts
+++ b/src/node/dispatch/__tests__/support/memory_region.ts
@@ -32,6 +32,7 @@
 /** One entry with its scheduler host and client. */
 export interface RegionEntry {
   readonly instance: EntryInstance;
+  readonly members: FleetMembers;
   readonly host: SchedulerHost;
   readonly client: SchedulerClient;
   readonly suspects: SuspectExchange;
@@ -143,7 +144,7 @@
       schedulerCount: () => host.scopes().length,
     });
     suspects.start();
-    return {instance, host, client, suspects};
+    return {instance, members, host, client, suspects};
   }
 }
 
--- a/src/node/fleet/__tests__/view_changes.spec.ts
+++ b/src/node/fleet/__tests__/view_changes.spec.ts
@@ -98,3 +98,15 @@
   members.updateView(CONTROL, registry.viewUpdate(announced(current), []), 0);
   assert.equal(members.viewIdOf(CONTROL), '');
 });
+
+// Guards against a share of a common budget that grows while entries are lost or out of
+// sight, although they may still spend theirs.
+test('lost entries still count among those that divide a budget', () => {
+  const registry = registryOf(40);
+  const members = new FleetMembers(() => entry(3));
+  const counts = [registry, registryOf(5)].map(each => {
+    members.updateView(CONTROL, each.viewUpdate(announced(''), []), 0);
+    return members.mostEntries();
+  });
+  assert.deepEqual(counts, [40, 40]);
+});
--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -39,6 +39,7 @@
   private mergedViews: readonly FleetView[] = [];
   private merged: readonly EntryInstance[] = [];
   private controls: readonly ControlInstance[] = [];
+  private mostMembers = 1;
 
   constructor(readonly self: () => EntryInstance) {}
 
@@ -75,6 +76,14 @@
     this.suspectUntilMs.delete(instanceId);
   }
 
+  /**
+   * The most entries, of all regions, that were members at a time: what they divide
+   * among them must not grow while some are lost or out of sight.
+   */
+  mostEntries(): number {
+    return this.mostMembers;
+  }
+
   controlMembers(): readonly ControlInstance[] {
     return this.controls;
   }
@@ -210,6 +219,10 @@
         if (isNewer) newest.set(entry.instanceId, entry);
       });
     this.merged = [...newest.values()];
+    const others = this.merged.filter(
+      each => each.instanceId !== this.self().instanceId,
+    );
+    this.mostMembers = Math.max(this.mostMembers, others.length + 1);
     const controls = new Map(
       used
         .flatMap(view => view.controlMembers)
--- a/src/node/ingress/__tests__/grant_source.spec.ts
+++ b/src/node/ingress/__tests__/grant_source.spec.ts
@@ -26,11 +26,32 @@
   };
 }
 
+/** A share of which so many retries are left, each time that it is asked. */
+function sharesOf(
+  retriesLeft: number,
+  said: string[],
+): GrantSourceOptions['retryShares'] {
+  let left = retriesLeft;
+  return {
+    allowsRetry: () => {
+      left -= 1;
+      return left >= 0;
+    },
+    noteRequest: () => void said.push('counted: request'),
+    noteRetry: () => void said.push('counted: retry'),
+    noteRefusal: () => void said.push('counted: refusal'),
+  };
+}
+
 /** What is said to the scheduler while it gives these answers in turn. */
 async function acquire(
   answers: readonly object[],
   heldPerS?: number,
   notices = new UpstreamNotices(),
+  {
+    asked = item,
+    retriesLeft = 0,
+  }: {asked?: WorkItem; retriesLeft?: number} = {},
 ): Promise<readonly string[]> {
   const left = [...answers];
   const said: string[] = [];
@@ -44,8 +65,13 @@
       void said.push(`limit ${maxRequestsPerS}, complete: ${isComplete}`),
   };
   const limits = {maxRequestsPerS: () => heldPerS};
-  const source = new GrantSource({scheduler, limits, notices});
-  const answer = await source.acquire(() => item, AbortSignal.timeout(1_000));
+  const source = new GrantSource({
+    scheduler,
+    limits,
+    notices,
+    retryShares: sharesOf(retriesLeft, said),
+  });
+  const answer = await source.acquire(() => asked, AbortSignal.timeout(1_000));
   return [...said, answer.kind];
 }
 
@@ -68,11 +94,12 @@
         `limit ${LIMIT_PER_S}, complete: false`,
         'release: cancelled',
         'acquire',
+        'counted: request',
         'grant',
       ],
-      nothingToTell: ['acquire', 'grant'],
-      aware: ['acquire', 'grant'],
-      ended: ['acquire', 'grant'],
+      nothingToTell: ['acquire', 'counted: request', 'grant'],
+      aware: ['acquire', 'counted: request', 'grant'],
+      ended: ['acquire', 'counted: request', 'grant'],
       refused: [
         'acquire',
         `limit ${LIMIT_PER_S}, complete: false`,
@@ -91,7 +118,7 @@
   const {isLimitKnown, ...former} = granted;
   assert.deepEqual(
     [isLimitKnown, await acquire([former], LIMIT_PER_S)],
-    [true, ['acquire', 'grant']],
+    [true, ['acquire', 'counted: request', 'grant']],
   );
 });
 
@@ -105,6 +132,34 @@
     'acquire',
     'release: cancelled',
     'acquire',
+    'counted: request',
     'grant',
   ]);
 });
+
+// Guards against repeats that an entry sends beyond its share because some scheduler
+// grants them: one that has just taken over knows of no repeat before.
+test('a retry beyond the share of the entry is refused', async () => {
+  const retry = (retriesLeft: number): Promise<readonly string[]> =>
+    acquire([grantOf({})], undefined, new UpstreamNotices(), {
+      asked: {...item, isRepeat: true},
+      retriesLeft,
+    });
+  assert.deepEqual(
+    {
+      spent: await retry(0),
+      spentMeanwhile: await retry(1),
+      left: await retry(2),
+    },
+    {
+      spent: ['counted: refusal', 'refuse'],
+      spentMeanwhile: [
+        'acquire',
+        'release: cancelled',
+        'counted: refusal',
+        'refuse',
+      ],
+      left: ['acquire', 'counted: retry', 'grant'],
+    },
+  );
+});
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -207,6 +207,12 @@
         fakePool(address, upstreams[address] ?? [], note),
       retire: () => undefined,
     },
+    retryShares: {
+      allowsRetry: () => true,
+      noteRequest: () => undefined,
+      noteRetry: () => undefined,
+      noteRefusal: () => undefined,
+    },
     relay: {
       send: (_region: RegionId, _request: unknown, sink: ResponseSink) => {
         sink.onHead(503, peerRefusal);
--- a/src/node/ingress/end_confirmation.ts
+++ b/src/node/ingress/end_confirmation.ts
@@ -2,11 +2,12 @@
  * Finds out whether responses were cut by a crash of their upstream if only the
  * end of their connection marks their end, before that end is passed on.
  */
-import type {
-  Completeness,
-  EndedResponse,
+import {
   ResponseEndCheck,
+  type Completeness,
+  type EndedResponse,
 } from '../dispatch/response_end_check.js';
+import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {ServiceId} from '../types/ids.js';
@@ -25,6 +26,16 @@
   readonly service: ServiceId;
 }
 
+/** Checks the ends of tries by the health checks of their upstreams. */
+export function createEndCheck(
+  feed: Pick<UpstreamFeed, 'liveness'>,
+  healthPathOf: (service: ServiceId) => string | undefined,
+): ResponseEndCheck<EndedTry> {
+  return new ResponseEndCheck(({address, service}, timeoutMs) =>
+    feed.liveness(address, healthPathOf(service) ?? '/', timeoutMs),
+  );
+}
+
 export interface EndConfirmationOptions {
   readonly responseEnds: Pick<ResponseEndCheck<EndedTry>, 'check'>;
   readonly log: Pick<RequestLog, 'write'>;
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -8,7 +8,6 @@
 import {DomainChoice} from '../dispatch/domain_choice.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
-import {ResponseEndCheck} from '../dispatch/response_end_check.js';
 import {SchedulerClient} from '../dispatch/scheduler_client.js';
 import {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {UpstreamFeed} from '../dispatch/upstream_feed.js';
@@ -29,7 +28,7 @@
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import {ConnectionPools} from './connections.js';
-import type {EndedTry} from './end_confirmation.js';
+import {createEndCheck} from './end_confirmation.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
@@ -37,6 +36,7 @@
 import type {RequestProtocol} from './protocol.js';
 import {RelayClient} from './relay.js';
 import {RequestLog} from './request_log.js';
+import {createRetryShares, type RetryShares} from './retry_shares.js';
 import {registerSchedulerMethods} from './scheduler_calls.js';
 import {
   domainLocations,
@@ -73,6 +73,7 @@
   private readonly listReader: ListReader;
   private readonly limits = new UpstreamLimits();
   private readonly origins: OriginRegistry;
+  private readonly retryShares: RetryShares;
   private readonly paces = new UpstreamPaces();
   private readonly reachability: UpstreamReachability;
   private readonly loops: RegionLoops;
@@ -97,6 +98,7 @@
     this.client = new StreamRpcClient({self: instanceId, clusterSecret});
     this.bulkClient = new HttpRpcClient({self: instanceId, clusterSecret});
     this.members = new FleetMembers(() => this.describe());
+    this.retryShares = createRetryShares(settings, this.members, logger);
     this.decisions = this.createDecisionSender();
     this.host = this.createHost();
     this.scheduler = this.createScheduler();
@@ -119,6 +121,7 @@
     const {host, decisions, scheduler, listReader, metrics} = this;
     this.loadLog = new LoadLog({
       host,
+      retryShares: this.retryShares,
       metrics,
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
@@ -323,16 +326,8 @@
     });
   }
 
-  private createResponseEndCheck(): ResponseEndCheck<EndedTry> {
-    const {feed} = this.options;
-    return new ResponseEndCheck(({address, service}, timeoutMs) => {
-      const path = this.matcher?.service(service)?.healthPath ?? '/';
-      return feed.liveness(address, path, timeoutMs);
-    });
-  }
-
   private createIngress(): IngressServer {
-    const {settings, protocol, logger} = this.options;
+    const {settings, protocol, feed, logger} = this.options;
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
@@ -349,6 +344,7 @@
         reachability: this.reachability,
         limits: this.limits,
         notices: new UpstreamNotices(),
+        retryShares: this.retryShares,
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
@@ -356,7 +352,10 @@
           connections: this.connections,
         }),
         origins: this.origins,
-        responseEnds: this.createResponseEndCheck(),
+        responseEnds: createEndCheck(
+          feed,
+          service => this.matcher?.service(service)?.healthPath,
+        ),
         log: new RequestLog(logger, this.metrics),
         metrics: this.metrics,
       },
--- a/src/node/ingress/load_log.ts
+++ b/src/node/ingress/load_log.ts
@@ -1,14 +1,16 @@
-/** Logs the load of an entry, and how many retries its schedulers count. */
+/** Logs the load of an entry, and how many retries it and its schedulers count. */
 import type {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {Logger} from '../logging/logger.js';
 import {LoadMonitor, type LoadReport} from '../metrics/load_monitor.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
+import type {RetryShares} from './retry_shares.js';
 
 /** A smaller event loop delay does not slow down requests noticeably. */
 const NOTICEABLE_LOOP_DELAY_MS = 50;
 
 export interface LoadLogOptions {
   readonly host: SchedulerHost;
+  readonly retryShares: RetryShares;
   readonly metrics: MetricsRegistry;
   readonly logger: Logger;
   readonly requestsInFlight: () => number;
@@ -34,8 +36,9 @@
   }
 
   private write(report: LoadReport): void {
-    const {host, logger, requestsInFlight} = this.options;
+    const {host, retryShares, logger, requestsInFlight} = this.options;
     host.logRetries();
+    retryShares.log();
     const {itemsTaken, queueLength} = host.load();
     const itemsScheduled = itemsTaken - this.previousItemsTaken;
     this.previousItemsTaken = itemsTaken;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -38,6 +38,7 @@
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
+import type {RetryShares} from './retry_shares.js';
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
@@ -56,6 +57,7 @@
   readonly connections: ConnectionPools;
   readonly paces: UpstreamPaces;
   readonly limits: UpstreamLimits;
+  readonly retryShares: RetryShares;
   readonly relay: RelayClient;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -78,18 +78,25 @@
   return domainsOfRegion(settings).map(each => each.domain);
 }
 
+/** The retry budget of the whole deployment. */
+export function deploymentRetries({
+  retryRatio: ratio,
+  retryWindowMs: windowMs,
+  retrySlack: slack,
+}: IngressSettings): RetryBudgetOptions {
+  return {ratio, windowMs, slack};
+}
+
 /**
  * The retry budget of one scheduler: the slack is divided equally among the
  * schedulers of the domains.
  */
-export function schedulerRetries({
-  retryRatio: ratio,
-  retryWindowMs: windowMs,
-  retrySlack,
-  regionOfDomain,
-}: IngressSettings): RetryBudgetOptions {
-  const domains = Object.keys(regionOfDomain).length;
-  return {ratio, windowMs, slack: Math.floor(retrySlack / domains)};
+export function schedulerRetries(
+  settings: IngressSettings,
+): RetryBudgetOptions {
+  const domains = Object.keys(settings.regionOfDomain).length;
+  const {slack, ...others} = deploymentRetries(settings);
+  return {...others, slack: Math.floor(slack / domains)};
 }
 
 /** Inner addresses of the control members that the settings name. */
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -101,6 +101,15 @@
     /** Its count began with zero so long ago. */
     schedulerAgeMs: z.number(),
   },
+  retry_share: {
+    service: z.string(),
+    /** In the window, of those that this entry sends to upstreams. */
+    requests: z.number(),
+    retries: z.number(),
+    refusals: z.number(),
+    /** Entries among which the slack of the deployment is divided. */
+    entries: z.number(),
+  },
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
