Leave an upstream alone that is not at its listed address

A request that got 421 was sent to the same address up to three times within milliseconds and then answered 503: a scheduler grants an upstream again if it has no other one, and nothing told it that the list is out of date. Each such arrival also counts against the retry budget.

--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -50,7 +50,10 @@
    * falls over if there are more. Undefined if it says nothing.
    */
   readonly maxRejectionsPerS?: number;
-  /** Time for which it wants no other request from this instance. */
+  /**
+   * Time for which it wants no other request from this instance, or for which none is
+   * to be sent as it is not at its address.
+   */
   readonly retryAfterMs?: number;
   /** Whether the upstream is about to stop. */
   readonly isLeaving: boolean;
