Log retry counts only when there are new ones

A scheduler or entry with one retry wrote a line each second until that retry had left the window. It now writes one only if it has granted or refused another retry since.

--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {ServiceSpec} from '../routes/route_table.js';
+import {RetryReport} from '../scheduling/retry_report.js';
 import {Scheduler} from '../scheduling/scheduler.js';
 import type {SchedulerOptions} from '../scheduling/scheduler_options.js';
 import type {
@@ -93,6 +94,7 @@
   private readonly hosted = new Map<string, HostedScheduler>();
   private readonly actor;
   private readonly log: SchedulerLog;
+  private readonly retryReport = new RetryReport();
   private reading: ListReading | undefined;
   private evacuated: readonly DomainId[] = [];
   private timer: ReturnType<typeof setTimeout> | undefined;
@@ -152,14 +154,14 @@
     return {itemsTaken: this.itemsTaken, queueLength: queued};
   }
 
-  /** Logs the retries that the schedulers count, unless there are none. */
+  /** Logs the counts of schedulers that decided on retries since the last call. */
   logRetries(): void {
     const nowMs = monotonicNowMs();
-    this.hosted.forEach(({scope, scheduler, startedAtMs}) => {
-      const counts = scheduler.retryBudget.counts(nowMs);
-      if (counts.retries + counts.refusals === 0) return;
-      this.log.retriesDecided(scope, counts, nowMs - startedAtMs);
-    });
+    this.hosted.forEach(({scope, scheduler, startedAtMs}) =>
+      this.retryReport.report(scheduler.retryBudget, nowMs, counts =>
+        this.log.retriesDecided(scope, counts, nowMs - startedAtMs),
+      ),
+    );
   }
 
   applyReading(reading: ListReading): void {
--- a/src/node/ingress/retry_shares.ts
+++ b/src/node/ingress/retry_shares.ts
@@ -11,6 +11,7 @@
   RetryBudget,
   type RetryBudgetOptions,
 } from '../scheduling/retry_budget.js';
+import {RetryReport} from '../scheduling/retry_report.js';
 import type {ServiceId} from '../types/ids.js';
 import {deploymentRetries, type IngressSettings} from './settings.js';
 
@@ -63,6 +64,7 @@
 /** Counts the requests and retries that one entry sends to upstreams. */
 export class RetryShares {
   private readonly share: RetryShare;
+  private readonly retryReport = new RetryReport();
   private readonly budgets = new Map<ServiceId, RetryBudget>();
 
   constructor(private readonly options: RetrySharesOptions) {
@@ -86,18 +88,18 @@
     this.budgetOf(service).noteRefusal(monotonicNowMs());
   }
 
-  /** Logs the retries of each service in the window, unless there are none. */
+  /** Logs the counts of services that had retries since the last call. */
   log(): void {
     const {entries, logger} = this.options;
     const nowMs = monotonicNowMs();
-    this.budgets.forEach((budget, service) => {
-      const counts = budget.counts(nowMs);
-      if (counts.retries + counts.refusals === 0) return;
-      logger.info(
-        {event: 'retry_share', service, ...counts, entries: entries()},
-        'requests and retries that this entry counts in the window',
-      );
-    });
+    this.budgets.forEach((budget, service) =>
+      this.retryReport.report(budget, nowMs, counts =>
+        logger.info(
+          {event: 'retry_share', service, ...counts, entries: entries()},
+          'requests and retries that this entry counts in the window',
+        ),
+      ),
+    );
   }
 
   private budgetOf(service: ServiceId): RetryBudget {
--- a/src/node/scheduling/__tests__/retry_budget.spec.ts
+++ b/src/node/scheduling/__tests__/retry_budget.spec.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {asId, type ServiceId} from '../../types/ids.js';
 import {RetryBudget} from '../retry_budget.js';
+import {RetryReport} from '../retry_report.js';
 import type {CapacityDigest} from '../types.js';
 import {
   AWAY,
@@ -101,3 +102,22 @@
     ['grant', 1],
   ]);
 });
+
+// Guards against a line each second about every service that ever had a retry.
+test('a budget is reported again once it has decided on another retry', () => {
+  const budget = new RetryBudget(OPTIONS);
+  const report = new RetryReport();
+  const lines: string[] = [];
+  const reportAt = (nowMs: number): void =>
+    report.report(budget, nowMs, counts =>
+      lines.push(`${nowMs} ${Object.values(counts).join()}`),
+    );
+  reportAt(0);
+  budget.noteRequest(1);
+  budget.noteRetry(2);
+  reportAt(1_000);
+  reportAt(2_000);
+  budget.noteRefusal(2_500);
+  reportAt(3_000);
+  assert.deepEqual(lines, ['1000 1,1,0', '3000 1,1,1']);
+});
--- a/src/node/scheduling/retry_budget.ts
+++ b/src/node/scheduling/retry_budget.ts
@@ -32,19 +32,27 @@
  */
 export class RetryBudget {
   private buckets: Bucket[] = [];
+  private decided = 0;
 
   constructor(private readonly options: RetryBudgetOptions) {}
 
+  /** Retries that were granted or refused since the start. */
+  get decisions(): number {
+    return this.decided;
+  }
+
   noteRequest(nowMs: number): void {
     this.bucketAt(nowMs).requests += 1;
   }
 
   noteRetry(nowMs: number): void {
     this.bucketAt(nowMs).retries += 1;
+    this.decided += 1;
   }
 
   noteRefusal(nowMs: number): void {
     this.bucketAt(nowMs).refusals += 1;
+    this.decided += 1;
   }
 
   /** Whether one more retry stays within the budget. */
