Let an entry repeat at least one request in a window

With more entries than the slack has retries, an entry's part of it is below one, so that an entry with few requests of a service could repeat none of them after a crash, in a sound deployment too. A part is now at least one retry; the budgets of the schedulers still hold the sum to the slack. The new row of the spec failed before: with 200 entries 0, 2 and 20 retries of 1, 10 and 100 requests; now 1, 3 and 21.

--- a/src/node/ingress/__tests__/retry_shares.spec.ts
+++ b/src/node/ingress/__tests__/retry_shares.spec.ts
@@ -119,7 +119,7 @@
     return retriesFrom(shares);
   };
   assert.deepEqual(
-    [3, 14, 28, 56].map(entries => [
+    [3, 14, 28, 56, 200].map(entries => [
       entries,
       ...[1, 10, 100].map(requests => retriesOf(entries, requests)),
     ]),
@@ -128,6 +128,7 @@
       [14, 4, 6, 24],
       [28, 2, 4, 22],
       [56, 1, 3, 21],
+      [200, 1, 3, 21],
     ],
   );
 });
--- a/src/node/ingress/retry_shares.ts
+++ b/src/node/ingress/retry_shares.ts
@@ -17,6 +17,11 @@
 
 /** The part of its slack that a process has in its first window. */
 const SLACK_SHARE_AT_START = 0.5;
+/**
+ * With many entries and few requests the sum of these may exceed the slack, to which
+ * the schedulers still keep.
+ */
+const MIN_SLACK = 1;
 
 export interface RetrySharesOptions {
   /** The budget of the whole deployment. */
@@ -43,7 +48,8 @@
     const {deployment, entries} = this.options;
     const slack = deployment.slack / Math.max(1, entries());
     const ageMs = monotonicNowMs() - this.startedAtMs;
-    return ageMs < this.windowMs ? slack * SLACK_SHARE_AT_START : slack;
+    const share = ageMs < this.windowMs ? SLACK_SHARE_AT_START : 1;
+    return Math.max(MIN_SLACK, slack * share);
   }
 }
 
