--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -38,6 +38,7 @@
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
 import type {RelayClient} from './relay.js';
+import type {RetryShares} from './retry_shares.js';
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
@@ -56,6 +57,7 @@
   readonly connections: ConnectionPools;
   readonly paces: UpstreamPaces;
   readonly limits: UpstreamLimits;
+  readonly retryShares: RetryShares;
   readonly relay: RelayClient;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
@@ -320,7 +322,7 @@
       return {kind: 'not_run', cause: end.cause, retryAfterMs: 0};
     }
     const {head} = reader;
-    if (!reader.isRefusedByPeer) this.tries.noteAtUpstream();
+    if (!reader.isUnsentByPeer) this.tries.noteAtUpstream();
     if (head?.traits.isNotRun === true || reader.isRefusedByPeer) {
       this.tries.noteNotRun();
       return {
@@ -361,8 +363,7 @@
 
   private finish(result: TryResult): void {
     const {request, response} = this;
-    const hasRun = this.tries.runs > 0;
-    const status = sendFinalResponse(result, response, hasRun, request);
+    const status = sendFinalResponse(result, response, this.tries, request);
     this.recorder.ended(result, status);
   }
 }
