Log answers to another request that end a try

Such an answer ended the try with 'broken' and a cause in the text of the outcome line only; neither the attempt that it names nor its status was written, so that the copy of a refusal could not be told from that of a success. The event extra_answer has both, with the upstream and the request, and the counter extra_answers counts them by service.

--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -27,6 +27,7 @@
   | 'retry'
   | 'stalled'
   | 'end_checked'
+  | 'extra_answer'
   | 'resumed'
   | 'upstream_outcome'
   | 'upstream_limit'
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -179,6 +179,7 @@
       softwareVersion: grant.softwareVersion,
       onProgress: monitor.record,
       onHead: head => this.noteAnswer(grant, head, sentAtMs),
+      onExtraAnswer: answer => this.recorder.extraAnswer(grant, answer),
     });
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
@@ -277,7 +278,7 @@
     sentAtMs: number,
     upstream?: Pick<
       ResponseReaderOptions,
-      'softwareVersion' | 'onHead' | 'onProgress'
+      'softwareVersion' | 'onHead' | 'onExtraAnswer' | 'onProgress'
     >,
   ): ResponseReader {
     const {context, request, response, progress} = this;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -49,6 +49,8 @@
   /** The version of the upstream, unless another entry has to name it. */
   readonly softwareVersion?: SoftwareVersion | undefined;
   readonly onHead?: (head: ResponseHead) => void;
+  /** Called for the answer to another request, which ends the exchange. */
+  readonly onExtraAnswer?: (answer: ExtraAnswer) => void;
   readonly onResponseStart: () => void;
   /** Called on progress, with the time of the previous one or 0. */
   readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
@@ -61,6 +63,13 @@
   readonly traits: ResponseTraits;
 }
 
+/** An answer that is not the one to the request that was sent. */
+export interface ExtraAnswer {
+  readonly status: number;
+  /** The attempt that it names. */
+  readonly namedAttemptId: string | undefined;
+}
+
 /** A larger buffered response is aborted and its connection closed. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
@@ -124,6 +133,8 @@
     const {protocol, attemptId, isStream} = this.options;
     const traits = protocol.responseTraits(status, headers);
     if (traits.attemptId !== undefined && traits.attemptId !== attemptId) {
+      const namedAttemptId = traits.attemptId;
+      this.options.onExtraAnswer?.({status, namedAttemptId});
       throw new Error('response carries the attempt id of another request');
     }
     this.head = {status, headers, traits};
--- a/src/node/ingress/run_recorder.ts
+++ b/src/node/ingress/run_recorder.ts
@@ -3,7 +3,7 @@
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
 import type {RequestLog} from './request_log.js';
-import type {StreamProgress} from './response_reader.js';
+import type {ExtraAnswer, StreamProgress} from './response_reader.js';
 import type {TryBudget} from './try_budget.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {Grant} from './upstream_try.js';
@@ -65,6 +65,17 @@
     log.tryFailed(request, {firstAnswerMs, totalMs, upstream, outcome, cause});
   }
 
+  /** The answer to another request came where that to this one was due. */
+  extraAnswer(
+    {upstreamId: upstream}: Grant,
+    {status, namedAttemptId}: ExtraAnswer,
+  ): void {
+    const {log, metrics, request} = this.options;
+    const {service} = request;
+    metrics.count('extra_answers', {service});
+    log.write('extra_answer', request, {upstream, status, namedAttemptId});
+  }
+
   retrying(result: TryResult): void {
     const {log, request, tries, progress} = this.options;
     log.write('retry', request, {
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -198,6 +198,14 @@
     /** Since the connection has ended. */
     checkMs: z.number(),
   },
+  /** An answer to another request, which has ended the try of this one. */
+  extra_answer: {
+    ...matched,
+    upstream: z.string(),
+    status: z.number(),
+    /** The attempt that the answer names; missing if it names none. */
+    namedAttemptId: z.string().optional(),
+  },
   upstream_limit: {
     ...matched,
     upstream: z.string(),
