Write no attempt twice on one connection

Callers were told that a request had not run although it ran, and requests that must run at most once ran twice (REFUSED, TWICE).

An upstream may send the copy of a refusal late. A request that came again to the same upstream, in the same run or relayed anew, took any idle connection, mostly the one that had carried its refusal. The copy there bears the id of the request that is under way, so it was taken for the second answer.

Connections now remember the attempts that they carried, and the pool gives a request only one that has not carried its attempt, or a new one. The memory belongs to the connection and ends with it, so no deadline is tracked; a connection is closed after 500 attempts. A request without an attempt id has a connection of its own. A small pool over the library's clients takes the place of the library's pool, which gives any idle connection.

--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -3,7 +3,7 @@
  * pieces behind a fake connection pool, and time is mocked.
  */
 import type {TestContext} from 'node:test';
-import type {Dispatcher, Pool} from 'undici';
+import type {Dispatcher} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
 import type {
   Completeness,
@@ -22,6 +22,7 @@
   type ServiceId,
 } from '../../../types/ids.js';
 import {CallerResponse} from '../../caller_response.js';
+import type {ConnectionPool} from '../../connection_pool.js';
 import {RequestRun, type RequestRunContext} from '../../request_run.js';
 import type {InboundRequest} from '../../types.js';
 import {UpstreamPaces} from '../../upstream_pace.js';
@@ -218,7 +219,7 @@
   name: string,
   pieces: readonly Piece[],
   note: (line: string) => void,
-): Pool {
+): Pick<ConnectionPool, 'take'> {
   const send = (handler: Dispatcher.DispatchHandler): void => {
     let isAborted = false;
     const controller = {
@@ -247,11 +248,11 @@
     );
   };
   return {
-    dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
-      send(handler);
-      return true;
-    },
-  } as unknown as Pool;
+    take: () => ({
+      dispatch: (_options, handler) => send(handler),
+      release: () => undefined,
+    }),
+  };
 }
 
 function fakeResponse(note: (line: string) => void) {
--- /dev/null
+++ b/src/node/ingress/connection_pool.ts
@@ -0,0 +1,130 @@
+/**
+ * The connections to one peer. An attempt is never written twice on a connection:
+ * a copy of its first answer bears its id, so that nothing would tell the copy from
+ * the answer to the second request.
+ */
+import {Client, type Dispatcher} from 'undici';
+
+/** Bounds the memory for attempt ids; the connection is then closed. */
+const MAX_ATTEMPTS_PER_CONNECTION = 500;
+
+/** A connection that is in use for one request. */
+export interface Connection {
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void;
+  /** Ends the use; what is not reusable is closed. */
+  release(isReusable: boolean): void;
+}
+
+/** Keeps the idle connections to one peer for reuse. */
+export class ConnectionPool {
+  usedAtMs = 0;
+  private readonly open = new Set<PooledConnection>();
+  /** The last one was used most recently. */
+  private idle: readonly PooledConnection[];
+  private isClosed = false;
+
+  /** Throws if no client can be made for this origin. */
+  constructor(
+    private readonly origin: string,
+    private readonly options: Client.Options,
+  ) {
+    this.idle = [this.connect()];
+  }
+
+  get isInUse(): boolean {
+    return this.open.size > this.idle.length;
+  }
+
+  /**
+   * A connection that has not carried this attempt. A request whose attempt has no
+   * id gets one of its own, and one without an attempt any.
+   */
+  take(attemptId: string | undefined): Connection {
+    const reused = this.idle.findLast(each => each.mayCarry(attemptId));
+    const connection = reused ?? this.connect();
+    this.idle = this.idle.filter(each => each !== connection);
+    connection.use(attemptId);
+    return connection;
+  }
+
+  /** Closes idle connections, and each of the others when its request ends. */
+  close(): void {
+    this.isClosed = true;
+    this.idle.forEach(each => this.remove(each));
+  }
+
+  async destroy(): Promise<void> {
+    this.close();
+    await Promise.all([...this.open].map(each => each.destroy()));
+  }
+
+  // The client connects when it gets its first request.
+  private connect(): PooledConnection {
+    const client = new Client(this.origin, this.options);
+    const connection = new PooledConnection(client, isReusable => {
+      if (isReusable && !this.isClosed) this.idle = [...this.idle, connection];
+      else this.remove(connection);
+    });
+    this.open.add(connection);
+    client.on('disconnect', () => {
+      connection.noteLost();
+      if (this.idle.includes(connection)) this.remove(connection);
+    });
+    return connection;
+  }
+
+  private remove(connection: PooledConnection): void {
+    this.open.delete(connection);
+    this.idle = this.idle.filter(each => each !== connection);
+    void connection.destroy();
+  }
+}
+
+class PooledConnection implements Connection {
+  private readonly attemptIds = new Set<string>();
+  private isLost = false;
+
+  constructor(
+    private readonly client: Client,
+    private readonly onRelease: (isReusable: boolean) => void,
+  ) {}
+
+  mayCarry(attemptId: string | undefined): boolean {
+    if (attemptId === undefined) return true;
+    return attemptId !== '' && !this.attemptIds.has(attemptId);
+  }
+
+  use(attemptId: string | undefined): void {
+    if (attemptId !== undefined) this.attemptIds.add(attemptId);
+  }
+
+  noteLost(): void {
+    this.isLost = true;
+  }
+
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
+    this.client.dispatch(options, handler);
+  }
+
+  // One turn later: the client is still reading, and a peer that closes the
+  // connection behind its response is noticed.
+  release(isReusable: boolean): void {
+    setImmediate(() => this.onRelease(isReusable && !this.isSpent));
+  }
+
+  async destroy(): Promise<void> {
+    await this.client.destroy().catch(() => undefined);
+  }
+
+  private get isSpent(): boolean {
+    const {attemptIds, isLost} = this;
+    const isFull = attemptIds.size >= MAX_ATTEMPTS_PER_CONNECTION;
+    return isLost || isFull || attemptIds.has('');
+  }
+}
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -1,7 +1,8 @@
 /** Connection pools to upstreams and other entries, one for each address. */
-import {Pool, type buildConnector} from 'undici';
+import type {buildConnector} from 'undici';
 import {monotonicNowMs} from '../clock/clock.js';
 import {createConnector} from '../http/connector.js';
+import {ConnectionPool} from './connection_pool.js';
 
 /** Time limit to obtain a connection on which the request can be written. */
 export const CONNECT_TIMEOUT_MS = 800;
@@ -14,14 +15,9 @@
 const IDLE_POOL_MS = 30_000;
 const SWEEP_INTERVAL_MS = 5_000;
 
-interface TrackedPool {
-  readonly pool: Pool;
-  usedAtMs: number;
-}
-
 /** The connection pools of one process. */
 export class ConnectionPools {
-  private readonly pools = new Map<string, TrackedPool>();
+  private readonly pools = new Map<string, ConnectionPool>();
   private readonly sweepTimer = setInterval(
     () => this.closeIdlePools(),
     SWEEP_INTERVAL_MS,
@@ -37,50 +33,45 @@
   }
 
   /** `key` distinguishes peers that use the same address in succession. */
-  pool(address: string, key = ''): Pool {
+  pool(address: string, key = ''): ConnectionPool {
     const name = `${address} ${key}`;
-    const known = this.pools.get(name);
-    const nowMs = monotonicNowMs();
-    if (known !== undefined) {
-      known.usedAtMs = nowMs;
-      return known.pool;
-    }
-    const pool = new Pool(`http://${address}`, {
-      pipelining: 1,
-      connect: this.connect,
-      keepAliveTimeout: IDLE_CONNECTION_MS,
-      keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
-      keepAliveTimeoutThreshold: 1_000,
-      maxHeaderSize: 65_536,
-    });
-    this.pools.set(name, {pool, usedAtMs: nowMs});
+    const pool = this.pools.get(name) ?? this.createPool(address);
+    pool.usedAtMs = monotonicNowMs();
+    this.pools.set(name, pool);
     return pool;
   }
 
   /** Later requests open new connections; requests in flight are kept. */
   retire(address: string, key = ''): void {
     const name = `${address} ${key}`;
-    const known = this.pools.get(name);
-    if (known === undefined) return;
+    this.pools.get(name)?.close();
     this.pools.delete(name);
-    void known.pool.close().catch(() => undefined);
   }
 
   async close(): Promise<void> {
     clearInterval(this.sweepTimer);
-    await Promise.all(
-      [...this.pools.values()].map(each => each.pool.destroy()),
-    );
+    await Promise.all([...this.pools.values()].map(each => each.destroy()));
+  }
+
+  private createPool(address: string): ConnectionPool {
+    return new ConnectionPool(`http://${address}`, {
+      pipelining: 1,
+      connect: this.connect,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
+      keepAliveTimeoutThreshold: 1_000,
+      maxHeaderSize: 65_536,
+    });
   }
 
   private closeIdlePools(): void {
     const nowMs = monotonicNowMs();
     [...this.pools]
       .filter(([, each]) => nowMs - each.usedAtMs > IDLE_POOL_MS)
-      .filter(([, each]) => each.pool.stats.running === 0)
+      .filter(([, each]) => !each.isInUse)
       .forEach(([name, each]) => {
         this.pools.delete(name);
-        void each.pool.close().catch(() => undefined);
+        each.close();
       });
   }
 }
--- a/src/node/ingress/exchange.ts
+++ b/src/node/ingress/exchange.ts
@@ -1,14 +1,20 @@
 /** One HTTP exchange with an upstream or another entry. */
 import type {IncomingHttpHeaders} from 'node:http';
 import {Result} from 'neverthrow';
-import type {Dispatcher, Pool} from 'undici';
+import type {Dispatcher} from 'undici';
 import {toGatewayError} from '../types/errors.js';
+import type {Connection, ConnectionPool} from './connection_pool.js';
 import {CONNECT_TIMEOUT_MS, type ConnectionPools} from './connections.js';
 
 /** A peer that sends more interim (1xx) responses is considered faulty. */
 const MAX_INTERIM_RESPONSES = 16;
 
 export interface ExchangeRequest {
+  /**
+   * The attempt that the peer's answer names, '' if it has no id. Left out if the
+   * peer never sends a second answer to a request.
+   */
+  readonly attemptId?: string;
   readonly method: string;
   readonly path: string;
   /** Alternating names and values. */
@@ -64,16 +70,17 @@
 
 /** Sends a request; aborting the signal closes its connection. */
 export function exchange(
-  pool: Pool,
+  pool: Pick<ConnectionPool, 'take'>,
   request: ExchangeRequest,
   sink: ResponseSink,
   signal: AbortSignal,
 ): Promise<ExchangeEnd> {
   return new Promise(resolve => {
-    const handler = new ExchangeHandler(sink, signal, resolve);
-    const {method, path, headers, body} = request;
+    const {attemptId, method, path, headers, body} = request;
     const hasBody = body.length > 0;
-    pool.dispatch(
+    const connection = pool.take(attemptId);
+    const handler = new ExchangeHandler(sink, signal, connection, resolve);
+    connection.dispatch(
       {
         method: method as Dispatcher.HttpMethod,
         path,
@@ -97,6 +104,7 @@
   constructor(
     private readonly sink: ResponseSink,
     private readonly signal: AbortSignal,
+    private readonly connection: Pick<Connection, 'release'>,
     private readonly resolve: (end: ExchangeEnd) => void,
   ) {
     this.connectTimer = setTimeout(
@@ -184,6 +192,7 @@
     this.isEnded = true;
     clearTimeout(this.connectTimer);
     this.signal.removeEventListener('abort', this.onAbort);
+    this.connection.release(end.kind === 'complete');
     this.resolve(end);
   }
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -191,12 +191,13 @@
         : {lastEventId: this.progress.lastEventId}),
     });
     const {method, path, body} = request;
+    const {attemptId} = request.traits;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
       grants: this.grants,
       reader,
-      request: {method, path, body, headers: headers.flat()},
+      request: {attemptId, method, path, body, headers: headers.flat()},
       targetGapMs: request.route.targetGapMs,
       replacementItem: this.tries.mayRunAgain
         ? () => this.items.replacing(grant)
