Close connections that may bring a copy, once an upstream sends one

The copy of a refusal that comes where the answer to another request is due ends that request: its id tells, but the try is broken, and an unsafe caller gets 502. Each copy cost one caller its answer.

Once an entry has got an answer to another request from an upstream, it closes the connections to it that have carried a refusal or a failure, for five minutes. Dropping the answer and reading on needs an HTTP parser of our own: the library ends the request with the first answer on its connection.

--- a/src/node/ingress/connection_pool.ts
+++ b/src/node/ingress/connection_pool.ts
@@ -4,10 +4,26 @@
  * the answer to the second request.
  */
 import {Client, type Dispatcher} from 'undici';
+import {monotonicNowMs} from '../clock/clock.js';
 
 /** Bounds the memory for attempt ids; the connection is then closed. */
 const MAX_ATTEMPTS_PER_CONNECTION = 500;
 
+/** How long an upstream that has sent an extra answer is expected to send more. */
+const EXTRA_ANSWERS_MS = 300_000;
+/** Statuses from here on are refusals and failures. */
+const FIRST_ERROR_STATUS = 400;
+
+/** How the use of a connection for one request has ended. */
+export interface ConnectionUse {
+  /** Whether its response was read to the end, so that another may follow. */
+  readonly isReusable: boolean;
+  /** Status of the response; 0 if there was none. */
+  readonly status: number;
+  /** Whether the peer sent an answer to another request. */
+  readonly hadExtraAnswer: boolean;
+}
+
 /** A connection that is in use for one request. */
 export interface Connection {
   dispatch(
@@ -15,7 +31,7 @@
     handler: Dispatcher.DispatchHandler,
   ): void;
   /** Ends the use; what is not reusable is closed. */
-  release(isReusable: boolean): void;
+  release(use: ConnectionUse): void;
 }
 
 /** Keeps the idle connections to one peer for reuse. */
@@ -25,6 +41,7 @@
   /** The last one was used most recently. */
   private idle: readonly PooledConnection[];
   private isClosed = false;
+  private extraAnswersUntilMs = 0;
 
   /** Throws if no client can be made for this origin. */
   constructor(
@@ -64,10 +81,9 @@
   // The client connects when it gets its first request.
   private connect(): PooledConnection {
     const client = new Client(this.origin, this.options);
-    const connection = new PooledConnection(client, isReusable => {
-      if (isReusable && !this.isClosed) this.idle = [...this.idle, connection];
-      else this.remove(connection);
-    });
+    const connection = new PooledConnection(client, use =>
+      this.takeBack(connection, use),
+    );
     this.open.add(connection);
     client.on('disconnect', () => {
       connection.noteLost();
@@ -76,6 +92,27 @@
     return connection;
   }
 
+  private takeBack(connection: PooledConnection, use: ConnectionUse): void {
+    if (use.hadExtraAnswer) this.expectExtraAnswers();
+    const mayBeReused =
+      use.isReusable && !connection.isSpent && !this.mayBringCopy(connection);
+    if (mayBeReused && !this.isClosed) this.idle = [...this.idle, connection];
+    else this.remove(connection);
+  }
+
+  private expectExtraAnswers(): void {
+    this.extraAnswersUntilMs = monotonicNowMs() + EXTRA_ANSWERS_MS;
+    this.idle
+      .filter(each => this.mayBringCopy(each))
+      .forEach(each => this.remove(each));
+  }
+
+  // A new connection for each refusal would be dear while upstreams are full.
+  private mayBringCopy(connection: PooledConnection): boolean {
+    const isExpected = monotonicNowMs() < this.extraAnswersUntilMs;
+    return isExpected && connection.hasCarriedError;
+  }
+
   private remove(connection: PooledConnection): void {
     this.open.delete(connection);
     this.idle = this.idle.filter(each => each !== connection);
@@ -86,10 +123,12 @@
 class PooledConnection implements Connection {
   private readonly attemptIds = new Set<string>();
   private isLost = false;
+  /** Whether it has carried a refusal or a failure. */
+  hasCarriedError = false;
 
   constructor(
     private readonly client: Client,
-    private readonly onRelease: (isReusable: boolean) => void,
+    private readonly onRelease: (use: ConnectionUse) => void,
   ) {}
 
   mayCarry(attemptId: string | undefined): boolean {
@@ -114,15 +153,16 @@
 
   // One turn later: the client is still reading, and a peer that closes the
   // connection behind its response is noticed.
-  release(isReusable: boolean): void {
-    setImmediate(() => this.onRelease(isReusable && !this.isSpent));
+  release(use: ConnectionUse): void {
+    if (use.status >= FIRST_ERROR_STATUS) this.hasCarriedError = true;
+    setImmediate(() => this.onRelease(use));
   }
 
   async destroy(): Promise<void> {
     await this.client.destroy().catch(() => undefined);
   }
 
-  private get isSpent(): boolean {
+  get isSpent(): boolean {
     const {attemptIds, isLost} = this;
     const isFull = attemptIds.size >= MAX_ATTEMPTS_PER_CONNECTION;
     return isLost || isFull || attemptIds.has('');
--- a/src/node/ingress/exchange.ts
+++ b/src/node/ingress/exchange.ts
@@ -29,6 +29,11 @@
   onData(chunk: Buffer, resume: () => void): boolean;
 }
 
+/** Thrown by a sink for a response that belongs to another request. */
+export class ExtraAnswerError extends Error {
+  override readonly name = 'ExtraAnswerError';
+}
+
 /** How an exchange ended. */
 export type ExchangeEnd =
   /** The complete response arrived. */
@@ -99,6 +104,8 @@
   private isSent = false;
   private isEnded = false;
   private interimResponses = 0;
+  private status = 0;
+  private hadExtraAnswer = false;
   private readonly connectTimer: ReturnType<typeof setTimeout>;
 
   constructor(
@@ -134,6 +141,7 @@
       this.runOrAbort(controller, () => this.countInterimResponse());
       return;
     }
+    this.status = statusCode;
     this.runOrAbort(controller, () => this.sink.onHead(statusCode, headers));
   }
 
@@ -182,6 +190,7 @@
       action();
     } catch (thrown) {
       const cause = thrown instanceof Error ? thrown.message : String(thrown);
+      this.hadExtraAnswer = thrown instanceof ExtraAnswerError;
       this.end({kind: 'broken', cause});
       controller.abort(new Error(cause));
     }
@@ -192,7 +201,9 @@
     this.isEnded = true;
     clearTimeout(this.connectTimer);
     this.signal.removeEventListener('abort', this.onAbort);
-    this.connection.release(end.kind === 'complete');
+    const {status, hadExtraAnswer} = this;
+    const isReusable = end.kind === 'complete';
+    this.connection.release({isReusable, status, hadExtraAnswer});
     this.resolve(end);
   }
 }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -12,7 +12,7 @@
 import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
 import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
-import type {ResponseSink} from './exchange.js';
+import {ExtraAnswerError, type ResponseSink} from './exchange.js';
 import {
   NOT_RUN_HEADER,
   SOFTWARE_VERSION_HEADER,
@@ -135,7 +135,9 @@
     if (traits.attemptId !== undefined && traits.attemptId !== attemptId) {
       const namedAttemptId = traits.attemptId;
       this.options.onExtraAnswer?.({status, namedAttemptId});
-      throw new Error('response carries the attempt id of another request');
+      throw new ExtraAnswerError(
+        'response carries the attempt id of another request',
+      );
     }
     this.head = {status, headers, traits};
     this.options.onHead?.(this.head);
