Believe no refusal without an attempt id

Found by reading, not seen with users: an answer without an id was accepted whatever request was under way. A refusal that an upstream sends late without one, such as that to a request that had no id, would have been taken for that of the next request on the connection, which then runs.

Upstreams name the attempt in each refusal, so one without a name now ends the try as broken and its connection, and is logged as extra_answer. Refusals of other entries and of requests without an id, which have a connection of their own, are taken as before. The spec got a complete refusal where it now gets a broken try.

--- a/src/node/ingress/__tests__/late_copies.spec.ts
+++ b/src/node/ingress/__tests__/late_copies.spec.ts
@@ -8,6 +8,7 @@
 import {ResponseReader} from '../response_reader.js';
 
 const ATTEMPT_HEADER = 'x-attempt';
+const NOT_RUN_HEADER = 'x-not-run';
 
 function answerTo(attemptId: string): string {
   const body = `answer to ${attemptId}`;
@@ -33,6 +34,10 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+function becomeIdle(): Promise<unknown> {
+  return new Promise(resolve => setTimeout(resolve, 20));
+}
+
 /** Sends two requests one after the other; returns what each of them got. */
 async function sendTwo(
   t: TestContext,
@@ -48,7 +53,7 @@
           attemptId: headers[ATTEMPT_HEADER],
           isSigned: true,
           isEncoded: false,
-          isNotRun: false,
+          isNotRun: headers[NOT_RUN_HEADER] !== undefined,
         }),
       } as unknown as RequestProtocol,
       response: {} as CallerResponse,
@@ -67,9 +72,10 @@
       onResponseStart: () => undefined,
     });
     const headers = [ATTEMPT_HEADER, attemptId];
+    const body = Buffer.alloc(0);
     const {kind} = await exchange(
       pools.pool(address),
-      {method: 'GET', path: '/', headers, body: Buffer.alloc(0)},
+      {attemptId, method: 'GET', path: '/', headers, body},
       reader,
       new AbortController().signal,
     );
@@ -104,8 +110,19 @@
     if (number > 1) socket.write(answerTo('first'));
     socket.write(answerTo(attemptId));
   });
-  const becomeIdle = (): Promise<unknown> =>
-    new Promise(resolve => setTimeout(resolve, 20));
+  assert.deepEqual(await sendTwo(t, address, becomeIdle), [
+    'answer to first',
+    'broken',
+  ]);
+});
+
+// Guards against a refusal without an id that is believed: it may be that of any
+// request on the connection, while this one runs.
+test('a refusal without an id is not believed', async t => {
+  const address = await startUpstream(t, (socket, attemptId, number) => {
+    const refusal = `HTTP/1.1 503 Busy\r\n${NOT_RUN_HEADER}: 1\r\ncontent-length: 0\r\n\r\n`;
+    socket.write(number > 1 ? refusal : answerTo(attemptId));
+  });
   assert.deepEqual(await sendTwo(t, address, becomeIdle), [
     'answer to first',
     'broken',
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -130,13 +130,15 @@
   }
 
   onHead(status: number, headers: IncomingHttpHeaders): void {
-    const {protocol, attemptId, isStream} = this.options;
+    const {protocol, isStream} = this.options;
     const traits = protocol.responseTraits(status, headers);
-    if (traits.attemptId !== undefined && traits.attemptId !== attemptId) {
+    if (this.isExtraAnswer(traits)) {
       const namedAttemptId = traits.attemptId;
       this.options.onExtraAnswer?.({status, namedAttemptId});
       throw new ExtraAnswerError(
-        'response carries the attempt id of another request',
+        namedAttemptId === undefined
+          ? 'refusal carries no attempt id'
+          : 'response carries the attempt id of another request',
       );
     }
     this.head = {status, headers, traits};
@@ -174,6 +176,14 @@
     response.end();
   }
 
+  // Upstreams name the attempt in each refusal. One without a name may be that of any
+  // request on the connection.
+  private isExtraAnswer({attemptId: named, isNotRun}: ResponseTraits): boolean {
+    const {attemptId, isFromPeer} = this.options;
+    if (named !== undefined) return named !== attemptId;
+    return isNotRun && attemptId !== '' && !isFromPeer;
+  }
+
   private buffer(chunk: Buffer): void {
     if (this.buffered.append(chunk)) return;
     throw new Error(
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -198,7 +198,7 @@
     /** Since the connection has ended. */
     checkMs: z.number(),
   },
-  /** An answer to another request, which has ended the try of this one. */
+  /** An answer to another request, or a refusal of none, has ended the try of this one. */
   extra_answer: {
     ...matched,
     upstream: z.string(),
