Renew connections after 1,000 attempts, and test when copies are expected

A connection that is renewed while its upstream is full may be reset, so it is done less often. The new spec shows that connections with a refusal are closed only for five minutes after an answer to another request.

--- a/src/node/ingress/__tests__/connection_pool.spec.ts
+++ b/src/node/ingress/__tests__/connection_pool.spec.ts
@@ -2,21 +2,28 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {monotonicNowMs, setMonotonicSource} from '../../clock/clock.js';
 import {ConnectionPools} from '../connections.js';
-import {exchange, type ExchangeEnd} from '../exchange.js';
+import {exchange, ExtraAnswerError, type ExchangeEnd} from '../exchange.js';
 
 const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+const REFUSAL = 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n';
+/** More than the time for which an upstream is expected to send copies. */
+const LONG_MS = 300_001;
 /** More than one connection carries. */
-const MANY_ATTEMPTS = 501;
+const MANY_ATTEMPTS = 1_001;
 
 interface Peer {
-  readonly send: (attemptId?: string) => Promise<ExchangeEnd>;
+  readonly send: (
+    attemptId?: string,
+    onHead?: () => void,
+  ) => Promise<ExchangeEnd>;
   /** The requests that each connection carried, in the order of their opening. */
   readonly carried: number[];
   readonly openCount: () => number;
 }
 
-async function startPeer(t: TestContext): Promise<Peer> {
+async function startPeer(t: TestContext, answer = ANSWER): Promise<Peer> {
   const carried: number[] = [];
   let openCount = 0;
   const server = createServer(socket => {
@@ -28,7 +35,7 @@
     });
     socket.on('data', () => {
       carried[number] = (carried[number] ?? 0) + 1;
-      socket.write(ANSWER);
+      socket.write(answer);
     });
   });
   t.after(() => server.close());
@@ -36,7 +43,7 @@
   const {port} = server.address() as AddressInfo;
   const pools = new ConnectionPools();
   t.after(() => pools.close());
-  const send = async (attemptId?: string): Promise<ExchangeEnd> => {
+  const send: Peer['send'] = async (attemptId, onHead = () => undefined) => {
     const attempt = attemptId === undefined ? {} : {attemptId};
     const end = await exchange(
       pools.pool(`127.0.0.1:${port}`),
@@ -47,7 +54,7 @@
         body: Buffer.alloc(0),
         ...attempt,
       },
-      {onHead: () => undefined, onData: () => true},
+      {onHead, onData: () => true},
       new AbortController().signal,
     );
     // A connection can be used again one turn later.
@@ -93,3 +100,19 @@
   );
   assert.deepEqual(peer.carried, [MANY_ATTEMPTS - 1, 1]);
 });
+
+// Guards against connections on which the copy of a refusal waits for the next
+// request, and against a new connection for each refusal when no copies come.
+test('connections with a refusal are closed while copies are expected', async t => {
+  const peer = await startPeer(t, REFUSAL);
+  await sendInTurn(peer, ['a', 'b']);
+  await peer.send('c', () => {
+    throw new ExtraAnswerError('answer to another request');
+  });
+  await sendInTurn(peer, ['d', 'e']);
+  const startMs = monotonicNowMs();
+  const {restore} = setMonotonicSource(() => startMs + LONG_MS);
+  t.after(restore);
+  await sendInTurn(peer, ['f', 'g']);
+  assert.deepEqual(peer.carried, [3, 1, 1, 2]);
+});
--- a/src/node/ingress/connection_pool.ts
+++ b/src/node/ingress/connection_pool.ts
@@ -7,7 +7,7 @@
 import {monotonicNowMs} from '../clock/clock.js';
 
 /** Bounds the memory for attempt ids; the connection is then closed. */
-const MAX_ATTEMPTS_PER_CONNECTION = 500;
+const MAX_ATTEMPTS_PER_CONNECTION = 1_000;
 
 /** How long an upstream that has sent an extra answer is expected to send more. */
 const EXTRA_ANSWERS_MS = 300_000;
