Pass on no status that promises more than its upstream stated

A 429, 503 or 408 of an upstream went to the caller as it was, also without the statement that the request had not run.

Where a request may not be repeated, such an answer is now a failure (502), also over a relay, since the entry that has the upstream decides. Whether upstreams of the users answer so is not known.

--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -37,6 +37,8 @@
   readonly attemptId?: string;
   /** Whether the upstream states that it did not run the request. */
   readonly isNotRun: boolean;
+  /** Whether callers take its status for a promise that the request did not run. */
+  readonly isReadAsNotRun: boolean;
   /** Whether it carries the upstream's signature. */
   readonly isSigned: boolean;
   readonly isEncoded: boolean;
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -41,7 +41,7 @@
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
-import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
+import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {UpstreamPaces} from './upstream_pace.js';
 import {WorkItems} from './work_items.js';
@@ -345,6 +345,9 @@
     if (this.progress.isStarted && !reader.isSuccess) {
       return {kind: 'failed', cause: `status ${status} while resuming`};
     }
+    if (isFalsePromise(reader, request.route)) {
+      return {kind: 'failed', cause: `status ${status} without a refusal`};
+    }
     if (isFailure && this.tries.hasRunLeft) {
       return {kind: 'failed', cause: `status ${status}`};
     }
--- a/src/node/ingress/try_outcome.ts
+++ b/src/node/ingress/try_outcome.ts
@@ -1,4 +1,5 @@
 /** Classifies the end of a try at an upstream. */
+import {isRepeatable, type Route} from '../routes/route_table.js';
 import type {PlacementOutcome} from '../scheduling/types.js';
 import type {ResponseReader} from './response_reader.js';
 import type {ExchangeEnd} from './exchange.js';
@@ -34,6 +35,16 @@
     : 'failed';
 }
 
+/**
+ * Whether callers would take a response for a promise that the request did not run,
+ * although its upstream does not state that. A caller may repeat any request that is
+ * repeatable, so it needs no promise.
+ */
+export function isFalsePromise({head}: ResponseReader, route: Route): boolean {
+  if (head === undefined || isRepeatable(route)) return false;
+  return head.traits.isReadAsNotRun && !head.traits.isNotRun;
+}
+
 /** Why a try failed, for the log: the exchange error or the HTTP status. */
 export function causeOf(
   end: ExchangeEnd,
