--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -3,7 +3,7 @@
  * pieces behind a fake connection pool, and time is mocked.
  */
 import type {TestContext} from 'node:test';
-import type {Dispatcher, Pool} from 'undici';
+import type {Dispatcher} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
 import type {
   Completeness,
@@ -22,6 +22,7 @@
   type ServiceId,
 } from '../../../types/ids.js';
 import {CallerResponse} from '../../caller_response.js';
+import type {ConnectionPool} from '../../connection_pool.js';
 import type {ResponseSink} from '../../exchange.js';
 import {NOT_RUN_HEADER} from '../../inner_headers.js';
 import {RequestRun, type RequestRunContext} from '../../request_run.js';
@@ -55,6 +56,7 @@
 /** The text of a piece with which the upstream turns the request away. */
 export const REJECTED = 'rejected';
 const NOT_EXECUTED_HEADER = 'not-executed';
+const ATTEMPT_ID = 'attempt';
 
 const STEP_MS = 20;
 const TIMEOUT_MS = 6_000;
@@ -161,7 +163,7 @@
       ...route,
     },
     service: asId<ServiceId>('service'),
-    traits: {attemptId: 'attempt'},
+    traits: {attemptId: ATTEMPT_ID},
     tableVersion: 1,
     receivedAtMs: Date.now(),
     expiresAtMs: Date.now() + TIMEOUT_MS,
@@ -185,6 +187,7 @@
       upstreamHeaders: () => [],
       callerHeaders: () => [],
       responseTraits: (_status: number, headers: Record<string, string>) => ({
+        attemptId: ATTEMPT_ID,
         isSigned: true,
         isEncoded: false,
         isNotRun: headers[NOT_EXECUTED_HEADER] !== undefined,
@@ -247,7 +250,7 @@
   name: string,
   pieces: readonly Piece[],
   note: (line: string) => void,
-): Pool {
+): Pick<ConnectionPool, 'take'> {
   const send = (handler: Dispatcher.DispatchHandler): void => {
     let isAborted = false;
     const controller = {
@@ -282,11 +285,11 @@
     );
   };
   return {
-    dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
-      send(handler);
-      return true;
-    },
-  } as unknown as Pool;
+    take: () => ({
+      dispatch: (_options, handler) => send(handler),
+      release: () => undefined,
+    }),
+  };
 }
 
 function fakeResponse(note: (line: string) => void) {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -42,7 +42,7 @@
 import {RunRecorder} from './run_recorder.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
-import {causeOf, endOfTry, outcomeOf} from './try_outcome.js';
+import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
 import type {UpstreamPaces} from './upstream_pace.js';
 import {WorkItems} from './work_items.js';
@@ -181,6 +181,7 @@
       softwareVersion: grant.softwareVersion,
       onProgress: monitor.record,
       onHead: head => this.noteAnswer(grant, head, sentAtMs),
+      onExtraAnswer: answer => this.recorder.extraAnswer(grant, answer),
     });
     const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
       upstreamId,
@@ -192,12 +193,13 @@
         : {lastEventId: this.progress.lastEventId}),
     });
     const {method, path, body} = request;
+    const {attemptId} = request.traits;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
       grants: this.grants,
       reader,
-      request: {method, path, body, headers: headers.flat()},
+      request: {attemptId, method, path, body, headers: headers.flat()},
       targetGapMs: request.route.targetGapMs,
       replacementItem: this.tries.mayRunAgain
         ? () => this.items.replacing(grant)
@@ -279,7 +281,7 @@
     sentAtMs: number,
     upstream?: Pick<
       ResponseReaderOptions,
-      'softwareVersion' | 'onHead' | 'onProgress'
+      'softwareVersion' | 'onHead' | 'onExtraAnswer' | 'onProgress'
     >,
   ): ResponseReader {
     const {context, request, response, progress} = this;
@@ -345,6 +347,9 @@
     if (this.progress.isStarted && !reader.isSuccess) {
       return {kind: 'failed', cause: `status ${status} while resuming`};
     }
+    if (isFalsePromise(reader, request.route)) {
+      return {kind: 'failed', cause: `status ${status} without a refusal`};
+    }
     if (isFailure && this.tries.hasRunLeft) {
       return {kind: 'failed', cause: `status ${status}`};
     }
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -12,7 +12,7 @@
 import {asId, type SoftwareVersion} from '../types/ids.js';
 import type {CallerResponse, Framing} from './caller_response.js';
 import {EventMeter, EventSplitter, type EventBatch} from './event_splitter.js';
-import type {ResponseSink} from './exchange.js';
+import {ExtraAnswerError, type ResponseSink} from './exchange.js';
 import {
   NOT_RUN_HEADER,
   type NotRun,
@@ -50,6 +50,8 @@
   /** The version of the upstream, unless another entry has to name it. */
   readonly softwareVersion?: SoftwareVersion | undefined;
   readonly onHead?: (head: ResponseHead) => void;
+  /** Called for the answer to another request, which ends the exchange. */
+  readonly onExtraAnswer?: (answer: ExtraAnswer) => void;
   readonly onResponseStart: () => void;
   /** Called on progress, with the time of the previous one or 0. */
   readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
@@ -62,6 +64,13 @@
   readonly traits: ResponseTraits;
 }
 
+/** An answer that is not the one to the request that was sent. */
+export interface ExtraAnswer {
+  readonly status: number;
+  /** The attempt that it names. */
+  readonly namedAttemptId: string | undefined;
+}
+
 /** A larger buffered response is aborted and its connection closed. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
@@ -127,10 +136,16 @@
   }
 
   onHead(status: number, headers: IncomingHttpHeaders): void {
-    const {protocol, attemptId, isStream} = this.options;
+    const {protocol, isStream} = this.options;
     const traits = protocol.responseTraits(status, headers);
-    if (traits.attemptId !== undefined && traits.attemptId !== attemptId) {
-      throw new Error('response carries the attempt id of another request');
+    if (this.isExtraAnswer(traits)) {
+      const namedAttemptId = traits.attemptId;
+      this.options.onExtraAnswer?.({status, namedAttemptId});
+      throw new ExtraAnswerError(
+        namedAttemptId === undefined
+          ? 'refusal carries no attempt id'
+          : 'response carries the attempt id of another request',
+      );
     }
     this.head = {status, headers, traits};
     this.options.onHead?.(this.head);
@@ -172,6 +187,14 @@
     return isFromPeer ? this.head?.headers[NOT_RUN_HEADER] : undefined;
   }
 
+  // Upstreams name the attempt in each refusal. One without a name may be that of any
+  // request on the connection.
+  private isExtraAnswer({attemptId: named, isNotRun}: ResponseTraits): boolean {
+    const {attemptId, isFromPeer} = this.options;
+    if (named !== undefined) return named !== attemptId;
+    return isNotRun && attemptId !== '' && !isFromPeer;
+  }
+
   private buffer(chunk: Buffer): void {
     if (this.buffered.append(chunk)) return;
     throw new Error(
