Drop orders about evacuations that were superseded or given up

Callers saw requests run in a domain whose evacuation was confirmed, for as long as the evacuation lasted. An order has no version. One that its operator had given up, because it was held in a connection or in a proposal on its way to the leader, was carried out when it arrived and undid the opposite order that had been confirmed since.

Both are shown: with a request and the end of its connection in one piece, Node hands out the request before it sees the end, and a late Finish undid a confirmed Start (and the reverse); with three members and a forwarded proposal that is delayed for 2 s, the evacuated domains were [] in place of [north-a], also where the confirmed order had changed nothing.

The member that gets an order now reads the log's state, then checks that the operator still waits, then proposes with the applied index as base. The leader takes orders about a domain one after the other and appends one only if no opposite order was applied after its base; the member then reads again while the operator waits. An order that changes nothing is still committed, so it makes older bases out of date. An order is never refused with 4xx: what is not carried out is answered 503, or not at all.

The check precedes the log instead of being part of the state machine: a condition in the log would be ignored by members of the former version, so that states would differ after a conflict. Members of the former version ignore the new field `base` (by reading); an order that they forward without it is carried out as before, which a spec shows. A leader of the former version does not check.

`change_confirmed` and the new `change_dropped` name the order, the operator's connection, the base and the reason. A route table is not affected: its version decides, in the state machine.

--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -238,6 +238,11 @@
   state_applied: {revision: z.number(), version: z.number()},
   change_confirmed: change,
   change_not_confirmed: change,
+  change_dropped: {
+    ...change,
+    /** `operator_left` or `superseded`. */
+    reason: z.string(),
+  },
   change_rejected: {problems: z.array(z.unknown())},
   operator_call_failed: {},
   member_removed: peerChange,
--- a/src/node/replication/forwarding.ts
+++ b/src/node/replication/forwarding.ts
@@ -12,6 +12,8 @@
   readonly client: RpcClient;
   readonly router: RpcRouter;
   readonly commandSchema: z.ZodType<Command>;
+  /** Proposes on this member. @default `log.propose` */
+  readonly propose?: (command: Command) => ResultAsync<Result, GatewayError>;
   /** @default 5000 */
   readonly timeoutMs?: number;
 }
@@ -29,15 +31,16 @@
 ): (command: Command) => ResultAsync<Result, GatewayError> {
   const {log, client, router, methodPrefix, commandSchema} = options;
   const {timeoutMs = DEFAULT_TIMEOUT_MS} = options;
+  const propose = options.propose ?? (command => log.propose(command));
   const method = `${methodPrefix}.propose`;
   // The receiver does not forward a proposal again, so it cannot loop.
   router.register(method, commandSchema, async command => {
-    const result = await log.propose(command);
+    const result = await propose(command);
     if (result.isErr()) throw result.error;
     return result.value;
   });
   return command =>
-    log.propose(command).orElse(error => {
+    propose(command).orElse(error => {
       const address = log
         .status()
         .members.find(member => member.memberId === error.leader)?.address;
--- a/src/node/routes/__tests__/support/control_group.ts
+++ b/src/node/routes/__tests__/support/control_group.ts
@@ -1,14 +1,20 @@
 /** Control members with disks on an in-memory network and a paused clock. */
 import type {TestContext} from 'node:test';
+import type {Result} from 'neverthrow';
 import {pino} from 'pino';
 import {advanceClock} from '../../../__tests__/support/advance_clock.js';
 import {FaultFileLayer} from '../../../__tests__/support/fault_file_layer.js';
 import {MemoryNetwork} from '../../../__tests__/support/memory_network.js';
 import {FileReplicaStorage} from '../../../replication/replica_storage.js';
 import {RpcRouter} from '../../../rpc/rpc.js';
-import {asId, type InstanceId} from '../../../types/ids.js';
+import type {GatewayError} from '../../../types/errors.js';
+import {asId, type DomainId, type InstanceId} from '../../../types/ids.js';
 import {ControlPlane} from '../../control_plane.js';
 import type {RouteTable} from '../../route_table.js';
+import type {
+  ControlChange,
+  ControlChangeResult,
+} from '../../route_table_machine.js';
 
 /** Coarser than a heartbeat would be slow; finer gains nothing here. */
 const STEP_MS = 10;
@@ -118,6 +124,61 @@
     return undefined;
   }
 
+  /** The member that leads the group. */
+  leader(): string {
+    const leading = [...this.members].find(([, control]) => control.isLeader());
+    if (leading === undefined) throw new Error('the group has no leader');
+    return leading[0];
+  }
+
+  /** Gives a member an order; `isWaiting` says whether its operator waits. */
+  order(
+    name: string,
+    domain: DomainId,
+    isEvacuated: boolean,
+    isWaiting: () => boolean,
+  ): PromiseLike<Result<ControlChangeResult, GatewayError>> | undefined {
+    const order = {kind: 'set_evacuation', domain, isEvacuated} as const;
+    return this.members.get(name)?.setEvacuation(order, {isWaiting});
+  }
+
+  /** Whether a member confirms an order. */
+  async confirmOrder(
+    name: string,
+    domain: DomainId,
+    isEvacuated: boolean,
+  ): Promise<boolean> {
+    const isWaiting = (): boolean => true;
+    const result = await this.waitFor(
+      this.order(name, domain, isEvacuated, isWaiting),
+    );
+    return result?.isOk() === true;
+  }
+
+  /** Forwards a proposal as another member does; whether it was accepted. */
+  async forward(
+    from: string,
+    to: string,
+    change: ControlChange,
+  ): Promise<boolean> {
+    const forwarded = this.network
+      .call(`${from}:1`, `${to}:1`, 'routes.raft.propose', change, 2_000)
+      .then(
+        () => true,
+        () => false,
+      );
+    return (await this.waitFor(forwarded)) === true;
+  }
+
+  /** The evacuated domains of a confirmed read. */
+  async readEvacuated(): Promise<readonly DomainId[] | undefined> {
+    for (const control of this.members.values()) {
+      const state = await this.waitFor(control.readState());
+      if (state?.isOk() === true) return state.value.evacuatedDomains;
+    }
+    return undefined;
+  }
+
   private async waitFor<Value>(
     promise: PromiseLike<Value> | undefined,
   ): Promise<Value | undefined> {
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -3,7 +3,7 @@
  * of entries, keeps the origins of their streams, and executes the operators'
  * changes and reads.
  */
-import {okAsync, type ResultAsync} from 'neverthrow';
+import {okAsync, type Result, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {pack, type Packed} from '../control/packing.js';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
@@ -32,7 +32,13 @@
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import type {GatewayError} from '../types/errors.js';
 import {asId, type InstanceId} from '../types/ids.js';
+import {
+  EvacuationOrders,
+  type OrderResult,
+  type WaitingOperator,
+} from './evacuation_orders.js';
 import {MembershipManager} from './membership_manager.js';
+import {OrderProposer} from './order_proposer.js';
 import {
   EMPTY_CONTROL_STATE,
   homesOf,
@@ -43,6 +49,7 @@
   RouteTableMachine,
   type ControlChange,
   type ControlChangeResult,
+  type EvacuationOrder,
 } from './route_table_machine.js';
 
 const METHOD_PREFIX = 'routes.raft';
@@ -95,6 +102,7 @@
         change: ControlChange,
       ) => ResultAsync<ControlChangeResult, GatewayError>)
     | undefined;
+  private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
@@ -191,10 +199,14 @@
 
   /** Starts or ends the evacuation of a domain. */
   setEvacuation(
-    domain: ControlState['evacuatedDomains'][number],
-    isEvacuated: boolean,
-  ): ResultAsync<ControlChangeResult, GatewayError> | undefined {
-    return this.forwardChange?.({kind: 'set_evacuation', domain, isEvacuated});
+    order: EvacuationOrder,
+    operator: WaitingOperator,
+  ): Promise<Result<OrderResult, GatewayError>> | undefined {
+    return this.evacuationOrders?.carryOut(order, operator);
+  }
+
+  isLeader(): boolean {
+    return this.member?.replica.status().role === 'leader';
   }
 
   /** The latest committed state, or an error if that cannot be confirmed. */
@@ -224,8 +236,15 @@
   ): void {
     const {client, router, logger, innerAddress, toleratedLosses} =
       this.options;
-    this.forwardChange = createForwarder({
-      log: member.replica,
+    const log = member.replica;
+    const proposer = new OrderProposer({
+      log,
+      history: this.machine.history,
+      logger,
+    });
+    const forwardChange = createForwarder({
+      log,
+      propose: change => proposer.propose(change),
       methodPrefix: METHOD_PREFIX,
       client,
       router,
@@ -234,13 +253,19 @@
       ),
       timeoutMs: PROPOSE_TIMEOUT_MS,
     });
+    this.forwardChange = forwardChange;
+    this.evacuationOrders = new EvacuationOrders({
+      readIndex: () => log.readBarrier().map(() => log.status().appliedIndex),
+      propose: order => forwardChange(order),
+      timeoutMs: PROPOSE_TIMEOUT_MS,
+    });
     this.membership = new MembershipManager({
-      log: member.replica,
+      log,
       client,
       router,
       logger,
       self: {
-        memberId: member.replica.status().memberId,
+        memberId: log.status().memberId,
         address: innerAddress,
         weight: MEMBER_WEIGHT,
       },
--- a/src/node/routes/route_table_machine.ts
+++ b/src/node/routes/route_table_machine.ts
@@ -2,6 +2,7 @@
 import {pack, unpack, type Packed} from '../control/packing.js';
 import {StateMachine, type JsonValue} from '../replication/replicated_log.js';
 import type {DomainId, LogIndex} from '../types/ids.js';
+import {OrderHistory} from './order_history.js';
 import {
   EMPTY_CONTROL_STATE,
   type ControlState,
@@ -16,11 +17,19 @@
       /** A packed `RouteTable`; tables are large and differ little. */
       readonly table: Packed;
     }
-  | {
-      readonly kind: 'set_evacuation';
-      readonly domain: DomainId;
-      readonly isEvacuated: boolean;
-    };
+  | EvacuationOrder;
+
+/** Starts or ends the evacuation of a domain. */
+export interface EvacuationOrder {
+  readonly kind: 'set_evacuation';
+  readonly domain: DomainId;
+  readonly isEvacuated: boolean;
+  /**
+   * The log index of the state that the order is based on. Only the leader checks
+   * it, before it appends the order; members of former versions omit it.
+   */
+  readonly base?: LogIndex | undefined;
+}
 
 /** The outcome of a change. */
 export interface ControlChangeResult {
@@ -39,6 +48,7 @@
   ControlChange,
   ControlChangeResult
 > {
+  readonly history = new OrderHistory();
   private current = EMPTY_CONTROL_STATE;
 
   /** `onChange` runs after each effective change and after a restore. */
@@ -51,6 +61,10 @@
   }
 
   override apply(change: ControlChange, index: LogIndex): ControlChangeResult {
+    this.history.noteCommand(index);
+    if (change.kind === 'set_evacuation') {
+      this.history.noteOrder(change, index);
+    }
     const next =
       change.kind === 'replace_table'
         ? this.withTable(change.version, change.table)
@@ -68,6 +82,7 @@
   }
 
   override restore(snapshot: JsonValue): void {
+    this.history.clear();
     this.current = unpack(String(snapshot)) as ControlState;
     this.onChange(this.current);
   }
