Fetch control states past members that are silent or unreadable

An entry did not learn of a confirmed evacuation while it was in touch with control members, so it kept sending requests to the evacuated domain. It fetched from one member at a time and waited up to 3 s. A member that answers announcements and is silent when asked for its state was asked again and again, since its announcement came back first: in a spec with two such members and a sound one the entry had no state after 20 s. A state that could not be unpacked rejected past the reset of the flag, so that no further state was ever fetched; in a spec the rejection was unhandled and no state_fetch_failed was written. Both specs failed on the code before.

A fetch holds back other members for 400 ms only, one from a member whose last fetch failed not at all, and a member is asked once at a time. A state is taken only if it is newer than the one in force. An unreadable one counts as a failed fetch and is logged with its peer. Members that answer in time are asked no more often than before.

--- /dev/null
+++ b/src/node/fleet/__tests__/state_fetcher.spec.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {pino} from 'pino';
+import {z} from 'zod';
+import {advanceClock} from '../../__tests__/support/advance_clock.js';
+import {pauseClock} from '../../__tests__/support/clock.js';
+import {MemoryNetwork} from '../../__tests__/support/memory_network.js';
+import {monotonicNowMs} from '../../clock/clock.js';
+import {pack} from '../../control/packing.js';
+import {
+  EMPTY_CONTROL_STATE,
+  type ControlState,
+} from '../../routes/route_table.js';
+import {RpcRouter} from '../../rpc/rpc.js';
+import {
+  asId,
+  type DomainId,
+  type InstanceId,
+  type RegionId,
+} from '../../types/ids.js';
+import {ControlLink} from '../control_link.js';
+import {FleetMembers} from '../fleet_members.js';
+import {InstanceRegistry} from '../instance_registry.js';
+import {
+  ANNOUNCE_METHOD,
+  announcementSchema,
+  FETCH_STATE_METHOD,
+  type AnnouncementReply,
+} from '../messages.js';
+
+const STEP_MS = 10;
+const RUN_MS = 20_000;
+/** Leaves time until requests must no longer reach an evacuated domain. */
+const LIMIT_MS = 2_000;
+const REVISION = 7;
+
+type Fetch = () => unknown;
+
+const SOUND: Fetch = () => pack({...EMPTY_CONTROL_STATE, revision: REVISION});
+const SILENT: Fetch = () => new Promise(() => undefined);
+const UNREADABLE: Fetch = () => 'H4sIAAAA';
+
+/** A control member that announces a newer state, and how it gives it. */
+function startControl(
+  network: MemoryNetwork,
+  name: string,
+  fetch: Fetch,
+): void {
+  const registry = new InstanceRegistry('1', () => undefined);
+  const router = new RpcRouter();
+  router.register(
+    ANNOUNCE_METHOD,
+    announcementSchema,
+    ({entry}): AnnouncementReply => {
+      registry.record(entry, monotonicNowMs());
+      return {
+        revision: REVISION,
+        incarnation: registry.incarnationOf(entry.instanceId),
+      };
+    },
+  );
+  router.register(FETCH_STATE_METHOD, z.object({}), fetch);
+  network.attach(`${name}:1`, name, router);
+}
+
+/** When an entry has the state, and the peers named by failed fetches. */
+async function follow(
+  context: TestContext,
+  fetches: readonly Fetch[],
+): Promise<{
+  readonly isLate: boolean;
+  readonly failedPeers: readonly string[];
+}> {
+  pauseClock(context);
+  const network = new MemoryNetwork({delayMs: 1});
+  const names = fetches.map((_, position) => `c${position}`);
+  names.forEach((name, position) =>
+    startControl(network, name, fetches[position] ?? SILENT),
+  );
+  const client = network.attach('e1:1', 'e1', new RpcRouter());
+  const failedPeers = new Set<string>();
+  let state: ControlState = EMPTY_CONTROL_STATE;
+  let receivedAtMs = Number.POSITIVE_INFINITY;
+  const link = new ControlLink({
+    members: new FleetMembers(() => ({
+      instanceId: asId<InstanceId>('e1'),
+      incarnation: 1,
+      domain: asId<DomainId>('home-a'),
+      region: asId<RegionId>('home'),
+      innerAddress: 'e1:1',
+      callersAddress: 'e1:2',
+      isReady: true,
+      isStopping: false,
+      isScheduling: false,
+    })),
+    client,
+    bulkClient: client,
+    logger: pino(
+      {},
+      {
+        write: line => {
+          const {event, peer} = JSON.parse(line) as Record<string, string>;
+          if (event === 'state_fetch_failed') failedPeers.add(String(peer));
+        },
+      },
+    ),
+    seedAddresses: () => names.map(name => `${name}:1`),
+    currentState: () => state,
+    onState: received => {
+      state = received;
+      receivedAtMs = monotonicNowMs();
+    },
+    onStaleIncarnation: () => undefined,
+  });
+  const startedAtMs = monotonicNowMs();
+  link.start();
+  await advanceClock(context, RUN_MS, STEP_MS);
+  link.stop();
+  return {
+    isLate: receivedAtMs - startedAtMs > LIMIT_MS,
+    failedPeers: [...failedPeers],
+  };
+}
+
+// Guards against control members that fall silent and hold back the states of the
+// others: an entry would learn of an evacuation too late, or never.
+test('silent control members do not hold back the states of others', async context => {
+  const {isLate} = await follow(context, [SILENT, SILENT, SOUND]);
+  assert.equal(isLate, false);
+});
+
+// Guards against one unreadable state that ends all fetches, without a log line.
+test('an unreadable state is logged and another one is fetched', async context => {
+  const fetches = [UNREADABLE, UNREADABLE, SOUND];
+  assert.deepEqual(await follow(context, fetches), {
+    isLate: false,
+    failedPeers: ['c0:1', 'c1:1'],
+  });
+});
--- a/src/node/fleet/constants.ts
+++ b/src/node/fleet/constants.ts
@@ -12,3 +12,5 @@
 export const FETCH_TIMEOUT_MS = 3_000;
 /** How long an entry uses a view without a reply of its control member. */
 export const VIEW_EXPIRY_MS = 3_000;
+/** A fetch that takes longer does not keep an entry from asking another member. */
+export const FETCH_PATIENCE_MS = 400;
--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -4,7 +4,6 @@
  * a newer one.
  */
 import {monotonicNowMs} from '../clock/clock.js';
-import {unpack, type Packed} from '../control/packing.js';
 import type {Logger} from '../logging/logger.js';
 import type {ControlState} from '../routes/route_table.js';
 import type {RpcClient} from '../rpc/rpc.js';
@@ -12,17 +11,16 @@
 import {
   ANNOUNCE_INTERVAL_MS,
   ANNOUNCE_TIMEOUT_MS,
-  FETCH_TIMEOUT_MS,
   STARTUP_ANNOUNCE_INTERVAL_MS,
 } from './constants.js';
 import type {FleetMembers} from './fleet_members.js';
 import {
   ANNOUNCE_METHOD,
-  FETCH_STATE_METHOD,
   type Announcement,
   type AnnouncementReply,
   type ControlInstance,
 } from './messages.js';
+import {StateFetcher} from './state_fetcher.js';
 
 /** Weight of one announcement in the average of a member's round trips. */
 const ROUND_TRIP_WEIGHT = 0.3;
@@ -50,9 +48,11 @@
   private readonly isReachable = new Map<InstanceId, boolean>();
   /** Smoothed round trip of announcements. */
   private readonly roundTripMs = new Map<InstanceId, number>();
-  private isFetching = false;
+  private readonly fetcher: StateFetcher;
 
-  constructor(private readonly options: ControlLinkOptions) {}
+  constructor(private readonly options: ControlLinkOptions) {
+    this.fetcher = new StateFetcher({...options, client: options.bulkClient});
+  }
 
   /** Announces this entry now and periodically from now on. */
   start(): void {
@@ -139,26 +139,8 @@
     }
     members.updateView(instanceId, reply.value, monotonicNowMs());
     if (reply.value.revision > currentState().revision) {
-      await this.fetchState(innerAddress);
-    }
-  }
-
-  private async fetchState(address: string): Promise<void> {
-    if (this.isFetching) return;
-    this.isFetching = true;
-    const fetched = await this.options.bulkClient
-      .call<Packed>(address, FETCH_STATE_METHOD, {}, FETCH_TIMEOUT_MS)
-      .map(packed => unpack(packed) as ControlState);
-    this.isFetching = false;
-    if (fetched.isErr()) {
-      this.options.logger.warn(
-        {event: 'state_fetch_failed', peer: address, err: fetched.error},
-        'failed to fetch the control state',
-      );
-      return;
+      await this.fetcher.fetch(innerAddress);
     }
-    if (fetched.value.revision <= this.options.currentState().revision) return;
-    this.options.onState(fetched.value);
   }
 
   private recordRoundTrip(instanceId: InstanceId, tookMs: number): void {
