Return grants in domains that the entry knows to be evacuated

An entry that was in touch with the control members sent requests to a domain whose evacuation it knew: it used any grant of a scheduler, and the scheduler on another entry may be cut off from the control members or lag. It happens where all domains of a region are evacuated or there is one only, where a scheduler passes a request on to the evacuated domain, and for requests that were in a queue. In two regions whose schedulers did not know of the evacuation (one domain only; the other domain without upstreams) both requests were granted in the evacuated domain; GrantSource used all such grants. Both specs failed on the code before (with the new field of a work item, which nothing read).

A work item now names the domains that its entry knows to be evacuated, and schedulers leave out their upstreams and pass nothing on to them. The entry checks each grant by its own state, returns it and asks again, so that a request that was already waiting goes elsewhere. Schedulers of the former version ignore the field; after the third grant of that kind the request goes to another region that its route allows, or is refused as not run.

--- a/src/node/dispatch/__tests__/domain_schedulers.spec.ts
+++ b/src/node/dispatch/__tests__/domain_schedulers.spec.ts
@@ -137,6 +137,29 @@
   );
 });
 
+// Guards against requests in an evacuated domain: a scheduler that is cut off from
+// the control members grants its upstreams, or passes requests on to it.
+test('a scheduler obeys evacuations that only the entry knows', async t => {
+  const only = createRegion(t, {domains: [HOME_A], entriesInDomain: 2});
+  const lost = createRegion(t, {upstreams: enginesOf(HOME_A)});
+  const asked = await Promise.all(
+    [only, lost].map(async region => {
+      const {service} = chat('x');
+      region.entries.forEach(({host, instance: {domain}}) =>
+        host.ensureScheduler({service, domain}),
+      );
+      region.shareDigests();
+      const entry = region.entries.at(-1);
+      const item = {...chat('c'), evacuatedDomains: [HOME_A]};
+      return entry === undefined ? undefined : ask(entry, item);
+    }),
+  );
+  assert.deepEqual(
+    asked.map(each => each && domainOf(each)),
+    ['refuse', 'refuse'],
+  );
+});
+
 // Guards against requests that wait for the schedulers of an unreachable domain
 // instead of being decided in the domain of their entry.
 test('an unreachable domain does not block requests of the other', async t => {
--- a/src/node/ingress/__tests__/grant_source.spec.ts
+++ b/src/node/ingress/__tests__/grant_source.spec.ts
@@ -4,6 +4,8 @@
 import type {SchedulerAnswer, WorkItem} from '../../scheduling/types.js';
 import {
   asId,
+  type DomainId,
+  type RegionId,
   type RequestId,
   type UpstreamId,
   type UpstreamProcessId,
@@ -15,6 +17,8 @@
 const LEAVING = asId<UpstreamProcessId>('a@1');
 const REFUSED = {kind: 'refuse', reason: 'overloaded'};
 const item = {requestId: asId<RequestId>('r')} as WorkItem;
+const CLOSED = asId<DomainId>('closed');
+const OTHER_REGION = asId<RegionId>('far');
 
 function grantOf(fields: Partial<Grant>): Partial<Grant> {
   return {
@@ -31,6 +35,8 @@
   answers: readonly object[],
   heldPerS?: number,
   notices = new UpstreamNotices(),
+  evacuated: readonly DomainId[] = [],
+  otherRegions: readonly RegionId[] = [],
 ): Promise<readonly string[]> {
   const left = [...answers];
   const said: string[] = [];
@@ -44,8 +50,16 @@
       void said.push(`limit ${maxRequestsPerS}, complete: ${isComplete}`),
   };
   const limits = {maxRequestsPerS: () => heldPerS};
-  const source = new GrantSource({scheduler, limits, notices});
-  const answer = await source.acquire(() => item, AbortSignal.timeout(1_000));
+  const source = new GrantSource({
+    scheduler,
+    limits,
+    notices,
+    evacuatedDomains: () => evacuated,
+  });
+  const answer = await source.acquire(
+    () => ({...item, otherRegions}),
+    AbortSignal.timeout(1_000),
+  );
   return [...said, answer.kind];
 }
 
@@ -108,3 +122,30 @@
     'grant',
   ]);
 });
+
+// Guards against requests that reach an evacuated domain because its scheduler has
+// not been told, and against grants that are returned for ever.
+test('a grant in a domain that is evacuated is returned', async () => {
+  const closed = grantOf({domain: CLOSED});
+  const open = grantOf({domain: asId<DomainId>('open')});
+  const ask = (
+    answers: readonly object[],
+    otherRegions: readonly RegionId[] = [],
+  ): Promise<readonly string[]> =>
+    acquire(answers, undefined, undefined, [CLOSED], otherRegions);
+  const returned = ['acquire', 'release: cancelled'];
+  assert.deepEqual(
+    {
+      told: await ask([open]),
+      untold: await ask([closed, open]),
+      former: await ask([closed, closed, closed, closed]),
+      formerWithRegion: await ask([closed, closed, closed], [OTHER_REGION]),
+    },
+    {
+      told: ['acquire', 'grant'],
+      untold: [...returned, 'acquire', 'grant'],
+      former: [...returned, ...returned, ...returned, 'refuse'],
+      formerWithRegion: [...returned, ...returned, ...returned, 'offload'],
+    },
+  );
+});
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -204,6 +204,7 @@
     paces: new UpstreamPaces(),
     limits: new UpstreamLimits(),
     notices: new UpstreamNotices(),
+    evacuatedDomains: () => [],
     log: {
       write: () => undefined,
       tryFailed: () => undefined,
--- a/src/node/ingress/grant_source.ts
+++ b/src/node/ingress/grant_source.ts
@@ -1,12 +1,15 @@
 /**
- * Acquires upstreams from the schedulers, and checks each grant against what the
- * upstreams have told this entry. A scheduler may have been told less: it may have
- * taken over, or dropped an upstream that was missing from the list for a while.
+ * Acquires upstreams from the schedulers, and checks each grant against what this
+ * entry knows from upstreams and control members. A scheduler may know less: it may
+ * have taken over, dropped an upstream that was missing from the list for a while,
+ * or be cut off from the control members.
  */
+import {localOffload, localRefusal} from '../dispatch/local_decisions.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
+import type {DomainId} from '../types/ids.js';
 import {cancelGrant, type Grant} from './upstream_try.js';
 
 export interface GrantSourceOptions {
@@ -16,8 +19,14 @@
   >;
   readonly limits: Pick<UpstreamLimits, 'maxRequestsPerS'>;
   readonly notices: Pick<UpstreamNotices, 'forbids'>;
+  /** The evacuated domains that this entry knows. */
+  readonly evacuatedDomains: () => readonly DomainId[];
 }
 
+/** Schedulers of the former version ignore the evacuations in a work item. */
+const MAX_EVACUATED_GRANTS = 3;
+const EVACUATED_RETRY_AFTER_MS = 1_000;
+
 /** The source of grants of one entry. */
 export class GrantSource {
   constructor(private readonly options: GrantSourceOptions) {}
@@ -26,10 +35,19 @@
   async acquire(
     nextItem: () => WorkItem,
     signal: AbortSignal,
+    evacuatedGrants = 0,
   ): Promise<SchedulerAnswer> {
-    const {scheduler, notices} = this.options;
-    const decision = await scheduler.acquire(nextItem(), signal);
+    const {scheduler, notices, evacuatedDomains} = this.options;
+    const item = nextItem();
+    const decision = await scheduler.acquire(item, signal);
     if (decision.kind !== 'grant') return decision;
+    if (evacuatedDomains().includes(decision.domain)) {
+      cancelGrant(scheduler, decision);
+      const returned = evacuatedGrants + 1;
+      return returned < MAX_EVACUATED_GRANTS
+        ? this.acquire(nextItem, signal, returned)
+        : withoutScheduler(item, decision);
+    }
     const unknownLimitPerS = this.unknownLimitPerS(decision);
     if (unknownLimitPerS !== undefined) {
       // Before the grant is cancelled, as the scheduler ignores reports on others.
@@ -42,7 +60,7 @@
     const isForbidden = notices.forbids(decision.processId);
     if (unknownLimitPerS === undefined && !isForbidden) return decision;
     cancelGrant(scheduler, decision);
-    return this.acquire(nextItem, signal);
+    return this.acquire(nextItem, signal, evacuatedGrants);
   }
 
   /** The limit that the upstream has told this entry and not the scheduler. */
@@ -53,3 +71,18 @@
       : this.options.limits.maxRequestsPerS(grant.upstreamId);
   }
 }
+
+/** Sends a request to another region, or refuses it, in place of a scheduler. */
+function withoutScheduler(
+  item: WorkItem,
+  {scheduler}: SchedulerAnswer,
+): SchedulerAnswer {
+  const [region] = item.otherRegions;
+  return region === undefined
+    ? localRefusal(
+        {item, scheduler, passedDomains: []},
+        'no_upstream',
+        EVACUATED_RETRY_AFTER_MS,
+      )
+    : localOffload(item, region);
+}
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -349,6 +349,7 @@
         reachability: this.reachability,
         limits: this.limits,
         notices: new UpstreamNotices(),
+        evacuatedDomains: () => this.state.evacuatedDomains,
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -18,6 +18,7 @@
 import {
   asId,
   type AttemptId,
+  type DomainId,
   type InstanceId,
   type RegionId,
 } from '../types/ids.js';
@@ -59,6 +60,8 @@
   readonly relay: RelayClient;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
+  /** The evacuated domains that this entry knows. */
+  readonly evacuatedDomains: () => readonly DomainId[];
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
   readonly responseEnds: Pick<ResponseEndCheck<EndedTry>, 'check'>;
   readonly log: RequestLog;
--- a/src/node/ingress/work_items.ts
+++ b/src/node/ingress/work_items.ts
@@ -7,6 +7,7 @@
 import type {WorkItem} from '../scheduling/types.js';
 import {
   asId,
+  type DomainId,
   type InstanceId,
   type RegionId,
   type RequestId,
@@ -24,6 +25,7 @@
   readonly members: FleetMembers;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
+  readonly evacuatedDomains: () => readonly DomainId[];
   readonly request: InboundRequest;
   readonly progress: StreamProgress;
   readonly tries: TryBudget;
@@ -61,6 +63,7 @@
     const {route, traits} = request;
     const {begun} = progress;
     const forbidden = notices.forbidden();
+    const evacuatedDomains = this.options.evacuatedDomains();
     const nowMs = monotonicNowMs();
     return {
       requestId: request.requestId,
@@ -75,6 +78,7 @@
       ...(begun === undefined ? {} : {begun}),
       ...this.reachabilityFields(nowMs),
       ...(forbidden.length === 0 ? {} : {forbidden}),
+      ...(evacuatedDomains.length === 0 ? {} : {evacuatedDomains}),
       avoidUpstreams: this.failedUpstreams,
       isRepeat: tries.isRepeat,
       isAllowedHere: allowsRegion(route, region),
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -108,6 +108,7 @@
 
   private isAllowed({digest}: DigestRecord, item: WorkItem): boolean {
     if (!mayContinueIn(digest, item)) return false;
+    if (item.evacuatedDomains?.includes(digest.domain) === true) return false;
     return digest.region === this.ownRegion
       ? item.isAllowedHere && !item.passedDomains.includes(digest.domain)
       : item.otherRegions.includes(digest.region);
--- a/src/node/scheduling/choose_upstream.ts
+++ b/src/node/scheduling/choose_upstream.ts
@@ -42,18 +42,20 @@
 
 /** The upstreams that its entry may use and whose version may run the request. */
 export function fittingOf(
-  {begun, unreachable = [], forbidden = []}: WorkItem,
+  {begun, unreachable = [], forbidden = [], evacuatedDomains = []}: WorkItem,
   upstreams: readonly UpstreamState[],
 ): readonly UpstreamState[] {
   const fitting =
     begun === undefined
       ? upstreams
       : upstreams.filter(each => each.mayContinue(begun));
-  if (unreachable.length + forbidden.length === 0) return fitting;
+  const excluded = [unreachable, forbidden, evacuatedDomains];
+  if (excluded.every(each => each.length === 0)) return fitting;
   return fitting.filter(
     ({listed}) =>
       !unreachable.includes(listed.upstreamId) &&
-      !forbidden.includes(processIdOf(listed)),
+      !forbidden.includes(processIdOf(listed)) &&
+      !evacuatedDomains.includes(listed.domain),
   );
 }
 
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -66,6 +66,11 @@
   readonly unreachable?: readonly UpstreamId[];
   /** Upstream processes that want no requests from its entry for now. */
   readonly forbidden?: readonly UpstreamProcessId[];
+  /**
+   * Domains that its entry knows to be evacuated; its scheduler may not know it
+   * yet.
+   */
+  readonly evacuatedDomains?: readonly DomainId[];
   /** Whether another entry of the region could send it to these upstreams. */
   readonly mayUsePeer?: boolean;
   /** Upstreams that rejected or failed the request before. */
