Test that members that lost all disks form no new group

Entries take only control states with higher revisions, and a revision is an index of the log, so a group that is formed anew would be ignored by entries that hold a state of the former one. That cannot happen with the settings of a deployment: only members with mayFound form a group, which is set at the first start alone, and the watch for lost groups is not used by control members of the platform. The spec holds on the present code: three members that come back with empty disks form no group within a minute, accept no table and answer no read.

--- a/src/node/routes/__tests__/control_group.spec.ts
+++ b/src/node/routes/__tests__/control_group.spec.ts
@@ -122,3 +122,16 @@
   await group.advance(3_000);
   assert.equal(await group.readVersion(), 9);
 });
+
+// Guards against a new group with lower revisions, which entries would not take:
+// they would keep evacuations and a table that operators have replaced since.
+test('members that lost all disks form no new group', async context => {
+  const group = await found(context);
+  assert.ok(await group.replaceTable(3));
+  FIRST.forEach(name => group.kill(name, true));
+  await group.advance(DOWN_MS);
+  group.start(FIRST);
+  await group.advance(60_000);
+  const isAccepted = await group.replaceTable(9);
+  assert.deepEqual([isAccepted, await group.readVersion()], [false, undefined]);
+});
