Log rejected bases apart from dropped orders

The leader logged change_dropped for an order whose base was out of date, though its member may try again and confirm it: with real processes 11 such lines came for orders that were confirmed 110 to 125 ms after they arrived. The line is now change_superseded; change_dropped is left to orders that are not carried out.

Also a spec for an entry that starts at a control member that lags: it takes the state of a slower member that is ahead within the limit. It holds on this code.

--- a/src/node/fleet/__tests__/state_fetcher.spec.ts
+++ b/src/node/fleet/__tests__/state_fetcher.spec.ts
@@ -34,17 +34,29 @@
 const LIMIT_MS = 2_000;
 const REVISION = 7;
 
-type Fetch = () => unknown;
+/** A control member: the revision that it announces, and how it gives it. */
+interface Control {
+  readonly revision: number;
+  readonly delayMs: number;
+  readonly fetch: () => unknown;
+}
+
+const SOUND = soundAt(REVISION, 1);
+const SILENT: Control = {
+  ...SOUND,
+  fetch: () => new Promise(() => undefined),
+};
+const UNREADABLE: Control = {...SOUND, fetch: () => 'H4sIAAAA'};
 
-const SOUND: Fetch = () => pack({...EMPTY_CONTROL_STATE, revision: REVISION});
-const SILENT: Fetch = () => new Promise(() => undefined);
-const UNREADABLE: Fetch = () => 'H4sIAAAA';
+function soundAt(revision: number, delayMs: number): Control {
+  const state = pack({...EMPTY_CONTROL_STATE, revision});
+  return {revision, delayMs, fetch: () => state};
+}
 
-/** A control member that announces a newer state, and how it gives it. */
 function startControl(
   network: MemoryNetwork,
   name: string,
-  fetch: Fetch,
+  {revision, delayMs, fetch}: Control,
 ): void {
   const registry = new InstanceRegistry('1', () => undefined);
   const router = new RpcRouter();
@@ -54,28 +66,29 @@
     ({entry}): AnnouncementReply => {
       registry.record(entry, monotonicNowMs());
       return {
-        revision: REVISION,
+        revision,
         incarnation: registry.incarnationOf(entry.instanceId),
       };
     },
   );
   router.register(FETCH_STATE_METHOD, z.object({}), fetch);
   network.attach(`${name}:1`, name, router);
+  network.setLink('e1:1', `${name}:1`, {delayMs});
 }
 
-/** When an entry has the state, and the peers named by failed fetches. */
+/** Whether an entry has the newest state late, and the peers named by failed fetches. */
 async function follow(
   context: TestContext,
-  fetches: readonly Fetch[],
+  controls: readonly Control[],
 ): Promise<{
   readonly isLate: boolean;
   readonly failedPeers: readonly string[];
 }> {
   pauseClock(context);
   const network = new MemoryNetwork({delayMs: 1});
-  const names = fetches.map((_, position) => `c${position}`);
+  const names = controls.map((_, position) => `c${position}`);
   names.forEach((name, position) =>
-    startControl(network, name, fetches[position] ?? SILENT),
+    startControl(network, name, controls[position] ?? SILENT),
   );
   const client = network.attach('e1:1', 'e1', new RpcRouter());
   const failedPeers = new Set<string>();
@@ -108,7 +121,7 @@
     currentState: () => state,
     onState: received => {
       state = received;
-      receivedAtMs = monotonicNowMs();
+      if (state.revision === REVISION) receivedAtMs = monotonicNowMs();
     },
     onStaleIncarnation: () => undefined,
   });
@@ -131,9 +144,17 @@
 
 // Guards against one unreadable state that ends all fetches, without a log line.
 test('an unreadable state is logged and another one is fetched', async context => {
-  const fetches = [UNREADABLE, UNREADABLE, SOUND];
-  assert.deepEqual(await follow(context, fetches), {
+  const controls = [UNREADABLE, UNREADABLE, SOUND];
+  assert.deepEqual(await follow(context, controls), {
     isLate: false,
     failedPeers: ['c0:1', 'c1:1'],
   });
 });
+
+// Guards against an entry that starts with the state of the nearest member, which
+// lags, and keeps it although it reaches others.
+test('an entry that starts at a member that lags has the newest state soon', async context => {
+  const controls = [soundAt(REVISION - 2, 1), soundAt(REVISION, 200)];
+  const {isLate} = await follow(context, controls);
+  assert.equal(isLate, false);
+});
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -240,9 +240,10 @@
   change_not_confirmed: change,
   change_dropped: {
     ...change,
-    /** `operator_left` or `superseded`. */
+    /** `operator_left`. */
     reason: z.string(),
   },
+  change_superseded: change,
   change_rejected: {problems: z.array(z.unknown())},
   operator_call_failed: {},
   member_removed: peerChange,
--- a/src/node/routes/order_proposer.ts
+++ b/src/node/routes/order_proposer.ts
@@ -83,8 +83,8 @@
       base === undefined || history.isCurrent(order, base, appliedIndex);
     if (isCurrent) return log.propose(order);
     logger.info(
-      {event: 'change_dropped', order, base, reason: 'superseded'},
-      'dropped an order with a base that is out of date',
+      {event: 'change_superseded', order},
+      'rejected an order with a base that is out of date',
     );
     return errAsync(supersededError());
   }
