--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -197,7 +197,7 @@
     });
   }
 
-  /** Starts or ends the evacuation of a domain. */
+  /** Starts or ends the evacuation of a domain while the operator waits. */
   setEvacuation(
     order: EvacuationOrder,
     operator: WaitingOperator,
@@ -205,6 +205,7 @@
     return this.evacuationOrders?.carryOut(order, operator);
   }
 
+  /** Whether this member leads the group, as far as it knows. */
   isLeader(): boolean {
     return this.member?.replica.status().role === 'leader';
   }
