Merge the guards against late orders and unknown evacuations

The checks of a grant are joined with those of the retry share in grant_source.ts; the specs of both keep their expectations, and the grants that are used are also counted.

--- a/src/node/ingress/__tests__/grant_source.spec.ts
+++ b/src/node/ingress/__tests__/grant_source.spec.ts
@@ -4,6 +4,8 @@
 import type {SchedulerAnswer, WorkItem} from '../../scheduling/types.js';
 import {
   asId,
+  type DomainId,
+  type RegionId,
   type RequestId,
   type UpstreamId,
   type UpstreamProcessId,
@@ -14,7 +16,12 @@
 const LIMIT_PER_S = 2;
 const LEAVING = asId<UpstreamProcessId>('a@1');
 const REFUSED = {kind: 'refuse', reason: 'overloaded'};
-const item = {requestId: asId<RequestId>('r')} as WorkItem;
+const item = {
+  requestId: asId<RequestId>('r'),
+  otherRegions: [] as readonly RegionId[],
+} as WorkItem;
+const CLOSED = asId<DomainId>('closed');
+const OTHER_REGION = asId<RegionId>('far');
 
 function grantOf(fields: Partial<Grant>): Partial<Grant> {
   return {
@@ -51,7 +58,12 @@
   {
     asked = item,
     retriesLeft = 0,
-  }: {asked?: WorkItem; retriesLeft?: number} = {},
+    evacuated = [],
+  }: {
+    asked?: WorkItem;
+    retriesLeft?: number;
+    evacuated?: readonly DomainId[];
+  } = {},
 ): Promise<readonly string[]> {
   const left = [...answers];
   const said: string[] = [];
@@ -70,6 +82,7 @@
     limits,
     notices,
     retryShares: sharesOf(retriesLeft, said),
+    evacuatedDomains: () => evacuated,
   });
   const answer = await source.acquire(() => asked, AbortSignal.timeout(1_000));
   return [...said, answer.kind];
@@ -163,3 +176,33 @@
     },
   );
 });
+
+// Guards against requests that reach an evacuated domain because its scheduler has
+// not been told, and against grants that are returned for ever.
+test('a grant in a domain that is evacuated is returned', async () => {
+  const closed = grantOf({domain: CLOSED});
+  const open = grantOf({domain: asId<DomainId>('open')});
+  const ask = (
+    answers: readonly object[],
+    otherRegions: readonly RegionId[] = [],
+  ): Promise<readonly string[]> =>
+    acquire(answers, undefined, undefined, {
+      asked: {...item, otherRegions},
+      evacuated: [CLOSED],
+    });
+  const returned = ['acquire', 'release: cancelled'];
+  assert.deepEqual(
+    {
+      told: await ask([open]),
+      untold: await ask([closed, open]),
+      former: await ask([closed, closed, closed, closed]),
+      formerWithRegion: await ask([closed, closed, closed], [OTHER_REGION]),
+    },
+    {
+      told: ['acquire', 'counted: request', 'grant'],
+      untold: [...returned, 'acquire', 'counted: request', 'grant'],
+      former: [...returned, ...returned, ...returned, 'refuse'],
+      formerWithRegion: [...returned, ...returned, ...returned, 'offload'],
+    },
+  );
+});
--- a/src/node/ingress/__tests__/retry_shares.spec.ts
+++ b/src/node/ingress/__tests__/retry_shares.spec.ts
@@ -66,6 +66,7 @@
       limits: new UpstreamLimits(),
       notices: new UpstreamNotices(),
       retryShares,
+      evacuatedDomains: () => [],
     });
     const {instanceId: entry} = instance;
     const item = chat(name, {entry, isRepeat});
--- a/src/node/ingress/grant_source.ts
+++ b/src/node/ingress/grant_source.ts
@@ -1,13 +1,16 @@
 /**
  * Acquires upstreams from the schedulers, keeps retries to this entry's share of the
- * budget, and checks each grant against what the upstreams have told this entry. A scheduler may have been told less: it may have
- * taken over, or dropped an upstream that was missing from the list for a while.
+ * budget, and checks each grant against what this entry knows from upstreams and
+ * control members. A scheduler may know less: it may have taken over, dropped an
+ * upstream that was missing from the list for a while, or be cut off from the control
+ * members.
  */
+import {localOffload, localRefusal} from '../dispatch/local_decisions.js';
 import type {SchedulerClient} from '../dispatch/scheduler_client.js';
 import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
 import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
-import {localRefusal} from '../dispatch/local_decisions.js';
 import type {SchedulerAnswer, WorkItem} from '../scheduling/types.js';
+import type {DomainId} from '../types/ids.js';
 import type {RetryShares} from './retry_shares.js';
 import {cancelGrant, type Grant} from './upstream_try.js';
 
@@ -22,8 +25,14 @@
     RetryShares,
     'allowsRetry' | 'noteRequest' | 'noteRetry' | 'noteRefusal'
   >;
+  /** The evacuated domains that this entry knows. */
+  readonly evacuatedDomains: () => readonly DomainId[];
 }
 
+/** Schedulers of the former version ignore the evacuations in a work item. */
+const MAX_EVACUATED_GRANTS = 3;
+const EVACUATED_RETRY_AFTER_MS = 1_000;
+
 /** The source of grants of one request. */
 export class GrantSource {
   private isCounted = false;
@@ -34,25 +43,23 @@
   async acquire(
     nextItem: () => WorkItem,
     signal: AbortSignal,
+    evacuatedGrants = 0,
   ): Promise<SchedulerAnswer> {
-    const {scheduler, notices} = this.options;
+    const {scheduler, evacuatedDomains} = this.options;
     const item = nextItem();
     if (this.isOverShare(item)) return this.refuse(item);
     const decision = await scheduler.acquire(item, signal);
     if (decision.kind !== 'grant') return decision;
-    const unknownLimitPerS = this.unknownLimitPerS(decision);
-    if (unknownLimitPerS !== undefined) {
-      // Before the grant is cancelled, as the scheduler ignores reports on others.
-      scheduler.reportLimits(decision, {
-        maxRequestsPerS: unknownLimitPerS,
-        isComplete: false,
-      });
+    if (evacuatedDomains().includes(decision.domain)) {
+      cancelGrant(scheduler, decision);
+      const returned = evacuatedGrants + 1;
+      return returned < MAX_EVACUATED_GRANTS
+        ? this.acquire(nextItem, signal, returned)
+        : withoutScheduler(item, decision);
     }
-    // The upstream may have turned away another request since the question.
-    const isForbidden = notices.forbids(decision.processId);
-    if (unknownLimitPerS !== undefined || isForbidden) {
+    if (this.isUnaware(decision)) {
       cancelGrant(scheduler, decision);
-      return this.acquire(nextItem, signal);
+      return this.acquire(nextItem, signal, evacuatedGrants);
     }
     // Other retries may have been granted since the question.
     if (this.isOverShare(item)) {
@@ -63,6 +70,21 @@
     return decision;
   }
 
+  /** Whether the upstream has told this entry more than its scheduler knew. */
+  private isUnaware(grant: Grant): boolean {
+    const {scheduler, notices} = this.options;
+    const unknownLimitPerS = this.unknownLimitPerS(grant);
+    if (unknownLimitPerS !== undefined) {
+      // Before the grant is cancelled, as the scheduler ignores reports on others.
+      scheduler.reportLimits(grant, {
+        maxRequestsPerS: unknownLimitPerS,
+        isComplete: false,
+      });
+    }
+    // The upstream may have turned away another request since the question.
+    return unknownLimitPerS !== undefined || notices.forbids(grant.processId);
+  }
+
   private isOverShare({isRepeat, service}: WorkItem): boolean {
     return isRepeat && !this.options.retryShares.allowsRetry(service);
   }
@@ -89,3 +111,18 @@
       : this.options.limits.maxRequestsPerS(grant.upstreamId);
   }
 }
+
+/** Sends a request to another region, or refuses it, in place of a scheduler. */
+function withoutScheduler(
+  item: WorkItem,
+  {scheduler}: SchedulerAnswer,
+): SchedulerAnswer {
+  const [region] = item.otherRegions;
+  return region === undefined
+    ? localRefusal(
+        {item, scheduler, passedDomains: []},
+        'no_upstream',
+        EVACUATED_RETRY_AFTER_MS,
+      )
+    : localOffload(item, region);
+}
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -345,6 +345,7 @@
         limits: this.limits,
         notices: new UpstreamNotices(),
         retryShares: this.retryShares,
+        evacuatedDomains: () => this.state.evacuatedDomains,
         relay: new RelayClient({
           self: settings.instanceId,
           clusterSecret: settings.clusterSecret,
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -266,6 +266,12 @@
   state_applied: {revision: z.number(), version: z.number()},
   change_confirmed: change,
   change_not_confirmed: change,
+  change_dropped: {
+    ...change,
+    /** `operator_left`. */
+    reason: z.string(),
+  },
+  change_superseded: change,
   change_rejected: {problems: z.array(z.unknown())},
   operator_call_failed: {},
   member_removed: peerChange,
