Soak: let upstreams send late copies of refusals, failures and answers

Callers saw requests refused that had run, and requests that ran twice, and no soak showed it: its upstreams never sent an answer twice, and with two of them a region a refused request went elsewhere. The profile 'copies' has one upstream a region and none in one; each third request is refused with 503 or 421 or fails, and a copy comes before the answer of the same request or of the next one on that connection. In some faults whole answers come twice too. The mixed profile adds up to two such faults, drawn from a stream of their own, so that the seeds that once failed keep their other faults.

The checks of refused requests that ran and of requests that ran twice were there. New are events and failures that belong to the request of another caller; the stand-in names the request in both. The shared part of the specs that run soaks stands in a support file.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -74,9 +74,28 @@
   (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
 ).join('');
 
+function eventOf(attemptId: string): string {
+  return `id: 0\ndata: piece 0 of v1 for ${attemptId}\n\n`;
+}
+
 const FORGED: readonly (readonly [RegExp, Partial<History>])[] = [
   [/ran 2 times/, {runs: [run(), run({upstreamId: 'u1-0'})]}],
   [/answered 503 and has run/, {calls: [call({status: 503, text: ''})]}],
+  [
+    /answered 421 and has run/,
+    {
+      calls: [call({status: 421, text: ''})],
+      runs: [run({startedAtMs: 29_000})],
+    },
+  ],
+  [
+    /got an event of a2/,
+    {calls: [call({route: 'once', text: eventOf('a1') + eventOf('a2')})]},
+  ],
+  [
+    /got the failure "failed by u0-0 a2"/,
+    {calls: [call({status: 500, text: 'failed by u0-0 a2'})]},
+  ],
   [/got "done by u0-0 a2"/, {calls: [call({text: 'done by u0-0 a2'})]}],
   [/did not run it/, {calls: [call({stamp: 'by u9-0'})]}],
   [
--- /dev/null
+++ b/soak/__tests__/incident_soaks.spec.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CopiedAnswers} from '../copied_answers.js';
+import type {SoakProfile} from '../profile.js';
+import {problemsOfSoak} from './support/soak.js';
+
+/** Beside those of the other soaks in CI. */
+const SLOT = 92;
+
+const SOAKS: readonly (readonly [number, SoakProfile])[] = [
+  // A late copy of a refusal was taken for the answer to a second try.
+  [1, new CopiedAnswers()],
+];
+
+// Guards against the faults of the incident: late copies of answers.
+SOAKS.forEach(([seed, profile]) =>
+  test(`soak of seed ${seed} with ${profile.name}`, async t =>
+    assert.deepEqual(await problemsOfSoak(t, seed, SLOT, profile), [])),
+);
--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -1,7 +1,4 @@
 import assert from 'node:assert/strict';
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {test, type TestContext} from 'node:test';
 import {
   CrashedUpstreams,
@@ -10,13 +7,10 @@
   PlannedStops,
   type SoakProfile,
 } from '../profile.js';
-import {runSoak} from '../soak_run.js';
+import {problemsOfSoak} from './support/soak.js';
 
 /** Beside the slots of soaks that are run by hand. */
 const SLOT = 90;
-const CALLS_PER_S = 30;
-/** A comparison of many long lines takes minutes. */
-const SHOWN_PROBLEMS = 10;
 
 /** Seeds that failed once, with the cause that was found. */
 const REGRESSION_SEEDS: readonly number[] = [
@@ -36,18 +30,7 @@
   seed: number,
   profile: SoakProfile,
 ): Promise<void> {
-  const folder = mkdtempSync(join(tmpdir(), `soak-spec-${seed}-`));
-  const result = await runSoak({
-    seed,
-    slot: SLOT,
-    folder,
-    callsPerS: CALLS_PER_S,
-    profile,
-  });
-  const problems = result.problems.slice(0, SHOWN_PROBLEMS);
-  assert.deepEqual(problems, [], JSON.stringify(result.faults));
-  t.diagnostic(`${result.served} of ${result.calls} calls served`);
-  rmSync(folder, {recursive: true});
+  assert.deepEqual(await problemsOfSoak(t, seed, SLOT, profile), []);
 }
 
 // Guards the promises that callers, upstreams and operators rely on while the
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -48,6 +48,8 @@
   const isPromise = NOT_RUN_STATUSES.includes(call.status);
   return [
     ...(kind === 'streaming' ? checkVersions(name, call) : []),
+    ...(kind === 'streaming' ? checkEvents(name, call) : []),
+    ...checkFailure(name, call, runs),
     ...broken(runs.length > attempts, `${name} ran ${runs.length} times`),
     ...broken(
       attempts === 1 && isPromise && runs.length > 0,
@@ -71,6 +73,33 @@
   ];
 }
 
+/** An event names the request of its caller, or the one that it takes up. */
+function checkEvents(
+  name: string,
+  {attemptId, takesUp, text}: CallResult,
+): readonly string[] {
+  const foreign = eventsOf(text).find(
+    event => !['', attemptId, takesUp?.attemptId].includes(event.attemptId),
+  );
+  return broken(
+    foreign !== undefined,
+    `${name} got an event of ${foreign?.attemptId}`,
+  );
+}
+
+/** A failure that an upstream signed is that of a run of this request. */
+function checkFailure(
+  name: string,
+  {isComplete, text, stamp, attemptId}: CallResult,
+  runs: History['runs'],
+): readonly string[] {
+  if (!isComplete || !text.startsWith('failed by ')) return [];
+  const isOwn =
+    text === `failed ${stamp} ${attemptId}` &&
+    runs.some(run => `by ${run.upstreamId}` === stamp);
+  return broken(!isOwn, `${name} got the failure "${text}"`);
+}
+
 function checkBody(name: string, call: CallResult): readonly string[] {
   const expected = `done ${call.stamp} ${call.attemptId}`;
   return broken(call.text !== expected, `${name} got "${call.text}"`);
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -1,5 +1,6 @@
 /** Draws the faults of one run from its seed. They overlap as they come. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
+import type {CopyMoment} from '../platform/standin/late_copies.js';
 import type {Behaviour} from '../platform/standin/stand_in.js';
 import {domainOf, REGIONS, type Layout} from './layout.js';
 import type {LinkState} from './tcp_proxy.js';
@@ -34,11 +35,20 @@
   /** An upstream answers in another way. */
   | 'upstream_behaviour'
   | 'upstream_drain'
+  /** An upstream refuses or fails each third request and sends late copies. */
+  | 'upstream_copies'
   /** The platform's list answers with errors. */
   | 'list_down'
   /** A domain is evacuated and taken back, or evacuated until the end. */
   | 'evacuate';
 
+/** The copies that an upstream sends late. */
+export interface CopyPlan {
+  readonly moment: CopyMoment;
+  readonly areOfAnswers: boolean;
+  readonly refusalStatus: 421 | 503;
+}
+
 /** One fault of a plan. */
 export interface Fault {
   readonly kind: FaultKind;
@@ -48,6 +58,7 @@
   readonly link?: LinkState;
   readonly delayMs?: number;
   readonly behaviour?: Behaviour;
+  readonly copies?: CopyPlan;
   /** Whether an evacuation stays in force until the end of the run. */
   readonly isKept?: boolean;
 }
@@ -107,11 +118,15 @@
   const count =
     FEWEST_FAULTS + Math.floor(random() * (MOST_FAULTS - FEWEST_FAULTS + 1));
   const drawn = Array.from({length: count}, () => drawFault(random, layout));
-  return drawn
-    .filter((fault, index) =>
+  return byTime(
+    drawn.filter((fault, index) =>
       [isWipe, isKept].every(kind => isFirst(kind, fault, index, drawn)),
-    )
-    .sort((left, right) => left.atMs - right.atMs);
+    ),
+  );
+}
+
+export function byTime(faults: readonly Fault[]): readonly Fault[] {
+  return [...faults].sort((left, right) => left.atMs - right.atMs);
 }
 
 // The system bears the loss of one disk at a time, and of one region.
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -1,5 +1,6 @@
 /** Puts the faults of a plan into effect and ends them. */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {StandInUpstream} from '../platform/standin/stand_in.js';
 import type {Fault} from './fault_plan.js';
 import type {Fleet} from './fleet.js';
 import type {MemberProcess} from './member_process.js';
@@ -100,6 +101,7 @@
     }
     const upstream = this.fleet.upstream(target);
     if (upstream === undefined) return;
+    if (kind === 'upstream_copies') return this.sendCopies(fault, upstream);
     if (kind === 'upstream_drain') upstream.isDraining = true;
     else upstream.behaviour = behaviour ?? 'answer';
     await sleep(durationMs);
@@ -107,6 +109,20 @@
     upstream.behaviour = 'answer';
   }
 
+  private async sendCopies(
+    {behaviour, copies, durationMs}: Fault,
+    upstream: StandInUpstream,
+  ): Promise<void> {
+    upstream.thirdBehaviour = behaviour;
+    upstream.refusalStatus = copies?.refusalStatus ?? 503;
+    upstream.copies.areOfAnswers = copies?.areOfAnswers ?? false;
+    upstream.copies.moment = copies?.moment ?? 'never';
+    await sleep(durationMs);
+    upstream.thirdBehaviour = undefined;
+    upstream.copies.areOfAnswers = false;
+    upstream.copies.moment = 'never';
+  }
+
   private async evacuate({
     target,
     durationMs,
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -38,7 +38,7 @@
     private readonly profile: SoakProfile,
   ) {
     mkdirSync(folder, {recursive: true});
-    this.layout = createLayout(slot);
+    this.layout = createLayout(slot, profile.upstreamsPerRegion);
     const {processes, upstreams, listAddress} = this.layout;
     this.members = new Map(
       processes.map(place => [
@@ -129,6 +129,7 @@
         listedAddress: proxyAddress,
         eventPauseMs: this.profile.eventPauseMs,
         isUnframed: this.profile.isUnframed(position),
+        namesRequests: true,
       },
     );
     upstream.bornAtMs = lifetime + 1;
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -31,16 +31,22 @@
 export interface SoakEvent {
   readonly id: number;
   readonly version: string;
+  /** The request that it belongs to; empty if it names none. */
+  readonly attemptId: string;
 }
 
-const EVENT_PATTERN = /^id: (\d+)\ndata: piece \1(?: of (\S+))?\n\n/gm;
+const EVENT_PATTERN =
+  /^id: (\d+)\ndata: piece \1(?: of (\S+))?(?: for (\S+))?\n\n/gm;
 
 /** The whole events in the text of a response. */
 export function eventsOf(text: string): readonly SoakEvent[] {
-  return [...text.matchAll(EVENT_PATTERN)].map(([, id, version = '']) => ({
-    id: Number(id),
-    version,
-  }));
+  return [...text.matchAll(EVENT_PATTERN)].map(
+    ([, id, version = '', attemptId = '']) => ({
+      id: Number(id),
+      version,
+      attemptId,
+    }),
+  );
 }
 
 /** One change that an operator sent, or one reading. */
--- a/soak/layout.ts
+++ b/soak/layout.ts
@@ -4,7 +4,8 @@
 export const SERVICE = 'svc';
 export const REGIONS: readonly string[] = ['north', 'south', 'west'];
 const ENTRIES_PER_REGION = 2;
-const UPSTREAMS_PER_REGION = 2;
+/** By the position of the region. */
+export const UPSTREAMS_PER_REGION: readonly number[] = [2, 2, 2];
 /** Hosts of parallel runs differ in their second number, 127.x. */
 const FIRST_NETWORK = 100;
 const NETWORKS = 100;
@@ -60,7 +61,10 @@
 }
 
 /** The layout of a run; runs at the same time need different slots. */
-export function createLayout(slot: number): Layout {
+export function createLayout(
+  slot: number,
+  upstreamsPerRegion = UPSTREAMS_PER_REGION,
+): Layout {
   const network = `127.${FIRST_NETWORK + (slot % NETWORKS)}.0`;
   const controls = REGIONS.map((region, index) =>
     placeOf('control', region, `${network}.${index + 1}`, index),
@@ -72,17 +76,16 @@
     }),
   );
   const upstreams = REGIONS.flatMap((region, index) =>
-    Array.from({length: UPSTREAMS_PER_REGION}, (_, each) => {
-      const position = index * UPSTREAMS_PER_REGION + each;
-      const host = `${network}.${FIRST_UPSTREAM_HOST + position}`;
-      return {
-        name: `u${position}`,
-        domain: domainOf(region),
-        address: `${host}:${PORT.upstream}`,
-        proxyAddress: `${host}:${PORT.upstreamProxy}`,
-      };
-    }),
-  );
+    Array.from({length: upstreamsPerRegion[index] ?? 0}, () => region),
+  ).map((region, position) => {
+    const host = `${network}.${FIRST_UPSTREAM_HOST + position}`;
+    return {
+      name: `u${position}`,
+      domain: domainOf(region),
+      address: `${host}:${PORT.upstream}`,
+      proxyAddress: `${host}:${PORT.upstreamProxy}`,
+    };
+  });
   return {
     processes: [...controls, ...entries],
     upstreams,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,7 +4,8 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import sade from 'sade';
 import {wallNowMs} from '../src/node/clock/clock.js';
-import {PROFILES, profileOf, type SoakProfile} from './profile.js';
+import type {SoakProfile} from './profile.js';
+import {PROFILES, profileOf} from './profiles.js';
 import {runSoak, type SoakResult} from './soak_run.js';
 
 const SEED_LIMIT = 1_000_000_000;
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -1,7 +1,8 @@
 /** What distinguishes the kinds of runs: their faults, streams and promises. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
-import {drawFaults, type Fault, type FaultKind} from './fault_plan.js';
-import type {Layout} from './layout.js';
+import {drawCopies} from './copy_faults.js';
+import {byTime, drawFaults, type Fault, type FaultKind} from './fault_plan.js';
+import {UPSTREAMS_PER_REGION, type Layout} from './layout.js';
 import {pick} from './traffic.js';
 
 /** One kind of run. */
@@ -15,8 +16,13 @@
   abstract faultsOf(seed: number, layout: Layout): readonly Fault[];
   /** Whether each request that reached an upstream must be answered whole. */
   abstract readonly losesNothing: boolean;
+  /** By the position of the region. */
+  readonly upstreamsPerRegion: readonly number[] = UPSTREAMS_PER_REGION;
 }
 
+const COPIES_STREAM = 1_000_000_007;
+const MOST_COPIES = 2;
+
 /** All kinds of faults, overlapping. */
 export class MixedFaults extends SoakProfile {
   override readonly name = 'mixed';
@@ -28,7 +34,13 @@
   }
 
   override faultsOf(seed: number, layout: Layout): readonly Fault[] {
-    return drawFaults(seed, layout);
+    // From a stream of its own, so that a seed keeps its other faults.
+    const random = seededRandom(seed + COPIES_STREAM);
+    const count = Math.floor(random() * (MOST_COPIES + 1));
+    const copies = Array.from({length: count}, () =>
+      drawCopies(pick(layout.upstreams, random)?.name ?? '', random),
+    );
+    return byTime([...drawFaults(seed, layout), ...copies]);
   }
 }
 
@@ -122,16 +134,3 @@
     return upstreams;
   }
 }
-
-export const PROFILES: readonly SoakProfile[] = [
-  new MixedFaults(),
-  new PlannedStops(),
-  new KilledEntries(),
-  new CrashedUpstreams(),
-];
-
-/** The profile with a name; the first one if there is none with it. */
-export function profileOf(name: string): SoakProfile {
-  const [first = new MixedFaults()] = PROFILES;
-  return PROFILES.find(each => each.name === name) ?? first;
-}
--- /dev/null
+++ b/soak/profiles.ts
@@ -0,0 +1,23 @@
+/** All kinds of runs, by name. */
+import {CopiedAnswers} from './copied_answers.js';
+import {
+  CrashedUpstreams,
+  KilledEntries,
+  MixedFaults,
+  PlannedStops,
+  type SoakProfile,
+} from './profile.js';
+
+export const PROFILES: readonly SoakProfile[] = [
+  new MixedFaults(),
+  new PlannedStops(),
+  new KilledEntries(),
+  new CrashedUpstreams(),
+  new CopiedAnswers(),
+];
+
+/** The profile with a name; the first one if there is none with it. */
+export function profileOf(name: string): SoakProfile {
+  const [first = new MixedFaults()] = PROFILES;
+  return PROFILES.find(each => each.name === name) ?? first;
+}
