Soak: let operators' orders come late, after the opposite ones

Requests ran for seconds in a failure domain whose evacuation was confirmed, and no soak showed it: its operator sent orders straight to the control members, one domain at a time, and the proxies forgot what a closed connection had sent. Now a proxy stands before each control member; held bytes are delivered after the connection has ended, with its end. In the profile 'orders' two operators send an order to a control member that stands still or whose link is held, give it up after a second, send it to another one and then the opposite one; after that the first one arrives. The mixed profile draws a held link of operators.

Checks: an evacuation ends with an order to take back the same domain (any domain's did before) that its operator had not given up when the evacuation was sent; a crossing one ends it, since either may come first. Where no entry is out of touch the check holds throughout, not only once the faults are over: in 'orders' only one of three control members is impaired at a time. New: a domain that was taken back runs requests again.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -57,6 +57,7 @@
     unexpectedExits: [],
     slowStops: [],
     losesNothing: false,
+    entriesKeepTouch: false,
     probes: [],
     calmAtMs: CALM_AT_MS,
     ...fields,
@@ -164,6 +165,42 @@
       ],
     },
   ],
+  [
+    /ran in evacuated north-a/,
+    {
+      operator: [
+        order('replace', 4),
+        // Given up before the order that it must not undo.
+        order('return', 0, {text: 'north-a', status: 0, endedAtMs: 105}),
+        order('evacuate', 0, {text: 'north-a', sentAtMs: 106}),
+        order('return', 0, {text: 'south-a', sentAtMs: 120}),
+        order('read', 4),
+      ],
+    },
+  ],
+  [
+    /ran in evacuated north-a/,
+    {
+      calmAtMs: 18_000,
+      entriesKeepTouch: true,
+      operator: [
+        order('replace', 4),
+        order('evacuate', 0, {text: 'north-a'}),
+        order('read', 4),
+      ],
+    },
+  ],
+  [
+    /nothing ran in south-a, which was taken back/,
+    {
+      operator: [
+        order('replace', 4),
+        order('evacuate', 0, {text: 'south-a'}),
+        order('return', 0, {text: 'south-a', sentAtMs: 120, endedAtMs: 130}),
+        order('read', 4),
+      ],
+    },
+  ],
   [/only 0 of 1 calls were served/, {calls: [call({status: 502})]}],
   [/ended by itself/, {unexpectedExits: ['entry-1 (code 1)']}],
   [/stopped too slowly/, {slowStops: ['entry-1']}],
@@ -180,6 +217,18 @@
   });
 });
 
+// Guards against a check that takes an order which may have come after the
+// evacuation for one that came before it.
+test('an order to take back that crosses the evacuation ends it', () => {
+  const operator = [
+    order('replace', 4),
+    order('return', 0, {text: 'north-a', endedAtMs: 107}),
+    order('evacuate', 0, {text: 'north-a', sentAtMs: 106}),
+    order('read', 4, {sentAtMs: 9_000}),
+  ];
+  assert.deepEqual(problemsOf({operator}), []);
+});
+
 // Guards against a seed that cannot be repeated.
 test('a seed draws the same faults every time', () => {
   const layout = createLayout(0);
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,4 +1,6 @@
 /** Checks the promises of the gateway against the history of one run. */
+import {broken, confirmed, SETTLE_MS} from './check_support.js';
+import {checkEvacuations, checkReturns} from './evacuation_checks.js';
 import {domainOf} from './layout.js';
 import {
   eventsOf,
@@ -12,9 +14,6 @@
 
 /** Time in which all entries obey a change, with the members in touch. */
 const APPLY_MS = 3_000;
-/** Time from the end of all faults until everything is in touch again. */
-const SETTLE_MS = 6_000;
-const EVACUATION_MS = 5_000;
 /** Longest time from the sending of a probe to its handling. */
 const PROBE_MS = 1_000;
 const NOT_FOUND = 404;
@@ -35,6 +34,7 @@
     ...checkReadings(history.operator),
     ...checkFinalReading(history.operator),
     ...checkEvacuations(history),
+    ...checkReturns(history),
     ...checkService(history),
     ...history.unexpectedExits.map(name => `${name} ended by itself`),
     ...history.slowStops.map(name => `${name} stopped too slowly`),
@@ -191,13 +191,6 @@
   );
 }
 
-function confirmed(
-  records: readonly OperatorRecord[],
-  kind: OperatorRecord['kind'],
-): readonly OperatorRecord[] {
-  return records.filter(each => each.kind === kind && each.status === 200);
-}
-
 /** A reading is never older than a change confirmed well before it. */
 function checkReadings(records: readonly OperatorRecord[]): readonly string[] {
   const replaced = confirmed(records, 'replace');
@@ -236,34 +229,6 @@
   );
 }
 
-/** Nothing runs in a domain that is still evacuated once the faults are over. */
-function checkEvacuations({
-  operator,
-  runs,
-  calmAtMs,
-}: History): readonly string[] {
-  return confirmed(operator, 'evacuate').flatMap(order => {
-    const lifted = operator.find(
-      each => each.kind === 'return' && each.sentAtMs > order.sentAtMs,
-    );
-    const fromMs = Math.max(
-      order.endedAtMs + EVACUATION_MS,
-      calmAtMs + SETTLE_MS,
-    );
-    const untilMs = lifted?.sentAtMs ?? Number.POSITIVE_INFINITY;
-    const late = runs.filter(
-      run =>
-        run.domain === order.text &&
-        run.startedAtMs > fromMs &&
-        run.startedAtMs < untilMs,
-    );
-    return broken(
-      late.length > 0,
-      `${late.length} requests ran in evacuated ${order.text}`,
-    );
-  });
-}
-
 /** After the faults everything is served again. */
 function checkService({calls, calmAtMs}: History): readonly string[] {
   const calm = calls.filter(call => call.sentAtMs > calmAtMs + SETTLE_MS);
@@ -274,7 +239,3 @@
     `only ${served.length} of ${calm.length} calls were served after the faults`,
   );
 }
-
-function broken(isBroken: boolean, message: string): readonly string[] {
-  return isBroken ? [message] : [];
-}
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -40,7 +40,31 @@
   /** The platform's list answers with errors. */
   | 'list_down'
   /** A domain is evacuated and taken back, or evacuated until the end. */
-  | 'evacuate';
+  | 'evacuate'
+  /** The link between operators and a control member is impaired. */
+  | 'operator_link'
+  /** An order is held up on its way until the opposite one is confirmed. */
+  | 'late_order';
+
+/** How an order is held up on its way. */
+export type OrderDelay =
+  /** The control member that gets it stands still. */
+  | 'paused_member'
+  /** The operator's link to that member holds it back. */
+  | 'operator_link'
+  /** The link on which another member passes it on holds it back. */
+  | 'member_link';
+
+/** An order that comes late. */
+export interface LatePlan {
+  /** Whether it takes the domain back; else it evacuates it. */
+  readonly isReturn: boolean;
+  /** The control member at which it is held up. */
+  readonly member: string;
+  readonly delay: OrderDelay;
+  /** From the confirmation of the opposite order to the arrival of this one. */
+  readonly lateMs: number;
+}
 
 /** The copies that an upstream sends late. */
 export interface CopyPlan {
@@ -59,6 +83,7 @@
   readonly delayMs?: number;
   readonly behaviour?: Behaviour;
   readonly copies?: CopyPlan;
+  readonly late?: LatePlan;
   /** Whether an evacuation stays in force until the end of the run. */
   readonly isKept?: boolean;
 }
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -5,8 +5,8 @@
 import type {Fleet} from './fleet.js';
 import type {MemberProcess} from './member_process.js';
 import type {Operator} from './operator.js';
-
-const RESEND_MS = 500;
+import {OrderRunner} from './order_runner.js';
+import type {TcpProxy} from './tcp_proxy.js';
 
 /** Runs all faults of a plan; resolves when the last one has ended. */
 export async function runFaults(
@@ -24,16 +24,26 @@
 }
 
 class FaultRunner {
+  private readonly orders: OrderRunner;
+
   constructor(
     private readonly fleet: Fleet,
-    private readonly operator: Operator,
-  ) {}
+    operator: Operator,
+  ) {
+    this.orders = new OrderRunner(fleet, operator);
+  }
 
   run(fault: Fault): Promise<void> {
     const {kind} = fault;
     if (kind.startsWith('link')) return this.impairLink(fault);
     if (kind.startsWith('upstream')) return this.changeUpstream(fault);
-    if (kind === 'evacuate') return this.evacuate(fault);
+    if (kind === 'evacuate') return this.orders.evacuate(fault);
+    if (kind === 'late_order' && fault.late !== undefined) {
+      return this.orders.sendLate(fault, fault.late);
+    }
+    if (kind === 'operator_link') {
+      return this.impair(this.fleet.operatorProxies.get(fault.target), fault);
+    }
     if (kind === 'list_down') return this.failList(fault);
     if (kind === 'kill_all') return this.killTogether(fault, () => true);
     if (kind === 'kill_controls') {
@@ -86,8 +96,15 @@
       proxy?.reset();
       return;
     }
-    proxy?.impair(fault.link ?? 'open', fault.delayMs);
-    await sleep(fault.durationMs);
+    await this.impair(proxy, fault);
+  }
+
+  private async impair(
+    proxy: TcpProxy | undefined,
+    {link = 'open', delayMs, durationMs}: Fault,
+  ): Promise<void> {
+    proxy?.impair(link, delayMs);
+    await sleep(durationMs);
     proxy?.impair('open');
   }
 
@@ -123,24 +140,6 @@
     upstream.copies.moment = 'never';
   }
 
-  private async evacuate({
-    target,
-    durationMs,
-    isKept = false,
-  }: Fault): Promise<void> {
-    await this.confirm(() => this.operator.evacuate(target));
-    if (isKept) return;
-    await sleep(durationMs);
-    await this.confirm(() => this.operator.takeBack(target));
-  }
-
-  // The operator resends an order until it is confirmed.
-  private async confirm(send: () => Promise<boolean>): Promise<void> {
-    if (await send()) return;
-    await sleep(RESEND_MS);
-    await this.confirm(send);
-  }
-
   private async failList({durationMs}: Fault): Promise<void> {
     this.fleet.list.isAvailable = false;
     await sleep(durationMs);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -24,6 +24,8 @@
   readonly members: ReadonlyMap<string, MemberProcess>;
   /** By the name of the process or upstream behind it. */
   readonly proxies: ReadonlyMap<string, TcpProxy>;
+  /** Between operators and control members, by the member's name. */
+  readonly operatorProxies: ReadonlyMap<string, TcpProxy>;
   readonly list: StandInList;
   readonly unexpectedExits: UnexpectedExit[] = [];
   readonly slowStops: string[] = [];
@@ -61,6 +63,14 @@
           [each.name, new TcpProxy(each.proxyAddress, each.address)] as const,
       ),
     ]);
+    this.operatorProxies = new Map(
+      processes
+        .filter(each => each.role === 'control')
+        .map(({name, operatorProxyAddress, mainAddress}) => [
+          name,
+          new TcpProxy(operatorProxyAddress, mainAddress),
+        ]),
+    );
     this.list = new StandInList(this.listed, listAddress);
   }
 
@@ -69,6 +79,10 @@
     return [...this.past, ...this.current.values()];
   }
 
+  private get allProxies(): readonly TcpProxy[] {
+    return [...this.proxies.values(), ...this.operatorProxies.values()];
+  }
+
   upstream(name: string): StandInUpstream | undefined {
     return this.current.get(name);
   }
@@ -78,7 +92,7 @@
     await Promise.all(
       this.layout.upstreams.map(each => this.addUpstream(each)),
     );
-    await Promise.all([...this.proxies.values()].map(each => each.start()));
+    await Promise.all(this.allProxies.map(each => each.start()));
     this.members.forEach(member => member.start());
   }
 
@@ -86,7 +100,7 @@
   async stop(): Promise<void> {
     this.members.forEach(member => member.resume());
     await Promise.all([...this.members.values()].map(each => each.kill()));
-    this.proxies.forEach(proxy => proxy.stop());
+    this.allProxies.forEach(proxy => proxy.stop());
     this.upstreams.forEach(each => each.stop());
     this.list.stop();
   }
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -83,6 +83,8 @@
   readonly calmAtMs: number;
   /** Whether each request that reached an upstream must be answered whole. */
   readonly losesNothing: boolean;
+  /** Whether all entries were in touch with most control members at all times. */
+  readonly entriesKeepTouch: boolean;
 }
 
 export const ROUTES = {
--- a/soak/layout.ts
+++ b/soak/layout.ts
@@ -16,6 +16,8 @@
   readiness: 8140,
   metrics: 9464,
   operator: 8146,
+  /** Of the proxy that operators use. */
+  operatorProxy: 8145,
   directory: 8148,
   /** Of the proxy that other processes use. */
   innerProxy: 7700,
@@ -37,6 +39,8 @@
   readonly metricsAddress: string;
   /** Callers' address of an entry, operators' address of a control member. */
   readonly mainAddress: string;
+  /** Where operators reach a control member. */
+  readonly operatorProxyAddress: string;
   /** Readiness of an entry, directory of a control member. */
   readonly sideAddress: string;
 }
@@ -111,6 +115,7 @@
     innerProxyAddress: `${host}:${PORT.innerProxy}`,
     metricsAddress: `${host}:${PORT.metrics}`,
     mainAddress: `${host}:${isEntry ? PORT.caller : PORT.operator}`,
+    operatorProxyAddress: `${host}:${PORT.operatorProxy}`,
     sideAddress: `${host}:${isEntry ? PORT.readiness : PORT.directory}`,
   };
 }
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -97,12 +97,15 @@
     return status === 200;
   }
 
-  evacuate(domain: string): Promise<boolean> {
-    return this.send('evacuate', `${EVACUATE_PREFIX}${domain}`, 0, domain);
+  /** Sends the order to one member, any if no address is given. */
+  evacuate(domain: string, address?: string): Promise<boolean> {
+    const path = `${EVACUATE_PREFIX}${domain}`;
+    return this.send('evacuate', path, 0, domain, address);
   }
 
-  takeBack(domain: string): Promise<boolean> {
-    return this.send('return', `${RETURN_PREFIX}${domain}`, 0, domain);
+  takeBack(domain: string, address?: string): Promise<boolean> {
+    const path = `${RETURN_PREFIX}${domain}`;
+    return this.send('return', path, 0, domain, address);
   }
 
   private async send(
@@ -110,10 +113,11 @@
     path: string,
     version: number,
     text: string,
+    address?: string,
   ): Promise<boolean> {
     const sentAtMs = performance.now();
     const body = kind === 'replace' ? text : undefined;
-    const {status} = await this.call('POST', path, body);
+    const {status} = await this.call('POST', path, body, address);
     this.note(kind, sentAtMs, status, version, text);
     return status === 200;
   }
@@ -133,8 +137,8 @@
     method: 'GET' | 'POST',
     path: string,
     body?: string,
+    address = pick(this.addresses, this.random) ?? '',
   ): Promise<{status: number; body: string}> {
-    const address = pick(this.addresses, this.random) ?? '';
     try {
       const answer = await request(`http://${address}${path}`, {
         method,
--- /dev/null
+++ b/soak/order_runner.ts
@@ -0,0 +1,87 @@
+/** Sends operators' orders, also ones that are held up on their way. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Fault, LatePlan} from './fault_plan.js';
+import type {Fleet} from './fleet.js';
+import type {Operator} from './operator.js';
+
+const RESEND_MS = 500;
+/** An evacuation has to hold longer than the entries may take to obey it. */
+const KEPT_MS = 8_000;
+
+/** The operators of one run, each with one domain at a time. */
+export class OrderRunner {
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly operator: Operator,
+  ) {}
+
+  async evacuate({target, durationMs, isKept = false}: Fault): Promise<void> {
+    await this.confirm(target, true);
+    if (isKept) return;
+    await sleep(durationMs);
+    await this.confirm(target, false);
+  }
+
+  /**
+   * An order is held up and given up, sent again elsewhere and confirmed; so is
+   * the opposite one. Then the first one arrives.
+   */
+  async sendLate(fault: Fault, late: LatePlan): Promise<void> {
+    const {target, durationMs, isKept = false} = fault;
+    if (late.isReturn) {
+      await this.confirm(target, true);
+      await sleep(durationMs);
+    }
+    this.hold(late);
+    await this.send(target, !late.isReturn, this.firstAddress(late));
+    await this.confirm(target, !late.isReturn);
+    await sleep(durationMs);
+    await this.confirm(target, late.isReturn);
+    await sleep(late.lateMs);
+    this.release(late);
+    if (isKept || !late.isReturn) return;
+    await sleep(KEPT_MS);
+    await this.confirm(target, false);
+  }
+
+  // The operator resends an order until it is confirmed.
+  private async confirm(domain: string, isEvacuated: boolean): Promise<void> {
+    if (await this.send(domain, isEvacuated)) return;
+    await sleep(RESEND_MS);
+    await this.confirm(domain, isEvacuated);
+  }
+
+  private send(
+    domain: string,
+    isEvacuated: boolean,
+    address?: string,
+  ): Promise<boolean> {
+    return isEvacuated
+      ? this.operator.evacuate(domain, address)
+      : this.operator.takeBack(domain, address);
+  }
+
+  /** Held up between members, an order has to come in at another one. */
+  private firstAddress({member, delay}: LatePlan): string | undefined {
+    const isAtMember = delay !== 'member_link';
+    return this.fleet.layout.processes.find(
+      ({role, name}) => role === 'control' && (name === member) === isAtMember,
+    )?.operatorProxyAddress;
+  }
+
+  private hold({member, delay}: LatePlan): void {
+    const {members, operatorProxies, proxies} = this.fleet;
+    if (delay === 'paused_member') members.get(member)?.pause();
+    if (delay === 'operator_link') {
+      operatorProxies.get(member)?.impair('cut_inbound');
+    }
+    if (delay === 'member_link') proxies.get(member)?.impair('cut_inbound');
+  }
+
+  private release({member, delay}: LatePlan): void {
+    const {members, operatorProxies, proxies} = this.fleet;
+    if (delay === 'paused_member') members.get(member)?.resume();
+    if (delay === 'operator_link') operatorProxies.get(member)?.impair('open');
+    if (delay === 'member_link') proxies.get(member)?.impair('open');
+  }
+}
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -3,6 +3,7 @@
 import {drawCopies} from './copy_faults.js';
 import {byTime, drawFaults, type Fault, type FaultKind} from './fault_plan.js';
 import {UPSTREAMS_PER_REGION, type Layout} from './layout.js';
+import {drawOperatorLink} from './order_faults.js';
 import {pick} from './traffic.js';
 
 /** One kind of run. */
@@ -16,11 +17,13 @@
   abstract faultsOf(seed: number, layout: Layout): readonly Fault[];
   /** Whether each request that reached an upstream must be answered whole. */
   abstract readonly losesNothing: boolean;
+  /** Whether all entries stay in touch with most control members. */
+  readonly entriesKeepTouch: boolean = false;
   /** By the position of the region. */
   readonly upstreamsPerRegion: readonly number[] = UPSTREAMS_PER_REGION;
 }
 
-const COPIES_STREAM = 1_000_000_007;
+const ADDED_STREAM = 1_000_000_007;
 const MOST_COPIES = 2;
 
 /** All kinds of faults, overlapping. */
@@ -34,13 +37,14 @@
   }
 
   override faultsOf(seed: number, layout: Layout): readonly Fault[] {
-    // From a stream of its own, so that a seed keeps its other faults.
-    const random = seededRandom(seed + COPIES_STREAM);
+    // From a stream of their own, so that a seed keeps its other faults.
+    const random = seededRandom(seed + ADDED_STREAM);
     const count = Math.floor(random() * (MOST_COPIES + 1));
     const copies = Array.from({length: count}, () =>
       drawCopies(pick(layout.upstreams, random)?.name ?? '', random),
     );
-    return byTime([...drawFaults(seed, layout), ...copies]);
+    const held = drawOperatorLink(random, layout);
+    return byTime([...drawFaults(seed, layout), ...copies, held]);
   }
 }
 
--- a/soak/profiles.ts
+++ b/soak/profiles.ts
@@ -1,5 +1,6 @@
 /** All kinds of runs, by name. */
 import {CopiedAnswers} from './copied_answers.js';
+import {LateOrders} from './late_orders.js';
 import {
   CrashedUpstreams,
   KilledEntries,
@@ -14,6 +15,7 @@
   new KilledEntries(),
   new CrashedUpstreams(),
   new CopiedAnswers(),
+  new LateOrders(),
 ];
 
 /** The profile with a name; the first one if there is none with it. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -52,7 +52,7 @@
   const controls = processes.filter(each => each.role === 'control');
   const entries = processes.filter(each => each.role === 'entry');
   const operator = new Operator(
-    controls.map(each => each.mainAddress),
+    controls.map(each => each.operatorProxyAddress),
     seededRandom(seed + 1),
   );
   const traffic = new Traffic({
@@ -89,6 +89,7 @@
     const history = {
       ...historyOf(fleet, traffic, operator, calmAtMs),
       losesNothing: profile.losesNothing,
+      entriesKeepTouch: profile.entriesKeepTouch,
       probes: probes.probes,
     };
     const served = traffic.calls.filter(each => each.status === 200).length;
@@ -119,7 +120,7 @@
   traffic: Traffic,
   operator: Operator,
   calmAtMs: number,
-): Omit<History, 'losesNothing' | 'probes'> {
+): Omit<History, 'losesNothing' | 'entriesKeepTouch' | 'probes'> {
   return {
     calls: traffic.calls,
     runs: fleet.upstreams.flatMap(each => each.runs),
--- a/soak/tcp_proxy.ts
+++ b/soak/tcp_proxy.ts
@@ -19,7 +19,7 @@
 
 /**
  * Forwards bytes one way, in their order; what is held back arrives once the
- * link is open.
+ * link is open, with the end of the connection if that came meanwhile.
  */
 class Direction {
   private readonly held: (() => void)[] = [];
@@ -124,8 +124,11 @@
     this.links.add(link);
     forward(client, inbound, target);
     forward(target, outbound, client);
-    [client, target].forEach(socket =>
-      socket.once('close', () => this.links.delete(link)),
+    // What a side sent before it closed may still be held back.
+    link.sockets.forEach(socket =>
+      socket.once('close', () => {
+        if (link.sockets.every(each => each.closed)) this.links.delete(link);
+      }),
     );
   }
 }
