--- a/soak/order_runner.ts
+++ b/soak/order_runner.ts
@@ -7,6 +7,8 @@
 const RESEND_MS = 500;
 /** An evacuation has to hold longer than the entries may take to obey it. */
 const KEPT_MS = 8_000;
+/** Members may be unable to confirm anything while an order is held up. */
+const LONGEST_HOLD_MS = 8_000;
 
 /** The operators of one run, each with one domain at a time. */
 export class OrderRunner {
@@ -33,11 +35,13 @@
       await sleep(durationMs);
     }
     this.hold(late);
+    const release = setTimeout(() => this.release(late), LONGEST_HOLD_MS);
     await this.send(target, !late.isReturn, this.firstAddress(late));
     await this.confirm(target, !late.isReturn);
     await sleep(durationMs);
     await this.confirm(target, late.isReturn);
     await sleep(late.lateMs);
+    clearTimeout(release);
     this.release(late);
     if (isKept || !late.isReturn) return;
     await sleep(KEPT_MS);
