Soak: count the arrivals beyond the first of each request

Upstreams got more repeated requests than the deployment may spend, and no soak showed it, since none counted them. The stand-in now notes each arrival, whether it runs or not. In any 10 s the arrivals beyond the first of each request, over all upstreams, have to stay within the share and the slack that the settings of the soak name (0.2 and 40, now in one place): the share of the requests that callers sent in that window, the one before or the one half a window before, whichever has most. The profile 'rejections' lets all upstreams reject and fail requests while entries and control members are killed and paused.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -33,6 +33,10 @@
   };
 }
 
+function arrival(afterMs: number): History['arrivals'][number] {
+  return {attemptId: 'a1', arrivedAtMs: 20_005 + afterMs};
+}
+
 function order(
   kind: OperatorRecord['kind'],
   version: number,
@@ -53,6 +57,7 @@
   return checkHistory({
     calls: [call()],
     runs: [run()],
+    arrivals: [],
     operator: [order('replace', 4), order('read', 4, {sentAtMs: 9_000})],
     unexpectedExits: [],
     slowStops: [],
@@ -201,6 +206,10 @@
       ],
     },
   ],
+  [
+    /41 repeated arrivals in a window with 1 requests, 40 are allowed/,
+    {arrivals: Array.from({length: 42}, (_, index) => arrival(index))},
+  ],
   [/only 0 of 1 calls were served/, {calls: [call({status: 502})]}],
   [/ended by itself/, {unexpectedExits: ['entry-1 (code 1)']}],
   [/stopped too slowly/, {slowStops: ['entry-1']}],
@@ -217,6 +226,18 @@
   });
 });
 
+// Guards against a check that counts first arrivals, or those of two windows.
+test('as many repeats as the budget allows are in order', () => {
+  const inTwoWindows = Array.from({length: 81}, (_, index) =>
+    arrival(index < 41 ? index : index + 10_000),
+  );
+  const firsts = Array.from({length: 60}, (_, index) => ({
+    ...arrival(index),
+    attemptId: `b${index}`,
+  }));
+  assert.deepEqual(problemsOf({arrivals: [...inTwoWindows, ...firsts]}), []);
+});
+
 // Guards against a check that takes an order which may have come after the
 // evacuation for one that came before it.
 test('an order to take back that crosses the evacuation ends it', () => {
--- a/soak/__tests__/incident_soaks.spec.ts
+++ b/soak/__tests__/incident_soaks.spec.ts
@@ -3,6 +3,7 @@
 import {CopiedAnswers} from '../copied_answers.js';
 import {LateOrders} from '../late_orders.js';
 import type {SoakProfile} from '../profile.js';
+import {RejectedRequests} from '../rejected_requests.js';
 import {problemsOfSoak} from './support/soak.js';
 
 /** Beside those of the other soaks in CI. */
@@ -13,9 +14,12 @@
   [1, new CopiedAnswers()],
   // Orders that their operators had given up undid later, confirmed ones.
   [6, new LateOrders()],
+  // Upstreams got more repeats than the shared budget allows.
+  [1, new RejectedRequests()],
 ];
 
-// Guards against the faults of the incident: late copies of answers, late orders.
+// Guards against the faults of the incident: late copies of answers, late orders,
+// and too many retries while schedulers move.
 SOAKS.forEach(([seed, profile]) =>
   test(`soak of seed ${seed} with ${profile.name}`, async t =>
     assert.deepEqual(await problemsOfSoak(t, seed, SLOT, profile), [])),
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -10,6 +10,7 @@
   type History,
   type OperatorRecord,
 } from './history.js';
+import {checkRetries} from './retry_check.js';
 import {TIMEOUT_MS} from './traffic.js';
 
 /** Time in which all entries obey a change, with the members in touch. */
@@ -35,6 +36,7 @@
     ...checkFinalReading(history.operator),
     ...checkEvacuations(history),
     ...checkReturns(history),
+    ...checkRetries(history),
     ...checkService(history),
     ...history.unexpectedExits.map(name => `${name} ended by itself`),
     ...history.slowStops.map(name => `${name} stopped too slowly`),
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -70,10 +70,17 @@
   readonly startedAtMs: number;
 }
 
+/** A request that reached an upstream, whether it ran or not. */
+export interface UpstreamArrival {
+  readonly attemptId: string;
+  readonly arrivedAtMs: number;
+}
+
 export interface History {
   readonly probes: readonly RouteProbe[];
   readonly calls: readonly CallResult[];
   readonly runs: readonly UpstreamRun[];
+  readonly arrivals: readonly UpstreamArrival[];
   readonly operator: readonly OperatorRecord[];
   /** Ends of processes that nobody asked for. */
   readonly unexpectedExits: readonly string[];
--- a/soak/layout.ts
+++ b/soak/layout.ts
@@ -27,6 +27,9 @@
   list: 8142,
 } as const;
 
+/** How often upstreams may get requests again; all settings name it. */
+export const RETRY_BUDGET = {ratio: 0.2, windowMs: 10_000, slack: 40} as const;
+
 /** Where one process listens. */
 export interface ProcessPlace {
   readonly role: 'entry' | 'control';
--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -11,7 +11,7 @@
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import type {Layout, ProcessPlace} from './layout.js';
+import {RETRY_BUDGET, type Layout, type ProcessPlace} from './layout.js';
 
 const PROGRAMS = {
   entry: fileURLToPath(new URL('../platform/entry_main.js', import.meta.url)),
@@ -196,9 +196,9 @@
       stopGraceMs: STOP_GRACE_MS,
       listAddress: layout.listAddress,
       listLagMs: 100,
-      retryRatio: 0.2,
-      retryWindowMs: 10_000,
-      retrySlack: 40,
+      retryRatio: RETRY_BUDGET.ratio,
+      retryWindowMs: RETRY_BUDGET.windowMs,
+      retrySlack: RETRY_BUDGET.slack,
     };
   }
 }
--- a/soak/profiles.ts
+++ b/soak/profiles.ts
@@ -8,6 +8,7 @@
   PlannedStops,
   type SoakProfile,
 } from './profile.js';
+import {RejectedRequests} from './rejected_requests.js';
 
 export const PROFILES: readonly SoakProfile[] = [
   new MixedFaults(),
@@ -16,6 +17,7 @@
   new CrashedUpstreams(),
   new CopiedAnswers(),
   new LateOrders(),
+  new RejectedRequests(),
 ];
 
 /** The profile with a name; the first one if there is none with it. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -124,6 +124,7 @@
   return {
     calls: traffic.calls,
     runs: fleet.upstreams.flatMap(each => each.runs),
+    arrivals: fleet.upstreams.flatMap(each => each.arrivals),
     operator: operator.records,
     unexpectedExits: fleet.unexpectedExits.map(
       ({name, code, signal}) => `${name} (code ${code}, signal ${signal})`,
