--- a/soak/__tests__/incident_soaks.spec.ts
+++ b/soak/__tests__/incident_soaks.spec.ts
@@ -13,7 +13,7 @@
   // A late copy of a refusal was taken for the answer to a second try.
   [1, new CopiedAnswers()],
   // Orders that their operators had given up undid later, confirmed ones.
-  [6, new LateOrders()],
+  [277, new LateOrders()],
   // Upstreams got more repeats than the shared budget allows.
   [1, new RejectedRequests()],
 ];
--- a/soak/order_runner.ts
+++ b/soak/order_runner.ts
@@ -12,6 +12,8 @@
 
 /** The operators of one run, each with one domain at a time. */
 export class OrderRunner {
+  private readonly held = new Set<LatePlan>();
+
   constructor(
     private readonly fleet: Fleet,
     private readonly operator: Operator,
@@ -34,15 +36,15 @@
       await this.confirm(target, true);
       await sleep(durationMs);
     }
-    this.hold(late);
-    const release = setTimeout(() => this.release(late), LONGEST_HOLD_MS);
+    const release = this.hold(late);
+    const limit = setTimeout(release, LONGEST_HOLD_MS);
     await this.send(target, !late.isReturn, this.firstAddress(late));
     await this.confirm(target, !late.isReturn);
     await sleep(durationMs);
     await this.confirm(target, late.isReturn);
     await sleep(late.lateMs);
-    clearTimeout(release);
-    this.release(late);
+    clearTimeout(limit);
+    release();
     if (isKept || !late.isReturn) return;
     await sleep(KEPT_MS);
     await this.confirm(target, false);
@@ -73,19 +75,26 @@
     )?.operatorProxyAddress;
   }
 
-  private hold({member, delay}: LatePlan): void {
-    const {members, operatorProxies, proxies} = this.fleet;
-    if (delay === 'paused_member') members.get(member)?.pause();
-    if (delay === 'operator_link') {
-      operatorProxies.get(member)?.impair('cut_inbound');
-    }
-    if (delay === 'member_link') proxies.get(member)?.impair('cut_inbound');
+  /** Returns how to end the hold; it lasts until all that overlap have ended. */
+  private hold(late: LatePlan): () => void {
+    this.impair(late, true);
+    this.held.add(late);
+    return () => {
+      if (!this.held.delete(late)) return;
+      const isStillHeld = [...this.held].some(
+        ({member, delay}) => member === late.member && delay === late.delay,
+      );
+      if (!isStillHeld) this.impair(late, false);
+    };
   }
 
-  private release({member, delay}: LatePlan): void {
+  private impair({member, delay}: LatePlan, isHeld: boolean): void {
     const {members, operatorProxies, proxies} = this.fleet;
-    if (delay === 'paused_member') members.get(member)?.resume();
-    if (delay === 'operator_link') operatorProxies.get(member)?.impair('open');
-    if (delay === 'member_link') proxies.get(member)?.impair('open');
+    const state = isHeld ? 'cut_inbound' : 'open';
+    if (delay === 'operator_link') operatorProxies.get(member)?.impair(state);
+    if (delay === 'member_link') proxies.get(member)?.impair(state);
+    if (delay !== 'paused_member') return;
+    if (isHeld) members.get(member)?.pause();
+    else members.get(member)?.resume();
   }
 }
