--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -33,6 +33,10 @@
   };
 }
 
+function arrival(afterMs: number): History['arrivals'][number] {
+  return {attemptId: 'a1', arrivedAtMs: 20_005 + afterMs};
+}
+
 function order(
   kind: OperatorRecord['kind'],
   version: number,
@@ -53,10 +57,12 @@
   return checkHistory({
     calls: [call()],
     runs: [run()],
+    arrivals: [],
     operator: [order('replace', 4), order('read', 4, {sentAtMs: 9_000})],
     unexpectedExits: [],
     slowStops: [],
     losesNothing: false,
+    entriesKeepTouch: false,
     probes: [],
     calmAtMs: CALM_AT_MS,
     ...fields,
@@ -74,9 +80,28 @@
   (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
 ).join('');
 
+function eventOf(attemptId: string): string {
+  return `id: 0\ndata: piece 0 of v1 for ${attemptId}\n\n`;
+}
+
 const FORGED: readonly (readonly [RegExp, Partial<History>])[] = [
   [/ran 2 times/, {runs: [run(), run({upstreamId: 'u1-0'})]}],
   [/answered 503 and has run/, {calls: [call({status: 503, text: ''})]}],
+  [
+    /answered 421 and has run/,
+    {
+      calls: [call({status: 421, text: ''})],
+      runs: [run({startedAtMs: 29_000})],
+    },
+  ],
+  [
+    /got an event of a2/,
+    {calls: [call({route: 'once', text: eventOf('a1') + eventOf('a2')})]},
+  ],
+  [
+    /got the failure "failed by u0-0 a2"/,
+    {calls: [call({status: 500, text: 'failed by u0-0 a2'})]},
+  ],
   [/got "done by u0-0 a2"/, {calls: [call({text: 'done by u0-0 a2'})]}],
   [/did not run it/, {calls: [call({stamp: 'by u9-0'})]}],
   [
@@ -145,6 +170,46 @@
       ],
     },
   ],
+  [
+    /ran in evacuated north-a/,
+    {
+      operator: [
+        order('replace', 4),
+        // Given up before the order that it must not undo.
+        order('return', 0, {text: 'north-a', status: 0, endedAtMs: 105}),
+        order('evacuate', 0, {text: 'north-a', sentAtMs: 106}),
+        order('return', 0, {text: 'south-a', sentAtMs: 120}),
+        order('read', 4),
+      ],
+    },
+  ],
+  [
+    /ran in evacuated north-a/,
+    {
+      calmAtMs: 18_000,
+      entriesKeepTouch: true,
+      operator: [
+        order('replace', 4),
+        order('evacuate', 0, {text: 'north-a'}),
+        order('read', 4),
+      ],
+    },
+  ],
+  [
+    /nothing ran in south-a, which was taken back/,
+    {
+      operator: [
+        order('replace', 4),
+        order('evacuate', 0, {text: 'south-a'}),
+        order('return', 0, {text: 'south-a', sentAtMs: 120, endedAtMs: 130}),
+        order('read', 4),
+      ],
+    },
+  ],
+  [
+    /41 repeated arrivals in a window with 1 requests, 40 are allowed/,
+    {arrivals: Array.from({length: 42}, (_, index) => arrival(index))},
+  ],
   [/only 0 of 1 calls were served/, {calls: [call({status: 502})]}],
   [/ended by itself/, {unexpectedExits: ['entry-1 (code 1)']}],
   [/stopped too slowly/, {slowStops: ['entry-1']}],
@@ -161,6 +226,30 @@
   });
 });
 
+// Guards against a check that counts first arrivals, or those of two windows.
+test('as many repeats as the budget allows are in order', () => {
+  const inTwoWindows = Array.from({length: 81}, (_, index) =>
+    arrival(index < 41 ? index : index + 10_000),
+  );
+  const firsts = Array.from({length: 60}, (_, index) => ({
+    ...arrival(index),
+    attemptId: `b${index}`,
+  }));
+  assert.deepEqual(problemsOf({arrivals: [...inTwoWindows, ...firsts]}), []);
+});
+
+// Guards against a check that takes an order which may have come after the
+// evacuation for one that came before it.
+test('an order to take back that crosses the evacuation ends it', () => {
+  const operator = [
+    order('replace', 4),
+    order('return', 0, {text: 'north-a', endedAtMs: 107}),
+    order('evacuate', 0, {text: 'north-a', sentAtMs: 106}),
+    order('read', 4, {sentAtMs: 9_000}),
+  ];
+  assert.deepEqual(problemsOf({operator}), []);
+});
+
 // Guards against a seed that cannot be repeated.
 test('a seed draws the same faults every time', () => {
   const layout = createLayout(0);
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,4 +1,6 @@
 /** Checks the promises of the gateway against the history of one run. */
+import {broken, confirmed, SETTLE_MS} from './check_support.js';
+import {checkEvacuations, checkReturns} from './evacuation_checks.js';
 import {domainOf} from './layout.js';
 import {
   eventsOf,
@@ -8,13 +10,11 @@
   type History,
   type OperatorRecord,
 } from './history.js';
+import {checkRetries} from './retry_check.js';
 import {TIMEOUT_MS} from './traffic.js';
 
 /** Time in which all entries obey a change, with the members in touch. */
 const APPLY_MS = 3_000;
-/** Time from the end of all faults until everything is in touch again. */
-const SETTLE_MS = 6_000;
-const EVACUATION_MS = 5_000;
 /** Longest time from the sending of a probe to its handling. */
 const PROBE_MS = 1_000;
 const NOT_FOUND = 404;
@@ -35,6 +35,8 @@
     ...checkReadings(history.operator),
     ...checkFinalReading(history.operator),
     ...checkEvacuations(history),
+    ...checkReturns(history),
+    ...checkRetries(history),
     ...checkService(history),
     ...history.unexpectedExits.map(name => `${name} ended by itself`),
     ...history.slowStops.map(name => `${name} stopped too slowly`),
@@ -48,6 +50,8 @@
   const isPromise = NOT_RUN_STATUSES.includes(call.status);
   return [
     ...(kind === 'streaming' ? checkVersions(name, call) : []),
+    ...(kind === 'streaming' ? checkEvents(name, call) : []),
+    ...checkFailure(name, call, runs),
     ...broken(runs.length > attempts, `${name} ran ${runs.length} times`),
     ...broken(
       attempts === 1 && isPromise && runs.length > 0,
@@ -71,6 +75,33 @@
   ];
 }
 
+/** An event names the request of its caller, or the one that it takes up. */
+function checkEvents(
+  name: string,
+  {attemptId, takesUp, text}: CallResult,
+): readonly string[] {
+  const foreign = eventsOf(text).find(
+    event => !['', attemptId, takesUp?.attemptId].includes(event.attemptId),
+  );
+  return broken(
+    foreign !== undefined,
+    `${name} got an event of ${foreign?.attemptId}`,
+  );
+}
+
+/** A failure that an upstream signed is that of a run of this request. */
+function checkFailure(
+  name: string,
+  {isComplete, text, stamp, attemptId}: CallResult,
+  runs: History['runs'],
+): readonly string[] {
+  if (!isComplete || !text.startsWith('failed by ')) return [];
+  const isOwn =
+    text === `failed ${stamp} ${attemptId}` &&
+    runs.some(run => `by ${run.upstreamId}` === stamp);
+  return broken(!isOwn, `${name} got the failure "${text}"`);
+}
+
 function checkBody(name: string, call: CallResult): readonly string[] {
   const expected = `done ${call.stamp} ${call.attemptId}`;
   return broken(call.text !== expected, `${name} got "${call.text}"`);
@@ -162,13 +193,6 @@
   );
 }
 
-function confirmed(
-  records: readonly OperatorRecord[],
-  kind: OperatorRecord['kind'],
-): readonly OperatorRecord[] {
-  return records.filter(each => each.kind === kind && each.status === 200);
-}
-
 /** A reading is never older than a change confirmed well before it. */
 function checkReadings(records: readonly OperatorRecord[]): readonly string[] {
   const replaced = confirmed(records, 'replace');
@@ -207,34 +231,6 @@
   );
 }
 
-/** Nothing runs in a domain that is still evacuated once the faults are over. */
-function checkEvacuations({
-  operator,
-  runs,
-  calmAtMs,
-}: History): readonly string[] {
-  return confirmed(operator, 'evacuate').flatMap(order => {
-    const lifted = operator.find(
-      each => each.kind === 'return' && each.sentAtMs > order.sentAtMs,
-    );
-    const fromMs = Math.max(
-      order.endedAtMs + EVACUATION_MS,
-      calmAtMs + SETTLE_MS,
-    );
-    const untilMs = lifted?.sentAtMs ?? Number.POSITIVE_INFINITY;
-    const late = runs.filter(
-      run =>
-        run.domain === order.text &&
-        run.startedAtMs > fromMs &&
-        run.startedAtMs < untilMs,
-    );
-    return broken(
-      late.length > 0,
-      `${late.length} requests ran in evacuated ${order.text}`,
-    );
-  });
-}
-
 /** After the faults everything is served again. */
 function checkService({calls, calmAtMs}: History): readonly string[] {
   const calm = calls.filter(call => call.sentAtMs > calmAtMs + SETTLE_MS);
@@ -245,7 +241,3 @@
     `only ${served.length} of ${calm.length} calls were served after the faults`,
   );
 }
-
-function broken(isBroken: boolean, message: string): readonly string[] {
-  return isBroken ? [message] : [];
-}
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -1,5 +1,6 @@
 /** Draws the faults of one run from its seed. They overlap as they come. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
+import type {CopyMoment} from '../platform/standin/late_copies.js';
 import type {Behaviour} from '../platform/standin/stand_in.js';
 import {domainOf, REGIONS, type Layout} from './layout.js';
 import type {LinkState} from './tcp_proxy.js';
@@ -34,10 +35,43 @@
   /** An upstream answers in another way. */
   | 'upstream_behaviour'
   | 'upstream_drain'
+  /** An upstream refuses or fails each third request and sends late copies. */
+  | 'upstream_copies'
   /** The platform's list answers with errors. */
   | 'list_down'
   /** A domain is evacuated and taken back, or evacuated until the end. */
-  | 'evacuate';
+  | 'evacuate'
+  /** The link between operators and a control member is impaired. */
+  | 'operator_link'
+  /** An order is held up on its way until the opposite one is confirmed. */
+  | 'late_order';
+
+/** How an order is held up on its way. */
+export type OrderDelay =
+  /** The control member that gets it stands still. */
+  | 'paused_member'
+  /** The operator's link to that member holds it back. */
+  | 'operator_link'
+  /** The link on which another member passes it on holds it back. */
+  | 'member_link';
+
+/** An order that comes late. */
+export interface LatePlan {
+  /** Whether it takes the domain back; else it evacuates it. */
+  readonly isReturn: boolean;
+  /** The control member at which it is held up. */
+  readonly member: string;
+  readonly delay: OrderDelay;
+  /** From the confirmation of the opposite order to the arrival of this one. */
+  readonly lateMs: number;
+}
+
+/** The copies that an upstream sends late. */
+export interface CopyPlan {
+  readonly moment: CopyMoment;
+  readonly areOfAnswers: boolean;
+  readonly refusalStatus: 421 | 503;
+}
 
 /** One fault of a plan. */
 export interface Fault {
@@ -48,6 +82,8 @@
   readonly link?: LinkState;
   readonly delayMs?: number;
   readonly behaviour?: Behaviour;
+  readonly copies?: CopyPlan;
+  readonly late?: LatePlan;
   /** Whether an evacuation stays in force until the end of the run. */
   readonly isKept?: boolean;
 }
@@ -107,11 +143,15 @@
   const count =
     FEWEST_FAULTS + Math.floor(random() * (MOST_FAULTS - FEWEST_FAULTS + 1));
   const drawn = Array.from({length: count}, () => drawFault(random, layout));
-  return drawn
-    .filter((fault, index) =>
+  return byTime(
+    drawn.filter((fault, index) =>
       [isWipe, isKept].every(kind => isFirst(kind, fault, index, drawn)),
-    )
-    .sort((left, right) => left.atMs - right.atMs);
+    ),
+  );
+}
+
+export function byTime(faults: readonly Fault[]): readonly Fault[] {
+  return [...faults].sort((left, right) => left.atMs - right.atMs);
 }
 
 // The system bears the loss of one disk at a time, and of one region.
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -31,16 +31,22 @@
 export interface SoakEvent {
   readonly id: number;
   readonly version: string;
+  /** The request that it belongs to; empty if it names none. */
+  readonly attemptId: string;
 }
 
-const EVENT_PATTERN = /^id: (\d+)\ndata: piece \1(?: of (\S+))?\n\n/gm;
+const EVENT_PATTERN =
+  /^id: (\d+)\ndata: piece \1(?: of (\S+))?(?: for (\S+))?\n\n/gm;
 
 /** The whole events in the text of a response. */
 export function eventsOf(text: string): readonly SoakEvent[] {
-  return [...text.matchAll(EVENT_PATTERN)].map(([, id, version = '']) => ({
-    id: Number(id),
-    version,
-  }));
+  return [...text.matchAll(EVENT_PATTERN)].map(
+    ([, id, version = '', attemptId = '']) => ({
+      id: Number(id),
+      version,
+      attemptId,
+    }),
+  );
 }
 
 /** One change that an operator sent, or one reading. */
@@ -64,10 +70,17 @@
   readonly startedAtMs: number;
 }
 
+/** A request that reached an upstream, whether it ran or not. */
+export interface UpstreamArrival {
+  readonly attemptId: string;
+  readonly arrivedAtMs: number;
+}
+
 export interface History {
   readonly probes: readonly RouteProbe[];
   readonly calls: readonly CallResult[];
   readonly runs: readonly UpstreamRun[];
+  readonly arrivals: readonly UpstreamArrival[];
   readonly operator: readonly OperatorRecord[];
   /** Ends of processes that nobody asked for. */
   readonly unexpectedExits: readonly string[];
@@ -77,6 +90,8 @@
   readonly calmAtMs: number;
   /** Whether each request that reached an upstream must be answered whole. */
   readonly losesNothing: boolean;
+  /** Whether all entries were in touch with most control members at all times. */
+  readonly entriesKeepTouch: boolean;
 }
 
 export const ROUTES = {
--- a/soak/layout.ts
+++ b/soak/layout.ts
@@ -4,7 +4,8 @@
 export const SERVICE = 'svc';
 export const REGIONS: readonly string[] = ['north', 'south', 'west'];
 const ENTRIES_PER_REGION = 2;
-const UPSTREAMS_PER_REGION = 2;
+/** By the position of the region. */
+export const UPSTREAMS_PER_REGION: readonly number[] = [2, 2, 2];
 /** Hosts of parallel runs differ in their second number, 127.x. */
 const FIRST_NETWORK = 100;
 const NETWORKS = 100;
@@ -15,6 +16,8 @@
   readiness: 8140,
   metrics: 9464,
   operator: 8146,
+  /** Of the proxy that operators use. */
+  operatorProxy: 8145,
   directory: 8148,
   /** Of the proxy that other processes use. */
   innerProxy: 7700,
@@ -24,6 +27,9 @@
   list: 8142,
 } as const;
 
+/** How often upstreams may get requests again; all settings name it. */
+export const RETRY_BUDGET = {ratio: 0.2, windowMs: 10_000, slack: 40} as const;
+
 /** Where one process listens. */
 export interface ProcessPlace {
   readonly role: 'entry' | 'control';
@@ -36,6 +42,8 @@
   readonly metricsAddress: string;
   /** Callers' address of an entry, operators' address of a control member. */
   readonly mainAddress: string;
+  /** Where operators reach a control member. */
+  readonly operatorProxyAddress: string;
   /** Readiness of an entry, directory of a control member. */
   readonly sideAddress: string;
 }
@@ -60,7 +68,10 @@
 }
 
 /** The layout of a run; runs at the same time need different slots. */
-export function createLayout(slot: number): Layout {
+export function createLayout(
+  slot: number,
+  upstreamsPerRegion = UPSTREAMS_PER_REGION,
+): Layout {
   const network = `127.${FIRST_NETWORK + (slot % NETWORKS)}.0`;
   const controls = REGIONS.map((region, index) =>
     placeOf('control', region, `${network}.${index + 1}`, index),
@@ -72,17 +83,16 @@
     }),
   );
   const upstreams = REGIONS.flatMap((region, index) =>
-    Array.from({length: UPSTREAMS_PER_REGION}, (_, each) => {
-      const position = index * UPSTREAMS_PER_REGION + each;
-      const host = `${network}.${FIRST_UPSTREAM_HOST + position}`;
-      return {
-        name: `u${position}`,
-        domain: domainOf(region),
-        address: `${host}:${PORT.upstream}`,
-        proxyAddress: `${host}:${PORT.upstreamProxy}`,
-      };
-    }),
-  );
+    Array.from({length: upstreamsPerRegion[index] ?? 0}, () => region),
+  ).map((region, position) => {
+    const host = `${network}.${FIRST_UPSTREAM_HOST + position}`;
+    return {
+      name: `u${position}`,
+      domain: domainOf(region),
+      address: `${host}:${PORT.upstream}`,
+      proxyAddress: `${host}:${PORT.upstreamProxy}`,
+    };
+  });
   return {
     processes: [...controls, ...entries],
     upstreams,
@@ -108,6 +118,7 @@
     innerProxyAddress: `${host}:${PORT.innerProxy}`,
     metricsAddress: `${host}:${PORT.metrics}`,
     mainAddress: `${host}:${isEntry ? PORT.caller : PORT.operator}`,
+    operatorProxyAddress: `${host}:${PORT.operatorProxy}`,
     sideAddress: `${host}:${isEntry ? PORT.readiness : PORT.directory}`,
   };
 }
