Append no order on a member that is about to lead

A member checks the base of an order only while it leads. If it was a candidate when it looked, and the vote that elects it was taken before the order, the log accepted the order as the leader's without a look at its base. Now a member that does not lead hands no order to its log; the order goes to the leader, or its operator tries again.

Found by reading; the window is one turn of the event loop.

--- a/src/node/routes/order_proposer.ts
+++ b/src/node/routes/order_proposer.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '../logging/logger.js';
 import type {ReplicatedLog} from '../replication/replicated_log.js';
 import {GatewayError} from '../types/errors.js';
-import type {DomainId} from '../types/ids.js';
+import type {DomainId, MemberId} from '../types/ids.js';
 import type {OrderHistory} from './order_history.js';
 import type {
   ControlChange,
@@ -43,10 +43,14 @@
 
   propose(change: ControlChange): ProposalResult {
     const {log} = this.options;
-    const isLeader = log.status().role === 'leader';
-    return change.kind === 'set_evacuation' && isLeader
+    const {role, leader} = log.status();
+    if (change.kind !== 'set_evacuation' || role === 'stopped') {
+      return log.propose(change);
+    }
+    // A member that is about to win an election would append the order unchecked.
+    return role === 'leader'
       ? this.proposeInTurn(change)
-      : log.propose(change);
+      : errAsync(notLeaderError(leader));
   }
 
   // After opposite orders, so that none is appended between check and append.
@@ -90,6 +94,16 @@
   }
 }
 
+function notLeaderError(leader: MemberId | undefined): GatewayError {
+  return new GatewayError({
+    code: 'not_leader',
+    message: 'this member does not lead the group',
+    step: STEP,
+    peer: 'self',
+    ...(leader === undefined ? {} : {leader}),
+  });
+}
+
 function supersededError(): GatewayError {
   return new GatewayError({
     code: 'conflict',
