--- a/src/node/fleet/__tests__/state_fetcher.spec.ts
+++ b/src/node/fleet/__tests__/state_fetcher.spec.ts
@@ -18,6 +18,7 @@
   type InstanceId,
   type RegionId,
 } from '../../types/ids.js';
+import {FETCH_TIMEOUT_MS} from '../constants.js';
 import {ControlLink} from '../control_link.js';
 import {FleetMembers} from '../fleet_members.js';
 import {InstanceRegistry} from '../instance_registry.js';
@@ -33,6 +34,8 @@
 /** Leaves time until requests must no longer reach an evacuated domain. */
 const LIMIT_MS = 2_000;
 const REVISION = 7;
+/** A state alone on the link arrives well before its fetch times out. */
+const SLOW_TRANSFER_MS = 1_500;
 
 /** A control member: the revision that it announces, and how it gives it. */
 interface Control {
@@ -53,6 +56,39 @@
   return {revision, delayMs, fetch: () => state};
 }
 
+/** Control members whose states reach the entry over one slow link. */
+function sharedLink(count: number, transferMs: number): readonly Control[] {
+  let transfers = 0;
+  const state = pack({...EMPTY_CONTROL_STATE, revision: REVISION});
+  const transfer = async (): Promise<unknown> => {
+    const endsAtMs = monotonicNowMs() + FETCH_TIMEOUT_MS;
+    transfers += 1;
+    let leftMs = transferMs;
+    while (leftMs > 0 && monotonicNowMs() < endsAtMs) {
+      await new Promise(resolve => setTimeout(resolve, STEP_MS));
+      leftMs -= STEP_MS / transfers;
+    }
+    transfers -= 1;
+    return state;
+  };
+  return Array.from({length: count}, () => ({...SOUND, fetch: transfer}));
+}
+
+/** A distant control member that gives no state for a while. */
+function silentFor(silentMs: number): Control {
+  const {fetch} = SOUND;
+  let startMs: number | undefined;
+  return {
+    ...soundAt(REVISION, 50),
+    fetch: () => {
+      startMs ??= monotonicNowMs();
+      return monotonicNowMs() - startMs < silentMs
+        ? new Promise(() => undefined)
+        : fetch();
+    },
+  };
+}
+
 function startControl(
   network: MemoryNetwork,
   name: string,
@@ -80,6 +116,7 @@
 async function follow(
   context: TestContext,
   controls: readonly Control[],
+  limitMs = LIMIT_MS,
 ): Promise<{
   readonly isLate: boolean;
   readonly failedPeers: readonly string[];
@@ -130,7 +167,7 @@
   await advanceClock(context, RUN_MS, STEP_MS);
   link.stop();
   return {
-    isLate: receivedAtMs - startedAtMs > LIMIT_MS,
+    isLate: receivedAtMs - startedAtMs > limitMs,
     failedPeers: [...failedPeers],
   };
 }
@@ -151,6 +188,18 @@
   });
 });
 
+// Guards against silent members that take each turn in front of one that was silent for
+// a while too.
+test('a member that answers again is asked soon', async context => {
+  const returned = silentFor(4 * FETCH_TIMEOUT_MS);
+  const {isLate} = await follow(
+    context,
+    [SILENT, SILENT, returned],
+    5 * FETCH_TIMEOUT_MS + LIMIT_MS,
+  );
+  assert.equal(isLate, false);
+});
+
 // Guards against an entry that starts with the state of the nearest member, which
 // lags, and keeps it although it reaches others.
 test('an entry that starts at a member that lags has the newest state soon', async context => {
@@ -158,3 +207,12 @@
   const {isLate} = await follow(context, controls);
   assert.equal(isLate, false);
 });
+
+// Guards against fetches that hinder each other on a slow link, so that all of them end
+// at their timeout and the entry never has a state: a round of timeouts is allowed.
+test('an entry behind a slow link gets the state', async context => {
+  const limitMs = 2 * FETCH_TIMEOUT_MS;
+  const controls = sharedLink(3, SLOW_TRANSFER_MS);
+  const {isLate} = await follow(context, controls, limitMs);
+  assert.equal(isLate, false);
+});
