--- a/src/node/ingress/connection_pool.ts
+++ b/src/node/ingress/connection_pool.ts
@@ -1,7 +1,7 @@
 /**
  * The connections to one peer. An attempt is never written twice on a connection:
- * a copy of its first answer bears its id, so that nothing would tell the copy from
- * the answer to the second request.
+ * a copy of its first answer has its id too, so nothing would distinguish the copy
+ * from the answer to the second request.
  */
 import {Client, type Dispatcher} from 'undici';
 import {monotonicNowMs} from '../clock/clock.js';
@@ -38,7 +38,7 @@
 export class ConnectionPool {
   usedAtMs = 0;
   private readonly open = new Set<PooledConnection>();
-  /** The last one was used most recently. */
+  /** In the order of their last use. */
   private idle: readonly PooledConnection[];
   private isClosed = false;
   private extraAnswersUntilMs = 0;
@@ -107,7 +107,7 @@
       .forEach(each => this.remove(each));
   }
 
-  // A new connection for each refusal would be dear while upstreams are full.
+  // Upstreams that are full accept few connections, so none is replaced without need.
   private mayBringCopy(connection: PooledConnection): boolean {
     const isExpected = monotonicNowMs() < this.extraAnswersUntilMs;
     return isExpected && connection.hasCarriedError;
--- a/src/node/scheduling/retry_budget.ts
+++ b/src/node/scheduling/retry_budget.ts
@@ -6,7 +6,7 @@
   readonly windowMs: number;
   /** Retries allowed per request in the window. */
   readonly ratio: number;
-  /** Retries allowed on top of that, for each scheduler. */
+  /** Retries allowed on top of that. */
   readonly slack: number;
 }
 
