Send nothing once an entry has closed its connections

At the end of a planned stop an entry cuts what still runs. The library's pools refused all requests after that; the own pool opened a new connection, so that a try which followed a cut one could still run at an upstream.

--- a/src/node/ingress/__tests__/connection_pool.spec.ts
+++ b/src/node/ingress/__tests__/connection_pool.spec.ts
@@ -4,7 +4,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {monotonicNowMs, setMonotonicSource} from '../../clock/clock.js';
 import {ConnectionPools} from '../connections.js';
-import {exchange, ExtraAnswerError, type ExchangeEnd} from '../exchange.js';
+import {
+  exchange,
+  exchangeWith,
+  ExtraAnswerError,
+  type ExchangeEnd,
+} from '../exchange.js';
 
 const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 const REFUSAL = 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n';
@@ -116,3 +121,36 @@
   await sendInTurn(peer, ['f', 'g']);
   assert.deepEqual(peer.carried, [3, 1, 1, 2]);
 });
+
+// Guards against requests that an entry sends again after it has cut them at the end of a
+// planned stop.
+test('nothing is sent once the connections are closed', async t => {
+  let requests = 0;
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      socket.write(ANSWER);
+    });
+  });
+  t.after(() => server.close());
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const pools = new ConnectionPools();
+  t.after(() => pools.close());
+  const send = (attemptId: string): Promise<ExchangeEnd> =>
+    exchangeWith(
+      pools,
+      {address: `127.0.0.1:${port}`},
+      {attemptId, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0)},
+      {onHead: () => undefined, onData: () => true},
+      new AbortController().signal,
+    );
+  const before = await send('a');
+  await pools.close();
+  const after = await send('b');
+  assert.deepEqual(
+    [before.kind, after.kind, requests],
+    ['complete', 'not_sent', 1],
+  );
+});
--- a/src/node/ingress/connections.ts
+++ b/src/node/ingress/connections.ts
@@ -18,6 +18,7 @@
 /** The connection pools of one process. */
 export class ConnectionPools {
   private readonly pools = new Map<string, ConnectionPool>();
+  private isClosed = false;
   private readonly sweepTimer = setInterval(
     () => this.closeIdlePools(),
     SWEEP_INTERVAL_MS,
@@ -32,8 +33,12 @@
     this.sweepTimer.unref();
   }
 
-  /** `key` distinguishes peers that use the same address in succession. */
+  /**
+   * `key` distinguishes peers that use the same address in succession. Throws after
+   * `close`, as a try that was cut could otherwise be sent again.
+   */
   pool(address: string, key = ''): ConnectionPool {
+    if (this.isClosed) throw new Error('the connections are closed');
     const name = `${address} ${key}`;
     const pool = this.pools.get(name) ?? this.createPool(address);
     pool.usedAtMs = monotonicNowMs();
@@ -49,6 +54,7 @@
   }
 
   async close(): Promise<void> {
+    this.isClosed = true;
     clearInterval(this.sweepTimer);
     await Promise.all([...this.pools.values()].map(each => each.destroy()));
   }
