Give a starting entry one retry until it knows the others

Upstreams could get more repeats than the budget allows when all entries start at once: none knows the others yet, so each divided the slack by the number of domains. Views of the control members arrive within some hundred milliseconds; after 2 s the share is reckoned from them. The spec of the first window asks for 1, 1, 3, 4 retries in place of 2, 2, 4, with one moment more: it is stricter at the start, and the same later.

--- a/src/node/ingress/__tests__/retry_shares.spec.ts
+++ b/src/node/ingress/__tests__/retry_shares.spec.ts
@@ -136,14 +136,25 @@
 
 // Guards against a process that spends, as it starts, the slack which the process
 // before it has just spent.
-test('a process has half of its slack in its first window', t => {
+test('a process has little of its slack at first, then half of it for a window', t => {
   const advance = mockClock(t);
   const shares = sharesAmong(14);
-  const granted = [0, DEPLOYMENT.windowMs, 2 * DEPLOYMENT.windowMs].map(
+  const granted = [0, 2_000, DEPLOYMENT.windowMs, 2 * DEPLOYMENT.windowMs].map(
     afterMs => {
       advance(afterMs);
       return retriesFrom(shares);
     },
   );
-  assert.deepEqual(granted, [2, 2, 4]);
+  assert.deepEqual(granted, [1, 1, 3, 4]);
+});
+
+// Guards against a slack that is spent many times over as all entries start at once:
+// none knows yet how many they are.
+test('entries that start at the same time keep to the slack together', t => {
+  mockClock(t);
+  const granted = Array.from({length: 28}).map(() =>
+    retriesFrom(sharesAmong(2)),
+  );
+  const repeats = granted.reduce((sum, each) => sum + each, 0);
+  assert.ok(repeats <= DEPLOYMENT.slack, `${repeats} repeats`);
 });
--- a/src/node/ingress/retry_shares.ts
+++ b/src/node/ingress/retry_shares.ts
@@ -17,6 +17,11 @@
 
 /** The part of its slack that a process has in its first window. */
 const SLACK_SHARE_AT_START = 0.5;
+/**
+ * Until a process has been told of the other entries, its share of the slack is
+ * unknown: all may have started at the same time.
+ */
+const UNKNOWN_ENTRIES_MS = 2_000;
 /**
  * With many entries and few requests the sum of these may exceed the slack, to which
  * the schedulers still keep.
@@ -46,8 +51,9 @@
   // The process before this one may have spent its slack just before it ended.
   get slack(): number {
     const {deployment, entries} = this.options;
-    const slack = deployment.slack / Math.max(1, entries());
     const ageMs = monotonicNowMs() - this.startedAtMs;
+    if (ageMs < UNKNOWN_ENTRIES_MS) return MIN_SLACK;
+    const slack = deployment.slack / Math.max(1, entries());
     const share = ageMs < this.windowMs ? SLACK_SHARE_AT_START : 1;
     return Math.max(MIN_SLACK, slack * share);
   }
