--- a/src/node/ingress/types.ts
+++ b/src/node/ingress/types.ts
@@ -1,5 +1,5 @@
 /** Shared types of the ingress. */
-import type {Route} from '../routes/route_table.js';
+import type {Route, WorkspaceSpec} from '../routes/route_table.js';
 import type {BegunStream} from '../scheduling/types.js';
 import type {RequestId, ServiceId, UpstreamId} from '../types/ids.js';
 import type {RequestTraits} from './protocol.js';
@@ -13,7 +13,10 @@
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** With the priority and home regions that apply to its workspace. */
   readonly route: Route;
+  /** `undefined` if the route is public or the table has no workspaces. */
+  readonly workspace?: WorkspaceSpec;
   readonly service: ServiceId;
   readonly traits: RequestTraits;
   /** Version of the route table that matched it. */
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -4,11 +4,13 @@
  * version applies.
  */
 import type {
+  Digest,
   DomainId,
   ModelId,
   RegionId,
   RouteId,
   ServiceId,
+  WorkspaceId,
 } from '../types/ids.js';
 
 /** Whether and how a request may be retried. */
@@ -49,6 +51,36 @@
   readonly targetGapMs: number;
   /** Regions that may serve and store the request; empty means all. */
   readonly homeRegions: readonly RegionId[];
+  /** Whether callers need no key although the table has workspaces. */
+  readonly isPublic?: boolean;
+}
+
+/** The unit in which the quota of a workspace is counted. */
+export type QuotaUnit = 'requests' | 'tokens';
+
+/** The rate limit of a workspace, over all entries together. */
+export interface WorkspaceQuota {
+  readonly unit: QuotaUnit;
+  /** Units a second, above 0. */
+  readonly ratePerS: number;
+  /** Units beyond the rate that may be used at once. */
+  readonly burst: number;
+  /** Tokens of a request without token counts; for quotas in tokens. */
+  readonly plainTokens: number;
+}
+
+/** A workspace whose callers identify themselves with a key. */
+export interface WorkspaceSpec {
+  readonly name: WorkspaceId;
+  readonly keyDigests: readonly Digest[];
+  /** Goes before the priority of a route; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Regions that may serve and store its requests; empty means all. */
+  readonly homeRegions: readonly RegionId[];
+  /** `undefined` if it is not limited. */
+  readonly quota?: WorkspaceQuota;
+  /** Share of its requests among those of its priority. @default 1 */
+  readonly fairWeight?: number;
 }
 
 /** Capacity of each model engine of a service. */
@@ -92,6 +124,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSpec[];
   readonly limits: CallerLimits;
+  /** `undefined` if callers need no keys. */
+  readonly workspaces?: readonly WorkspaceSpec[];
   /** The operator's configuration text, returned unchanged on reads. */
   readonly source: string;
 }
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -8,6 +8,7 @@
   SoftwareVersion,
   UpstreamId,
   UpstreamProcessId,
+  WorkspaceId,
 } from '../types/ids.js';
 
 /** One part of a prompt that engines may have cached. */
@@ -53,6 +54,10 @@
   readonly fingerprint: string;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Set if the deployment has workspaces and the route is not public. */
+  readonly workspace?: WorkspaceId;
+  /** Share of its workspace among those of its priority. @default 1 */
+  readonly fairWeight?: number;
   readonly targetLatencyMs: number;
   /** Time since the request arrived; counts against the target. */
   readonly ageMs: number;
