--- a/src/node/ingress/__tests__/early_answers.spec.ts
+++ b/src/node/ingress/__tests__/early_answers.spec.ts
@@ -65,7 +65,10 @@
 // Guards against bytes that are no answer reaching a caller as one: no upstream
 // answers with a status below 100.
 test('an answer with the status 000 is "broken" and has no head', async () => {
-  const framings = ['content-length: 4\r\n\r\nbody', 'connection: close\r\n\r\n'];
+  const framings = [
+    'content-length: 4\r\n\r\nbody',
+    'connection: close\r\n\r\n',
+  ];
   const ends = await Promise.all(
     framings.map(framing =>
       upload(1, socket => {
