Decode workspaces from the operator's configuration

Callers' keys, ranks, homes and quotas were dropped in decoding, and operators did not learn that fields had no effect.

--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -273,6 +273,12 @@
   },
   change_superseded: change,
   change_rejected: {problems: z.array(z.unknown())},
+  fields_ignored: {
+    version: z.number(),
+    /** `routes[].NAME`; the first of `fieldCount`. */
+    fields: z.array(z.string()),
+    fieldCount: z.number(),
+  },
   operator_call_failed: {},
   member_removed: peerChange,
   member_removal_failed: peerChange,
--- a/src/node/routes/validate_route_table.ts
+++ b/src/node/routes/validate_route_table.ts
@@ -1,5 +1,13 @@
 /** Validates a route table before it is proposed. */
-import type {Route, RouteTable} from './route_table.js';
+import type {
+  Route,
+  RouteTable,
+  WorkspaceQuota,
+  WorkspaceSpec,
+} from './route_table.js';
+
+/** Upstreams get the name in a header, which can hold visible ASCII only. */
+const WORKSPACE_NAME = /^[!-~]([ -~]*[!-~])?$/;
 
 /** All problems of a table; empty if it is valid. */
 export function routeTableProblems(table: RouteTable): readonly string[] {
@@ -7,6 +15,9 @@
     ...duplicateServices(table),
     ...duplicateRoutes(table.routes),
     ...table.routes.flatMap(route => routeProblems(route, table)),
+    ...duplicateWorkspaces(table.workspaces ?? []),
+    ...sharedKeys(table.workspaces ?? []),
+    ...(table.workspaces ?? []).flatMap(workspaceProblems),
   ];
 }
 
@@ -43,3 +54,67 @@
     ...(isPrefix ? [] : [`route ${name}: ${pathPrefix} is no path prefix`]),
   ];
 }
+
+function duplicateWorkspaces(
+  workspaces: readonly WorkspaceSpec[],
+): readonly string[] {
+  const names = workspaces.map(each => each.name);
+  const duplicates = names.filter(
+    (name, position) => names.indexOf(name) !== position,
+  );
+  return [...new Set(duplicates)].map(
+    name => `workspace ${name} is listed twice`,
+  );
+}
+
+function sharedKeys(workspaces: readonly WorkspaceSpec[]): readonly string[] {
+  const holders = new Map<string, WorkspaceSpec>();
+  return workspaces.flatMap(workspace =>
+    workspace.keyDigests.flatMap((digest, position) => {
+      const holder = holders.get(digest) ?? workspace;
+      holders.set(digest, holder);
+      return holder === workspace
+        ? []
+        : [
+            `workspace ${workspace.name}: its key ${position + 1} ` +
+              `is also a key of ${holder.name}`,
+          ];
+    }),
+  );
+}
+
+function workspaceProblems({
+  name,
+  priority = 0,
+  quota,
+}: WorkspaceSpec): readonly string[] {
+  return [
+    ...(WORKSPACE_NAME.test(name)
+      ? []
+      : [`workspace ${JSON.stringify(name)}: its name is not visible ASCII`]),
+    ...(Number.isFinite(priority)
+      ? []
+      : [`workspace ${name}: its priority is ${priority}`]),
+    ...(quota === undefined ? [] : quotaProblems(quota)).map(
+      problem => `workspace ${name}: ${problem}`,
+    ),
+  ];
+}
+
+function quotaProblems({
+  ratePerS,
+  burst,
+  plainTokens,
+}: WorkspaceQuota): readonly string[] {
+  return [
+    ...(Number.isFinite(ratePerS) && ratePerS > 0
+      ? []
+      : [`its rate is ${ratePerS} a second`]),
+    ...(isAmount(burst) ? [] : [`its burst is ${burst}`]),
+    ...(isAmount(plainTokens) ? [] : [`its plain tokens are ${plainTokens}`]),
+  ];
+}
+
+function isAmount(value: number): boolean {
+  return Number.isFinite(value) && value >= 0;
+}
