Find the workspace of each request before it is read

Every request with any key or none was run, keys reached upstreams and other entries, and the ranks and homes of workspaces had no effect. Now the entry that has the caller answers 401 unless the key belongs to a workspace of the table in force, drops the key and what the caller says of itself, and tells upstreams and relays the workspace's name. Requests follow the route's rules with the priority of the workspace and the regions that both allow. A receiver of a relayed request applies its own table.

--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -142,6 +142,11 @@
 const REJECTION_TEXTS: Readonly<Record<string, string>> = {
   no_route_table: 'the entry knew no route table yet',
   no_route: 'no route of the table in force matches its host and path',
+  unknown_key: 'its key belongs to no workspace of the table in force',
+  unknown_workspace:
+    'it was relayed for a workspace that this entry does not know',
+  no_common_region: 'its route and its workspace have no home in common',
+  not_a_home: 'it was relayed to a region that is no home of it',
   no_service: 'its route leads to no service',
   headers_too_large: 'its headers are larger than the limit',
   body_too_large: 'its body is larger than the limit',
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -5,6 +5,7 @@
 import type {InboundRequest, TryResult} from './types.js';
 
 const REJECTION_CODES = {
+  401: 'unauthorized',
   404: 'not_found',
   413: 'too_large',
   431: 'headers_too_large',
@@ -66,7 +67,7 @@
   return sendFailure(response, {kind: 'failed', cause: 'unexpected error'});
 }
 
-/** Rejects a request that exceeds a limit or matches no route. */
+/** Rejects a request that exceeds a limit, matches no route or has no known key. */
 export function sendRejection(
   response: CallerResponse,
   status: keyof typeof REJECTION_CODES,
--- a/src/node/ingress/inbound_request.ts
+++ b/src/node/ingress/inbound_request.ts
@@ -3,18 +3,19 @@
 import type {IncomingMessage} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import type {StreamOrigin} from '../origins/origin_store.js';
-import type {Route} from '../routes/route_table.js';
 import {asId, type RequestId, type ServiceId} from '../types/ids.js';
 import type {RequestTraits} from './protocol.js';
 import type {RelayMetadata} from './relay.js';
+import type {RequestRules} from './request_rules.js';
 import type {InboundRequest} from './types.js';
 
 const REQUEST_ID_RANDOM_BYTES = 6;
 
 /** What was found out about a request before it runs. */
-export interface MatchedRequest {
+export interface MatchedRequest extends RequestRules {
   readonly traits: RequestTraits;
-  readonly route: Route;
+  /** Without the caller's key if the table has workspaces. */
+  readonly rawHeaders: readonly string[];
   readonly tableVersion: number;
 }
 
@@ -32,19 +33,17 @@
   body: Buffer,
   matched: MatchedCallerRequest,
 ): InboundRequest {
-  const {traits, route, service, tableVersion, origin, receivedAtMs} = matched;
+  const {traits, route, service, origin, receivedAtMs} = matched;
   const waitsMs = traits.waitsMs ?? Number.POSITIVE_INFINITY;
   const {lastEventId} = traits;
   const softwareVersion = origin?.softwareVersion;
   return {
     service,
-    tableVersion,
     requestId: createRequestId(traits.attemptId),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
-    rawHeaders: request.rawHeaders,
     body,
-    route,
+    ...rulesOf(matched),
     traits,
     receivedAtMs,
     expiresAtMs: receivedAtMs + Math.min(route.timeoutMs, waitsMs),
@@ -60,19 +59,17 @@
 export function requestFromRelay(
   metadata: RelayMetadata,
   body: Buffer,
-  {traits, route, tableVersion}: MatchedRequest,
+  matched: MatchedRequest,
 ): InboundRequest {
   const nowMs = monotonicNowMs();
   return {
     requestId: asId<RequestId>(metadata.requestId),
     method: metadata.method,
     path: metadata.path,
-    rawHeaders: metadata.rawHeaders,
     body,
-    route,
+    ...rulesOf(matched),
     service: metadata.service,
-    traits,
-    tableVersion,
+    traits: matched.traits,
     receivedAtMs: nowMs - metadata.ageMs,
     expiresAtMs: nowMs + metadata.remainingMs,
     isRelayed: true,
@@ -83,6 +80,23 @@
   };
 }
 
+function rulesOf({
+  route,
+  workspace,
+  rawHeaders,
+  tableVersion,
+}: MatchedRequest): Pick<
+  InboundRequest,
+  'route' | 'workspace' | 'rawHeaders' | 'tableVersion'
+> {
+  return {
+    route,
+    rawHeaders,
+    tableVersion,
+    ...(workspace === undefined ? {} : {workspace}),
+  };
+}
+
 /** An id that begins with that of the caller's attempt. */
 export function createRequestId(attemptId: string): RequestId {
   const unique = randomBytes(REQUEST_ID_RANDOM_BYTES).toString('base64url');
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -29,6 +29,13 @@
 } from './inbound_request.js';
 import {decodeRelayRequest} from './relay.js';
 import type {RejectionReason} from './request_log.js';
+import {
+  headersWithoutIdentity,
+  rulesForCaller,
+  rulesForRelayed,
+  type NoCallerRules,
+  type RequestRules,
+} from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
 import type {InboundRequest} from './types.js';
@@ -51,8 +58,8 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
-/** `retry-after` if the route has no service to choose from. */
-const NO_SERVICE_RETRY_MS = 1_000;
+/** `retry-after` if the route table leaves nowhere to run the request. */
+const NOWHERE_RETRY_MS = 1_000;
 
 export interface IngressServerOptions {
   /** `host:port`. */
@@ -65,10 +72,10 @@
   readonly plannedStop: PlannedStop;
 }
 
-/** The route of a caller's request, and the routes that were in force then. */
-interface RouteMatch {
+/** The rules for a caller's request, and the table that was in force then. */
+interface RulesMatch {
   readonly matcher: RouteMatcher;
-  readonly route: Route;
+  readonly rules: RequestRules;
   readonly receivedAtMs: number;
 }
 
@@ -141,34 +148,27 @@
   ): Promise<void> {
     const {metadata, body} = decodeRelayRequest(bytes);
     const callerResponse = new CallerResponse(response, () => false);
+    const {protocol, region, log} = this.options.context;
     const matcher = this.options.matcher();
-    const route = matcher?.match(metadata.host, metadata.path);
-    if (matcher === undefined || route === undefined) {
-      const reason = matcher === undefined ? 'no_route_table' : 'no_route';
-      const status = sendRefusal(
-        callerResponse,
-        this.startupRetryMs(),
-        'unsent',
-      );
-      this.options.context.log.rejected(
-        asId<RequestId>(metadata.requestId),
-        reason,
-        status,
-        matcher?.table.version ?? 0,
-      );
-      return;
-    }
-    const {version} = matcher.table;
-    if (this.options.plannedStop.isTooLateFor(route)) {
-      const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, 'unsent');
+    const version = matcher?.table.version ?? 0;
+    const refuse = (reason: RejectionReason, retryAfterMs: number): void => {
+      const status = sendRefusal(callerResponse, retryAfterMs, 'unsent');
       const requestId = asId<RequestId>(metadata.requestId);
-      this.options.context.log.rejected(requestId, 'stopping', status, version);
-      return;
+      log.rejected(requestId, reason, status, version);
+    };
+    if (matcher === undefined) {
+      return refuse('no_route_table', this.startupRetryMs());
     }
-    const {protocol} = this.options.context;
+    const rules = rulesForRelayed(matcher, metadata, region);
+    if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
+    if (this.options.plannedStop.isTooLateFor(rules.value.route)) {
+      return refuse('stopping', STOPPING_RETRY_MS);
+    }
+    const {rawHeaders} = metadata;
     const inbound = requestFromRelay(metadata, body, {
-      traits: protocol.requestTraits(headersOf(metadata.rawHeaders)),
-      route,
+      ...rules.value,
+      traits: protocol.requestTraits(headersOf(rawHeaders)),
+      rawHeaders: headersWithoutIdentity(matcher, rawHeaders, protocol),
       tableVersion: version,
     });
     await this.run(inbound, callerResponse, response);
@@ -229,32 +229,31 @@
       onRejected('headers_too_large', sendRejection(callerResponse, 431));
       return;
     }
-    const path = request.url ?? '/';
-    const route = matcher.match(request.headers.host ?? '', path);
-    if (route === undefined) {
-      onRejected('no_route', sendRejection(callerResponse, 404));
+    const {headers, url: path = '/'} = request;
+    const {protocol} = this.options.context;
+    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    if (found.isErr()) {
+      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
       return;
     }
+    const rules = found.value;
     const body = await this.readRequestBody(
       request,
       callerResponse,
       onRejected,
     );
     if (body === undefined) return;
-    if (this.options.plannedStop.isTooLateFor(route)) {
+    if (this.options.plannedStop.isTooLateFor(rules.route)) {
       onRejected('stopping', sendRefusal(callerResponse, STOPPING_RETRY_MS));
       return;
     }
     const inbound = await this.withService(request, body, {
       matcher,
-      route,
+      rules,
       receivedAtMs,
     });
     if (inbound === undefined) {
-      onRejected(
-        'no_service',
-        sendRefusal(callerResponse, NO_SERVICE_RETRY_MS),
-      );
+      onRejected('no_service', sendRefusal(callerResponse, NOWHERE_RETRY_MS));
       return;
     }
     await this.run(inbound, callerResponse, response);
@@ -264,16 +263,18 @@
   private async withService(
     request: IncomingMessage,
     body: Buffer,
-    {matcher, route, receivedAtMs}: RouteMatch,
+    {matcher, rules, receivedAtMs}: RulesMatch,
   ): Promise<InboundRequest | undefined> {
     const {protocol} = this.options.context;
-    const origin = await this.findOrigin(request, route);
+    const {rawHeaders} = request;
+    const origin = await this.findOrigin(request, rules.route);
     const service =
-      origin?.service ?? matcher.pickService(route, Math.random());
+      origin?.service ?? matcher.pickService(rules.route, Math.random());
     if (service === undefined) return undefined;
     return requestFromCaller(request, body, {
+      ...rules,
       traits: protocol.requestTraits(request.headers),
-      route,
+      rawHeaders: headersWithoutIdentity(matcher, rawHeaders, protocol),
       service,
       tableVersion: matcher.table.version,
       origin,
@@ -364,3 +365,18 @@
     }
   }
 }
+
+/** Answers a caller to whose request no rules apply; returns the status. */
+function sendWithoutRules(
+  response: CallerResponse,
+  reason: NoCallerRules,
+): number {
+  switch (reason) {
+    case 'no_route':
+      return sendRejection(response, 404);
+    case 'unknown_key':
+      return sendRejection(response, 401);
+    case 'no_common_region':
+      return sendRefusal(response, NOWHERE_RETRY_MS);
+  }
+}
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {PromptSize} from '../scheduling/types.js';
-import type {AttemptId, UpstreamId} from '../types/ids.js';
+import type {AttemptId, UpstreamId, WorkspaceId} from '../types/ids.js';
 
 /** Properties that the headers of a request state. */
 export interface RequestTraits {
@@ -25,6 +25,8 @@
   readonly remainingMs: number;
   /** 0 is the highest priority. */
   readonly priority: number;
+  /** The caller's workspace, of which the upstream is told. */
+  readonly workspace?: WorkspaceId;
   /** Address of the upstream that has the prompt prefix cached. */
   readonly fetchFrom?: string;
   /** The last event that was relayed, if a stream is resumed. */
@@ -68,6 +70,15 @@
 export abstract class RequestProtocol {
   abstract requestTraits(headers: IncomingHttpHeaders): RequestTraits;
 
+  /** The key with which the caller identifies itself, if it sends one. */
+  abstract callerKey(headers: IncomingHttpHeaders): string | undefined;
+
+  /**
+   * The caller's raw headers without its key, and without what it says of its
+   * workspace. Nothing beyond the entry that has the caller needs them.
+   */
+  abstract withoutIdentity(rawHeaders: readonly string[]): readonly string[];
+
   /** The caller's headers, with those that the gateway sets. */
   abstract upstreamHeaders(
     rawHeaders: readonly string[],
@@ -98,6 +109,18 @@
   'content-length',
 ]);
 
+/** A raw header list without headers of some names, given in lower case. */
+export function withoutHeaders(
+  rawHeaders: readonly string[],
+  names: ReadonlySet<string>,
+): readonly string[] {
+  // Names stand at even positions, each followed by its value.
+  return rawHeaders.filter(
+    (_, position) =>
+      !names.has((rawHeaders[position - (position % 2)] ?? '').toLowerCase()),
+  );
+}
+
 /** The headers of a raw header list, without hop-by-hop headers. */
 export function endToEndHeaders(
   rawHeaders: readonly string[],
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -14,6 +14,7 @@
   RegionId,
   ServiceId,
   UpstreamId,
+  WorkspaceId,
 } from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
 import {exchangeWith, type ResponseSink, type ExchangeEnd} from './exchange.js';
@@ -29,7 +30,10 @@
   readonly method: string;
   readonly path: string;
   readonly host: string;
+  /** Without the caller's key if the table has workspaces. */
   readonly rawHeaders: readonly string[];
+  /** Set if the sender's table has workspaces and the route is not public. */
+  readonly workspace?: WorkspaceId;
   readonly service: ServiceId;
   readonly remainingMs: number;
   /** Time since the first entry received the request. */
@@ -114,7 +118,7 @@
 
 function metadataOf(request: InboundRequest, nowMs: number): RelayMetadata {
   const {requestId, method, path, rawHeaders, service} = request;
-  const {lastEventId, begun} = request;
+  const {lastEventId, begun, workspace} = request;
   return {
     requestId,
     method,
@@ -122,6 +126,7 @@
     rawHeaders,
     service,
     host: request.route.host,
+    ...(workspace === undefined ? {} : {workspace: workspace.name}),
     remainingMs: request.expiresAtMs - nowMs,
     ageMs: nowMs - request.receivedAtMs,
     isRepeat: request.isRepeat,
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -41,6 +41,14 @@
 export type RejectionReason =
   | 'no_route_table'
   | 'no_route'
+  /** Its key belongs to no workspace, or it has none. */
+  | 'unknown_key'
+  /** Another entry relayed it for a workspace that this one does not know. */
+  | 'unknown_workspace'
+  /** The homes of its route and of its workspace have no region in common. */
+  | 'no_common_region'
+  /** It was relayed to a region that is no home of it. */
+  | 'not_a_home'
   | 'no_service'
   | 'stopping'
   | 'headers_too_large'
@@ -162,6 +170,9 @@
     const fields = {
       requestId: request.requestId,
       route: request.route.name,
+      ...(request.workspace === undefined
+        ? {}
+        : {workspace: request.workspace.name}),
       service: request.service,
       tableVersion: request.tableVersion,
       ageMs: Math.round(monotonicNowMs() - request.receivedAtMs),
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -186,15 +186,6 @@
       onHead: head => this.noteAnswer(grant, head, sentAtMs),
       onExtraAnswer: answer => this.recorder.extraAnswer(grant, answer),
     });
-    const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
-      upstreamId,
-      remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
-      priority: request.route.priority,
-      ...(grant.fetchFrom === undefined ? {} : {fetchFrom: grant.fetchFrom}),
-      ...(this.progress.lastEventId === undefined
-        ? {}
-        : {lastEventId: this.progress.lastEventId}),
-    });
     const {method, path, body} = request;
     const {attemptId} = request.traits;
     const {end: ended, replacement} = await new UpstreamTry({
@@ -202,7 +193,13 @@
       grant,
       grants: this.grants,
       reader,
-      request: {attemptId, method, path, body, headers: headers.flat()},
+      request: {
+        attemptId,
+        method,
+        path,
+        body,
+        headers: this.upstreamHeaders(grant, sentAtMs),
+      },
       targetGapMs: request.route.targetGapMs,
       replacementItem: this.tries.mayRunAgain
         ? () => this.items.replacing(grant)
@@ -229,6 +226,22 @@
     return result;
   }
 
+  private upstreamHeaders(grant: Grant, sentAtMs: number): readonly string[] {
+    const {request, progress} = this;
+    const {workspace} = request;
+    const headers = this.context.protocol.upstreamHeaders(request.rawHeaders, {
+      upstreamId: grant.upstreamId,
+      remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
+      priority: request.route.priority,
+      ...(workspace === undefined ? {} : {workspace: workspace.name}),
+      ...(grant.fetchFrom === undefined ? {} : {fetchFrom: grant.fetchFrom}),
+      ...(progress.lastEventId === undefined
+        ? {}
+        : {lastEventId: progress.lastEventId}),
+    });
+    return headers.flat();
+  }
+
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
     const reader = this.createReader(monotonicNowMs());
--- a/src/node/ingress/work_items.ts
+++ b/src/node/ingress/work_items.ts
@@ -3,7 +3,7 @@
 import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
-import {allowsRegion} from '../routes/route_table.js';
+import {allowsRegion, type WorkspaceSpec} from '../routes/route_table.js';
 import type {WorkItem} from '../scheduling/types.js';
 import {
   asId,
@@ -60,7 +60,7 @@
   /** The item of the next try. */
   next(): WorkItem {
     const {self, region, request, progress, tries, notices} = this.options;
-    const {route, traits} = request;
+    const {route, traits, workspace} = request;
     const {begun} = progress;
     const forbidden = notices.forbidden();
     const evacuatedDomains = this.options.evacuatedDomains();
@@ -71,6 +71,7 @@
       service: request.service,
       fingerprint: this.fingerprint,
       priority: route.priority,
+      ...(workspace === undefined ? {} : callerFields(workspace)),
       targetLatencyMs: route.targetLatencyMs,
       ageMs: tries.hasRun ? 0 : nowMs - request.receivedAtMs,
       remainingMs: request.expiresAtMs - nowMs,
@@ -132,3 +133,13 @@
       .filter(each => !this.refusedRegions.includes(each));
   }
 }
+
+function callerFields({
+  name,
+  fairWeight,
+}: WorkspaceSpec): Pick<WorkItem, 'workspace' | 'fairWeight'> {
+  return {
+    workspace: name,
+    ...(fairWeight === undefined ? {} : {fairWeight}),
+  };
+}
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -35,6 +35,8 @@
   requestId: z.string(),
   route: z.string(),
   service: z.string(),
+  /** Missing if the route is public or the table has no workspaces. */
+  workspace: z.string().optional(),
   /** Version of the route table that it was matched with. */
   tableVersion: z.number(),
   /** Since the request was received. */
--- a/src/node/routes/route_matcher.ts
+++ b/src/node/routes/route_matcher.ts
@@ -1,13 +1,18 @@
 /** Selects the route and the service for a request. */
 import type {ServiceId} from '../types/ids.js';
+import {WorkspaceIndex} from '../workspaces/workspace_index.js';
 import type {Route, RouteTable, ServiceSpec} from './route_table.js';
 
 /** An index over one version of the route table. */
 export class RouteMatcher {
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly services: ReadonlyMap<ServiceId, ServiceSpec>;
+  /** `undefined` if callers need no keys. */
+  readonly workspaces: WorkspaceIndex | undefined;
 
   constructor(readonly table: RouteTable) {
+    const {workspaces} = table;
+    this.workspaces = workspaces && new WorkspaceIndex(workspaces);
     this.services = new Map(table.services.map(each => [each.name, each]));
     [...table.routes]
       .sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
