--- a/src/node/fleet/__tests__/fleet.spec.ts
+++ b/src/node/fleet/__tests__/fleet.spec.ts
@@ -9,7 +9,11 @@
 } from '../../types/ids.js';
 import {FleetMembers} from '../fleet_members.js';
 import {InstanceRegistry} from '../instance_registry.js';
-import {homesOf, type Route} from '../../routes/route_table.js';
+import {
+  homesOf,
+  type Route,
+  type WorkspaceSpec,
+} from '../../routes/route_table.js';
 import type {EntryInstance, FleetView} from '../messages.js';
 
 function entry(
@@ -77,7 +81,7 @@
     registry.addressesFor(
       {region, domain: undefined},
       64,
-      homesOf(routes, name),
+      homesOf({routes}, name),
     );
   assert.deepEqual(
     [ask(north, host), ask(west, host), ask(north, 'other')],
@@ -85,6 +89,45 @@
   );
 });
 
+// Guards against requests of bound workspaces that are sent to entries of a region
+// that is no home of theirs, and against homes that nobody can keep to.
+test('the homes of workspaces narrow those of a host', () => {
+  const [north, south, west] = ['north', 'south', 'west'].map(name =>
+    asId<RegionId>(name),
+  ) as [RegionId, RegionId, RegionId];
+  const host = 'homed';
+  const ask = (route: RegionId[], ...workspaces: RegionId[][]) =>
+    homesOf(
+      {
+        routes: [{host, homeRegions: route} as unknown as Route],
+        workspaces: workspaces.map(
+          homeRegions => ({homeRegions}) as unknown as WorkspaceSpec,
+        ),
+      },
+      host,
+    );
+  assert.deepEqual(
+    {
+      both: ask([north, south], [south, west], []),
+      workspacesOnly: ask([], [south, west], [west]),
+      routesOnly: ask([north], []),
+      neither: ask([], []),
+      disjoint: ask([north], [south]),
+      noneInCommon: ask([north, south], [south], [north]),
+      unboundRoute: ask([], [south], [north]),
+    },
+    {
+      both: [south],
+      workspacesOnly: [west],
+      routesOnly: [north],
+      neither: undefined,
+      disjoint: [north],
+      noneInCommon: [north, south],
+      unboundRoute: undefined,
+    },
+  );
+});
+
 // Guards against requests bound to one region that are sent to another one while
 // all entries of their region restart in turn.
 test('callers of a home region whose entries restart stay there', () => {
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -228,8 +228,9 @@
     host: string,
     limit: number,
   ): readonly string[] {
-    const routes = this.machine.state.table?.routes ?? [];
-    return this.registry.addressesFor(place, limit, homesOf(routes, host));
+    const {table} = this.machine.state;
+    const homes = table && homesOf(table, host);
+    return this.registry.addressesFor(place, limit, homes);
   }
 
   private startServices(
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -160,14 +160,30 @@
   return route.homeRegions.length === 0 || route.homeRegions.includes(region);
 }
 
-/** The regions that all routes of a host with home regions have in common. */
+/**
+ * The regions that all routes of a host with home regions have in common, and of
+ * these the ones that all workspaces with home regions have in common, if there are
+ * any: who asks for the host is not known. `undefined` if no route is bound and the
+ * workspaces have no home in common.
+ */
 export function homesOf(
-  routes: readonly Route[],
+  {routes, workspaces = []}: Pick<RouteTable, 'routes' | 'workspaces'>,
   host: string,
 ): readonly RegionId[] | undefined {
-  const homes = routes
-    .filter(route => route.host === host && route.homeRegions.length > 0)
-    .map(route => route.homeRegions);
+  const ofRoutes = commonHomes(routes.filter(route => route.host === host));
+  const ofWorkspaces = commonHomes(workspaces);
+  if (ofWorkspaces === undefined || ofWorkspaces.length === 0) return ofRoutes;
+  const ofBoth = ofRoutes?.filter(region => ofWorkspaces.includes(region));
+  return ofBoth?.length === 0 ? ofRoutes : (ofBoth ?? ofWorkspaces);
+}
+
+/** The regions common to all that are bound to any; `undefined` if none is. */
+function commonHomes(
+  bound: readonly {readonly homeRegions: readonly RegionId[]}[],
+): readonly RegionId[] | undefined {
+  const homes = bound
+    .map(each => each.homeRegions)
+    .filter(each => each.length > 0);
   const [first] = homes;
   return first?.filter(region => homes.every(each => each.includes(region)));
 }
