--- a/src/node/routes/__tests__/support/control_group.ts
+++ b/src/node/routes/__tests__/support/control_group.ts
@@ -69,6 +69,7 @@
         innerAddress: address,
         founderAddresses: this.seeds.map(seed => `${seed}:1`),
         mayFound,
+        clusterSecret: 'secret-of-the-specs',
         storage: new FileReplicaStorage(disk, 'routes'),
         client: this.network.attach(address, name, router),
         router,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -3,7 +3,7 @@
  * of entries, keeps the origins of their streams, and executes the operators'
  * changes and reads.
  */
-import {okAsync, type Result, type ResultAsync} from 'neverthrow';
+import {ok, okAsync, type Result, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {pack, type Packed} from '../control/packing.js';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
@@ -51,6 +51,7 @@
   type ControlChangeResult,
   type EvacuationOrder,
 } from './route_table_machine.js';
+import {SourceSeal} from './source_seal.js';
 
 const METHOD_PREFIX = 'routes.raft';
 const MEMBER_WEIGHT = 1;
@@ -83,6 +84,8 @@
   readonly seedAddresses?: () => readonly string[];
   /** Members that may be lost at the same time. @default 1 */
   readonly toleratedLosses?: number;
+  /** Shared by all instances; seals configurations that hold keys of callers. */
+  readonly clusterSecret: string;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -94,6 +97,7 @@
 /** One running control member. */
 export class ControlPlane {
   private readonly machine: RouteTableMachine;
+  private readonly seal: SourceSeal;
   private readonly registry: InstanceRegistry;
   private readonly abortController = new AbortController();
   private member: GroupMember<ControlChange, ControlChangeResult> | undefined;
@@ -110,6 +114,7 @@
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
+    this.seal = new SourceSeal(options.clusterSecret);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -193,7 +198,7 @@
     return this.forwardChange?.({
       kind: 'replace_table',
       version,
-      table: pack(table),
+      table: pack(this.seal.sealed(table)),
     });
   }
 
@@ -217,6 +222,13 @@
       .andThen(() => okAsync(this.machine.state));
   }
 
+  /** The text of the latest committed table; `undefined` without a table. */
+  readSource(): ResultAsync<string | undefined, GatewayError> | undefined {
+    return this.readState()?.andThen(({table}) =>
+      table === undefined ? ok(undefined) : this.seal.open(table),
+    );
+  }
+
   /** The table version applied on this member; may lag behind the leader. */
   appliedVersion(): number {
     return this.machine.state.table?.version ?? 0;
