--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -35,6 +35,8 @@
   requestId: z.string(),
   route: z.string(),
   service: z.string(),
+  /** Missing if the route is public or the table has no workspaces. */
+  workspace: z.string().optional(),
   /** Version of the route table that it was matched with. */
   tableVersion: z.number(),
   /** Since the request was received. */
@@ -273,6 +275,12 @@
   },
   change_superseded: change,
   change_rejected: {problems: z.array(z.unknown())},
+  fields_ignored: {
+    version: z.number(),
+    /** `routes[].NAME`; the first of `fieldCount`. */
+    fields: z.array(z.string()),
+    fieldCount: z.number(),
+  },
   operator_call_failed: {},
   member_removed: peerChange,
   member_removal_failed: peerChange,
