Move requests where they cost least before a region is late

A region filled to the edge of its targets before anything moved, so what was queued by then was late while other regions were nearly idle. A request now moves if its own risk to be late and the time by which it delays others are clearly less elsewhere.

--- a/src/node/scheduling/__tests__/scheduling_fixture.ts
+++ b/src/node/scheduling/__tests__/scheduling_fixture.ts
@@ -38,10 +38,12 @@
 export const AWAY_A = asId<DomainId>('away-a');
 export const HOME_B = asId<DomainId>('home-b');
 
-export function createScheduler(traits: ServiceTraits): Scheduler {
+export function createScheduler(
+  traits: ServiceTraits,
+  place = {region: HOME, domain: HOME_A},
+): Scheduler {
   return new Scheduler({
-    region: HOME,
-    domain: HOME_A,
+    ...place,
     traits,
     retries: {ratio: 0.2, windowMs: 10_000, slack: 18},
     onPoolChange: () => undefined,
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -1,6 +1,6 @@
 /**
  * Latest capacity digests of other domains, less the requests sent to them
- * since each digest.
+ * that the digests do not show yet.
  */
 import type {DomainId, RegionId} from '../types/ids.js';
 import {
@@ -12,16 +12,12 @@
   PASS_MIN_GAIN_MS,
   PREFILL_TOKENS_PER_MS,
 } from './constants.js';
+import {uncachedSize, type DigestRecord} from './digest_record.js';
+import {remotePlaces, type RemotePlace} from './remote_places.js';
+import {SentWork} from './sent_work.js';
 import {fits} from './software_versions.js';
 import type {CapacityDigest, WorkItem} from './types.js';
 
-interface DigestRecord {
-  readonly digest: CapacityDigest;
-  readonly atMs: number;
-  sentRequests: number;
-  sentTokens: number;
-}
-
 /** A domain that could take a request. */
 export interface RemoteOffer {
   readonly region: RegionId;
@@ -30,25 +26,34 @@
   readonly minGainMs: number;
   /** Expected time to the first answer, including the network cost. */
   readonly expectedMs: number;
-  readonly digestAgeMs: number;
-  /** Share of its engines' time spent on prefill, including this request. */
-  readonly readShare: number;
 }
 
 /** Capacity digests of one service, by domain. */
 export class CapacityBoard {
   private readonly records = new Map<DomainId, DigestRecord>();
 
-  /** `ownRegion` is the region of this scheduler. */
-  constructor(private readonly ownRegion: RegionId) {}
+  /**
+   * `ownRegion` is the region of this scheduler, `slotMsOf` the time for which a
+   * request holds a slot.
+   */
+  constructor(
+    private readonly ownRegion: RegionId,
+    private readonly slotMsOf: (item: WorkItem) => number,
+  ) {}
 
   record(digest: CapacityDigest, nowMs: number): void {
-    this.records.set(digest.domain, {
-      digest,
-      atMs: nowMs,
-      sentRequests: 0,
-      sentTokens: 0,
-    });
+    const sent = this.records.get(digest.domain)?.sent ?? new SentWork();
+    sent.noteDigest(nowMs);
+    this.records.set(digest.domain, {digest, atMs: nowMs, sent});
+  }
+
+  /** The places outside the own domain that have room for the request. */
+  places(item: WorkItem, nowMs: number): readonly RemotePlace[] {
+    const fresh = this.fresh(nowMs);
+    const {ownRegion} = this;
+    const allowed = fresh.filter(each => this.isAllowed(each, item));
+    const slotMs = this.slotMsOf(item);
+    return remotePlaces(item, {ownRegion, fresh, allowed, slotMs}, nowMs);
   }
 
   /** Whether a digest of the region arrived since this process started. */
@@ -60,9 +65,7 @@
 
   /** Whether a stream may go on in some other domain, by its last digest. */
   mayContinueElsewhere(item: WorkItem, nowMs: number): boolean {
-    return [...this.records.values()]
-      .filter(({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS)
-      .some(record => this.isAllowed(record, item));
+    return this.fresh(nowMs).some(record => this.isAllowed(record, item));
   }
 
   /**
@@ -91,19 +94,23 @@
    * its scheduler can queue or refuse the request.
    */
   siblingDomain(item: WorkItem, nowMs: number): DomainId | undefined {
-    return [...this.records.values()]
+    return this.fresh(nowMs)
       .filter(record => record.digest.region === this.ownRegion)
       .filter(record => this.isAllowed(record, item))
-      .filter(({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS)
       .find(({digest}) => digest.upstreams > 0)?.digest.domain;
   }
 
   /** Counts a request sent to a domain against its last digest. */
-  noteSent(domain: DomainId, item: WorkItem): void {
-    const record = this.records.get(domain);
-    if (record === undefined) return;
-    record.sentRequests += 1;
-    record.sentTokens += item.prompt?.promptTokens ?? 0;
+  noteSent(domain: DomainId, item: WorkItem, nowMs: number): void {
+    const size = uncachedSize(item, this.slotMsOf(item));
+    const tokens = item.prompt?.promptTokens ?? 0;
+    this.records.get(domain)?.sent.add(size, tokens, nowMs);
+  }
+
+  private fresh(nowMs: number): readonly DigestRecord[] {
+    return [...this.records.values()].filter(
+      ({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS,
+    );
   }
 
   private isAllowed({digest}: DigestRecord, item: WorkItem): boolean {
@@ -120,7 +127,8 @@
     nowMs: number,
     isOnlyChoice: boolean,
   ): readonly RemoteOffer[] {
-    const {digest, atMs, sentRequests, sentTokens} = record;
+    const {digest, atMs, sent} = record;
+    const totals = sent.totals(nowMs);
     const digestAgeMs = nowMs - atMs;
     const tokens = item.prompt?.promptTokens ?? 0;
     const {freeSlots, waitMs} = isOnlyChoice
@@ -128,19 +136,17 @@
       : digest;
     const hasRoom =
       digest.upstreams > 0 &&
-      freeSlots > sentRequests &&
-      (tokens === 0 || digest.freeTokens > sentTokens + tokens);
+      freeSlots > totals.requests &&
+      (tokens === 0 || digest.freeTokens > totals.tokens + tokens);
     if (!hasRoom || digestAgeMs > DIGEST_EXPIRY_MS) return [];
     const prefillMs =
-      (sentTokens / digest.upstreams + tokens) / PREFILL_TOKENS_PER_MS;
+      (totals.tokens / digest.upstreams + tokens) / PREFILL_TOKENS_PER_MS;
     const {region, domain} = digest;
     const isNear = region === this.ownRegion;
     const costMs = isNear ? PASS_COST_MS : OFFLOAD_COST_MS;
     const minGainMs = isNear ? PASS_MIN_GAIN_MS : OFFLOAD_MIN_GAIN_MS;
     const expectedMs = waitMs + prefillMs + BASE_FIRST_ANSWER_MS + costMs;
-    const sentShare = prefillMs / Math.max(1, digestAgeMs + DIGEST_EXPIRY_MS);
-    const readShare = digest.readShare + sentShare;
-    return [{region, domain, minGainMs, expectedMs, digestAgeMs, readShare}];
+    return [{region, domain, minGainMs, expectedMs}];
   }
 }
 
--- a/src/node/scheduling/capacity_digest.ts
+++ b/src/node/scheduling/capacity_digest.ts
@@ -1,7 +1,7 @@
 /** Builds the capacity digest that a scheduler sends to other domains. */
 import type {DomainId, RegionId, ServiceId} from '../types/ids.js';
 import {queueWaitMs} from './forecast.js';
-import type {PrefillLoad} from './prefill_load.js';
+import type {LoadForecast} from './load_forecast.js';
 import type {CapacityDigest} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
 import type {WorkQueue} from './work_queue.js';
@@ -13,7 +13,7 @@
   readonly service: ServiceId;
   readonly pool: UpstreamPool;
   readonly queue: WorkQueue;
-  readonly prefillLoad: PrefillLoad;
+  readonly loadForecast: LoadForecast;
 }
 
 /** A request of this priority overtakes the whole queue. */
@@ -21,12 +21,13 @@
 
 /** Upstreams that get few requests a second are no capacity for others. */
 export function digestOf(
-  {region, domain, service, pool, queue, prefillLoad}: DigestSource,
+  {region, domain, service, pool, queue, loadForecast}: DigestSource,
   nowMs: number,
 ): CapacityDigest {
   const all = pool.usable(nowMs);
   const usable = all.filter(each => each.startsPerS(nowMs) === undefined);
   const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
+  const load = loadForecast.foreseen(usable, queue.ahead(), nowMs);
   const versions = all.flatMap(each => each.softwareVersion ?? []);
   return {
     region,
@@ -46,6 +47,8 @@
     ),
     freeTokens: usable.reduce((sum, each) => sum + each.freeTokens, 0),
     waitMs: queueWaitMs(queue.ahead(), usable, nowMs),
-    readShare: prefillLoad.share(usable, nowMs),
+    readShare: load.prefill,
+    slots: usable.reduce((sum, each) => sum + each.listed.slots, 0),
+    load,
   };
 }
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -32,14 +32,8 @@
 export const PASS_COST_MS = 15;
 /** Minimum gain in expected time for a pass to another domain. */
 export const PASS_MIN_GAIN_MS = 25;
-/**
- * Long prompts are offloaded from a domain whose engines spend more than this
- * share of their time on prefill: above it the gaps between the tokens of
- * streams become longer than their callers accept.
- */
-export const OFFLOAD_PREFILL_SHARE = 0.55;
-/** Minimum difference in prefill share for such an offload. */
-export const OFFLOAD_PREFILL_SHARE_GAIN = 0.2;
+/** Work that is accepted now competes with what arrives within this time. */
+export const LOAD_HORIZON_MS = 1_000;
 /** Capacity digests older than this are ignored. */
 export const DIGEST_EXPIRY_MS = 1_500;
 /** Long enough for a short load peak to pass. */
--- /dev/null
+++ b/src/node/scheduling/early_moves.ts
@@ -0,0 +1,98 @@
+/**
+ * Moves requests to other domains and regions before this domain is late. A
+ * request moves if it costs clearly less elsewhere: its own risk to be late,
+ * and the time by which it delays the requests that share slots and engines
+ * with it. So what is cheap to move leaves first, and what is bound to this
+ * region keeps the room.
+ */
+import {fittingOf} from './choose_upstream.js';
+import {
+  delayToOthersMs,
+  isCongested,
+  latenessRiskMs,
+  type WorkSize,
+} from './placement_cost.js';
+import {queueWaitMs, type Forecast} from './forecast.js';
+import type {LoadForecast} from './load_forecast.js';
+import type {Redirects} from './redirects.js';
+import type {WorkItem} from './types.js';
+import type {UpstreamPool} from './upstream_pool.js';
+import type {UpstreamState} from './upstream_state.js';
+import type {QueuedItem, WorkQueue} from './work_queue.js';
+
+/** A queued request is looked at again after this time: digests are rare. */
+const RECONSIDER_MS = 100;
+
+export interface EarlyMovesOptions {
+  readonly pool: UpstreamPool;
+  readonly queue: WorkQueue;
+  readonly loadForecast: LoadForecast;
+  readonly redirects: Redirects;
+}
+
+/** Each method returns whether it moved the request. */
+export class EarlyMoves {
+  private readonly reconsiderAtMs = new WeakMap<WorkItem, number>();
+
+  constructor(private readonly options: EarlyMovesOptions) {}
+
+  /** Moves a new request, whose latency here is `expected`. */
+  moveNew(
+    item: WorkItem,
+    expected: Forecast,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): boolean {
+    const {loadForecast, queue, redirects} = this.options;
+    const load = loadForecast.foreseen(usable, queue.ahead(), nowMs);
+    const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
+    const waitMs = Math.max(expected.waitMs, backlogMs);
+    if (waitMs === 0 && !isCongested(load)) return false;
+    const totalMs = item.ageMs + waitMs + expected.answerMs;
+    const costMs =
+      latenessRiskMs(totalMs, item.targetLatencyMs) +
+      delayToOthersMs(this.sizeOf(item, nowMs), load);
+    return redirects.toCheaper(item, costMs, nowMs);
+  }
+
+  /**
+   * Moves a request that would wait too long at its position of the queue, as
+   * after a loss of upstreams.
+   */
+  moveQueued(
+    {item, queuedAtMs}: QueuedItem,
+    position: number,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): boolean {
+    const {queue} = this.options;
+    const fitting = this.isDue(item, queuedAtMs, nowMs)
+      ? fittingOf(item, usable)
+      : [];
+    if (fitting.length === 0 || !queue.has(item.requestId)) return false;
+    this.reconsiderAtMs.set(item, nowMs + RECONSIDER_MS);
+    const aged = {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
+    const waitMs = queueWaitMs(queue.share(position), fitting, nowMs);
+    const isMoved = this.moveNew(aged, {waitMs, answerMs: 0}, fitting, nowMs);
+    if (isMoved) queue.remove(item.requestId);
+    return isMoved;
+  }
+
+  /** Counts a request that stays in this domain. */
+  noteKept(item: WorkItem, nowMs: number): void {
+    this.options.loadForecast.noteKept(this.sizeOf(item, nowMs), nowMs);
+  }
+
+  private isDue(item: WorkItem, queuedAtMs: number, nowMs: number): boolean {
+    const dueAtMs = this.reconsiderAtMs.get(item) ?? queuedAtMs + RECONSIDER_MS;
+    return item.otherRegions.length > 0 && nowMs >= dueAtMs;
+  }
+
+  private sizeOf(item: WorkItem, nowMs: number): WorkSize {
+    const {pool, loadForecast} = this.options;
+    return {
+      slotMs: loadForecast.slotMsOf(item),
+      prefillMs: pool.estimates.minPrefillMs(item, nowMs),
+    };
+  }
+}
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -1,9 +1,10 @@
 /** Decides whether to move a request to another domain or region. */
 import type {DomainId, RegionId} from '../types/ids.js';
 import type {CapacityBoard, RemoteOffer} from './capacity_board.js';
-import {OFFLOAD_PREFILL_SHARE_GAIN} from './constants.js';
 import {maxFirstAnswerMs} from './forecast.js';
+import type {RemotePlace} from './remote_places.js';
 import type {WorkItem} from './types.js';
+import {weightedChoice} from './weighted_choice.js';
 
 /** Logged in place of a wait that is not known. */
 export const UNKNOWN_MS = -1;
@@ -27,7 +28,10 @@
    * as after a start.
    */
   allowedTarget(item: WorkItem, nowMs: number): OffloadTarget | undefined {
-    const offer = this.board.bestOffer(item, nowMs);
+    const places = this.board.places(item, nowMs);
+    const offer =
+      weightedChoice(item.requestId, places, ({costMs}) => 1 / costMs) ??
+      this.board.bestOffer(item, nowMs);
     if (offer !== undefined) return targetOf(offer, UNKNOWN_MS);
     const region = item.otherRegions.find(
       each => !this.board.hasDigestOf(each),
@@ -42,18 +46,24 @@
         };
   }
 
-  /** Returns a domain whose engines spend clearly less time on prefill. */
-  lessLoadedTarget(
+  /**
+   * Returns a place at which the request costs clearly less than
+   * `localCostMs` and meets its target. Good places are taken in turn, so that
+   * the schedulers of a region do not rush to the same one.
+   */
+  cheaperTarget(
     item: WorkItem,
-    readShare: number,
+    localCostMs: number,
     nowMs: number,
   ): OffloadTarget | undefined {
-    const offer = this.board.bestOffer(item, nowMs);
-    const isLessLoaded =
-      offer !== undefined &&
-      offer.readShare + OFFLOAD_PREFILL_SHARE_GAIN < readShare &&
-      meetsTarget(item, offer);
-    return isLessLoaded ? targetOf(offer, UNKNOWN_MS) : undefined;
+    const gainMs = ({costMs, minGainMs}: RemotePlace): number =>
+      localCostMs - costMs - minGainMs;
+    const good = this.board
+      .places(item, nowMs)
+      .filter(each => meetsTarget(item, each))
+      .filter(each => gainMs(each) > 0);
+    const place = weightedChoice(item.requestId, good, gainMs);
+    return place === undefined ? undefined : targetOf(place, UNKNOWN_MS);
   }
 
   /** Returns a domain that answers clearly sooner and within the target. */
@@ -75,12 +85,15 @@
   }
 }
 
-function meetsTarget(item: WorkItem, {expectedMs}: RemoteOffer): boolean {
+function meetsTarget(
+  item: WorkItem,
+  {expectedMs}: Pick<RemoteOffer, 'expectedMs'>,
+): boolean {
   return item.ageMs + expectedMs <= maxFirstAnswerMs(item, expectedMs);
 }
 
 function targetOf(
-  {region, domain, expectedMs}: RemoteOffer,
+  {region, domain, expectedMs}: Omit<RemoteOffer, 'minGainMs'>,
   localWaitMs: number,
 ): OffloadTarget {
   return {region, domain, localWaitMs, remoteWaitMs: expectedMs};
--- a/src/node/scheduling/redirects.ts
+++ b/src/node/scheduling/redirects.ts
@@ -24,14 +24,15 @@
 
   /** Redirects a request that its route does not allow here. */
   toAllowedRegion(item: WorkItem, nowMs: number): boolean {
-    return this.follow(this.offloads.allowedTarget(item, nowMs), item);
+    const target = this.offloads.allowedTarget(item, nowMs);
+    return this.follow(target, item, nowMs);
   }
 
   /** Passes the request to another domain of the region, if there is one. */
   toSibling(item: WorkItem, nowMs: number): boolean {
     const domain = this.board.siblingDomain(item, nowMs);
     if (domain === undefined) return false;
-    this.board.noteSent(domain, item);
+    this.board.noteSent(domain, item, nowMs);
     this.push(passOf(item, domain));
     return true;
   }
@@ -40,7 +41,7 @@
    * Sends a request that its entry cannot bring to any upstream here through
    * another entry of the region.
    */
-  toPeer(item: WorkItem): boolean {
+  toPeer(item: WorkItem, nowMs: number): boolean {
     if (item.mayUsePeer !== true) return false;
     const target = {
       region: this.home,
@@ -48,33 +49,39 @@
       localWaitMs: UNKNOWN_MS,
       remoteWaitMs: UNKNOWN_MS,
     };
-    return this.follow(target, item);
+    return this.follow(target, item, nowMs);
   }
 
   /** Sends a request away that no upstream here can run for its entry. */
   toAnywhere(item: WorkItem, isOutOfReach: boolean, nowMs: number): boolean {
     return (
-      (isOutOfReach && this.toPeer(item)) ||
+      (isOutOfReach && this.toPeer(item, nowMs)) ||
       this.toFaster(item, Number.POSITIVE_INFINITY, nowMs) ||
       this.toSibling(item, nowMs)
     );
   }
 
-  /** Offloads a long prompt to a domain with a lower prefill share. */
-  toLessLoaded(item: WorkItem, readShare: number, nowMs: number): boolean {
-    const target = this.offloads.lessLoadedTarget(item, readShare, nowMs);
-    return this.follow(target, item);
+  /** Sends the request to where it costs clearly less than `localCostMs`. */
+  toCheaper(item: WorkItem, localCostMs: number, nowMs: number): boolean {
+    const target = this.offloads.cheaperTarget(item, localCostMs, nowMs);
+    return this.follow(target, item, nowMs);
   }
 
   /** Offloads to a domain that is clearly faster than `localExpectedMs`. */
   toFaster(item: WorkItem, localExpectedMs: number, nowMs: number): boolean {
     const target = this.offloads.fasterTarget(item, localExpectedMs, nowMs);
-    return this.follow(target, item);
+    return this.follow(target, item, nowMs);
   }
 
-  private follow(target: OffloadTarget | undefined, item: WorkItem): boolean {
+  private follow(
+    target: OffloadTarget | undefined,
+    item: WorkItem,
+    nowMs: number,
+  ): boolean {
     if (target === undefined) return false;
-    if (target.domain !== undefined) this.board.noteSent(target.domain, item);
+    if (target.domain !== undefined) {
+      this.board.noteSent(target.domain, item, nowMs);
+    }
     this.push(redirectOf(item, target, this.home));
     return true;
   }
--- a/src/node/scheduling/refusals.ts
+++ b/src/node/scheduling/refusals.ts
@@ -1,6 +1,9 @@
 /** Refuses requests on behalf of the scheduler of one service. */
 import type {CapacityBoard} from './capacity_board.js';
-import {NO_UPSTREAM_RETRY_AFTER_MS} from './constants.js';
+import {
+  NO_UPSTREAM_CLOSED_MS,
+  NO_UPSTREAM_RETRY_AFTER_MS,
+} from './constants.js';
 import {refusalOf} from './decisions.js';
 import type {Decision, RefusalReason, WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
@@ -48,6 +51,17 @@
     }
   }
 
+  /** Refuses a request that may run in none of the regions with capacity. */
+  addWithoutRegion(item: WorkItem, nowMs: number): void {
+    this.add(
+      item,
+      'no_upstream',
+      NO_UPSTREAM_RETRY_AFTER_MS,
+      nowMs,
+      NO_UPSTREAM_CLOSED_MS,
+    );
+  }
+
   private mayBecomeServable(item: WorkItem, nowMs: number): boolean {
     const {pool, board} = this.options;
     return (
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -12,15 +12,10 @@
   hasFailedOn,
   untriedOf,
 } from './choose_upstream.js';
-import {
-  ADMISSION_SHARE_OF_TARGET,
-  NO_UPSTREAM_CLOSED_MS,
-  NO_UPSTREAM_RETRY_AFTER_MS,
-  NO_UPSTREAM_WAIT_MS,
-  OFFLOAD_PREFILL_SHARE,
-} from './constants.js';
+import {ADMISSION_SHARE_OF_TARGET, NO_UPSTREAM_WAIT_MS} from './constants.js';
 import {grantOf} from './decisions.js';
-import {PrefillLoad} from './prefill_load.js';
+import {EarlyMoves} from './early_moves.js';
+import {LoadForecast} from './load_forecast.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {
@@ -54,13 +49,16 @@
   private readonly redirects: Redirects;
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
-  private readonly prefillLoad = new PrefillLoad();
+  private readonly loadForecast = new LoadForecast();
+  private readonly moves: EarlyMoves;
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
-    this.board = new CapacityBoard(options.region);
+    this.board = new CapacityBoard(options.region, item =>
+      this.loadForecast.slotMsOf(item),
+    );
     this.redirects = new Redirects(options.region, this.board, decision =>
       this.decisions.push(decision),
     );
@@ -68,6 +66,12 @@
     this.retryBudget = new RetryBudget(options.retries);
     this.quarantine = new QuarantineGate(options.evidence);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
+    this.moves = new EarlyMoves({
+      pool: this.pool,
+      queue: this.queue,
+      loadForecast: this.loadForecast,
+      redirects: this.redirects,
+    });
     this.refusals = new Refusals({
       pool: this.pool,
       board: this.board,
@@ -99,6 +103,8 @@
       const item = this.pool.requestOf(release);
       this.quarantine.noteEnd(item, release.outcome, nowMs);
       this.pool.end(release, nowMs);
+      if (item === undefined || release.outcome !== 'answered') return;
+      this.loadForecast.noteEnd(item, release.totalMs);
     });
   }
 
@@ -139,7 +145,7 @@
     const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
     let isLaneFull = this.lane.isFull(open, usable);
-    this.queue.inOrder().forEach(queued => {
+    this.queue.inOrder().forEach((queued, position) => {
       // The lane may have no engine at which a begun stream can go on.
       const mustWait =
         isLaneFull &&
@@ -148,7 +154,10 @@
       const upstream = mustWait
         ? undefined
         : this.choose(queued.item, usable, open, nowMs);
-      if (!this.processQueued(queued, upstream, usable, nowMs)) return;
+      if (!this.processQueued(queued, upstream, usable, nowMs)) {
+        this.moves.moveQueued(queued, position, usable, nowMs);
+        return;
+      }
       open = openOf(open, nowMs);
       isLaneFull = this.lane.isFull(open, usable);
     });
@@ -164,9 +173,12 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const {pool, queue, prefillLoad} = this;
+    const {pool, queue, loadForecast} = this;
     const {region, domain} = this.options;
-    return digestOf({region, domain, service, pool, queue, prefillLoad}, nowMs);
+    return digestOf(
+      {region, domain, service, pool, queue, loadForecast},
+      nowMs,
+    );
   }
 
   // A request that runs elsewhere does not wait in the queue: its upstream may
@@ -193,13 +205,12 @@
 
   private admit(item: WorkItem, nowMs: number): void {
     if (!item.isAllowedHere) {
-      this.sendToAllowedRegion(item, nowMs);
+      if (this.redirects.toAllowedRegion(item, nowMs)) return;
+      this.refusals.addWithoutRegion(item, nowMs);
       return;
     }
     this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
-    this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
     const usable = this.pool.usableFor(item, nowMs);
-    if (this.offloadLongPrompt(item, usable, nowMs)) return;
     if (hasFailedOn(item, usable) && this.redirects.toSibling(item, nowMs)) {
       return;
     }
@@ -218,7 +229,9 @@
       eligible,
       nowMs,
     );
+    if (this.moves.moveNew(item, expected, usable, nowMs)) return;
     if (isInTime(item, expected)) {
+      this.moves.noteKept(item, nowMs);
       this.grantOrEnqueue(item, usable, nowMs);
       return;
     }
@@ -253,31 +266,6 @@
     this.queue.add({item, queuedAtMs: nowMs, prefillMs});
   }
 
-  private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
-    if (this.redirects.toAllowedRegion(item, nowMs)) return;
-    this.refusals.add(
-      item,
-      'no_upstream',
-      NO_UPSTREAM_RETRY_AFTER_MS,
-      nowMs,
-      NO_UPSTREAM_CLOSED_MS,
-    );
-  }
-
-  /** Offloads a long prompt from a domain with a high prefill share. */
-  private offloadLongPrompt(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): boolean {
-    const readShare = this.prefillLoad.share(usable, nowMs);
-    const isOverThreshold =
-      readShare > OFFLOAD_PREFILL_SHARE && this.lane.isLong(item, nowMs);
-    return (
-      isOverThreshold && this.redirects.toLessLoaded(item, readShare, nowMs)
-    );
-  }
-
   /** Grants, ends or keeps a queued request; returns true if it was granted. */
   private processQueued(
     {item, queuedAtMs}: QueuedItem,
@@ -344,7 +332,7 @@
     const isPassed =
       usable.length === 0 &&
       ((this.pool.isOnlyOutOfReach(item, nowMs) &&
-        this.redirects.toPeer(item)) ||
+        this.redirects.toPeer(item, nowMs)) ||
         this.redirects.toSibling(item, nowMs));
     if (isPassed) {
       this.queue.remove(item.requestId);
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -10,6 +10,7 @@
   UpstreamProcessId,
   WorkspaceId,
 } from '../types/ids.js';
+import type {DomainLoad} from './placement_cost.js';
 
 /** One part of a prompt that engines may have cached. */
 export interface PromptPart {
@@ -307,4 +308,8 @@
   readonly loads?: readonly PriorityLoad[];
   /** Share of the engines' time that prefill takes; above 1 when overloaded. */
   readonly readShare: number;
+  /** Slots of its usable upstreams. */
+  readonly slots?: number;
+  /** Foreseen use in the next second. */
+  readonly load?: DomainLoad;
 }
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -103,6 +103,13 @@
     );
   }
 
+  /** The load ahead of a position, at the mean size of the queued prompts. */
+  share(position: number): QueueLoad {
+    const {requests, prefillMs} = this.ahead();
+    const meanMs = prefillMs / Math.max(1, requests);
+    return {requests: position, prefillMs: position * meanMs};
+  }
+
   private isLowPriorityTurn(): boolean {
     return this.grants > 0 && this.grants % GRANTS_PER_LOW_PRIORITY_TURN === 0;
   }
