Order the queue of a scheduler fairly, and book room for callers that are refused

The queue of the regional path knew priorities only: a workspace that sent many times its usual delayed all others of its priority, and callers that came back at their Retry-After stood behind new ones and were refused again, all at once. The fair queue, the floors and the drain rate of decisions/admission now serve both paths. Each refusal books room, callers come back one after the other and go before new ones of their workspace.

--- a/src/node/decisions/admission/admission_queue.ts
+++ b/src/node/decisions/admission/admission_queue.ts
@@ -37,7 +37,7 @@
   private readonly ranks: readonly AdmissionRank[];
   private readonly maxPerRank: number;
   private readonly maxPerWorkspace: number;
-  private readonly scheduler = new RankScheduler();
+  private readonly scheduler = new RankScheduler<RankId>();
   private readonly pools = new Map<PoolId, PoolQueue>();
   private readonly queued = new Map<RequestId, AdmissionRequest>();
   private readonly running = new Map<RequestId, RunningRequest>();
@@ -122,7 +122,10 @@
    * or that would be late never start; `expire` returns them. Among requests
    * that are nearly due, one for which `prefers` returns true goes first.
    */
-  next(nowMs: number, prefers?: Preference): StartedRequest | undefined {
+  next(
+    nowMs: number,
+    prefers?: Preference<AdmissionRequest>,
+  ): StartedRequest | undefined {
     this.collectExpired(nowMs);
     const heads = [...this.pools.values()].flatMap(pool =>
       pool.startable(nowMs).map(head => ({...head, pool})),
@@ -139,12 +142,18 @@
         );
       return oldest === undefined
         ? []
-        : [{rank, headCostMs: oldest.costMs, pool: oldest.pool}];
+        : [
+            {
+              rankId: rank.rankId,
+              floorShare: rank.floorShare,
+              headCost: oldest.costMs,
+              pool: oldest.pool,
+            },
+          ];
     });
     const chosen = this.scheduler.choose(backlogged);
-    const pool = backlogged.find(each => each === chosen)?.pool;
-    if (chosen === undefined || pool === undefined) return undefined;
-    const started = pool.start(chosen.rank.rankId, nowMs, prefers);
+    if (chosen === undefined) return undefined;
+    const started = chosen.pool.start(chosen.rankId, nowMs, prefers);
     if (started === undefined) return undefined;
     this.scheduler.charge(chosen, backlogged);
     const {request} = started;
--- a/src/node/decisions/admission/fair_queue.ts
+++ b/src/node/decisions/admission/fair_queue.ts
@@ -1,11 +1,11 @@
 /**
  * Weighted fair queueing by workspace within one rank: each workspace has its
  * own FIFO queue, and the next request is the head with the least virtual start
- * time (start-time fair queueing).
+ * time (start-time fair queueing). The own interface and the schedulers of the
+ * regions share it; each queues its own kind of request.
  */
 import type {RequestId, WorkspaceId} from '../../types/ids.js';
 import {DecayedSum} from './decayed_sum.js';
-import type {AdmissionRequest} from './types.js';
 
 /** Half-life of the measured shares of the workspaces. */
 const SHARE_HALF_LIFE_MS = 5_000;
@@ -18,12 +18,32 @@
 /** An idle workspace whose recent starts cost less than this is removed. */
 const NEGLIGIBLE_COST_MS = 1;
 
+/** What the order of a `FairQueue` depends on. */
+export interface FairRequest {
+  readonly requestId: RequestId;
+  readonly workspaceId: WorkspaceId;
+  /** Weight of its workspace in the fair sharing of the rank. */
+  readonly fairWeight: number;
+  /**
+   * Whether its caller was refused and came back when told to. It goes before
+   * the other requests of its workspace.
+   */
+  readonly isReturn?: boolean;
+}
+
 /** Whether a free upstream has probably cached the prefix of a request. */
-export type Preference = (request: AdmissionRequest) => boolean;
+export type Preference<Request extends FairRequest> = (
+  request: Request,
+) => boolean;
+
+/** What is summed over the requests ahead of a new one. */
+export type Measure<Request extends FairRequest> = (
+  waiting: WaitingRequest<Request>,
+) => number;
 
 /** A queued request. */
-export interface WaitingRequest {
-  readonly request: AdmissionRequest;
+export interface WaitingRequest<Request extends FairRequest> {
+  readonly request: Request;
   readonly queuedAtMs: number;
   /** From this time on it would be late or past its deadline. */
   readonly expiresAtMs: number;
@@ -32,24 +52,36 @@
   skipCount: number;
 }
 
-interface WorkspaceQueue {
+interface WorkspaceQueue<Request extends FairRequest> {
   readonly workspaceId: WorkspaceId;
   weight: number;
-  waiting: WaitingRequest[];
+  waiting: WaitingRequest<Request>[];
   /** Cost of its recently started requests that had waited. */
   readonly started: DecayedSum;
   /** Virtual start time of its head: the virtual finish of its last start. */
   startTag: number;
 }
 
+interface TaggedRequest<Request extends FairRequest> {
+  readonly waiting: WaitingRequest<Request>;
+  readonly startTag: number;
+}
+
+interface FoundRequest<Request extends FairRequest> {
+  readonly queue: WorkspaceQueue<Request>;
+  readonly waiting: WaitingRequest<Request>;
+}
+
 /** A request taken from the queue. */
-export interface DequeuedRequest extends WaitingRequest {
+export interface DequeuedRequest<
+  Request extends FairRequest,
+> extends WaitingRequest<Request> {
   readonly waitedMs: number;
 }
 
 /** The queue of one rank of one pool. */
-export class FairQueue {
-  private readonly queues = new Map<WorkspaceId, WorkspaceQueue>();
+export class FairQueue<Request extends FairRequest> {
+  private readonly queues = new Map<WorkspaceId, WorkspaceQueue<Request>>();
   private virtualTime = 0;
   private count = 0;
 
@@ -63,49 +95,71 @@
     return this.queues.get(workspaceId)?.waiting.length ?? 0;
   }
 
-  push(waiting: WaitingRequest): void {
+  push(waiting: WaitingRequest<Request>): void {
     const {request} = waiting;
-    const queue = this.queues.get(request.workspaceId) ?? {
-      workspaceId: request.workspaceId,
-      weight: request.fairWeight,
-      waiting: [],
-      startTag: this.virtualTime,
-      started: new DecayedSum(SHARE_HALF_LIFE_MS),
-    };
-    if (queue.waiting.length === 0) {
-      queue.startTag = Math.max(queue.startTag, this.virtualTime);
-    }
-    queue.weight = request.fairWeight;
-    queue.waiting.push(waiting);
-    this.queues.set(request.workspaceId, queue);
+    const queue = this.activate(request.workspaceId, request.fairWeight);
+    const position = request.isReturn === true ? returnsOf(queue) : undefined;
+    queue.waiting.splice(position ?? queue.waiting.length, 0, waiting);
     this.count += 1;
   }
 
   /** The request that `shift` would return without a preference. */
-  head(): WaitingRequest | undefined {
+  head(): WaitingRequest<Request> | undefined {
     return this.next()?.waiting[0];
   }
 
+  /** All queued requests, in the order in which they would start. */
+  inOrder(): readonly WaitingRequest<Request>[] {
+    const backlogged = this.backlogged();
+    const [only, ...others] = backlogged;
+    if (only !== undefined && others.length === 0) return [...only.waiting];
+    return backlogged
+      .flatMap(taggedOf)
+      .sort((a, b) => a.startTag - b.startTag)
+      .map(each => each.waiting);
+  }
+
+  /** Takes a given request, whatever its turn; its workspace pays for it. */
+  take(
+    requestId: RequestId,
+    nowMs: number,
+  ): DequeuedRequest<Request> | undefined {
+    const queue = this.backlogged().find(each =>
+      each.waiting.some(({request}) => request.requestId === requestId),
+    );
+    const waiting = queue?.waiting.find(
+      ({request}) => request.requestId === requestId,
+    );
+    return queue === undefined || waiting === undefined
+      ? undefined
+      : this.start(queue, waiting, nowMs);
+  }
+
+  /** Share of a workspace by weight, among those with queued requests. */
+  weightShare(workspaceId: WorkspaceId, weight: number): number {
+    const othersWeight = this.backlogged()
+      .filter(queue => queue.workspaceId !== workspaceId)
+      .reduce((sum, queue) => sum + queue.weight, 0);
+    return weight / (weight + othersWeight);
+  }
+
   /**
    * Takes the next request. If `prefers` is given, a preferred request of a
    * workspace that is nearly due goes first, but no request is skipped more
    * than `MAX_SKIPS` times.
    */
-  shift(nowMs: number, prefers?: Preference): DequeuedRequest | undefined {
+  shift(
+    nowMs: number,
+    prefers?: Preference<Request>,
+  ): DequeuedRequest<Request> | undefined {
     const due = this.next();
     const head = due?.waiting[0];
     if (due === undefined || head === undefined) return undefined;
-    this.virtualTime = Math.max(this.virtualTime, due.startTag);
     const found = this.findPreferred(due, head, prefers);
-    const queue = found?.queue ?? due;
-    const waiting = found?.waiting ?? head;
-    if (waiting !== head) head.skipCount += 1;
-    queue.waiting.splice(queue.waiting.indexOf(waiting), 1);
-    queue.startTag += waiting.costMs / queue.weight;
-    if (nowMs > waiting.queuedAtMs) queue.started.add(waiting.costMs, nowMs);
-    this.count -= 1;
-    this.removeIdle(nowMs);
-    return {...waiting, waitedMs: nowMs - waiting.queuedAtMs};
+    if (found === undefined) return this.start(due, head, nowMs);
+    this.virtualTime = Math.max(this.virtualTime, due.startTag);
+    if (found.waiting !== head) head.skipCount += 1;
+    return this.start(found.queue, found.waiting, nowMs, this.virtualTime);
   }
 
   /** Removes one request; returns false if it is not queued here. */
@@ -117,7 +171,7 @@
   }
 
   /** Removes and returns the expired requests. */
-  expire(nowMs: number): readonly AdmissionRequest[] {
+  expire(nowMs: number): readonly Request[] {
     return this.removeWhere(waiting => waiting.expiresAtMs <= nowMs);
   }
 
@@ -142,26 +196,34 @@
    * other workspaces keep sending, so the result is at least the workspace's
    * queue divided by its share of the starts.
    */
-  costAheadMs(workspaceId: WorkspaceId, weight: number, nowMs: number): number {
-    const own = this.queues.get(workspaceId);
-    const ownMs = own === undefined ? 0 : totalCost(own);
+  costAheadMs(request: FairRequest, nowMs: number): number {
+    return this.sumAhead(request, each => each.costMs, nowMs);
+  }
+
+  /** The same for another measure of the requests. */
+  sumAhead(
+    request: FairRequest,
+    measure: Measure<Request>,
+    nowMs: number,
+  ): number {
+    const own = this.queues.get(request.workspaceId);
+    const ownAhead = aheadInQueue(own, request);
     const startTag =
-      Math.max(this.virtualTime, own?.startTag ?? 0) + ownMs / weight;
-    const othersMs = [...this.queues.values()]
+      Math.max(this.virtualTime, own?.startTag ?? 0) +
+      sumOf(ownAhead, each => each.costMs) / request.fairWeight;
+    const othersAhead = this.backlogged()
       .filter(queue => queue !== own)
-      .reduce((sum, queue) => {
-        const aheadMs = (startTag - queue.startTag) * queue.weight;
-        if (aheadMs <= 0) return sum;
-        // A request that starts before the new one counts with its full cost.
-        const headMs = queue.waiting[0]?.costMs ?? 0;
-        return sum + Math.min(totalCost(queue), aheadMs + headMs);
-      }, 0);
-    if (own === undefined || ownMs === 0) return othersMs;
-    return Math.max(ownMs + othersMs, ownMs / this.shareOf(own, nowMs));
+      .flatMap(taggedOf)
+      .filter(each => each.startTag < startTag)
+      .map(each => each.waiting);
+    const ownSum = sumOf(ownAhead, measure);
+    const sum = ownSum + sumOf(othersAhead, measure);
+    if (own === undefined || ownSum === 0) return sum;
+    return Math.max(sum, ownSum / this.shareOf(own, nowMs));
   }
 
   /** The workspace's recent share of the starts, at least its fair share. */
-  private shareOf(own: WorkspaceQueue, nowMs: number): number {
+  private shareOf(own: WorkspaceQueue<Request>, nowMs: number): number {
     const all = [...this.queues.values()];
     const waitingWeight = all
       .filter(queue => queue.waiting.length > 0)
@@ -174,21 +236,59 @@
     return Math.max(recent, own.weight / waitingWeight);
   }
 
-  private next(): WorkspaceQueue | undefined {
-    return [...this.queues.values()]
-      .filter(queue => queue.waiting.length > 0)
-      .reduce<WorkspaceQueue | undefined>(
-        (best, each) =>
-          best === undefined || each.startTag < best.startTag ? each : best,
-        undefined,
-      );
+  private backlogged(): readonly WorkspaceQueue<Request>[] {
+    return [...this.queues.values()].filter(queue => queue.waiting.length > 0);
+  }
+
+  private next(): WorkspaceQueue<Request> | undefined {
+    return this.backlogged().reduce<WorkspaceQueue<Request> | undefined>(
+      (best, each) =>
+        best === undefined || each.startTag < best.startTag ? each : best,
+      undefined,
+    );
+  }
+
+  /** The queue of a workspace, ready for one more request. */
+  private activate(
+    workspaceId: WorkspaceId,
+    weight: number,
+  ): WorkspaceQueue<Request> {
+    const queue = this.queues.get(workspaceId) ?? {
+      workspaceId,
+      weight,
+      waiting: [],
+      startTag: this.virtualTime,
+      started: new DecayedSum(SHARE_HALF_LIFE_MS),
+    };
+    if (queue.waiting.length === 0) {
+      queue.startTag = Math.max(queue.startTag, this.virtualTime);
+    }
+    queue.weight = weight;
+    this.queues.set(workspaceId, queue);
+    return queue;
+  }
+
+  /** Removes a request to start it. `virtualTime` is the new virtual time. */
+  private start(
+    queue: WorkspaceQueue<Request>,
+    waiting: WaitingRequest<Request>,
+    nowMs: number,
+    virtualTime = queue.startTag,
+  ): DequeuedRequest<Request> {
+    this.virtualTime = Math.max(this.virtualTime, virtualTime);
+    queue.waiting.splice(queue.waiting.indexOf(waiting), 1);
+    queue.startTag += waiting.costMs / queue.weight;
+    if (nowMs > waiting.queuedAtMs) queue.started.add(waiting.costMs, nowMs);
+    this.count -= 1;
+    this.removeIdle(nowMs);
+    return {...waiting, waitedMs: nowMs - waiting.queuedAtMs};
   }
 
   private findPreferred(
-    due: WorkspaceQueue,
-    head: WaitingRequest,
-    prefers: Preference | undefined,
-  ): {queue: WorkspaceQueue; waiting: WaitingRequest} | undefined {
+    due: WorkspaceQueue<Request>,
+    head: WaitingRequest<Request>,
+    prefers: Preference<Request> | undefined,
+  ): FoundRequest<Request> | undefined {
     if (prefers === undefined || head.skipCount >= MAX_SKIPS) {
       return undefined;
     }
@@ -206,8 +306,8 @@
   }
 
   private removeWhere(
-    isRemoved: (waiting: WaitingRequest) => boolean,
-  ): readonly AdmissionRequest[] {
+    isRemoved: (waiting: WaitingRequest<Request>) => boolean,
+  ): readonly Request[] {
     const removed = [...this.queues.values()].flatMap(queue => {
       const matching = queue.waiting.filter(isRemoved);
       if (matching.length > 0) {
@@ -229,6 +329,47 @@
   }
 }
 
-function totalCost(queue: WorkspaceQueue): number {
-  return queue.waiting.reduce((sum, each) => sum + each.costMs, 0);
+function totalCost<Request extends FairRequest>(
+  queue: WorkspaceQueue<Request>,
+): number {
+  return sumOf(queue.waiting, each => each.costMs);
+}
+
+function sumOf<Request extends FairRequest>(
+  requests: readonly WaitingRequest<Request>[],
+  measure: Measure<Request>,
+): number {
+  return requests.reduce((sum, each) => sum + measure(each), 0);
+}
+
+/** The number of returned requests, which are first in the queue. */
+function returnsOf<Request extends FairRequest>({
+  waiting,
+}: WorkspaceQueue<Request>): number {
+  return waiting.filter(({request}) => request.isReturn === true).length;
+}
+
+/** The requests of its own workspace that start before a new one. */
+function aheadInQueue<Request extends FairRequest>(
+  queue: WorkspaceQueue<Request> | undefined,
+  {isReturn}: FairRequest,
+): readonly WaitingRequest<Request>[] {
+  if (queue === undefined) return [];
+  return isReturn === true
+    ? queue.waiting.slice(0, returnsOf(queue))
+    : queue.waiting;
+}
+
+/** The requests of a workspace with the virtual times at which they start. */
+function taggedOf<Request extends FairRequest>({
+  waiting,
+  weight,
+  startTag,
+}: WorkspaceQueue<Request>): readonly TaggedRequest<Request>[] {
+  let nextTag = startTag;
+  return waiting.map(each => {
+    const tagged = {waiting: each, startTag: nextTag};
+    nextTag += each.costMs / weight;
+    return tagged;
+  });
 }
--- a/src/node/decisions/admission/pool_queue.ts
+++ b/src/node/decisions/admission/pool_queue.ts
@@ -49,7 +49,7 @@
 
 interface RankQueue {
   readonly rank: AdmissionRank;
-  readonly queue: FairQueue;
+  readonly queue: FairQueue<AdmissionRequest>;
   /** Slot time of recently started requests. */
   readonly started: DecayedSum;
   readonly drain: DrainRate;
@@ -69,7 +69,7 @@
   ) {
     this.ranks = ranks.map(rank => ({
       rank,
-      queue: new FairQueue(),
+      queue: new FairQueue<AdmissionRequest>(),
       started: new DecayedSum(DEMAND_HALF_LIFE_MS),
       drain: new DrainRate(),
       meanServiceMs: undefined,
@@ -94,7 +94,7 @@
     this.slots = slots;
   }
 
-  queueOf(rankId: RankId): FairQueue {
+  queueOf(rankId: RankId): FairQueue<AdmissionRequest> {
     return this.rankQueue(rankId).queue;
   }
 
@@ -163,7 +163,7 @@
   start(
     rankId: RankId,
     nowMs: number,
-    prefers?: Preference,
+    prefers?: Preference<AdmissionRequest>,
   ): StartedRequest | undefined {
     const rankQueue = this.rankQueue(rankId);
     const position = this.ranks.indexOf(rankQueue);
@@ -211,11 +211,7 @@
    */
   predictWaitMs(request: AdmissionRequest, nowMs: number): number {
     const rankQueue = this.rankQueue(request.rankId);
-    const aheadMs = rankQueue.queue.costAheadMs(
-      request.workspaceId,
-      request.fairWeight,
-      nowMs,
-    );
+    const aheadMs = rankQueue.queue.costAheadMs(request, nowMs);
     return this.waitBehindMs(rankQueue, aheadMs, nowMs);
   }
 
--- a/src/node/decisions/admission/types.ts
+++ b/src/node/decisions/admission/types.ts
@@ -1,15 +1,12 @@
 /** The requests, verdicts and options of admission. */
-import type {RankId, RequestId, WorkspaceId} from '../../types/ids.js';
+import type {RankId} from '../../types/ids.js';
 import type {PoolId} from '../fleet/pool.js';
+import type {FairRequest} from './fair_queue.js';
 
 /** A request that asks for a slot. Times are on the monotonic clock. */
-export interface AdmissionRequest {
-  readonly requestId: RequestId;
-  readonly workspaceId: WorkspaceId;
+export interface AdmissionRequest extends FairRequest {
   readonly poolId: PoolId;
   readonly rankId: RankId;
-  /** Weight of its workspace in the fair sharing of the rank. */
-  readonly fairWeight: number;
   readonly deadlineAtMs: number;
   /**
    * When the first token is due; set for a request forwarded by another domain.
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -20,8 +20,10 @@
 export const WAIT_SHARE_OF_TARGET = 0.5;
 /** The rest is headroom for prompts whose size is underestimated. */
 export const USABLE_CACHE_SHARE = 0.92;
-/** One in this many grants goes to the lowest priority, against starvation. */
-export const GRANTS_PER_LOW_PRIORITY_TURN = 8;
+/** Share of the grants that a less urgent priority keeps while it has a queue. */
+export const PRIORITY_FLOOR_SHARE = 1 / 8;
+/** All less urgent priorities together get no larger share by their floors. */
+export const MAX_FLOOR_SHARE_OF_PRIORITIES = 1 / 2;
 /** Weight of one observation in exponentially weighted moving averages. */
 export const AVERAGE_WEIGHT = 0.1;
 /** Round trip between regions plus the hop through another entry. */
--- a/src/node/scheduling/decisions.ts
+++ b/src/node/scheduling/decisions.ts
@@ -76,15 +76,22 @@
   return {kind: 'offload', requestId, entry, region, localWaitMs, remoteWaitMs};
 }
 
-/** Builds a refusal with the time after which the caller may retry. */
-export function refusalOf(item: WorkItem, inputs: RefusalInputs): Decision {
+/**
+ * Builds a refusal with the time after which the caller may retry: when there
+ * will be room for it, if that is known.
+ */
+export function refusalOf(
+  item: WorkItem,
+  inputs: RefusalInputs,
+  roomAfterMs?: number,
+): Decision {
   const maxMs = UNBOUNDED_REASONS.has(inputs.reason)
     ? Number.POSITIVE_INFINITY
     : MAX_RETRY_AFTER_MS;
-  const retryAfterMs = Math.min(
-    maxMs,
-    Math.max(MIN_RETRY_AFTER_MS, inputs.predictedWaitMs),
-  );
+  const retryAfterMs =
+    roomAfterMs === undefined
+      ? Math.min(maxMs, Math.max(MIN_RETRY_AFTER_MS, inputs.predictedWaitMs))
+      : Math.min(roomAfterMs, Math.max(MIN_RETRY_AFTER_MS, item.remainingMs));
   return {
     kind: 'refuse',
     requestId: item.requestId,
--- a/src/node/scheduling/refusal_cache.ts
+++ b/src/node/scheduling/refusal_cache.ts
@@ -70,16 +70,18 @@
   }
 }
 
-// Requests with the same key differ by less than half in prompt size and may
-// go to the same regions.
+// Requests with the same key differ by less than half in prompt size, may go to
+// the same regions and share the queue with the same workspace.
 function cacheKey(item: WorkItem, domain: DomainId): string {
   const {service, priority, targetLatencyMs, prompt, otherRegions} = item;
+  const {workspace = ''} = item;
   const tokens = prompt?.promptTokens ?? 0;
   const sizeClass = Math.floor(Math.log2(1 + tokens) * 2);
   return [
     service,
     domain,
     priority,
+    workspace,
     targetLatencyMs,
     sizeClass,
     item.isRepeat,
--- a/src/node/scheduling/refusals.ts
+++ b/src/node/scheduling/refusals.ts
@@ -1,19 +1,24 @@
 /** Refuses requests on behalf of the scheduler of one service. */
 import type {CapacityBoard} from './capacity_board.js';
-import {NO_UPSTREAM_RETRY_AFTER_MS} from './constants.js';
+import {MIN_RETRY_AFTER_MS, NO_UPSTREAM_RETRY_AFTER_MS} from './constants.js';
 import {refusalOf} from './decisions.js';
+import {queueWaitMs} from './forecast.js';
+import {ReturnBookings, type RoomNeeded} from './return_bookings.js';
 import type {Decision, RefusalReason, WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
+import {costMsOf, type WorkQueue} from './work_queue.js';
 
 export interface RefusalsOptions {
   readonly pool: UpstreamPool;
   readonly board: CapacityBoard;
-  readonly queueLength: () => number;
+  readonly queue: WorkQueue;
   readonly push: (decision: Decision) => void;
 }
 
 /** Adds refusals to the decisions of a scheduler. */
 export class Refusals {
+  private readonly bookings = new ReturnBookings();
+
   constructor(private readonly options: RefusalsOptions) {}
 
   /** `closedForMs`: time for which a similar request would be refused too. */
@@ -23,19 +28,57 @@
     predictedWaitMs: number,
     nowMs: number,
     closedForMs = 0,
+    roomAfterMs?: number,
   ): void {
-    const {pool, queueLength, push} = this.options;
+    const {pool, queue, push} = this.options;
     push(
-      refusalOf(item, {
-        reason,
-        predictedWaitMs,
-        closedForMs,
-        usableUpstreams: pool.usable(nowMs).length,
-        queueLength: queueLength(),
-      }),
+      refusalOf(
+        item,
+        {
+          reason,
+          predictedWaitMs,
+          closedForMs,
+          usableUpstreams: pool.usable(nowMs).length,
+          queueLength: queue.size,
+        },
+        roomAfterMs,
+      ),
     );
   }
 
+  /**
+   * Refuses a request that would be late, and books room for its return.
+   * Similar requests are refused until the first such caller may return.
+   */
+  addOverloaded(
+    item: WorkItem,
+    predictedWaitMs: number,
+    nowMs: number,
+    closedForMs = 0,
+  ): void {
+    const nextReturnMs = this.bookings.nextReturnMs(item, nowMs);
+    const room = this.roomFor(item, nowMs);
+    const roomAfterMs = this.bookings.book(item, room, nowMs);
+    this.add(
+      item,
+      'overloaded',
+      predictedWaitMs,
+      nowMs,
+      Math.min(closedForMs, nextReturnMs),
+      roomAfterMs,
+    );
+  }
+
+  /** Whether the caller was refused before and comes back when told to. */
+  isReturn(item: WorkItem, nowMs: number): boolean {
+    return this.bookings.isDue(item, nowMs);
+  }
+
+  /** Ends the booking of a caller that has come back. */
+  redeem(item: WorkItem): void {
+    this.bookings.redeem(item);
+  }
+
   /**
    * Refuses a request for which no upstream is usable. One that is only down
    * may return before the caller gives up; a version that has left does not.
@@ -48,6 +91,20 @@
     }
   }
 
+  // A caller that returns goes before the new ones of its workspace.
+  private roomFor(item: WorkItem, nowMs: number): RoomNeeded {
+    const {pool, queue} = this.options;
+    const usable = pool.usableFor(item, nowMs);
+    const ahead = queue.aheadOf(item, nowMs, true);
+    const waitMs = queueWaitMs(ahead, usable, nowMs);
+    const slots = usable.reduce((sum, each) => sum + each.listed.slots, 0);
+    return {
+      waitMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+      costMs: costMsOf(item, pool.estimates.minPrefillMs(item, nowMs)),
+      drainRate: queue.drainRate(item, slots, nowMs),
+    };
+  }
+
   private mayBecomeServable(item: WorkItem, nowMs: number): boolean {
     const {pool, board} = this.options;
     return (
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -13,24 +13,17 @@
   untriedOf,
 } from './choose_upstream.js';
 import {
-  ADMISSION_SHARE_OF_TARGET,
   NO_UPSTREAM_CLOSED_MS,
   NO_UPSTREAM_RETRY_AFTER_MS,
-  NO_UPSTREAM_WAIT_MS,
   OFFLOAD_PREFILL_SHARE,
 } from './constants.js';
 import {grantOf} from './decisions.js';
 import {PrefillLoad} from './prefill_load.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
-import {
-  canFinish,
-  forecast,
-  isInTime,
-  maxFirstAnswerMs,
-  queueWaitMs,
-} from './forecast.js';
+import {canFinish, forecast, isInTime, maxFirstAnswerMs} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
+import {maxLateMs, OverdueWaits} from './overdue_waits.js';
 import {Redirects} from './redirects.js';
 import {Refusals} from './refusals.js';
 import {QuarantineGate} from './quarantine_gate.js';
@@ -44,7 +37,13 @@
 } from './types.js';
 import {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
-import {WorkQueue, type QueuedItem} from './work_queue.js';
+import {
+  EMPTY_LOAD,
+  loadWith,
+  WorkQueue,
+  type QueuedItem,
+  type QueueLoad,
+} from './work_queue.js';
 
 /** The scheduler of one service. `decide` returns its decisions. */
 export class Scheduler {
@@ -57,6 +56,7 @@
   private readonly prefillLoad = new PrefillLoad();
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
+  private readonly overdueWaits: OverdueWaits;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
@@ -71,9 +71,11 @@
     this.refusals = new Refusals({
       pool: this.pool,
       board: this.board,
-      queueLength: () => this.queue.size,
+      queue: this.queue,
       push: decision => this.decisions.push(decision),
     });
+    const {pool, queue, redirects, refusals} = this;
+    this.overdueWaits = new OverdueWaits({pool, queue, redirects, refusals});
   }
 
   get queueLength(): number {
@@ -90,7 +92,7 @@
       return;
     }
     if (item.replaces !== undefined) this.replace(item, item.replaces, nowMs);
-    else this.admit(item, nowMs);
+    else if (!this.admitReturn(item, nowMs)) this.admit(item, nowMs);
   }
 
   /** Ends placements. */
@@ -139,6 +141,9 @@
     const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
     let isLaneFull = this.lane.isFull(open, usable);
+    let ahead = this.overdueWaits.isPredictionDue(nowMs)
+      ? EMPTY_LOAD
+      : undefined;
     this.queue.inOrder().forEach(queued => {
       // The lane may have no engine at which a begun stream can go on.
       const mustWait =
@@ -148,9 +153,12 @@
       const upstream = mustWait
         ? undefined
         : this.choose(queued.item, usable, open, nowMs);
-      if (!this.processQueued(queued, upstream, usable, nowMs)) return;
-      open = openOf(open, nowMs);
-      isLaneFull = this.lane.isFull(open, usable);
+      if (this.processQueued(queued, upstream, usable, nowMs, ahead)) {
+        open = openOf(open, nowMs);
+        isLaneFull = this.lane.isFull(open, usable);
+      } else if (ahead !== undefined && this.queue.has(queued.item.requestId)) {
+        ahead = loadWith(ahead, queued);
+      }
     });
     return this.takeDecisions();
   }
@@ -214,7 +222,7 @@
     const eligible = this.lane.eligible(item, usable, usable, nowMs);
     const expected = forecast(
       item,
-      this.queue.ahead(item.priority),
+      this.queue.aheadOf(item, nowMs),
       eligible,
       nowMs,
     );
@@ -226,7 +234,32 @@
     if (this.redirects.toFaster(item, expectedMs, nowMs)) return;
     const latestMs = maxFirstAnswerMs(item, expected.answerMs);
     const closedForMs = item.ageMs + expectedMs - latestMs;
-    this.refusals.add(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
+    this.refusals.addOverloaded(item, expected.waitMs, nowMs, closedForMs);
+  }
+
+  /**
+   * Admits the request of a caller that comes back after a refusal: it may be
+   * answered late, as the caller may not come again. Returns false if it cannot
+   * run here in time even so.
+   */
+  private admitReturn(item: WorkItem, nowMs: number): boolean {
+    if (!item.isAllowedHere || !this.refusals.isReturn(item, nowMs)) {
+      return false;
+    }
+    this.refusals.redeem(item);
+    const usable = this.pool.usableFor(item, nowMs);
+    if (usable.length === 0 || hasFailedOn(item, usable)) return false;
+    const eligible = this.lane.eligible(item, usable, usable, nowMs);
+    const ahead = this.queue.aheadOf(item, nowMs, true);
+    const expected = forecast(item, ahead, eligible, nowMs);
+    const expectedMs = expected.waitMs + expected.answerMs;
+    const isLate = !isInTime(item, expected);
+    if (isLate && this.redirects.toFaster(item, expectedMs, nowMs)) return true;
+    if (isLate && item.ageMs + expectedMs > maxLateMs(item)) return false;
+    this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
+    this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
+    this.grantOrEnqueue(item, usable, nowMs, true);
+    return true;
   }
 
   // A request with others ahead of it in the queue waits for its turn.
@@ -234,23 +267,24 @@
     item: WorkItem,
     usable: readonly UpstreamState[],
     nowMs: number,
+    isReturn = false,
   ): void {
-    const lowPriority = this.queue.lowPriorityTurn();
-    if (lowPriority !== undefined) {
+    const lessUrgent = this.queue.floorTurn(item.priority);
+    if (lessUrgent !== undefined) {
       const open = openOf(usable, nowMs);
-      const chosen = this.choose(lowPriority.item, usable, open, nowMs);
-      this.processQueued(lowPriority, chosen, usable, nowMs);
+      const chosen = this.choose(lessUrgent.item, usable, open, nowMs);
+      this.processQueued(lessUrgent, chosen, usable, nowMs);
     }
     const upstream = this.queue.isFirst(item.priority)
       ? this.choose(item, usable, openOf(usable, nowMs), nowMs)
       : undefined;
-    if (upstream === undefined) this.enqueue(item, nowMs);
+    if (upstream === undefined) this.enqueue(item, nowMs, isReturn);
     else this.grant(item, upstream, 0, nowMs);
   }
 
-  private enqueue(item: WorkItem, nowMs: number): void {
+  private enqueue(item: WorkItem, nowMs: number, isReturn = false): void {
     const prefillMs = this.pool.estimates.minPrefillMs(item, nowMs);
-    this.queue.add({item, queuedAtMs: nowMs, prefillMs});
+    this.queue.add({item, queuedAtMs: nowMs, prefillMs, isReturn});
   }
 
   private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
@@ -278,14 +312,18 @@
     );
   }
 
-  /** Grants, ends or keeps a queued request; returns true if it was granted. */
+  /**
+   * Grants, ends or keeps a queued request; returns true if it was granted. The
+   * load `ahead` of it is set if its wait is to be predicted.
+   */
   private processQueued(
-    {item, queuedAtMs}: QueuedItem,
+    queued: QueuedItem,
     upstream: UpstreamState | undefined,
     usable: readonly UpstreamState[],
     nowMs: number,
+    ahead?: QueueLoad,
   ): boolean {
-    const queuedMs = nowMs - queuedAtMs;
+    const {item, queuedAtMs} = queued;
     const isRefused =
       this.refuseQuarantined(item, nowMs) || this.refuseOverBudget(item, nowMs);
     if (isRefused) {
@@ -293,10 +331,10 @@
       return false;
     }
     if (upstream !== undefined) {
-      this.grant(item, upstream, queuedMs, nowMs);
+      this.grant(item, upstream, nowMs - queuedAtMs, nowMs);
       return true;
     }
-    this.endOverdueWait(item, fittingOf(item, usable), queuedMs, nowMs);
+    this.overdueWaits.end(queued, fittingOf(item, usable), ahead, nowMs);
     return false;
   }
 
@@ -333,45 +371,13 @@
     return chooseUpstream(item, eligible, this.lane, nowMs);
   }
 
-  /** Removes a request from the queue once it has waited too long. */
-  private endOverdueWait(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    queuedMs: number,
-    nowMs: number,
-  ): void {
-    const waitedMs = item.ageMs + queuedMs;
-    const isPassed =
-      usable.length === 0 &&
-      ((this.pool.isOnlyOutOfReach(item, nowMs) &&
-        this.redirects.toPeer(item)) ||
-        this.redirects.toSibling(item, nowMs));
-    if (isPassed) {
-      this.queue.remove(item.requestId);
-      return;
-    }
-    const hasNoUpstream = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
-    const isLate = waitedMs > item.targetLatencyMs * ADMISSION_SHARE_OF_TARGET;
-    if (!hasNoUpstream && !isLate) return;
-    this.queue.remove(item.requestId);
-    const aged = {...item, ageMs: waitedMs};
-    if (this.redirects.toFaster(aged, Number.POSITIVE_INFINITY, nowMs)) return;
-    if (hasNoUpstream) {
-      this.refusals.addWithoutUpstream(item, nowMs);
-      return;
-    }
-    const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
-    this.refusals.add(item, 'overloaded', waitMs, nowMs);
-  }
-
   private grant(
     item: WorkItem,
     upstream: UpstreamState,
     queuedMs: number,
     nowMs: number,
   ): void {
-    this.queue.remove(item.requestId);
-    this.queue.noteGrant();
+    this.queue.grant(item, nowMs);
     if (item.isRepeat) this.retryBudget.noteRetry(nowMs);
     else this.retryBudget.noteRequest(nowMs);
     const decision = grantOf(item, upstream, {
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -1,14 +1,42 @@
-/** Priority queue of the requests that wait in a scheduler. */
-import type {InstanceId, RequestId} from '../types/ids.js';
-import {GRANTS_PER_LOW_PRIORITY_TURN} from './constants.js';
+/**
+ * The requests that wait in a scheduler: by priority, within a priority by fair
+ * queueing over the workspaces, and within a workspace those that came back
+ * after a refusal first, then by arrival.
+ */
+import {
+  FairQueue,
+  type FairRequest,
+} from '../decisions/admission/fair_queue.js';
+import {DrainRate} from '../decisions/admission/drain_rate.js';
+import {
+  RankScheduler,
+  type BackloggedRank,
+} from '../decisions/admission/rank_scheduler.js';
+import {
+  asId,
+  type InstanceId,
+  type RequestId,
+  type WorkspaceId,
+} from '../types/ids.js';
+import {
+  DECODE_MS_PER_TOKEN,
+  INITIAL_SERVICE_MS,
+  MAX_FLOOR_SHARE_OF_PRIORITIES,
+  PRIORITY_FLOOR_SHARE,
+} from './constants.js';
 import type {WorkItem} from './types.js';
 
+/** Shared by all requests of a deployment without workspaces. */
+const NO_WORKSPACE = asId<WorkspaceId>('');
+
 /** A request with the state recorded when it was queued. */
 export interface QueuedItem {
   readonly item: WorkItem;
   readonly queuedAtMs: number;
   /** Prefill time of its prompt, estimated when it was queued. */
   readonly prefillMs: number;
+  /** Whether its caller was refused and came back when told to. */
+  readonly isReturn?: boolean;
 }
 
 /** The requests ahead of a new one. */
@@ -18,92 +46,219 @@
   readonly prefillMs: number;
 }
 
-const EMPTY_LOAD: QueueLoad = {requests: 0, prefillMs: 0};
+export const EMPTY_LOAD: QueueLoad = {requests: 0, prefillMs: 0};
+
+interface FairItem extends FairRequest {
+  readonly queued: QueuedItem;
+}
+
+/** The requests of one priority. */
+interface PriorityQueue {
+  readonly priority: number;
+  readonly queue: FairQueue<FairItem>;
+  /** Slot time per millisecond that it gets while it has a backlog. */
+  readonly drain: DrainRate;
+}
 
 /**
- * Ordered by priority, then arrival. One in `GRANTS_PER_LOW_PRIORITY_TURN`
- * grants goes to the lowest priority, so that a flood of urgent requests does
- * not starve it.
+ * Orders the waiting requests of one scheduler. Less urgent priorities keep a
+ * floor share of the grants, so that a flood of urgent requests does not starve
+ * them.
  */
 export class WorkQueue {
-  private items: QueuedItem[] = [];
-  private readonly ids = new Set<RequestId>();
-  private grants = 0;
+  /** Most urgent first. */
+  private queues: PriorityQueue[] = [];
+  private readonly priorityOf = new Map<RequestId, number>();
+  private readonly floors = new RankScheduler<number>();
 
   get size(): number {
-    return this.items.length;
+    return this.priorityOf.size;
   }
 
   add(queued: QueuedItem): void {
-    const {item} = queued;
-    this.ids.add(item.requestId);
-    const position = this.items.findIndex(
-      each => each.item.priority > item.priority,
-    );
-    if (position < 0) this.items.push(queued);
-    else this.items.splice(position, 0, queued);
+    const {item, queuedAtMs, prefillMs} = queued;
+    const queue = this.queueOf(item.priority);
+    queue.drain.observe(queue.queue.size > 0, queuedAtMs);
+    this.priorityOf.set(item.requestId, item.priority);
+    queue.queue.push({
+      request: fairItemOf(queued),
+      queuedAtMs,
+      expiresAtMs: Infinity,
+      costMs: costMsOf(item, prefillMs),
+      skipCount: 0,
+    });
   }
 
+  /** Removes a request that will not be granted. */
   remove(requestId: RequestId): void {
-    if (!this.ids.delete(requestId)) return;
-    this.items = this.items.filter(each => each.item.requestId !== requestId);
+    const priority = this.priorityOf.get(requestId);
+    if (priority === undefined) return;
+    this.priorityOf.delete(requestId);
+    this.queueOf(priority).queue.remove(requestId);
   }
 
   removeEntries(isGone: (entry: InstanceId) => boolean): void {
-    this.items
+    this.inOrder()
       .filter(each => isGone(each.item.entry))
       .forEach(each => this.remove(each.item.requestId));
   }
 
   has(requestId: RequestId): boolean {
-    return this.ids.has(requestId);
+    return this.priorityOf.has(requestId);
   }
 
   /** The queued requests in the order in which they may be granted now. */
   inOrder(): readonly QueuedItem[] {
-    if (!this.isLowPriorityTurn()) return [...this.items];
-    const lowestPriority = this.items.at(-1)?.item.priority;
-    const lowPriority = this.items.filter(
-      each => each.item.priority === lowestPriority,
+    const byPriority = this.queues.flatMap(({queue}) =>
+      queue.inOrder().map(each => each.request.queued),
     );
-    const rest = this.items.filter(
-      each => each.item.priority !== lowestPriority,
-    );
-    return [...lowPriority, ...rest];
+    const first = this.floorTurn();
+    return first === undefined
+      ? byPriority
+      : [first, ...byPriority.filter(each => each !== first)];
   }
 
-  noteGrant(): void {
-    this.grants += 1;
+  /**
+   * Records a grant, of a queued request or of a new one, and takes it out of
+   * the queue.
+   */
+  grant({requestId, priority}: WorkItem, nowMs: number): void {
+    const chosen = toRank(priority);
+    const others = this.backlogged().filter(each => each.rankId !== priority);
+    const ranks = withFloors(
+      [...others, chosen].sort((a, b) => a.rankId - b.rankId),
+    );
+    const rank = ranks.find(each => each.rankId === priority) ?? chosen;
+    this.floors.charge(rank, ranks);
+    if (!this.priorityOf.delete(requestId)) return;
+    const {queue, drain} = this.queueOf(priority);
+    drain.observe(queue.size > 0, nowMs);
+    const taken = queue.take(requestId, nowMs);
+    if (taken !== undefined) drain.add(taken.costMs, nowMs);
   }
 
   /** Whether a new request of this priority goes ahead of the whole queue. */
   isFirst(priority: number): boolean {
-    const [first] = this.items;
-    return first === undefined || first.item.priority > priority;
+    return this.backlogged().every(each => each.rankId > priority);
   }
 
-  /** The request that may overtake more urgent ones, if it is its turn. */
-  lowPriorityTurn(): QueuedItem | undefined {
-    return this.isLowPriorityTurn() ? this.inOrder()[0] : undefined;
+  /**
+   * The queued request that goes before more urgent ones now, as its priority
+   * would get less than its floor otherwise. `newPriority` is that of a new
+   * request which competes with it.
+   */
+  floorTurn(newPriority?: number): QueuedItem | undefined {
+    const queued = this.backlogged();
+    const ranks =
+      newPriority === undefined || queued.some(e => e.rankId <= newPriority)
+        ? queued
+        : [toRank(newPriority), ...queued];
+    const chosen = this.floors.choose(withFloors(ranks));
+    if (chosen === undefined || chosen.rankId === ranks[0]?.rankId) {
+      return undefined;
+    }
+    return this.queueOf(chosen.rankId).queue.head()?.request.queued;
   }
 
   /** The priorities of the queued requests, most urgent first. */
   priorities(): readonly number[] {
-    return [...new Set(this.items.map(each => each.item.priority))];
+    return this.backlogged().map(each => each.rankId);
   }
 
-  /** The load ahead of a new request of this priority. */
+  /** The queued requests of this priority and more urgent ones. */
   ahead(priority = Number.POSITIVE_INFINITY): QueueLoad {
-    return this.items.reduce<QueueLoad>(
-      (load, {item, prefillMs}) =>
-        item.priority <= priority
-          ? {requests: load.requests + 1, prefillMs: load.prefillMs + prefillMs}
-          : load,
-      EMPTY_LOAD,
+    return this.queues
+      .filter(each => each.priority <= priority)
+      .flatMap(({queue}) => queue.inOrder())
+      .reduce((load, {request}) => loadWith(load, request.queued), EMPTY_LOAD);
+  }
+
+  /** The load that is granted before a new request, by the fair order. */
+  aheadOf(item: WorkItem, nowMs: number, isReturn = false): QueueLoad {
+    const own = this.queues.find(each => each.priority === item.priority);
+    const urgent = this.ahead(item.priority - 1);
+    if (own === undefined) return urgent;
+    const request = {...sharingOf(item), isReturn};
+    const {queue} = own;
+    return {
+      requests: urgent.requests + queue.sumAhead(request, () => 1, nowMs),
+      prefillMs:
+        urgent.prefillMs +
+        queue.sumAhead(request, each => each.request.queued.prefillMs, nowMs),
+    };
+  }
+
+  /**
+   * Slot time per millisecond that the workspace of a request gets within its
+   * priority. `slots` is expected while there is no measurement.
+   */
+  drainRate(item: WorkItem, slots: number, nowMs: number): number {
+    const {queue, drain} = this.queueOf(item.priority);
+    const {workspaceId, fairWeight} = sharingOf(item);
+    drain.observe(queue.size > 0, nowMs);
+    return (
+      drain.rate(slots, nowMs) * queue.weightShare(workspaceId, fairWeight)
     );
   }
 
-  private isLowPriorityTurn(): boolean {
-    return this.grants > 0 && this.grants % GRANTS_PER_LOW_PRIORITY_TURN === 0;
+  private backlogged(): readonly BackloggedRank<number>[] {
+    return this.queues
+      .filter(({queue}) => queue.size > 0)
+      .map(({priority}) => toRank(priority));
   }
+
+  private queueOf(priority: number): PriorityQueue {
+    const known = this.queues.find(each => each.priority === priority);
+    if (known !== undefined) return known;
+    const queue = new FairQueue<FairItem>();
+    const created = {priority, queue, drain: new DrainRate()};
+    this.queues = [...this.queues, created].sort(
+      (a, b) => a.priority - b.priority,
+    );
+    return created;
+  }
+}
+
+/** Adds a request to the load ahead of another one. */
+export function loadWith(load: QueueLoad, {prefillMs}: QueuedItem): QueueLoad {
+  return {
+    requests: load.requests + 1,
+    prefillMs: load.prefillMs + prefillMs,
+  };
+}
+
+/** Time for which a request occupies a slot of a busy upstream. */
+export function costMsOf({prompt}: WorkItem, prefillMs: number): number {
+  return prompt === undefined
+    ? INITIAL_SERVICE_MS
+    : prefillMs + prompt.expectedOutputTokens * DECODE_MS_PER_TOKEN;
+}
+
+/** The workspace and weight by which a request shares its priority. */
+export function sharingOf({
+  requestId,
+  workspace = NO_WORKSPACE,
+  fairWeight = 1,
+}: WorkItem): FairRequest {
+  return {requestId, workspaceId: workspace, fairWeight};
+}
+
+function fairItemOf(queued: QueuedItem): FairItem {
+  const {item, isReturn = false} = queued;
+  return {...sharingOf(item), isReturn, queued};
+}
+
+// Floors count grants, whatever their size.
+function toRank(priority: number): BackloggedRank<number> {
+  return {rankId: priority, floorShare: PRIORITY_FLOOR_SHARE, headCost: 1};
+}
+
+// With many priorities their floors together leave room for the most urgent.
+function withFloors(
+  ranks: readonly BackloggedRank<number>[],
+): readonly BackloggedRank<number>[] {
+  const maxShare =
+    MAX_FLOOR_SHARE_OF_PRIORITIES / Math.max(1, ranks.length - 1);
+  const floorShare = Math.min(PRIORITY_FLOOR_SHARE, maxShare);
+  return ranks.map(each => ({...each, floorShare}));
 }
