--- a/src/node/entry/request.ts
+++ b/src/node/entry/request.ts
@@ -13,6 +13,7 @@
 } from '../config/configuration.js';
 import {GatewayError} from '../types/errors.js';
 import {asId, type Digest, type RequestId} from '../types/ids.js';
+import {KeyIndex} from '../workspaces/key_index.js';
 
 /** Length of the prompt prefix by which routing finds a prefix cache. */
 const PREFIX_CHARACTERS = 256;
@@ -78,21 +79,27 @@
   return asId<Digest>(hash.digest('hex'));
 }
 
+/** Built once for each configuration in force. */
+const keysByConfiguration = new WeakMap<
+  Configuration,
+  KeyIndex<WorkspaceConfig>
+>();
+
+function keysOf(configuration: Configuration): KeyIndex<WorkspaceConfig> {
+  const known = keysByConfiguration.get(configuration);
+  if (known !== undefined) return known;
+  const keys = new KeyIndex(configuration.workspaces);
+  keysByConfiguration.set(configuration, keys);
+  return keys;
+}
+
 /** Finds the workspace of a caller's key, of which only digests are stored. */
 export function findWorkspace(
   configuration: Configuration,
   authorization: string | undefined,
 ): Result<WorkspaceConfig, GatewayError> {
   const key = /^Bearer (\S+)$/.exec(authorization ?? '')?.[1];
-  const keyDigest = createHash('sha256')
-    .update(key ?? '')
-    .digest('hex');
-  const workspace =
-    key === undefined
-      ? undefined
-      : configuration.workspaces.find(candidate =>
-          candidate.keyDigests.includes(keyDigest),
-        );
+  const workspace = keysOf(configuration).find(key);
   if (workspace !== undefined) return ok(workspace);
   return err(
     requestError('unauthorized', 'the caller key is missing or not known here'),
--- a/src/node/workspaces/workspace_index.ts
+++ b/src/node/workspaces/workspace_index.ts
@@ -3,9 +3,9 @@
  * once for each version of the route table.
  */
 import type {Route, WorkspaceSpec} from '../routes/route_table.js';
-import type {Digest, WorkspaceId} from '../types/ids.js';
+import type {WorkspaceId} from '../types/ids.js';
 import {effectiveRoute} from './effective_route.js';
-import {digestOfKey} from './key_digest.js';
+import {KeyIndex} from './key_index.js';
 
 /** The routes as they apply to workspaces of equal priority and homes. */
 type EffectiveRoutes = Map<Route, Route | undefined>;
@@ -13,16 +13,12 @@
 /** The workspaces of one version of the route table. */
 export class WorkspaceIndex {
   private readonly byName: ReadonlyMap<WorkspaceId, WorkspaceSpec>;
-  private readonly byKeyDigest: ReadonlyMap<Digest, WorkspaceSpec>;
+  private readonly byKey: KeyIndex<WorkspaceSpec>;
   private readonly routesByName: ReadonlyMap<WorkspaceId, EffectiveRoutes>;
 
   constructor(workspaces: readonly WorkspaceSpec[]) {
     this.byName = new Map(workspaces.map(each => [each.name, each]));
-    this.byKeyDigest = new Map(
-      workspaces.flatMap(each =>
-        each.keyDigests.map(digest => [digest, each] as const),
-      ),
-    );
+    this.byKey = new KeyIndex(workspaces);
     const shared = new Map<string, EffectiveRoutes>();
     this.routesByName = new Map(
       workspaces.map(({name, priority, homeRegions}) => {
@@ -36,9 +32,7 @@
 
   /** The workspace that holds a key; `undefined` if none does. */
   withKey(key: string | undefined): WorkspaceSpec | undefined {
-    return key === undefined
-      ? undefined
-      : this.byKeyDigest.get(digestOfKey(key));
+    return this.byKey.find(key);
   }
 
   withName(name: WorkspaceId): WorkspaceSpec | undefined {
