--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -9,11 +9,10 @@
 import {waitForDelivery} from '../http/delivery.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
-import type {CallerLimits, Route} from '../routes/route_table.js';
+import type {CallerLimits} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import {toGatewayError} from '../types/errors.js';
 import {asId, type RequestId} from '../types/ids.js';
-import type {StreamOrigin} from '../origins/origin_store.js';
 import {CallerResponse} from './caller_response.js';
 import {
   sendRefusal,
@@ -24,7 +23,6 @@
   createRequestId,
   headerBytes,
   headersOf,
-  requestFromCaller,
   requestFromRelay,
 } from './inbound_request.js';
 import {decodeRelayRequest} from './relay.js';
@@ -34,10 +32,10 @@
   rulesForCaller,
   rulesForRelayed,
   type NoCallerRules,
-  type RequestRules,
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
+import {withService} from './service_choice.js';
 import type {InboundRequest} from './types.js';
 
 /** Above the limit of any route table, so that the latter applies first. */
@@ -72,13 +70,6 @@
   readonly plannedStop: PlannedStop;
 }
 
-/** The rules for a caller's request, and the table that was in force then. */
-interface RulesMatch {
-  readonly matcher: RouteMatcher;
-  readonly rules: RequestRules;
-  readonly receivedAtMs: number;
-}
-
 /** The HTTP server for callers. */
 export class IngressServer {
   private readonly server: Server;
@@ -247,11 +238,13 @@
       onRejected('stopping', sendRefusal(callerResponse, STOPPING_RETRY_MS));
       return;
     }
-    const inbound = await this.withService(request, body, {
-      matcher,
-      rules,
-      receivedAtMs,
-    });
+    const match = {matcher, rules, receivedAtMs};
+    const inbound = await withService(
+      request,
+      body,
+      match,
+      this.options.context,
+    );
     if (inbound === undefined) {
       onRejected('no_service', sendRefusal(callerResponse, NOWHERE_RETRY_MS));
       return;
@@ -259,45 +252,6 @@
     await this.run(inbound, callerResponse, response);
   }
 
-  /** The request for a service of its route; `undefined` if that has none. */
-  private async withService(
-    request: IncomingMessage,
-    body: Buffer,
-    {matcher, rules, receivedAtMs}: RulesMatch,
-  ): Promise<InboundRequest | undefined> {
-    const {protocol} = this.options.context;
-    const {rawHeaders} = request;
-    const origin = await this.findOrigin(request, rules.route);
-    const service =
-      origin?.service ?? matcher.pickService(rules.route, Math.random());
-    if (service === undefined) return undefined;
-    return requestFromCaller(request, body, {
-      ...rules,
-      traits: protocol.requestTraits(request.headers),
-      rawHeaders: headersWithoutIdentity(matcher, rawHeaders, protocol),
-      service,
-      tableVersion: matcher.table.version,
-      origin,
-      receivedAtMs,
-    });
-  }
-
-  /** What began the stream that the caller takes up again, as far as known. */
-  private async findOrigin(
-    request: IncomingMessage,
-    route: Route,
-  ): Promise<StreamOrigin | undefined> {
-    const {protocol, origins} = this.options.context;
-    const {resumedAttemptId} = protocol.requestTraits(request.headers);
-    if (resumedAttemptId === undefined) return undefined;
-    const origin = await origins.find(resumedAttemptId);
-    // The route may lead to another service by now.
-    const isServed = route.shares.some(
-      ({service, weight}) => service === origin?.service && weight > 0,
-    );
-    return isServed ? origin : undefined;
-  }
-
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
