Keep control members running while their disk refuses or delays writes

A failed write ended the process, which was started again and failed again; a stalled disk kept its member leading. The writer now repeats what the disk refuses, the member hands over its leadership, confirms only what it has stored, neither votes nor stands for election, and goes on with reads and forwarded orders.

--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -54,6 +54,8 @@
   unhandled_rejection: {},
   uncaught_exception: {},
   log_failed: {},
+  disk_refused: {},
+  disk_regained: {},
   // Dependencies.
   control_lost: peerChange,
   control_regained: peerChange,
--- a/src/node/replication/__tests__/core.spec.ts
+++ b/src/node/replication/__tests__/core.spec.ts
@@ -55,6 +55,28 @@
   assert.equal(saved.state.role, 'leader');
 });
 
+// Guards against a vote, for itself or another member, that would be forgotten.
+test('a member that cannot write neither votes nor stands for election', () => {
+  const [self, other] = [founder('a'), founder('b')];
+  const context = {nowMs: 0, random: 0.5};
+  const settings = {...SETTINGS, memberId: self.memberId};
+  const start = createInitialState(settings, {members: [self, other]}, context);
+  const refused = {kind: 'storage', isWritable: false} as const;
+  const {state} = step(start, refused, context);
+  const asked = step(state, {kind: 'tick'}, {...context, nowMs: 9_000});
+  assert.deepEqual([asked.state.term, asked.effects], [0, []]);
+  (['pre_vote', 'vote'] as const).forEach(kind => {
+    const request = {kind, term: 1, lastIndex: 0, lastTerm: 0, transfer: true};
+    const event = {kind: 'request', from: other.memberId, callId: 1, request};
+    const {effects} = step(state, event as never, {...context, nowMs: 9_000});
+    const replies = effects.filter(effect => effect.kind === 'reply');
+    assert.deepEqual(
+      replies.map(({reply}) => 'granted' in reply && reply.granted),
+      [false],
+    );
+  });
+});
+
 const FAULTS: readonly (readonly [Checker, SeededFault])[] = [
   ['election safety', 'lost_vote'],
   ['leader completeness', 'reused_identity'],
--- a/src/node/replication/compaction.ts
+++ b/src/node/replication/compaction.ts
@@ -50,10 +50,16 @@
     const snapshot = this.runner.snapshot(log);
     this.recordSnapshot(snapshot);
     this.isRunning = true;
-    this.writer.write({kind: 'snapshot', snapshot, keepFrom});
+    let isSaved = true;
+    // The log still has everything; the next snapshot is due as if this one had
+    // been saved.
+    const onRefused = (): void => {
+      isSaved = false;
+    };
+    this.writer.write({kind: 'snapshot', snapshot, keepFrom, onRefused});
     this.writer.whenDurable(() => {
       this.isRunning = false;
-      this.enqueue(compacted);
+      if (isSaved) this.enqueue(compacted);
     });
   }
 
--- a/src/node/replication/core/append.ts
+++ b/src/node/replication/core/append.ts
@@ -82,6 +82,8 @@
   );
 }
 
+// A member that cannot write confirms the leader, the entries that it has stored,
+// and no others. It keeps later ones in memory to serve reads.
 function accept(
   state: ReplicaState,
   callId: number,
@@ -113,11 +115,13 @@
           kind: 'append_reply',
           term: current.term,
           success: true,
-          matchIndex,
+          matchIndex: current.isWritable
+            ? matchIndex
+            : Math.min(matchIndex, current.durableIndex),
           conflictIndex: 0,
           round: request.round,
         },
-        durable: true,
+        durable: current.isWritable,
       }),
   );
 }
@@ -165,7 +169,7 @@
       conflictIndex,
       round: request.round,
     },
-    durable: true,
+    durable: state.isWritable,
   });
 }
 
--- a/src/node/replication/core/election.ts
+++ b/src/node/replication/core/election.ts
@@ -49,9 +49,13 @@
   });
 }
 
-/** Asks the voters whether they would vote for this member. */
+/**
+ * Asks the voters whether they would vote for this member. One that cannot store
+ * its own vote only forgets a leader that is silent.
+ */
 export function startPreVote(state: ReplicaState): Outcome {
   if (ownWeight(state) === 0) return outcome(withElectionTimeout(state));
+  if (!state.isWritable) return becomeFollower(state, state.term);
   const {memberId} = state.settings;
   const preCandidate: ReplicaState = withElectionTimeout({
     ...state,
@@ -68,7 +72,7 @@
 
 /** Starts a new term and asks the voters for their votes. */
 export function startElection(state: ReplicaState, transfer: boolean): Outcome {
-  if (ownWeight(state) === 0) return outcome(state);
+  if (ownWeight(state) === 0 || !state.isWritable) return outcome(state);
   const {memberId} = state.settings;
   const candidate: ReplicaState = withElectionTimeout({
     ...state,
@@ -111,6 +115,7 @@
   }
   if (request.kind === 'pre_vote') {
     const granted =
+      state.isWritable &&
       request.term > state.term &&
       isUpToDate(state, request) &&
       !isPreferredTo(state, from, request);
@@ -134,7 +139,7 @@
   request: VoteRequest,
 ): Outcome {
   const mayVote = state.vote === undefined || state.vote === from;
-  const granted = mayVote && isUpToDate(state, request);
+  const granted = state.isWritable && mayVote && isUpToDate(state, request);
   if (!granted) return respond(state, callId, request, false);
   const voted = withElectionTimeout({...state, vote: from});
   return respond(voted, callId, request, true);
@@ -233,7 +238,7 @@
       askedTerm: request.term,
       granted,
     },
-    durable: request.kind === 'vote',
+    durable: request.kind === 'vote' && state.isWritable,
   });
 }
 
--- a/src/node/replication/core/leadership.ts
+++ b/src/node/replication/core/leadership.ts
@@ -90,6 +90,12 @@
   );
 }
 
+/** Whether a leader that cannot write has found no successor in time. */
+export function hasFailedToHandOver(state: ReplicaState): boolean {
+  const {isWritable, transfer, nowMs} = state;
+  return !isWritable && nowMs >= (transfer?.deadlineMs ?? 0);
+}
+
 /** Clears an expired transfer and sends heartbeats when they are due. */
 export function onLeaderTick(state: ReplicaState): Outcome {
   const isTransferExpired =
--- a/src/node/replication/core/state.ts
+++ b/src/node/replication/core/state.ts
@@ -60,6 +60,8 @@
   /** The last index that is synced on this member. */
   readonly durableIndex: number;
   readonly commitIndex: number;
+  /** False while the storage refuses writes or one takes too long. */
+  readonly isWritable: boolean;
   /** Never empty; the last element is current. */
   readonly configs: readonly MembersAt[];
   readonly electionDeadlineMs: number;
@@ -115,6 +117,8 @@
   | {readonly kind: 'vote_saved'; readonly term: number}
   /** Entries up to `index`, whose entry has `term`, are synced. */
   | {readonly kind: 'persisted'; readonly index: number; readonly term: number}
+  /** The storage refuses or delays writes, or takes them again. */
+  | {readonly kind: 'storage'; readonly isWritable: boolean}
   /** State up to `index` was saved; entries up to `keepFrom` may be dropped. */
   | {
       readonly kind: 'compacted';
--- a/src/node/replication/core/step.ts
+++ b/src/node/replication/core/step.ts
@@ -16,6 +16,7 @@
 } from './election.js';
 import {
   appendAsLeader,
+  hasFailedToHandOver,
   isQuorumActive,
   onLeaderTick,
   startTransfer,
@@ -79,6 +80,7 @@
     log,
     durableIndex: lastIndex(log),
     commitIndex: snapshotIndex,
+    isWritable: true,
     configs: [{index: snapshotIndex, members}, ...laterConfigs],
     electionDeadlineMs: 0,
     heartbeatDeadlineMs: 0,
@@ -134,6 +136,8 @@
       return onVoteSaved(state, event.term);
     case 'persisted':
       return onPersisted(state, event.index, event.term);
+    case 'storage':
+      return onStorage(state, event.isWritable);
     case 'compacted':
       return onCompacted(state, event.index, event.keepFrom);
     case 'snapshot_sent':
@@ -149,11 +153,22 @@
       ? startPreVote(state)
       : outcome(state);
   }
-  return isQuorumActive(state)
+  return isQuorumActive(state) && !hasFailedToHandOver(state)
     ? onLeaderTick(state)
     : becomeFollower(state, state.term);
 }
 
+// What a member cannot store it neither proposes nor votes for, so another member
+// has to lead. Without one that can take over at once, an election decides.
+function onStorage(state: ReplicaState, isWritable: boolean): Outcome {
+  const current = {...state, isWritable};
+  if (isWritable || state.role === 'follower') return outcome(current);
+  const handedOver = startTransfer(current);
+  return handedOver.state.transfer === undefined
+    ? becomeFollower(current, state.term)
+    : handedOver;
+}
+
 function onRequest(
   state: ReplicaState,
   from: MemberId,
@@ -209,7 +224,8 @@
   proposals: (ReplicaEvent & {kind: 'propose'})['proposals'],
 ): Outcome {
   const ids = proposals.map(proposal => proposal.id);
-  if (state.role !== 'leader' || state.transfer !== undefined) {
+  const isHandingOver = state.transfer !== undefined || !state.isWritable;
+  if (state.role !== 'leader' || isHandingOver) {
     return outcome(state, {
       kind: 'refused',
       ids,
--- a/src/node/replication/group_member.ts
+++ b/src/node/replication/group_member.ts
@@ -8,6 +8,7 @@
 } from './group_formation.js';
 import {registerJoinMethod, startJoining} from './joining.js';
 import type {Replica} from './replica.js';
+import {whenDiskAllows} from './start_retry.js';
 import {
   DEFAULT_ELECTION_MAX_MS,
   type ReplicaOptions,
@@ -94,8 +95,10 @@
   options: GroupMemberOptions<Command, Result>,
 ): Promise<Replica<Command, Result>> {
   for (;;) {
-    const decision = await decideStart(options);
-    const replica = await createReplica({...options, ...decision});
+    const decision = await whenDiskAllows(options, () => decideStart(options));
+    const replica = await whenDiskAllows(options, () =>
+      createReplica({...options, ...decision}),
+    );
     const isFounder = decision.startAs === 'voter';
     if (!isFounder || (await hasLeaderInTime(replica, options))) return replica;
     await replica.stop();
--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -6,23 +6,16 @@
 import {ResultAsync} from 'neverthrow';
 import {monotonicNowMs} from '../clock/clock.js';
 import {GatewayError, toGatewayError, type ErrorCode} from '../types/errors.js';
-import {
-  asNumber,
-  type LogIndex,
-  type MemberId,
-  type Term,
-} from '../types/ids.js';
+import type {MemberId} from '../types/ids.js';
 import type {PeerReply, PeerRequest, SnapshotRequest} from './core/messages.js';
 import {nextDeadlineMs, step} from './core/step.js';
 import {
   currentMembers,
-  ownWeight,
   type Effect,
   type MembershipChange,
   type ReplicaEvent,
   type ReplicaState,
 } from './core/state.js';
-import {termAt} from './core/log.js';
 import {DeadlineTimer} from './deadline_timer.js';
 import {Compaction} from './compaction.js';
 import {mergeEvents} from './merge_events.js';
@@ -37,7 +30,8 @@
 import type {StoredSnapshot} from './replica_storage.js';
 import {SnapshotAssembly, transferSnapshot} from './snapshot_transfer.js';
 import {StateMachineRunner} from './state_machine_runner.js';
-import {StorageWriter} from './storage_writer.js';
+import {StorageWriter, type StorageChange} from './storage_writer.js';
+import {statusOf} from './replica_status.js';
 import {retryUntilReady} from './retry_until_ready.js';
 import {Waiters} from './waiters.js';
 import {weightSteps} from './weight_steps.js';
@@ -72,12 +66,17 @@
     super();
     this.runner = new StateMachineRunner(options.stateMachine, this.waiters);
     this.runner.restore(snapshot);
-    this.writer = new StorageWriter(options.storage, {
-      onVoteSaved: term => this.enqueue({kind: 'vote_saved', term}),
-      onPersisted: (index, term) =>
-        this.enqueue({kind: 'persisted', index, term}),
-      onFailure: error => this.stopOnFailure(error),
-    });
+    this.writer = new StorageWriter(
+      options.storage,
+      {
+        onVoteSaved: term => this.enqueue({kind: 'vote_saved', term}),
+        onPersisted: (index, term) =>
+          this.enqueue({kind: 'persisted', index, term}),
+        onStorageChange: change => this.changeStorage(change),
+        onFailure: error => this.stopOnFailure(error),
+      },
+      {stallMs: options.electionMinMs},
+    );
     this.compaction = new Compaction(options, this.runner, this.writer, event =>
       this.enqueue(event),
     );
@@ -152,26 +151,15 @@
   }
 
   override status(): ReplicaStatus {
-    const {term, leader, commitIndex, role, log} = this.state;
-    const isLearner = role !== 'leader' && ownWeight(this.state) === 0;
-    const liveRole = isLearner ? 'learner' : role;
-    return {
-      memberId: this.memberId,
-      role: this.isStopped ? 'stopped' : liveRole,
-      term: asNumber<Term>(term),
-      leader,
-      commitIndex: asNumber<LogIndex>(commitIndex),
-      appliedIndex: asNumber<LogIndex>(this.runner.appliedIndex),
-      members: currentMembers(this.state),
-      hasCommittedInTerm: termAt(log, commitIndex) === term,
-    };
+    const {appliedIndex} = this.runner;
+    return statusOf(this.state, {appliedIndex, isStopped: this.isStopped});
   }
 
   override async stop(): Promise<void> {
     if (!this.isStopped) await this.transferLeadership();
     this.halt('this member is stopping');
-    await this.writer.idle();
-    await this.options.storage.close();
+    // A disk that stalls delays the closing of its files as well.
+    if (await this.writer.close()) await this.options.storage.close();
   }
 
   /** Ends the leadership of this member, if another voter can lead. */
@@ -192,6 +180,7 @@
 
   /** Stops immediately, as a crash would; `stop` still closes the files. */
   abort(): void {
+    void this.writer.close();
     this.halt('this member was aborted');
   }
 
@@ -216,6 +205,12 @@
     this.options.onFailure(error);
   }
 
+  private changeStorage(change: StorageChange): void {
+    if (this.isStopped) return;
+    this.enqueue({kind: 'storage', isWritable: change.isWritable});
+    this.options.onStorageChange(change);
+  }
+
   private enqueue(event: ReplicaEvent): void {
     if (this.isStopped) return;
     this.inbox.push(event);
@@ -310,6 +305,9 @@
     if (this.isStopped) {
       throw this.error('stopping', 'this member has stopped', 'receive');
     }
+    if (request.kind === 'snapshot' && !this.state.isWritable) {
+      throw this.error('not_ready', 'the disk refuses writes', 'receive');
+    }
     const complete =
       request.kind === 'snapshot' ? this.assembly.add(from, request) : request;
     if (complete === undefined) {
--- a/src/node/replication/replica_options.ts
+++ b/src/node/replication/replica_options.ts
@@ -3,6 +3,7 @@
 import type {GatewayError} from '../types/errors.js';
 import type {MemberId} from '../types/ids.js';
 import type {ReplicaMember, StateMachine} from './replicated_log.js';
+import type {StorageChange} from './storage_writer.js';
 import type {ReplicaStorage} from './replica_storage.js';
 
 /** Longest election timeout; the loss of a leader then costs 1 to 2 s. */
@@ -82,6 +83,8 @@
   readonly snapshotChunkChars?: number;
   /** Source of election timeouts, in [0, 1). @default Math.random */
   readonly random?: () => number;
+  /** Called when the storage refuses or delays writes, and when it recovers. */
+  readonly onStorageChange?: (change: StorageChange) => void;
   /** Called once if the member stops because its storage or core failed. */
   readonly onFailure?: (error: GatewayError) => void;
 }
@@ -111,6 +114,7 @@
     maxPendingProposals: DEFAULT_MAX_PENDING,
     snapshotChunkChars: DEFAULT_SNAPSHOT_CHUNK_CHARS,
     random: Math.random,
+    onStorageChange: () => undefined,
     onFailure: () => undefined,
     ...options,
   };
--- a/src/node/replication/replica_storage.ts
+++ b/src/node/replication/replica_storage.ts
@@ -144,6 +144,7 @@
   }
 
   override async load(): Promise<StoredReplica> {
+    await this.files.removeLeftovers(this.folder);
     const [storedState] = (await this.stateFile.load(1)) ?? [];
     const storedSnapshot = await this.snapshotFile.load(2);
     const frames = (await this.logFile.load()) as readonly LogFrame[];
--- a/src/node/replication/replicated_log.ts
+++ b/src/node/replication/replicated_log.ts
@@ -42,6 +42,8 @@
    * that earlier leaders have committed.
    */
   readonly hasCommittedInTerm?: boolean;
+  /** False while the storage refuses or delays writes. */
+  readonly isWritable?: boolean;
 }
 
 /**
--- a/src/node/routes/__tests__/support/control_group.ts
+++ b/src/node/routes/__tests__/support/control_group.ts
@@ -3,8 +3,11 @@
 import type {Result} from 'neverthrow';
 import {pino} from 'pino';
 import {advanceClock} from '../../../__tests__/support/advance_clock.js';
-import {FaultFileLayer} from '../../../__tests__/support/fault_file_layer.js';
 import {MemoryNetwork} from '../../../__tests__/support/memory_network.js';
+import {
+  RefusingFileLayer,
+  type DiskFault,
+} from '../../../__tests__/support/refusing_file_layer.js';
 import {FileReplicaStorage} from '../../../replication/replica_storage.js';
 import {RpcRouter} from '../../../rpc/rpc.js';
 import type {GatewayError} from '../../../types/errors.js';
@@ -37,7 +40,17 @@
 /** Starts, stops and crashes control members; `name:1` is an address. */
 export class ControlGroup {
   readonly network = new MemoryNetwork({delayMs: 1});
-  private readonly disks = new Map<string, FaultFileLayer>();
+  private readonly disks = new Map<string, RefusingFileLayer>();
+  /** Events that members have logged. */
+  readonly events: string[] = [];
+  private readonly logger = pino(
+    {level: 'info'},
+    {
+      write: (line: string) => {
+        this.events.push((JSON.parse(line) as {event: string}).event);
+      },
+    },
+  );
   private readonly members = new Map<string, ControlPlane>();
 
   /** `seeds` are named by the settings of members that start from now on. */
@@ -61,7 +74,7 @@
     names.forEach(name => {
       const address = `${name}:1`;
       const router = new RpcRouter();
-      const disk = this.disks.get(name) ?? new FaultFileLayer();
+      const disk = this.disks.get(name) ?? new RefusingFileLayer();
       disk.restart();
       this.disks.set(name, disk);
       const control = new ControlPlane({
@@ -72,7 +85,7 @@
         storage: new FileReplicaStorage(disk, 'routes'),
         client: this.network.attach(address, name, router),
         router,
-        logger: pino({level: 'silent'}),
+        logger: this.logger,
         onFailure: error => {
           throw error;
         },
@@ -82,6 +95,29 @@
     });
   }
 
+  /** Sets the fault of a member's disk, or ends it. */
+  setDiskFault(name: string, fault: DiskFault | undefined): void {
+    this.disks.get(name)?.setFault(fault);
+  }
+
+  member(name: string): ControlPlane {
+    const member = this.members.get(name);
+    if (member === undefined) throw new Error(`no member ${name}`);
+    return member;
+  }
+
+  /** Whether one member acknowledges a table. */
+  async replaceTableAt(name: string, version: number): Promise<boolean> {
+    const change = this.member(name).replaceTable(tableOf(version));
+    return (await this.waitFor(change))?.isOk() === true;
+  }
+
+  /** The version that one member reads. */
+  async readVersionAt(name: string): Promise<number | undefined> {
+    const state = await this.waitFor(this.member(name).readState());
+    return state?.isOk() === true ? state.value.table?.version : undefined;
+  }
+
   /** Stops a member as planned. */
   async stop(name: string): Promise<void> {
     const control = this.members.get(name);
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -29,6 +29,7 @@
 } from '../replication/group_member.js';
 import type {ReplicaStorage} from '../replication/replica_storage.js';
 import {instanceOf} from '../replication/peer_transport.js';
+import type {StorageChange} from '../replication/storage_writer.js';
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import type {GatewayError} from '../types/errors.js';
 import {asId, type InstanceId} from '../types/ids.js';
@@ -104,6 +105,7 @@
     | undefined;
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
+  private isWritable = true;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
@@ -171,6 +173,7 @@
       proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
+      onStorageChange: change => this.noteStorage(change),
       onFailure: options.onFailure,
     });
     this.startServices(this.member);
@@ -210,6 +213,11 @@
     return this.member?.replica.status().role === 'leader';
   }
 
+  /** Whether the disk takes writes; without that this member cannot lead. */
+  isDiskWritable(): boolean {
+    return this.isWritable;
+  }
+
   /** The latest committed state, or an error if that cannot be confirmed. */
   readState(): ResultAsync<ControlState, GatewayError> | undefined {
     return this.member?.replica
@@ -278,6 +286,19 @@
     this.membership.start();
   }
 
+  private noteStorage({isWritable, cause}: StorageChange): void {
+    this.isWritable = isWritable;
+    const {logger} = this.options;
+    if (isWritable) {
+      logger.info({event: 'disk_regained'}, 'the disk takes writes again');
+      return;
+    }
+    logger.error(
+      {event: 'disk_refused', err: cause},
+      'the disk refuses or delays writes; this member does not lead or vote',
+    );
+  }
+
   private seedAddresses(): readonly string[] {
     const {seedAddresses, founderAddresses, innerAddress} = this.options;
     return (seedAddresses?.() ?? founderAddresses).filter(
--- a/src/node/storage/file_layer.ts
+++ b/src/node/storage/file_layer.ts
@@ -22,6 +22,10 @@
   abstract list(folder: string): Promise<readonly string[]>;
   /** Removes a file; a missing file is not an error. */
   abstract remove(name: string): Promise<void>;
+  /** Removes what an interrupted `writeAtomic` left in a folder. */
+  removeLeftovers(_folder: string): Promise<void> {
+    return Promise.resolve();
+  }
   /** Closes open file handles. */
   abstract close(): Promise<void>;
 }
--- a/src/node/storage/node_file_layer.ts
+++ b/src/node/storage/node_file_layer.ts
@@ -32,7 +32,7 @@
 
   override async append(name: string, bytes: Uint8Array): Promise<void> {
     const {handle} = await this.openFile(name);
-    await handle.appendFile(bytes);
+    await this.closeOnError(name, handle.appendFile(bytes));
   }
 
   override async read(name: string): Promise<Uint8Array | undefined> {
@@ -44,20 +44,20 @@
     const path = this.path(name);
     await this.createFolder(dirname(path));
     const temporary = path + TEMPORARY_SUFFIX;
-    const handle = await open(temporary, 'w');
     try {
-      await handle.writeFile(bytes);
-      await handle.datasync();
-    } finally {
-      await handle.close();
+      await writeDurably(temporary, bytes);
+      await rename(temporary, path);
+    } catch (thrown) {
+      // A part of the file would take the room that may already be missing.
+      await removeIfPossible(temporary);
+      throw thrown;
     }
-    await rename(temporary, path);
     await syncFolder(dirname(path));
   }
 
   override async sync(name: string): Promise<void> {
     const file = await this.openFile(name);
-    await file.handle.datasync();
+    await this.closeOnError(name, file.handle.datasync());
     if (file.isNameSynced) return;
     await syncFolder(dirname(this.path(name)));
     file.isNameSynced = true;
@@ -65,7 +65,7 @@
 
   override async truncate(name: string, sizeBytes: number): Promise<void> {
     const {handle} = await this.openFile(name);
-    await handle.truncate(sizeBytes);
+    await this.closeOnError(name, handle.truncate(sizeBytes));
   }
 
   override async list(folder: string): Promise<readonly string[]> {
@@ -86,6 +86,15 @@
     await fallbackIfMissing(syncFolder(dirname(this.path(name))), undefined);
   }
 
+  override async removeLeftovers(folder: string): Promise<void> {
+    const path = this.path(folder);
+    const names = await fallbackIfMissing(readdir(path), []);
+    const leftovers = names.filter(each => each.endsWith(TEMPORARY_SUFFIX));
+    await Promise.all(
+      leftovers.map(each => removeIfPossible(join(path, each))),
+    );
+  }
+
   override async close(): Promise<void> {
     await Promise.all([...this.openFiles.keys()].map(n => this.closeFile(n)));
   }
@@ -104,6 +113,19 @@
     return file;
   }
 
+  // A handle whose write or sync failed may report the same error again, or none.
+  private async closeOnError(
+    name: string,
+    operation: Promise<void>,
+  ): Promise<void> {
+    try {
+      await operation;
+    } catch (thrown) {
+      await this.closeFile(name).catch(() => undefined);
+      throw thrown;
+    }
+  }
+
   private async closeFile(name: string): Promise<void> {
     const file = this.openFiles.get(name);
     this.openFiles.delete(name);
@@ -127,6 +149,22 @@
   }
 }
 
+async function writeDurably(path: string, bytes: Uint8Array): Promise<void> {
+  const handle = await open(path, 'w');
+  try {
+    await handle.writeFile(bytes);
+    await handle.datasync();
+  } finally {
+    await handle.close();
+  }
+}
+
+// The error that led here is the one to report; the next write of the file
+// replaces what stays.
+async function removeIfPossible(path: string): Promise<void> {
+  await rm(path, {force: true}).catch(() => undefined);
+}
+
 async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, 'r');
   try {
