--- a/soak/__tests__/soak.spec.ts
+++ b/soak/__tests__/soak.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
+import {ImpairedDisks} from '../impaired_disks.js';
 import {
   CrashedUpstreams,
   KilledEntries,
@@ -45,6 +46,11 @@
     soak(t, seed, new CrashedUpstreams())),
 );
 
+// Guards against control members that end, lead or lose confirmed changes while their
+// disks refuse or delay writes.
+test('soak of seed 1 with impaired disks', t =>
+  soak(t, 1, new ImpairedDisks()));
+
 // Guards against requests that planned stops cut, and against streams that a stop,
 // a kill or a crash of their upstream cuts and that look complete.
 [new PlannedStops(), new KilledEntries(), new CrashedUpstreams()].forEach(
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -18,6 +18,9 @@
   | 'wipe_disk'
   /** A control member is killed while it writes its log. */
   | 'tear_disk'
+  /** The disk of a control member refuses or delays all writes until the end. */
+  | 'refuse_disk'
+  | 'stall_disk'
   /** The process stands still until the end. */
   | 'pause'
   /** A planned stop; the process starts again once it is gone. */
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -71,6 +71,12 @@
       case 'reload_with_signal':
       case 'reload_silently':
         return member.reload(kind === 'reload_with_signal');
+      case 'refuse_disk':
+      case 'stall_disk':
+        member.impairDisk(kind === 'refuse_disk' ? 'refuse' : 'stall');
+        await sleep(durationMs);
+        member.impairDisk(undefined);
+        return;
       default:
         await member.kill();
         if (kind === 'wipe_disk') member.wipeDisk();
--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -11,6 +11,7 @@
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {DISK_FAULT_VARIABLE, type DiskFault} from './disk_fault.js';
 import {RETRY_BUDGET, type Layout, type ProcessPlace} from './layout.js';
 
 const PROGRAMS = {
@@ -22,6 +23,8 @@
 /** Longest planned stop that the settings allow. */
 export const STOP_GRACE_MS = 4_500;
 const HEAP_MB = 128;
+/** Loaded before the program of a control member. */
+const FAULTY_DISK = new URL('./faulty_disk.js', import.meta.url).href;
 /**
  * No program can handle a signal before the runtime has run its first line. On a
  * busy machine that takes seconds.
@@ -61,9 +64,16 @@
     this.writeSettings();
     const child = spawn(
       process.execPath,
-      [`--max-old-space-size=${HEAP_MB}`, PROGRAMS[this.place.role]],
+      [
+        `--max-old-space-size=${HEAP_MB}`,
+        ...(this.place.role === 'control' ? ['--import', FAULTY_DISK] : []),
+        PROGRAMS[this.place.role],
+      ],
       {
-        env: {CYCLAMENFALL_SETTINGS: this.file('yaml')},
+        env: {
+          CYCLAMENFALL_SETTINGS: this.file('yaml'),
+          [DISK_FAULT_VARIABLE]: this.file('fault'),
+        },
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
@@ -142,6 +152,12 @@
     if (existsSync(log)) appendFileSync(log, Buffer.from([0, 0, 1, 7, 42]));
   }
 
+  /** Makes the disk refuse or delay all writes from now on, or none. */
+  impairDisk(fault: DiskFault | undefined): void {
+    if (fault === undefined) rmSync(this.file('fault'), {force: true});
+    else writeFileSync(this.file('fault'), fault);
+  }
+
   private get dataFolder(): string {
     return join(this.folder, `${this.place.name}-data`);
   }
--- a/soak/profiles.ts
+++ b/soak/profiles.ts
@@ -1,5 +1,6 @@
 /** All kinds of runs, by name. */
 import {CopiedAnswers} from './copied_answers.js';
+import {ImpairedDisks} from './impaired_disks.js';
 import {LateOrders} from './late_orders.js';
 import {
   CrashedUpstreams,
@@ -18,6 +19,7 @@
   new CopiedAnswers(),
   new LateOrders(),
   new RejectedRequests(),
+  new ImpairedDisks(),
 ];
 
 /** The profile with a name; the first one if there is none with it. */
