Divide the quotas of workspaces among entries by leases

A workspace had no bound on what it ran in the whole deployment. The leader of the control group now leases shares of each quota to entries and keeps the rest in a pool, from which entries get grants with the replies to their announcements.

Nothing is charged yet: the gate stands ready in the entry, and requests will pass it once they carry their workspace.

--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -5,6 +5,8 @@
  */
 import {monotonicNowMs} from '../clock/clock.js';
 import type {Logger} from '../logging/logger.js';
+import {instantNow, type Instant} from '../quotas/instant.js';
+import type {QuotaReply, QuotaReport} from '../quotas/messages.js';
 import type {ControlState} from '../routes/route_table.js';
 import type {RpcClient} from '../rpc/rpc.js';
 import {asId, type InstanceId} from '../types/ids.js';
@@ -25,6 +27,13 @@
 /** Weight of one announcement in the average of a member's round trips. */
 const ROUND_TRIP_WEIGHT = 0.3;
 
+/** What an entry exchanges about quotas with the leader. */
+export interface QuotaExchange {
+  /** `undefined` for a member that does not lead. */
+  reportFor(control: InstanceId): QuotaReport | undefined;
+  apply(control: InstanceId, reply: QuotaReply, sentAt: Instant): void;
+}
+
 /** Dependencies of the link; `seedAddresses` may change while it runs. */
 export interface ControlLinkOptions {
   readonly members: FleetMembers;
@@ -39,6 +48,7 @@
   readonly onState: (state: ControlState) => void;
   /** Called if a control member has a higher incarnation of this entry. */
   readonly onStaleIncarnation: (heldIncarnation: number) => void;
+  readonly quotas?: QuotaExchange;
 }
 
 /** The link of one entry to all control members. */
@@ -77,6 +87,14 @@
       .forEach(target => void this.announce(target));
   }
 
+  /** The same for one control member. */
+  announceTo(control: InstanceId): void {
+    this.targets()
+      .filter(({instanceId}) => instanceId === control)
+      .filter(target => !this.pendingCalls.has(target.instanceId))
+      .forEach(target => void this.announce(target));
+  }
+
   /** Whether any control member replied to the last announcement to it. */
   isConnected(): boolean {
     return [...this.isReachable.values()].includes(true);
@@ -115,14 +133,9 @@
   private async announce(target: ControlInstance): Promise<void> {
     const {members, client, currentState} = this.options;
     const {instanceId, innerAddress} = target;
-    const announcement: Announcement = {
-      entry: members.self(),
-      revision: currentState().revision,
-      viewId: members.viewIdOf(instanceId),
-      acceptsChanges: true,
-    };
     this.pendingCalls.add(instanceId);
-    const sentAtMs = monotonicNowMs();
+    const sentAt = instantNow();
+    const announcement = this.announcementTo(instanceId);
     const reply = await client.call<AnnouncementReply>(
       innerAddress,
       ANNOUNCE_METHOD,
@@ -132,10 +145,12 @@
     this.pendingCalls.delete(instanceId);
     this.recordReachability(instanceId, reply.isOk());
     if (reply.isErr()) return;
-    this.recordRoundTrip(instanceId, monotonicNowMs() - sentAtMs);
-    const {incarnation} = reply.value;
+    this.recordRoundTrip(instanceId, monotonicNowMs() - sentAt.monotonicMs);
+    const {incarnation, quotas} = reply.value;
     if (incarnation > members.self().incarnation) {
       this.options.onStaleIncarnation(incarnation);
+    } else if (quotas !== undefined) {
+      this.options.quotas?.apply(instanceId, quotas, sentAt);
     }
     members.updateView(instanceId, reply.value, monotonicNowMs());
     if (reply.value.revision > currentState().revision) {
@@ -143,6 +158,17 @@
     }
   }
 
+  private announcementTo(control: InstanceId): Announcement {
+    const {members, currentState, quotas} = this.options;
+    return {
+      entry: members.self(),
+      revision: currentState().revision,
+      viewId: members.viewIdOf(control),
+      acceptsChanges: true,
+      quotas: quotas?.reportFor(control),
+    };
+  }
+
   private recordRoundTrip(instanceId: InstanceId, tookMs: number): void {
     const before = this.roundTripMs.get(instanceId) ?? tookMs;
     const smoothedMs = before + ROUND_TRIP_WEIGHT * (tookMs - before);
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -1,5 +1,10 @@
 /** Messages by which instances announce themselves to the control members. */
 import {z} from 'zod';
+import {
+  quotaReportSchema,
+  type QuotaReply,
+  type QuotaReport,
+} from '../quotas/messages.js';
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 
 /** A running entry, as described in its announcements. */
@@ -54,6 +59,8 @@
   readonly viewId: string;
   /** Whether the entry understands a reply with the changes of a view. */
   readonly acceptsChanges?: boolean | undefined;
+  /** Sent to the leader of the control group only. */
+  readonly quotas?: QuotaReport | undefined;
 }
 
 export const announcementSchema: z.ZodType<Announcement> = z.object({
@@ -61,6 +68,7 @@
   revision: z.number(),
   viewId: z.string(),
   acceptsChanges: z.boolean().optional(),
+  quotas: quotaReportSchema.optional(),
 });
 
 /** All live entries and control members, as one control member sees them. */
@@ -95,6 +103,8 @@
   /** The complete view; omitted if the entry has it or gets its changes. */
   readonly view?: FleetView;
   readonly changes?: ViewChanges;
+  /** Set by the leader of the control group if any workspace has a quota. */
+  readonly quotas?: QuotaReply;
 }
 
 export const ANNOUNCE_METHOD = 'fleet.announce';
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -21,13 +21,16 @@
 import {MetricsRegistry} from '../metrics/registry.js';
 import {RouteMatcher} from '../routes/route_matcher.js';
 import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
-import {OriginRegistry} from '../origins/origin_registry.js';
+import type {QuotaGate} from '../quotas/quota_gate.js';
+import type {OriginRegistry} from '../origins/origin_registry.js';
 import {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import {ConnectionPools} from './connections.js';
+import {createOrigins} from './create_origins.js';
+import {createQuotas} from './create_quotas.js';
 import {createEndCheck} from './end_confirmation.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
@@ -41,7 +44,6 @@
 import {
   domainLocations,
   domainIdsOfRegion,
-  domainsOfRegion,
   schedulerRetries,
   seedInnerAddresses,
   type IngressSettings,
@@ -74,6 +76,7 @@
   private readonly limits = new UpstreamLimits();
   private readonly origins: OriginRegistry;
   private readonly retryShares: RetryShares;
+  private readonly quotas: QuotaGate;
   private readonly paces = new UpstreamPaces();
   private readonly reachability: UpstreamReachability;
   private readonly loops: RegionLoops;
@@ -99,6 +102,11 @@
     this.bulkClient = new HttpRpcClient({self: instanceId, clusterSecret});
     this.members = new FleetMembers(() => this.describe());
     this.retryShares = createRetryShares(settings, this.members, logger);
+    this.quotas = createQuotas(settings, this.members, {
+      announceNow: control => this.controlLink.announceTo(control),
+      logger,
+      metrics: this.metrics,
+    });
     this.decisions = this.createDecisionSender();
     this.host = this.createHost();
     this.scheduler = this.createScheduler();
@@ -113,8 +121,14 @@
       currentState: () => this.state,
       onState: state => this.applyState(state),
       onStaleIncarnation: held => this.raiseIncarnation(held),
+      quotas: this.quotas,
+    });
+    this.origins = createOrigins(settings, {
+      members: this.members,
+      client: this.client,
+      metrics: this.metrics,
+      nearestControlMember: () => this.controlLink.nearestMember(),
     });
-    this.origins = this.createOrigins();
     this.reachability = this.createReachability();
     this.origins.register(this.router);
     this.ingress = this.createIngress();
@@ -189,6 +203,7 @@
     this.loops.stop();
     this.host.stop();
     this.origins.stop();
+    this.quotas.stop();
     this.reachability.stop();
     this.ingress.close();
     this.textServers.forEach(server => server.close());
@@ -312,20 +327,6 @@
     });
   }
 
-  private createOrigins(): OriginRegistry {
-    const {settings} = this.options;
-    const {instanceId: self, domainId: domain, regionId: region} = settings;
-    return new OriginRegistry({
-      self,
-      location: {domain, region},
-      domains: domainsOfRegion(settings),
-      members: this.members,
-      client: this.client,
-      metrics: this.metrics,
-      nearestControlMember: () => this.controlLink.nearestMember(),
-    });
-  }
-
   private createIngress(): IngressServer {
     const {settings, protocol, feed, logger} = this.options;
     return new IngressServer({
@@ -365,6 +366,7 @@
 
   private raiseIncarnation(held: number): void {
     this.incarnation = held + 1;
+    this.quotas.reset();
     this.options.logger.warn(
       {event: 'incarnation_raised', held},
       'wall clock moved back since an earlier start; incarnation raised',
@@ -379,6 +381,7 @@
     if (table !== undefined && table.version !== before.table?.version) {
       this.matcher = new RouteMatcher(table);
       this.ingress.applyLimits(table.limits);
+      this.quotas.applyWorkspaces(table.workspaces ?? []);
       this.tableWaiters.resumeAll();
     }
     this.host.applyControl(state.evacuatedDomains);
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -110,6 +110,23 @@
     /** Entries among which the slack of the deployment is divided. */
     entries: z.number(),
   },
+  quota_limited: {
+    workspace: z.string(),
+    ratePerS: z.number(),
+    /** Of the request that was refused first. */
+    requestUnits: z.number(),
+    /** What this entry had left, and what it may add a second by itself. */
+    balanceUnits: z.number(),
+    sharePerS: z.number(),
+    demandPerS: z.number(),
+    /** Whether a lease was valid; without one only the floor is left. */
+    hasLease: z.boolean(),
+  },
+  quota_unlimited: {
+    workspace: z.string(),
+    limitedMs: z.number(),
+    refusedUnits: z.number(),
+  },
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
--- /dev/null
+++ b/src/node/quotas/__tests__/quota_bound.spec.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {FLOOR_RATE_SHARE} from '../constants.js';
+import {poolLimits, type QuotaTolerance} from '../limits.js';
+import {
+  limitedWorkspace,
+  QuotaDays,
+  STEP_MS,
+  worstWindow,
+  type TimedFault,
+} from './support/quota_days.js';
+
+const TOLERANCE: QuotaTolerance = {
+  windowMs: 8_000,
+  overage: 0.1,
+  slackTokens: 5_000,
+};
+const LENGTH_MS = 30_000;
+const RUNS = 60;
+const SEED = 43;
+
+const entry = fc.integer({min: 0, max: 5});
+const times = {
+  atMs: fc.integer({min: 2_000, max: LENGTH_MS}),
+  forMs: fc.integer({min: 100, max: 14_000}),
+};
+const fault: fc.Arbitrary<TimedFault> = fc.oneof(
+  fc.record({kind: fc.constant('cut' as const), entry, ...times}),
+  fc.record({kind: fc.constant('restart' as const), entry, ...times}),
+  fc.record({kind: fc.constant('suspend' as const), entry, ...times}),
+  fc.record({
+    kind: fc.constant('set_clock' as const),
+    entry,
+    byMs: fc.integer({min: -20_000, max: 20_000}),
+    ...times,
+  }),
+  fc.record({
+    kind: fc.constant('new_leader' as const),
+    member: fc.integer({min: 0, max: 2}),
+    ...times,
+  }),
+  fc.record({kind: fc.constant('lossy' as const), ...times}),
+);
+
+/** Numbers from 0 to 1 that a seed determines. */
+function randomFrom(seed: number): () => number {
+  let state = seed % 2_147_483_647 || 1;
+  return () => {
+    state = (state * 48_271) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+// Guards against entries that together run more than the quota allows: each acts on
+// what it was told, which is late, lost, or of a leader that was replaced.
+test('no window has more than the quota, whatever fails', () => {
+  fc.assert(
+    fc.property(
+      fc.record({
+        faults: fc.array(fault, {maxLength: 12}),
+        seed: fc.integer({min: 1, max: 1_000_000}),
+        ratePerS: fc.constantFrom(2_000, 20_000),
+        burst: fc.constantFrom(0, 5_000),
+        largest: fc.constantFrom(100, 3_000),
+      }),
+      ({faults, seed, ratePerS, burst, largest}) => {
+        const random = randomFrom(seed);
+        const spec = limitedWorkspace(ratePerS, burst);
+        const busy = [random, random, random].map(draw =>
+          Math.floor(draw() * 6),
+        );
+        const decisions = new QuotaDays({
+          entries: 6,
+          spec,
+          tolerance: TOLERANCE,
+          lengthMs: LENGTH_MS,
+          faults,
+          random,
+          delayMs: () => 5 + random() * 300,
+          // Three times the rate, at entries that change every four seconds.
+          arrivals: (index, atMs) => {
+            const place = busy[Math.floor(atMs / 4_000) % busy.length];
+            const part = index === place ? 0.6 : 0.08;
+            const wanted = (3 * ratePerS * part * STEP_MS) / 1_000;
+            const mean = largest / 2;
+            return random() < wanted / mean ? [random() * largest] : [];
+          },
+        }).run();
+        [1_000, 3_000, 8_000].forEach(windowMs => {
+          const {capacityUnits, maxGrantUnits} = poolLimits(
+            spec.quota as NonNullable<typeof spec.quota>,
+            TOLERANCE,
+          );
+          const rateUnits = (ratePerS * windowMs) / 1_000;
+          const floors = (2 * FLOOR_RATE_SHARE * ratePerS * 8_000) / 1_000;
+          const debt = Math.max(0, largest - maxGrantUnits);
+          const most = rateUnits + capacityUnits + floors + debt;
+          const worst = worstWindow(decisions, windowMs);
+          assert.ok(
+            worst <= most * 1.000_001,
+            `${worst} of ${most} in ${windowMs} ms`,
+          );
+        });
+        assert.ok(decisions.some(each => each.isAdmitted));
+      },
+    ),
+    {seed: SEED, numRuns: RUNS},
+  );
+});
--- /dev/null
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -0,0 +1,353 @@
+/**
+ * Entries and control members that exchange reports and grants over links which
+ * delay, lose, double and cut, on clocks that stand still and are set. Time advances
+ * in steps; nothing else runs.
+ */
+import type {WorkspaceSpec} from '../../../routes/route_table.js';
+import {
+  asId,
+  asNumber,
+  type InstanceId,
+  type Term,
+  type WorkspaceId,
+} from '../../../types/ids.js';
+import {ASK_TIMEOUT_MS} from '../../constants.js';
+import {EntryQuotas} from '../../entry_quotas.js';
+import type {Instant} from '../../instant.js';
+import type {QuotaTolerance} from '../../limits.js';
+import type {QuotaReply, QuotaReport} from '../../messages.js';
+import {QuotaLeader} from '../../quota_leader.js';
+
+export const STEP_MS = 25;
+const ANNOUNCE_STEPS = 16;
+const CALL_TIMEOUT_MS = 800;
+const CONFIRM_STEPS = 10;
+
+/** A fault from `atMs` for `forMs`. */
+export type Fault =
+  /** The entry reaches no control member. */
+  | {readonly kind: 'cut'; readonly entry: number}
+  /** Its process ends and starts again; lasts no time. */
+  | {readonly kind: 'restart'; readonly entry: number}
+  /** It runs no code, and its monotonic clock stands still. */
+  | {readonly kind: 'suspend'; readonly entry: number}
+  /** Its wall clock is set; lasts no time. */
+  | {readonly kind: 'set_clock'; readonly entry: number; readonly byMs: number}
+  /** Another member leads from now on. */
+  | {readonly kind: 'new_leader'; readonly member: number}
+  /** Links lose and double messages. */
+  | {readonly kind: 'lossy'};
+
+export type TimedFault = Fault & {
+  readonly atMs: number;
+  readonly forMs: number;
+};
+
+export interface QuotaDay {
+  readonly entries: number;
+  readonly spec: WorkspaceSpec;
+  readonly tolerance: QuotaTolerance;
+  readonly lengthMs: number;
+  readonly faults: readonly TimedFault[];
+  /** Units of the requests that arrive at an entry in the step at `atMs`. */
+  readonly arrivals: (entry: number, atMs: number) => readonly number[];
+  /** One way, with each use another value. */
+  readonly delayMs: () => number;
+  /** From 0 to 1, with each use another value. */
+  readonly random: () => number;
+}
+
+export interface Decision {
+  readonly atMs: number;
+  readonly entry: number;
+  readonly units: number;
+  readonly isAdmitted: boolean;
+}
+
+interface Waiting {
+  readonly units: number;
+  readonly sinceMs: number;
+}
+
+interface Entry {
+  readonly id: InstanceId;
+  quotas: EntryQuotas;
+  incarnation: number;
+  suspendedMs: number;
+  wallOffsetMs: number;
+  waiting: Waiting[];
+  /** Members whose reply is due, with the deadline of the call. */
+  readonly pending: Map<number, number>;
+}
+
+interface Delivery {
+  readonly dueMs: number;
+  readonly run: () => void;
+}
+
+/** Plays one day; `decisions` has what became of each request. */
+export class QuotaDays {
+  readonly decisions: Decision[] = [];
+  private readonly entries: Entry[];
+  private readonly leaders = [0, 1, 2];
+  private readonly members: QuotaLeader[];
+  private deliveries: Delivery[] = [];
+  private term = 1;
+  private leading = 0;
+  private atMs = 0;
+
+  constructor(private readonly day: QuotaDay) {
+    this.members = this.leaders.map(() => new QuotaLeader(day.tolerance));
+    this.entries = Array.from({length: day.entries}, (_, index) => ({
+      id: asId<InstanceId>(`e${index}`),
+      quotas: new EntryQuotas(() => day.entries),
+      incarnation: 1,
+      suspendedMs: 0,
+      wallOffsetMs: 0,
+      waiting: [],
+      pending: new Map(),
+    }));
+    // Before the first table, so that no earlier leader can have leased anything.
+    this.members[0]?.confirm(this.confirmation(), [], 0);
+  }
+
+  run(): readonly Decision[] {
+    const steps = Math.ceil(this.day.lengthMs / STEP_MS);
+    Array.from({length: steps}, (_, step) => this.step(step));
+    return this.decisions;
+  }
+
+  private step(step: number): void {
+    this.atMs = step * STEP_MS;
+    this.beginFaults();
+    const due = this.deliveries.filter(each => each.dueMs <= this.atMs);
+    this.deliveries = this.deliveries.filter(each => each.dueMs > this.atMs);
+    due.forEach(each => each.run());
+    if (step % CONFIRM_STEPS === 0) {
+      this.members[this.leading]?.confirm(
+        this.confirmation(),
+        [this.day.spec],
+        this.atMs,
+      );
+    }
+    this.entries.forEach((entry, index) => {
+      if (this.isUnder('suspend', index)) {
+        entry.suspendedMs += STEP_MS;
+        return;
+      }
+      this.runEntry(entry, index, step);
+    });
+  }
+
+  private runEntry(entry: Entry, index: number, step: number): void {
+    this.day
+      .arrivals(index, this.atMs)
+      .forEach(units => this.arrive(entry, index, units));
+    const late = entry.waiting.filter(
+      each => this.atMs - each.sinceMs >= ASK_TIMEOUT_MS,
+    );
+    if (late.length > 0) this.refuseWaiting(entry, index);
+    const isDue = step % ANNOUNCE_STEPS === index % ANNOUNCE_STEPS;
+    this.leaders
+      .filter(member => {
+        const isUrgent =
+          entry.waiting.length > 0 &&
+          entry.quotas.leaderId === memberId(member);
+        return isDue || isUrgent;
+      })
+      .forEach(member => this.announce(entry, index, member));
+  }
+
+  private arrive(entry: Entry, index: number, units: number): void {
+    const verdict = entry.quotas.arrive(this.day.spec, units, this.now(entry));
+    if (verdict.kind === 'ask') {
+      entry.waiting.push({units, sinceMs: this.atMs});
+      this.stateOf(entry).waiting.push(units);
+      return;
+    }
+    this.decide(index, units, verdict.kind === 'admitted');
+  }
+
+  private announce(entry: Entry, index: number, member: number): void {
+    const deadlineMs = entry.pending.get(member);
+    if (deadlineMs !== undefined && deadlineMs > this.atMs) return;
+    entry.pending.set(member, this.atMs + CALL_TIMEOUT_MS);
+    const sentAt = this.now(entry);
+    const {quotas, incarnation, id} = entry;
+    const report = quotas.reportFor(memberId(member), sentAt);
+    const ask = (isCopy: boolean): void =>
+      this.send(index, () => {
+        const answer = this.members[member]?.answer(
+          {instanceId: id, incarnation},
+          report as QuotaReport | undefined,
+          this.memberNow(),
+        );
+        if (isCopy) return;
+        this.send(index, () =>
+          this.reply(entry, index, member, {
+            answer,
+            sentAt,
+            incarnation,
+          }),
+        );
+      });
+    ask(false);
+    if (this.isUnder('lossy') && this.day.random() < 0.3) ask(true);
+  }
+
+  private reply(
+    entry: Entry,
+    index: number,
+    member: number,
+    call: {
+      readonly answer: QuotaReply | undefined;
+      readonly sentAt: Instant;
+      readonly incarnation: number;
+    },
+  ): void {
+    const now = this.now(entry);
+    const tookMs = now.monotonicMs - call.sentAt.monotonicMs;
+    const isLate = tookMs >= CALL_TIMEOUT_MS;
+    if (isLate || call.incarnation !== entry.incarnation) return;
+    if (this.isUnder('suspend', index)) return;
+    entry.pending.delete(member);
+    if (call.answer === undefined) return;
+    const {quotas} = entry;
+    if (!quotas.apply(memberId(member), call.answer, call.sentAt, now)) return;
+    if (call.answer.workspaces.length > 0) this.serveWaiting(entry, index);
+  }
+
+  private serveWaiting(entry: Entry, index: number): void {
+    const state = this.stateOf(entry);
+    const now = this.now(entry);
+    const uncovered = entry.waiting.findIndex(
+      ({units}) => !state.balance.take(units, now),
+    );
+    const count = uncovered < 0 ? entry.waiting.length : uncovered;
+    entry.waiting
+      .splice(0, count)
+      .forEach(({units}) => this.decide(index, units, true));
+    state.waiting.splice(0, count);
+    state.balance.settle();
+    if (state.balance.isExhausted(now.monotonicMs)) {
+      this.refuseWaiting(entry, index);
+    }
+  }
+
+  private refuseWaiting(entry: Entry, index: number): void {
+    const {spec} = this.day;
+    entry.waiting.splice(0).forEach(({units}) => {
+      const {kind} = entry.quotas.lastResort(spec, units, this.now(entry));
+      this.decide(index, units, kind === 'admitted');
+    });
+    this.stateOf(entry).waiting.splice(0);
+  }
+
+  // Links that are cut hold messages back no longer than a call lasts.
+  private send(entry: number, run: () => void): void {
+    const isCut = this.isUnder('cut', entry);
+    const isLost = this.isUnder('lossy') && this.day.random() < 0.3;
+    if (isCut || isLost) return;
+    const dueMs = this.atMs + this.day.delayMs();
+    this.deliveries.push({dueMs, run});
+  }
+
+  private beginFaults(): void {
+    this.day.faults
+      .filter(({atMs}) => atMs >= this.atMs && atMs < this.atMs + STEP_MS)
+      .forEach(fault => this.begin(fault));
+  }
+
+  private begin(fault: TimedFault): void {
+    if (fault.kind === 'new_leader') {
+      this.leading = fault.member;
+      this.term += 1;
+    }
+    if (fault.kind === 'restart') {
+      const entry = this.entries[fault.entry];
+      if (entry === undefined) return;
+      entry.incarnation += 1;
+      entry.quotas = new EntryQuotas(() => this.day.entries);
+      entry.waiting = [];
+      entry.pending.clear();
+    }
+    if (fault.kind === 'set_clock') {
+      const entry = this.entries[fault.entry];
+      if (entry !== undefined) entry.wallOffsetMs += fault.byMs;
+    }
+  }
+
+  private isUnder(kind: Fault['kind'], entry?: number): boolean {
+    return this.day.faults.some(
+      fault =>
+        fault.kind === kind &&
+        (!('entry' in fault) || fault.entry === entry) &&
+        this.atMs >= fault.atMs &&
+        this.atMs < fault.atMs + fault.forMs,
+    );
+  }
+
+  private decide(entry: number, units: number, isAdmitted: boolean): void {
+    this.decisions.push({atMs: this.atMs, entry, units, isAdmitted});
+  }
+
+  private stateOf(entry: Entry): ReturnType<EntryQuotas['stateOf']> {
+    return entry.quotas.stateOf(this.day.spec.name, this.now(entry));
+  }
+
+  private now({suspendedMs, wallOffsetMs}: Entry): Instant {
+    return {
+      monotonicMs: this.atMs - suspendedMs,
+      wallMs: this.atMs + wallOffsetMs,
+    };
+  }
+
+  private memberNow(): Instant {
+    return {monotonicMs: this.atMs, wallMs: this.atMs};
+  }
+
+  private confirmation(): {term: Term; askedAt: Instant} {
+    return {term: asNumber<Term>(this.term), askedAt: this.memberNow()};
+  }
+}
+
+function memberId(member: number): InstanceId {
+  return asId<InstanceId>(`c${member}`);
+}
+
+/** A workspace with a quota in tokens. */
+export function limitedWorkspace(
+  ratePerS: number,
+  burst: number,
+): WorkspaceSpec {
+  return {
+    name: asId<WorkspaceId>('limited'),
+    keyDigests: [],
+    homeRegions: [],
+    quota: {unit: 'tokens', ratePerS, burst, plainTokens: 200},
+  };
+}
+
+/** The most units that were admitted in any window of a length. */
+export function worstWindow(
+  decisions: readonly Decision[],
+  windowMs: number,
+): number {
+  const admitted = decisions.filter(each => each.isAdmitted);
+  let first = 0;
+  let sum = 0;
+  let worst = 0;
+  admitted.forEach(({atMs, units}) => {
+    sum += units;
+    for (
+      let oldest = admitted[first];
+      oldest !== undefined && atMs - oldest.atMs > windowMs;
+      oldest = admitted[first]
+    ) {
+      sum -= oldest.units;
+      first += 1;
+    }
+    worst = Math.max(worst, sum);
+  });
+  return worst;
+}
--- /dev/null
+++ b/src/node/quotas/balance.ts
@@ -0,0 +1,201 @@
+/** The units of one workspace that an entry may admit. */
+import type {WorkspaceId} from '../types/ids.js';
+import {EXCHANGE_MS, SHARE_LEASE_MS} from './constants.js';
+import {DemandMeter} from './demand_meter.js';
+import {longestMsBetween, type Instant} from './instant.js';
+import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
+
+const MS_PER_S = 1_000;
+/** Sums of grants are rounded. */
+const ROUNDING_UNITS = 1e-6;
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 5_000;
+
+/** The lease that an entry acts on. */
+export interface HeldLease {
+  readonly version: number;
+  readonly sharePerS: number;
+  readonly ceilingUnits: number;
+  /** Just before the announcement was sent whose reply renewed it. */
+  readonly renewedAt: Instant;
+}
+
+/**
+ * The balance grows by the entry's share of the rate up to its ceiling, and by grants.
+ * What the demand does not need goes back to the pool with the next report.
+ */
+export class Balance {
+  readonly demand = new DemandMeter();
+  private lease: HeldLease | undefined;
+  private version = 0;
+  private units = 0;
+  /** Given back, and not known to have arrived. */
+  private returningUnits = 0;
+  private returnedUnits = 0;
+  private appliedUnits = 0;
+  private maxUnits = Number.POSITIVE_INFINITY;
+  private accruedAtMs: number;
+  private exhaustedUntilMs = Number.NEGATIVE_INFINITY;
+  private poolRetryMs = MIN_RETRY_MS;
+
+  constructor(
+    private readonly workspace: WorkspaceId,
+    private readonly epoch: number,
+    now: Instant,
+  ) {
+    this.accruedAtMs = now.monotonicMs;
+  }
+
+  /** Takes units from the balance if it has enough. */
+  take(units: number, now: Instant): boolean {
+    this.accrue(now);
+    const isCovered =
+      this.lease !== undefined &&
+      this.units + ROUNDING_UNITS >= Math.min(units, this.maxUnits);
+    if (isCovered) this.units -= units;
+    return isCovered;
+  }
+
+  /** Puts back what did not run. */
+  putBack(units: number, now: Instant): void {
+    this.accrue(now);
+    const room = this.ceilingUnits - this.units - this.returningUnits;
+    this.units += Math.max(0, Math.min(units, room));
+  }
+
+  /** Whether the pool was said to be empty a moment ago. */
+  isExhausted(nowMs: number): boolean {
+    return nowMs < this.exhaustedUntilMs;
+  }
+
+  /** When the balance is expected to cover a request behind others. */
+  retryAfterMs(units: number, now: Instant): number {
+    this.accrue(now);
+    const perS = this.lease?.sharePerS ?? 0;
+    const missing = Math.min(units, this.maxUnits) - this.units;
+    const ownMs =
+      perS > 0 && this.ceilingUnits >= units
+        ? (missing * MS_PER_S) / perS
+        : Number.POSITIVE_INFINITY;
+    const leftMs = Math.max(
+      this.poolRetryMs,
+      this.exhaustedUntilMs - now.monotonicMs,
+    );
+    const retryMs = Math.min(ownMs, leftMs);
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, retryMs));
+  }
+
+  /** Whether the leader has nothing to know of it. */
+  isIdle(now: Instant): boolean {
+    this.accrue(now);
+    const holds = this.units > 0 || this.returningUnits > 0;
+    const isLeased = this.ceilingUnits > 0 || (this.lease?.sharePerS ?? 0) > 0;
+    return !holds && !isLeased && this.demand.isIdle(now.monotonicMs);
+  }
+
+  /** For metrics and the operator. */
+  state(now: Instant): Pick<HeldLease, 'sharePerS' | 'ceilingUnits'> & {
+    readonly units: number;
+    readonly demandPerS: number;
+    readonly hasLease: boolean;
+  } {
+    this.accrue(now);
+    return {
+      units: this.units,
+      sharePerS: this.lease?.sharePerS ?? 0,
+      ceilingUnits: this.ceilingUnits,
+      demandPerS: this.demand.perS(now.monotonicMs),
+      hasLease: this.lease !== undefined,
+    };
+  }
+
+  /** The report to the leader; `waiting` are the units of requests that wait. */
+  report(waiting: readonly number[], now: Instant): WorkspaceReport {
+    this.accrue(now);
+    const {monotonicMs: nowMs} = now;
+    const largestUnits = this.demand.largestUnits(nowMs);
+    const demandPerS = this.demand.perS(nowMs);
+    const waitingUnits = waiting.reduce((sum, each) => sum + each, 0);
+    const wanted = this.wantedUnits(demandPerS, largestUnits);
+    if (waiting.length === 0) this.giveBack(this.units - wanted);
+    return {
+      workspace: this.workspace,
+      epoch: this.epoch,
+      version: this.version,
+      sharePerS: this.lease?.sharePerS ?? 0,
+      ceilingUnits: this.ceilingUnits,
+      appliedUnits: this.appliedUnits,
+      returnedUnits: this.returnedUnits,
+      demandPerS,
+      largestUnits,
+      waitingUnits: Math.max(0, waitingUnits - Math.max(0, this.units)),
+      firstUnits: Math.max(0, (waiting[0] ?? 0) - this.units),
+      refillUnits: Math.max(0, wanted - this.units),
+    };
+  }
+
+  /** Acts on a reply to an announcement that was sent at `sentAt`. */
+  apply(grant: WorkspaceGrant, sentAt: Instant, now: Instant): void {
+    this.accrue(now);
+    if (grant.version < this.version) return;
+    const {version, sharePerS, ceilingUnits} = grant;
+    const granted = Math.max(0, grant.grantedUnits - this.appliedUnits);
+    this.version = version;
+    this.lease = {version, sharePerS, ceilingUnits, renewedAt: sentAt};
+    this.appliedUnits += granted;
+    this.units += granted;
+    this.returningUnits = Math.max(0, this.returnedUnits - grant.returnedUnits);
+    this.maxUnits = grant.maxUnits;
+    this.poolRetryMs = grant.retryAfterMs ?? MIN_RETRY_MS;
+    this.exhaustedUntilMs = now.monotonicMs + (grant.retryAfterMs ?? 0);
+  }
+
+  /** Gives back what exceeds the ceiling, after waiting requests had their part. */
+  settle(): void {
+    this.giveBack(this.units + this.returningUnits - this.ceilingUnits);
+  }
+
+  private get ceilingUnits(): number {
+    return this.lease?.ceilingUnits ?? 0;
+  }
+
+  // A balance that no request fits into is of more use in the pool.
+  private wantedUnits(demandPerS: number, largestUnits: number): number {
+    const isUsable = largestUnits > 0 && this.ceilingUnits >= largestUnits;
+    if (!isUsable) return 0;
+    const exchangeS = EXCHANGE_MS / MS_PER_S;
+    const prefetch = demandPerS * exchangeS + largestUnits;
+    // Leaves room for what the share gains until the next report, which would be lost.
+    const sharePerS = this.lease?.sharePerS ?? 0;
+    const gained = sharePerS * exchangeS;
+    const most = Math.max(largestUnits, this.ceilingUnits - gained);
+    return Math.min(most, prefetch);
+  }
+
+  private giveBack(surplusUnits: number): void {
+    const units = Math.max(0, Math.min(surplusUnits, this.units));
+    this.units -= units;
+    this.returningUnits += units;
+    this.returnedUnits += units;
+  }
+
+  private accrue(now: Instant): void {
+    const elapsedMs = Math.max(0, now.monotonicMs - this.accruedAtMs);
+    this.accruedAtMs = Math.max(now.monotonicMs, this.accruedAtMs);
+    if (this.lease === undefined) return;
+    if (longestMsBetween(this.lease.renewedAt, now) >= SHARE_LEASE_MS) {
+      this.expire();
+      return;
+    }
+    const room = this.ceilingUnits - this.units - this.returningUnits;
+    const gained = (this.lease.sharePerS * elapsedMs) / MS_PER_S;
+    this.units += Math.max(0, Math.min(gained, room));
+  }
+
+  // A debt outlives the lease.
+  private expire(): void {
+    this.lease = undefined;
+    this.units = Math.min(0, this.units);
+    this.returningUnits = 0;
+  }
+}
--- /dev/null
+++ b/src/node/quotas/constants.ts
@@ -0,0 +1,40 @@
+/** Durations and shares of the quota leases. */
+
+/**
+ * How long an entry may use its share without a reply of the leader. It bridges
+ * partitions that end by themselves; the share of an entry that is lost stays
+ * reserved for as long.
+ */
+export const SHARE_LEASE_MS = 10_000;
+/** Maximum relative difference between the rates of two clocks. */
+export const MAX_CLOCK_DRIFT = 0.01;
+/** How long a leader relies on a quorum that confirmed it. */
+export const LEADERSHIP_VALIDITY_MS = 1_000;
+/** From the election of a leader until its predecessor certainly grants nothing. */
+export const FENCE_MS = LEADERSHIP_VALIDITY_MS * (1 + MAX_CLOCK_DRIFT);
+/** From the election of a leader until all leases it was not told of have expired. */
+export const RECOVERY_MS = FENCE_MS + SHARE_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+
+/** Part of the rate that is leased as shares; the rest fills the pool. */
+export const LEASED_RATE_SHARE = 0.95;
+/** Part of the shares that is divided by demand; the rest is divided evenly. */
+export const BY_DEMAND_SHARE = 0.6;
+/** Part of the capacity that entries may hold, or be about to receive. */
+export const HELD_SHARE = 0.85;
+/** Part of the capacity that the ceilings of all entries may take. */
+export const CEILING_SHARE = 0.55;
+/** Covers the time between two replies of the leader to an entry. */
+export const EXCHANGE_MS = 600;
+/**
+ * How long a request waits for a grant: for the reply to an announcement under way,
+ * and for the one after it.
+ */
+export const ASK_TIMEOUT_MS = 400;
+/** Smaller relative changes of a share are not worth a new version. */
+export const MIN_SHARE_CHANGE = 0.1;
+
+/**
+ * Part of the rate that entries without a lease use in sum. Their buckets hold one
+ * window of it, so the floor takes twice this part of the overage.
+ */
+export const FLOOR_RATE_SHARE = 0.01;
--- /dev/null
+++ b/src/node/quotas/floor.ts
@@ -0,0 +1,39 @@
+/**
+ * What an entry may run of a quota without any lease. All entries together stay within
+ * a small part of the rate, so that nobody need know which of them are cut off.
+ */
+import type {WorkspaceQuota} from '../routes/route_table.js';
+import {FLOOR_RATE_SHARE} from './constants.js';
+import {DEFAULT_TOLERANCE} from './limits.js';
+
+const MS_PER_S = 1_000;
+
+/** A token bucket that holds what it gains in one window. */
+export class Floor {
+  private level = 0;
+  private filledAtMs: number;
+
+  constructor(nowMs: number) {
+    this.filledAtMs = nowMs;
+  }
+
+  /** Takes units if there are enough; `entries` divide the floor. */
+  take(
+    units: number,
+    {ratePerS}: WorkspaceQuota,
+    entries: number,
+    nowMs: number,
+  ): boolean {
+    const perMs =
+      (ratePerS * FLOOR_RATE_SHARE) / Math.max(1, entries) / MS_PER_S;
+    const elapsedMs = Math.max(0, nowMs - this.filledAtMs);
+    this.filledAtMs = nowMs;
+    this.level = Math.min(
+      this.level + perMs * elapsedMs,
+      perMs * DEFAULT_TOLERANCE.windowMs,
+    );
+    if (this.level < units) return false;
+    this.level -= units;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/node/quotas/quota_gate.ts
@@ -0,0 +1,212 @@
+/**
+ * Admits the requests of callers within the quotas of their workspaces. A request that
+ * the balance of this entry does not cover asks the leader once and waits a moment for
+ * the answer; if the pool is known to be empty, it is refused at once.
+ */
+import type {Logger} from '../logging/logger.js';
+import type {MetricsRegistry} from '../metrics/registry.js';
+import type {WorkspaceQuota, WorkspaceSpec} from '../routes/route_table.js';
+import type {PromptSize} from '../scheduling/types.js';
+import type {InstanceId} from '../types/ids.js';
+import {
+  EntryQuotas,
+  type Admission,
+  type QuotaCharge,
+  type WorkspaceState,
+} from './entry_quotas.js';
+import {ASK_TIMEOUT_MS} from './constants.js';
+import {instantNow, type Instant} from './instant.js';
+import {LimitedWorkspaces} from './limited_workspaces.js';
+import type {QuotaReply, QuotaReport} from './messages.js';
+
+/** Questions of requests that arrive within this time are asked together. */
+const MIN_ASK_INTERVAL_MS = 20;
+const MAX_WAITING = 256;
+
+export interface QuotaGateOptions {
+  /** How many entries the deployment has; `undefined` if that is not known yet. */
+  readonly entries: () => number | undefined;
+  /** Announces this entry to a control member without waiting for the interval. */
+  readonly announceNow: (control: InstanceId) => void;
+  readonly logger: Logger;
+  readonly metrics: MetricsRegistry;
+}
+
+interface Waiter {
+  readonly spec: WorkspaceSpec;
+  readonly units: number;
+  readonly settle: (admission: Admission) => void;
+  readonly timer: ReturnType<typeof setTimeout>;
+}
+
+/** What a request counts against a quota. */
+export function unitsOf(
+  {unit, plainTokens}: WorkspaceQuota,
+  prompt: Pick<PromptSize, 'promptTokens' | 'maxOutputTokens'> | undefined,
+): number {
+  if (unit === 'requests') return 1;
+  return prompt === undefined
+    ? plainTokens
+    : prompt.promptTokens + prompt.maxOutputTokens;
+}
+
+/** The quotas of one entry. */
+export class QuotaGate {
+  private readonly quotas: EntryQuotas;
+  private readonly limited: LimitedWorkspaces;
+  private readonly waiters = new Map<WorkspaceState, Waiter[]>();
+  private askTimer: ReturnType<typeof setTimeout> | undefined;
+
+  constructor(private readonly options: QuotaGateOptions) {
+    this.quotas = new EntryQuotas(options.entries);
+    this.limited = new LimitedWorkspaces(options);
+    options.metrics.beforeRead(() => this.exportGauges());
+  }
+
+  /** Charges a request, or names the time after which it may come back. */
+  async admit(
+    spec: WorkspaceSpec,
+    prompt: Pick<PromptSize, 'promptTokens' | 'maxOutputTokens'> | undefined,
+  ): Promise<Admission> {
+    const {quota} = spec;
+    if (quota === undefined) {
+      return {kind: 'admitted', charge: {workspace: spec.name, units: 0}};
+    }
+    const now = instantNow();
+    const units = unitsOf(quota, prompt);
+    const state = this.quotas.stateOf(spec.name, now);
+    const verdict = this.quotas.arrive(spec, units, now);
+    const admission =
+      verdict.kind === 'ask' ? await this.ask(spec, units, state) : verdict;
+    this.limited.note(spec, units, admission, state.balance);
+    return admission;
+  }
+
+  /** Takes back the charge of a request that did not run. */
+  refund(charge: QuotaCharge): void {
+    this.quotas.putBack(charge, instantNow());
+    const {workspace, units} = charge;
+    this.options.metrics.count('quota_units_refunded', {workspace}, units);
+  }
+
+  /** Workspaces of a new route table. */
+  applyWorkspaces(workspaces: readonly WorkspaceSpec[]): void {
+    const limited = workspaces.filter(each => each.quota !== undefined);
+    this.quotas.retain(new Set(limited.map(each => each.name)));
+  }
+
+  /** Control members take this process for another one from now on. */
+  reset(): void {
+    this.quotas.reset();
+  }
+
+  reportFor(control: InstanceId): QuotaReport | undefined {
+    return this.quotas.reportFor(control, instantNow());
+  }
+
+  /** The reply to an announcement that was sent at `sentAt`. */
+  apply(control: InstanceId, reply: QuotaReply, sentAt: Instant): void {
+    const now = instantNow();
+    if (!this.quotas.apply(control, reply, sentAt, now)) return;
+    reply.workspaces.forEach(({workspace}) => {
+      const state = this.quotas.workspaces.get(workspace);
+      if (state !== undefined) this.serveWaiting(state, now);
+    });
+    if (this.waiters.size > 0) this.scheduleAsk();
+  }
+
+  stop(): void {
+    clearTimeout(this.askTimer);
+    [...this.waiters.entries()].forEach(([state, queue]) =>
+      [...queue].forEach(waiter => this.giveUp(state, waiter)),
+    );
+  }
+
+  private ask(
+    spec: WorkspaceSpec,
+    units: number,
+    state: WorkspaceState,
+  ): Promise<Admission> {
+    const queue = this.waiters.get(state) ?? [];
+    if (queue.length >= MAX_WAITING) {
+      return Promise.resolve(this.lastResort(spec, units));
+    }
+    return new Promise(settle => {
+      const timer = setTimeout(
+        () => this.giveUp(state, waiter),
+        ASK_TIMEOUT_MS,
+      );
+      const waiter: Waiter = {spec, units, settle, timer};
+      queue.push(waiter);
+      state.waiting.push(units);
+      this.waiters.set(state, queue);
+      this.scheduleAsk();
+    });
+  }
+
+  // Requests that arrive together are asked for together.
+  private scheduleAsk(): void {
+    if (this.askTimer !== undefined) return;
+    this.askTimer = setTimeout(() => {
+      this.askTimer = undefined;
+      const {leaderId} = this.quotas;
+      const isNeeded = this.waiters.size > 0 && leaderId !== undefined;
+      if (isNeeded) this.options.announceNow(leaderId);
+    }, MIN_ASK_INTERVAL_MS);
+  }
+
+  private serveWaiting(state: WorkspaceState, now: Instant): void {
+    const queue = this.waiters.get(state) ?? [];
+    const firstUncovered = queue.findIndex(
+      ({units}) => !state.balance.take(units, now),
+    );
+    const covered = firstUncovered < 0 ? queue : queue.slice(0, firstUncovered);
+    [...covered].forEach(waiter => {
+      const {spec, units} = waiter;
+      const charge = {workspace: spec.name, units};
+      this.settle(state, waiter, {kind: 'admitted', charge});
+    });
+    state.balance.settle();
+    if (!state.balance.isExhausted(now.monotonicMs)) return;
+    [...(this.waiters.get(state) ?? [])].forEach(waiter =>
+      this.giveUp(state, waiter),
+    );
+  }
+
+  private giveUp(state: WorkspaceState, waiter: Waiter): void {
+    const {spec, units} = waiter;
+    this.settle(state, waiter, this.lastResort(spec, units));
+  }
+
+  private lastResort(spec: WorkspaceSpec, units: number): Admission {
+    return this.quotas.lastResort(spec, units, instantNow());
+  }
+
+  private settle(
+    state: WorkspaceState,
+    waiter: Waiter,
+    admission: Admission,
+  ): void {
+    clearTimeout(waiter.timer);
+    const queue = this.waiters.get(state) ?? [];
+    const position = queue.indexOf(waiter);
+    queue.splice(position, 1);
+    state.waiting.splice(position, 1);
+    if (queue.length === 0) this.waiters.delete(state);
+    waiter.settle(admission);
+  }
+
+  private exportGauges(): void {
+    const now = instantNow();
+    const {metrics} = this.options;
+    this.quotas.workspaces.forEach(({balance}, workspace) => {
+      const {units, sharePerS, ceilingUnits, demandPerS, hasLease} =
+        balance.state(now);
+      metrics.set('quota_balance_units', {workspace}, units);
+      metrics.set('quota_share_per_s', {workspace}, sharePerS);
+      metrics.set('quota_ceiling_units', {workspace}, ceilingUnits);
+      metrics.set('quota_demand_per_s', {workspace}, demandPerS);
+      metrics.set('quota_has_lease', {workspace}, hasLease ? 1 : 0);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/quotas/quota_leader.ts
@@ -0,0 +1,113 @@
+/** Divides the quotas of all workspaces among entries, while this member leads. */
+import type {WorkspaceSpec} from '../routes/route_table.js';
+import type {InstanceId, Term, WorkspaceId} from '../types/ids.js';
+import {LEADERSHIP_VALIDITY_MS, RECOVERY_MS} from './constants.js';
+import {longestMsBetween, type Instant} from './instant.js';
+import {poolLimits, type QuotaTolerance} from './limits.js';
+import type {QuotaReply, QuotaReport, WorkspaceGrant} from './messages.js';
+import {WorkspacePool} from './workspace_pool.js';
+
+/** That a quorum confirmed the leadership of this member. */
+export interface Confirmation {
+  readonly term: Term;
+  /** Before the quorum was asked. */
+  readonly askedAt: Instant;
+}
+
+/** The quotas as one member of the control group sees them. */
+export class QuotaLeader {
+  private confirmation: Confirmation | undefined;
+  private pools = new Map<WorkspaceId, WorkspacePool>();
+  private workspaces: readonly WorkspaceSpec[] | undefined;
+  /** Names whose pool was dropped while their leases may still be in use. */
+  private readonly droppedAtMs = new Map<WorkspaceId, number>();
+
+  constructor(private readonly tolerance: QuotaTolerance) {}
+
+  /** A quorum confirmed that this member leads; pools of another term are void. */
+  confirm(
+    confirmation: Confirmation,
+    workspaces: readonly WorkspaceSpec[],
+    nowMs: number,
+  ): void {
+    const isNewTerm = this.confirmation?.term !== confirmation.term;
+    this.confirmation = confirmation;
+    if (isNewTerm) {
+      this.pools = new Map();
+      this.workspaces = undefined;
+    }
+    this.applyWorkspaces(workspaces, nowMs);
+  }
+
+  /** The reply to an entry; `undefined` unless this member certainly leads. */
+  answer(
+    entry: {readonly instanceId: InstanceId; readonly incarnation: number},
+    report: QuotaReport | undefined,
+    now: Instant,
+  ): QuotaReply | undefined {
+    const {confirmation} = this;
+    const leads =
+      confirmation !== undefined &&
+      longestMsBetween(confirmation.askedAt, now) < LEADERSHIP_VALIDITY_MS;
+    if (!leads || this.pools.size === 0) return undefined;
+    const {term} = confirmation;
+    // What the entry holds counts only once it takes nothing from others.
+    const reports = report?.term === term ? report.workspaces : [];
+    const {instanceId, incarnation} = entry;
+    const source = {
+      entry: instanceId,
+      incarnation,
+      sequence: report?.sequence ?? 0,
+    };
+    const workspaces = reports.flatMap<WorkspaceGrant>(
+      each =>
+        this.pools.get(each.workspace)?.answer(source, each, now.monotonicMs) ??
+        [],
+    );
+    return {term, workspaces};
+  }
+
+  private applyWorkspaces(
+    workspaces: readonly WorkspaceSpec[],
+    nowMs: number,
+  ): void {
+    if (this.workspaces === workspaces) return;
+    // Those of the first table of a term may have been leased by another leader.
+    const isFirst = this.workspaces === undefined;
+    this.workspaces = workspaces;
+    const limited = workspaces.filter(each => each.quota !== undefined);
+    this.dropOthers(new Set(limited.map(each => each.name)), nowMs);
+    limited.forEach(spec => this.applyQuota(spec, isFirst, nowMs));
+  }
+
+  private dropOthers(kept: ReadonlySet<WorkspaceId>, nowMs: number): void {
+    [...this.pools.keys()]
+      .filter(name => !kept.has(name))
+      .forEach(name => {
+        this.pools.delete(name);
+        this.droppedAtMs.set(name, nowMs);
+      });
+    [...this.droppedAtMs]
+      .filter(([, atMs]) => nowMs - atMs > RECOVERY_MS)
+      .forEach(([name]) => this.droppedAtMs.delete(name));
+  }
+
+  private applyQuota(
+    {name, quota}: WorkspaceSpec,
+    isFirst: boolean,
+    nowMs: number,
+  ): void {
+    if (quota === undefined) return;
+    const limits = poolLimits(quota, this.tolerance);
+    const known = this.pools.get(name);
+    if (known !== undefined) {
+      known.applyLimits(limits, nowMs);
+      return;
+    }
+    const mayHavePredecessor = isFirst || this.droppedAtMs.has(name);
+    this.pools.set(
+      name,
+      new WorkspacePool({limits, mayHavePredecessor, nowMs}),
+    );
+  }
+}
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -20,6 +20,10 @@
   type CallerLocation,
 } from '../fleet/instance_registry.js';
 import type {Logger} from '../logging/logger.js';
+import {instantNow} from '../quotas/instant.js';
+import {LeadershipCheck} from '../quotas/leadership_check.js';
+import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
+import {QuotaLeader} from '../quotas/quota_leader.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -44,6 +48,7 @@
   homesOf,
   type ControlState,
   type RouteTable,
+  type WorkspaceSpec,
 } from './route_table.js';
 import {
   RouteTableMachine,
@@ -67,6 +72,7 @@
 const ELECTION_MAX_MS = 900;
 /** Callers of the operators' interface wait little longer than one second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
+const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 export interface ControlPlaneOptions {
   readonly instanceId: InstanceId;
@@ -83,6 +89,8 @@
   readonly seedAddresses?: () => readonly string[];
   /** Members that may be lost at the same time. @default 1 */
   readonly toleratedLosses?: number;
+  /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
+  readonly quotaTolerance?: QuotaTolerance;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -104,12 +112,15 @@
     | undefined;
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
+  private readonly quotas: QuotaLeader;
+  private leadership: LeadershipCheck | undefined;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
+    this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -179,6 +190,7 @@
   /** Transfers leadership, leaves a group with other voters, closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
+    this.leadership?.stop();
     this.abortController.abort();
     await this.member?.replica.transferLeadership();
     await this.membership?.leave();
@@ -276,6 +288,14 @@
       seedAddresses: () => this.seedAddresses(),
     });
     this.membership.start();
+    this.leadership = new LeadershipCheck(log, confirmation =>
+      this.quotas.confirm(
+        confirmation,
+        this.machine.state.table?.workspaces ?? NO_WORKSPACES,
+        monotonicNowMs(),
+      ),
+    );
+    this.leadership.start();
   }
 
   private seedAddresses(): readonly string[] {
@@ -286,11 +306,14 @@
   }
 
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
-    this.registry.record(announcement.entry, monotonicNowMs());
+    const {entry} = announcement;
+    this.registry.record(entry, monotonicNowMs());
+    const quotas = this.quotas.answer(entry, announcement.quotas, instantNow());
     return {
       revision: this.stateForEntries.revision,
-      incarnation: this.registry.incarnationOf(announcement.entry.instanceId),
+      incarnation: this.registry.incarnationOf(entry.instanceId),
       ...this.registry.viewUpdate(announcement, this.controlMembers()),
+      ...(quotas === undefined ? {} : {quotas}),
     };
   }
 
