--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -20,6 +20,10 @@
   type CallerLocation,
 } from '../fleet/instance_registry.js';
 import type {Logger} from '../logging/logger.js';
+import {instantNow} from '../quotas/instant.js';
+import {LeadershipCheck} from '../quotas/leadership_check.js';
+import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
+import {QuotaLeader} from '../quotas/quota_leader.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -45,6 +49,7 @@
   homesOf,
   type ControlState,
   type RouteTable,
+  type WorkspaceSpec,
 } from './route_table.js';
 import {
   RouteTableMachine,
@@ -69,6 +74,7 @@
 const ELECTION_MAX_MS = 900;
 /** Callers of the operators' interface wait little longer than one second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
+const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 export interface ControlPlaneOptions {
   readonly instanceId: InstanceId;
@@ -87,6 +93,8 @@
   readonly toleratedLosses?: number;
   /** Shared by all instances; seals configurations that hold keys of callers. */
   readonly clusterSecret: string;
+  /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
+  readonly quotaTolerance?: QuotaTolerance;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -110,6 +118,8 @@
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
   private isWritable = true;
+  private readonly quotas: QuotaLeader;
+  private leadership: LeadershipCheck | undefined;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
@@ -117,6 +127,7 @@
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
     this.seal = new SourceSeal(options.clusterSecret);
+    this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -187,6 +198,7 @@
   /** Transfers leadership, leaves a group with other voters, closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
+    this.leadership?.stop();
     this.abortController.abort();
     await this.member?.replica.transferLeadership();
     await this.membership?.leave();
@@ -297,6 +309,14 @@
       seedAddresses: () => this.seedAddresses(),
     });
     this.membership.start();
+    this.leadership = new LeadershipCheck(log, confirmation =>
+      this.quotas.confirm(
+        confirmation,
+        this.machine.state.table?.workspaces ?? NO_WORKSPACES,
+        monotonicNowMs(),
+      ),
+    );
+    this.leadership.start();
   }
 
   private noteStorage({isWritable, cause}: StorageChange): void {
@@ -320,11 +340,14 @@
   }
 
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
-    this.registry.record(announcement.entry, monotonicNowMs());
+    const {entry} = announcement;
+    this.registry.record(entry, monotonicNowMs());
+    const quotas = this.quotas.answer(entry, announcement.quotas, instantNow());
     return {
       revision: this.stateForEntries.revision,
-      incarnation: this.registry.incarnationOf(announcement.entry.instanceId),
+      incarnation: this.registry.incarnationOf(entry.instanceId),
       ...this.registry.viewUpdate(announcement, this.controlMembers()),
+      ...(quotas === undefined ? {} : {quotas}),
     };
   }
 
