Give room to answers in time, and bound what callers that return may take

A test of five loads on one scheduler shows what the order of the queue did to callers: under an overload of a tenth, each caller that came back took the place of one that would have been answered in time and came back in turn. Room is now booked for an eighth of the drain rate; others that were refused get what new requests do not need. A request that would be answered after its target is ended once that is known, large prompts go before smaller ones that could start later, and a priority is admitted by the floor that it keeps.

--- a/src/node/decisions/admission/fair_queue.ts
+++ b/src/node/decisions/admission/fair_queue.ts
@@ -1,6 +1,6 @@
 /**
  * Weighted fair queueing by workspace within one rank: each workspace has its
- * own FIFO queue, and the next request is the head with the least virtual start
+ * own queue, and the next request is the head with the least virtual start
  * time (start-time fair queueing). The own interface and the schedulers of the
  * regions share it; each queues its own kind of request.
  */
@@ -25,10 +25,10 @@
   /** Weight of its workspace in the fair sharing of the rank. */
   readonly fairWeight: number;
   /**
-   * Whether its caller was refused and came back when told to. It goes before
-   * the other requests of its workspace.
+   * When it must start at the latest. The requests of a workspace start in this
+   * order; those without a time start last, in order of arrival.
    */
-  readonly isReturn?: boolean;
+  readonly startByMs?: number;
 }
 
 /** Whether a free upstream has probably cached the prefix of a request. */
@@ -98,8 +98,7 @@
   push(waiting: WaitingRequest<Request>): void {
     const {request} = waiting;
     const queue = this.activate(request.workspaceId, request.fairWeight);
-    const position = request.isReturn === true ? returnsOf(queue) : undefined;
-    queue.waiting.splice(position ?? queue.waiting.length, 0, waiting);
+    queue.waiting.splice(aheadInQueue(queue, request).length, 0, waiting);
     this.count += 1;
   }
 
@@ -135,12 +134,21 @@
       : this.start(queue, waiting, nowMs);
   }
 
-  /** Share of a workspace by weight, among those with queued requests. */
-  weightShare(workspaceId: WorkspaceId, weight: number): number {
-    const othersWeight = this.backlogged()
-      .filter(queue => queue.workspaceId !== workspaceId)
-      .reduce((sum, queue) => sum + queue.weight, 0);
-    return weight / (weight + othersWeight);
+  /**
+   * Share of the starts that one more request's workspace gets: what it got
+   * recently, at least its share by weight among those with recent requests.
+   */
+  startShare({workspaceId, fairWeight}: FairRequest, nowMs: number): number {
+    const all = [...this.queues.values()];
+    const others = all.filter(queue => queue.workspaceId !== workspaceId);
+    const othersWeight = others.reduce((sum, queue) => sum + queue.weight, 0);
+    const own = this.queues.get(workspaceId)?.started.valueAt(nowMs) ?? 0;
+    const started = others.reduce(
+      (sum, queue) => sum + queue.started.valueAt(nowMs),
+      own,
+    );
+    const recent = started === 0 ? 0 : own / started;
+    return Math.max(recent, fairWeight / (fairWeight + othersWeight));
   }
 
   /**
@@ -218,22 +226,8 @@
       .map(each => each.waiting);
     const ownSum = sumOf(ownAhead, measure);
     const sum = ownSum + sumOf(othersAhead, measure);
-    if (own === undefined || ownSum === 0) return sum;
-    return Math.max(sum, ownSum / this.shareOf(own, nowMs));
-  }
-
-  /** The workspace's recent share of the starts, at least its fair share. */
-  private shareOf(own: WorkspaceQueue<Request>, nowMs: number): number {
-    const all = [...this.queues.values()];
-    const waitingWeight = all
-      .filter(queue => queue.waiting.length > 0)
-      .reduce((sum, queue) => sum + queue.weight, 0);
-    const started = all.reduce(
-      (sum, queue) => sum + queue.started.valueAt(nowMs),
-      0,
-    );
-    const recent = started === 0 ? 0 : own.started.valueAt(nowMs) / started;
-    return Math.max(recent, own.weight / waitingWeight);
+    if (ownSum === 0) return sum;
+    return Math.max(sum, ownSum / this.startShare(request, nowMs));
   }
 
   private backlogged(): readonly WorkspaceQueue<Request>[] {
@@ -342,22 +336,17 @@
   return requests.reduce((sum, each) => sum + measure(each), 0);
 }
 
-/** The number of returned requests, which are first in the queue. */
-function returnsOf<Request extends FairRequest>({
-  waiting,
-}: WorkspaceQueue<Request>): number {
-  return waiting.filter(({request}) => request.isReturn === true).length;
-}
-
 /** The requests of its own workspace that start before a new one. */
 function aheadInQueue<Request extends FairRequest>(
   queue: WorkspaceQueue<Request> | undefined,
-  {isReturn}: FairRequest,
+  {startByMs = Infinity}: FairRequest,
 ): readonly WaitingRequest<Request>[] {
   if (queue === undefined) return [];
-  return isReturn === true
-    ? queue.waiting.slice(0, returnsOf(queue))
-    : queue.waiting;
+  const {waiting} = queue;
+  const next = waiting.findIndex(
+    ({request}) => (request.startByMs ?? Infinity) > startByMs,
+  );
+  return next < 0 ? waiting : waiting.slice(0, next);
 }
 
 /** The requests of a workspace with the virtual times at which they start. */
--- a/src/node/scheduling/overdue_waits.ts
+++ b/src/node/scheduling/overdue_waits.ts
@@ -1,8 +1,9 @@
 /** Ends the wait of queued requests that can no longer be answered in time. */
-import {ADMISSION_SHARE_OF_TARGET, NO_UPSTREAM_WAIT_MS} from './constants.js';
-import {queueWaitMs} from './forecast.js';
+import {BASE_FIRST_ANSWER_MS, NO_UPSTREAM_WAIT_MS} from './constants.js';
+import {maxFirstAnswerMs, queueWaitMs} from './forecast.js';
 import type {Redirects} from './redirects.js';
 import type {Refusals} from './refusals.js';
+import {maxLateMs} from './return_limits.js';
 import type {WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
@@ -10,12 +11,8 @@
 
 /** Predicting the wait of every queued request takes time. */
 const PREDICTION_INTERVAL_MS = 200;
-/**
- * A caller that came back after a refusal may not come again, so it is answered
- * late rather than refused; after this many targets callers give up.
- */
-const MAX_LATE_TARGETS = 2;
-
+/** A wait that is predicted ends only if it would exceed its limit clearly. */
+const PREDICTION_MARGIN = 1.2;
 export interface OverdueWaitsOptions {
   readonly pool: UpstreamPool;
   readonly queue: WorkQueue;
@@ -23,11 +20,6 @@
   readonly refusals: Refusals;
 }
 
-/** The latest useful time to the first answer of a caller that came back. */
-export function maxLateMs({targetLatencyMs, remainingMs}: WorkItem): number {
-  return Math.min(remainingMs, targetLatencyMs * MAX_LATE_TARGETS);
-}
-
 /** Removes requests from the queue of one scheduler. */
 export class OverdueWaits {
   private predictedAtMs = 0;
@@ -90,16 +82,30 @@
 }
 
 function isOverdue(
-  {item, queuedAtMs, isReturn}: QueuedItem,
+  queued: QueuedItem,
   usable: readonly UpstreamState[],
   ahead: QueueLoad | undefined,
   nowMs: number,
 ): boolean {
-  const queuedMs = nowMs - queuedAtMs;
-  const waitedMs = item.ageMs + queuedMs;
-  if (isReturn === true) return waitedMs > maxLateMs(item);
-  const {targetLatencyMs} = item;
-  if (waitedMs > targetLatencyMs * ADMISSION_SHARE_OF_TARGET) return true;
+  const {item, queuedAtMs, isReturn} = queued;
+  const waitedMs = item.ageMs + nowMs - queuedAtMs;
+  const answerMs = answerMsOf(queued, usable);
+  const limitMs =
+    isReturn === true ? maxLateMs(item) : maxFirstAnswerMs(item, answerMs);
+  if (waitedMs + answerMs > limitMs) return true;
   if (ahead === undefined || usable.length === 0) return false;
-  return waitedMs + queueWaitMs(ahead, usable, nowMs) > targetLatencyMs;
+  const waitMs = queueWaitMs(ahead, usable, nowMs);
+  return waitedMs + waitMs + answerMs > limitMs * PREDICTION_MARGIN;
+}
+
+/** Time to the first answer from the start, without any wait. */
+function answerMsOf(
+  {prefillMs}: QueuedItem,
+  usable: readonly UpstreamState[],
+): number {
+  const [first] = usable;
+  if (first === undefined) return 0;
+  return first.isEngine
+    ? prefillMs + BASE_FIRST_ANSWER_MS
+    : Math.min(...usable.map(each => each.meanServiceMs));
 }
--- a/src/node/scheduling/refusals.ts
+++ b/src/node/scheduling/refusals.ts
@@ -3,9 +3,14 @@
 import {MIN_RETRY_AFTER_MS, NO_UPSTREAM_RETRY_AFTER_MS} from './constants.js';
 import {refusalOf} from './decisions.js';
 import {queueWaitMs} from './forecast.js';
-import {ReturnBookings, type RoomNeeded} from './return_bookings.js';
+import {
+  ReturnBookings,
+  type RoomNeeded,
+  type Standing,
+} from './return_bookings.js';
 import type {Decision, RefusalReason, WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
+import type {UpstreamState} from './upstream_state.js';
 import {costMsOf, type WorkQueue} from './work_queue.js';
 
 export interface RefusalsOptions {
@@ -69,9 +74,9 @@
     );
   }
 
-  /** Whether the caller was refused before and comes back when told to. */
-  isReturn(item: WorkItem, nowMs: number): boolean {
-    return this.bookings.isDue(item, nowMs);
+  /** Whether the caller was refused before, and whether it is its turn. */
+  standingOf(item: WorkItem, nowMs: number): Standing {
+    return this.bookings.standingOf(item, nowMs);
   }
 
   /** Ends the booking of a caller that has come back. */
@@ -97,11 +102,13 @@
     const usable = pool.usableFor(item, nowMs);
     const ahead = queue.aheadOf(item, nowMs, true);
     const waitMs = queueWaitMs(ahead, usable, nowMs);
-    const slots = usable.reduce((sum, each) => sum + each.listed.slots, 0);
+    const prefillMs = pool.estimates.minPrefillMs(item, nowMs);
+    const costMs = costMsOf(item, prefillMs);
+    const expectedRate = startsPerMs(usable, prefillMs) * costMs;
     return {
       waitMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
-      costMs: costMsOf(item, pool.estimates.minPrefillMs(item, nowMs)),
-      drainRate: queue.drainRate(item, slots, nowMs),
+      costMs,
+      drainRate: queue.drainRate(item, expectedRate, nowMs),
     };
   }
 
@@ -114,3 +121,17 @@
     );
   }
 }
+
+/** Requests like one with this prefill time that busy upstreams can start. */
+function startsPerMs(
+  usable: readonly UpstreamState[],
+  prefillMs: number,
+): number {
+  const freedPerMs = usable.reduce(
+    (sum, each) => sum + each.slotsFreedPerMs,
+    0,
+  );
+  return prefillMs === 0
+    ? freedPerMs
+    : Math.min(freedPerMs, usable.length / prefillMs);
+}
--- a/src/node/scheduling/return_bookings.ts
+++ b/src/node/scheduling/return_bookings.ts
@@ -8,25 +8,41 @@
 import type {WorkItem} from './types.js';
 
 /**
- * Share of the drain rate that is booked. Callers that return late are served
- * beside new ones, which can still be answered within their target.
+ * Share of the drain rate that is booked. The answers of callers that return are
+ * mostly late; each would take the place of one that is in time.
  */
-const BOOKED_SHARE = 0.25;
-/** Callers wait at most this share of the time that they have left. */
-const MAX_WAIT_SHARE = 1 / 3;
+const BOOKED_SHARE = 1 / 8;
+/**
+ * Callers wait at most a third of the time that they have left; the jitter that
+ * is added to the retry time must not exceed it either.
+ */
+const MAX_WAIT_SHARE = 1 / 4;
 /** How much earlier a caller may come than it was told to. */
 const EARLY_TOLERANCE_MS = 20;
 /** Covers the jitter of the retry time, a new connection and the way here. */
 const LATE_SHARE = 0.4;
 const LATE_TOLERANCE_MS = 1_000;
 /** Bounds memory; a caller without a booking counts as a new one. */
-const MAX_BOOKINGS = 4_096;
+const MAX_BOOKINGS = 8_192;
+/** Multiples of it, modulo 1, are evenly spread however many there are. */
+const GOLDEN_RATIO = 0.618_034;
 /** Expired bookings are searched for at this interval. */
 const PRUNE_INTERVAL_MS = 500;
 
+/** What a scheduler knows of the caller of a request. */
+export type Standing =
+  /** It was not refused here in the last seconds. */
+  | 'new'
+  /** It has booked room and comes at its time. */
+  | 'due'
+  /** It was refused and comes too early, or there was no room to book. */
+  | 'unbooked';
+
 interface Booking {
   readonly fingerprint: string;
   readonly share: string;
+  /** Whether there will be room when it returns. */
+  readonly hasRoom: boolean;
   readonly fromMs: number;
   readonly untilMs: number;
 }
@@ -53,6 +69,7 @@
   private readonly byFingerprint = new Map<string, Booking>();
   private readonly shares = new Map<string, BookedShare>();
   private prunedAtMs = 0;
+  private spreadPhase = 0;
 
   get size(): number {
     return this.byFingerprint.size;
@@ -60,36 +77,36 @@
 
   /**
    * Books room and returns the time after which there is some. If its caller
-   * would not wait so long, nothing is booked. A caller that returns too early
-   * keeps its booking.
+   * would not wait so long, no room is booked, and it is told to come back late
+   * in the time that it would wait, as the load may have fallen by then. A
+   * caller that returns too early keeps its booking.
    */
   book(item: WorkItem, room: RoomNeeded, nowMs: number): number {
     this.prune(nowMs);
     const {fingerprint, remainingMs} = item;
     const known = this.byFingerprint.get(fingerprint);
-    if (known !== undefined && known.fromMs > nowMs) {
-      return known.fromMs - nowMs;
-    }
+    const isEarly = known?.hasRoom === true && known.fromMs > nowMs;
+    if (isEarly) return known.fromMs - nowMs;
+    this.redeem(item);
     const share = shareOf(item);
     const takenUntilMs = this.shares.get(share)?.takenUntilMs ?? nowMs;
     const fromMs = Math.max(nowMs + room.waitMs, takenUntilMs);
     const afterMs = fromMs - nowMs;
-    const isTooLate = afterMs > remainingMs * MAX_WAIT_SHARE;
-    if (isTooLate || this.size >= MAX_BOOKINGS) return afterMs;
-    const untilMs = fromMs + afterMs * LATE_SHARE + LATE_TOLERANCE_MS;
-    this.redeem(item);
-    this.add({fingerprint, share, fromMs, untilMs}, durationMs(room));
-    return afterMs;
+    const maxAfterMs = remainingMs * MAX_WAIT_SHARE;
+    const hasRoom = afterMs <= maxAfterMs;
+    const returnAfterMs = hasRoom ? afterMs : this.spread(maxAfterMs);
+    const returnMs = nowMs + returnAfterMs;
+    const untilMs = returnMs + returnAfterMs * LATE_SHARE + LATE_TOLERANCE_MS;
+    this.add({fingerprint, share, hasRoom, fromMs: returnMs, untilMs});
+    if (hasRoom) this.take(share, fromMs + durationMs(room));
+    return returnAfterMs;
   }
 
-  /** Whether the caller was refused and returns at its time. */
-  isDue({fingerprint}: WorkItem, nowMs: number): boolean {
+  standingOf({fingerprint}: WorkItem, nowMs: number): Standing {
     const booking = this.byFingerprint.get(fingerprint);
-    return (
-      booking !== undefined &&
-      booking.fromMs - EARLY_TOLERANCE_MS <= nowMs &&
-      nowMs <= booking.untilMs
-    );
+    if (booking === undefined || booking.untilMs < nowMs) return 'new';
+    const isInTime = booking.fromMs - EARLY_TOLERANCE_MS <= nowMs;
+    return booking.hasRoom && isInTime ? 'due' : 'unbooked';
   }
 
   /** Ends the booking of a caller that has returned. */
@@ -108,15 +125,29 @@
     return first === undefined ? Infinity : Math.max(0, first.fromMs - nowMs);
   }
 
-  private add(booking: Booking, takenMs: number): void {
-    const {fingerprint, share, fromMs} = booking;
-    this.byFingerprint.set(fingerprint, booking);
+  /** A time in the last half of the given one, evenly spread over the calls. */
+  private spread(maxMs: number): number {
+    this.spreadPhase = (this.spreadPhase + GOLDEN_RATIO) % 1;
+    return (maxMs * (1 + this.spreadPhase)) / 2;
+  }
+
+  private add(booking: Booking): void {
+    if (this.size >= MAX_BOOKINGS) return;
+    this.byFingerprint.set(booking.fingerprint, booking);
+    if (!booking.hasRoom) return;
+    const {share, fromMs} = booking;
+    const known = this.shares.get(share);
     this.shares.set(share, {
-      bookings: [...(this.shares.get(share)?.bookings ?? []), booking],
-      takenUntilMs: fromMs + takenMs,
+      bookings: [...(known?.bookings ?? []), booking],
+      takenUntilMs: Math.max(known?.takenUntilMs ?? 0, fromMs),
     });
   }
 
+  private take(share: string, takenUntilMs: number): void {
+    const known = this.shares.get(share);
+    if (known !== undefined) this.shares.set(share, {...known, takenUntilMs});
+  }
+
   private keep(share: string, isKept: (booking: Booking) => boolean): void {
     const booked = this.shares.get(share);
     if (booked === undefined) return;
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -23,7 +23,8 @@
 import type {SchedulerOptions} from './scheduler_options.js';
 import {canFinish, forecast, isInTime, maxFirstAnswerMs} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
-import {maxLateMs, OverdueWaits} from './overdue_waits.js';
+import {OverdueWaits} from './overdue_waits.js';
+import {isInTurn} from './return_limits.js';
 import {Redirects} from './redirects.js';
 import {Refusals} from './refusals.js';
 import {QuarantineGate} from './quarantine_gate.js';
@@ -37,13 +38,7 @@
 } from './types.js';
 import {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
-import {
-  EMPTY_LOAD,
-  loadWith,
-  WorkQueue,
-  type QueuedItem,
-  type QueueLoad,
-} from './work_queue.js';
+import {WorkQueue, type QueuedItem, type QueueLoad} from './work_queue.js';
 
 /** The scheduler of one service. `decide` returns its decisions. */
 export class Scheduler {
@@ -51,7 +46,9 @@
   readonly board: CapacityBoard;
   readonly retryBudget: RetryBudget;
   private readonly redirects: Redirects;
-  private readonly queue = new WorkQueue();
+  private readonly queue = new WorkQueue((item, nowMs) =>
+    this.pool.estimates.minPrefillMs(item, nowMs),
+  );
   private readonly lane: LongPromptLane;
   private readonly prefillLoad = new PrefillLoad();
   private readonly quarantine: QuarantineGate;
@@ -141,8 +138,8 @@
     const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
     let isLaneFull = this.lane.isFull(open, usable);
-    let ahead = this.overdueWaits.isPredictionDue(nowMs)
-      ? EMPTY_LOAD
+    const loads = this.overdueWaits.isPredictionDue(nowMs)
+      ? this.queue.loadsAhead()
       : undefined;
     this.queue.inOrder().forEach(queued => {
       // The lane may have no engine at which a begun stream can go on.
@@ -153,12 +150,10 @@
       const upstream = mustWait
         ? undefined
         : this.choose(queued.item, usable, open, nowMs);
-      if (this.processQueued(queued, upstream, usable, nowMs, ahead)) {
-        open = openOf(open, nowMs);
-        isLaneFull = this.lane.isFull(open, usable);
-      } else if (ahead !== undefined && this.queue.has(queued.item.requestId)) {
-        ahead = loadWith(ahead, queued);
-      }
+      const ahead = loads?.get(queued.item.requestId);
+      if (!this.processQueued(queued, upstream, usable, nowMs, ahead)) return;
+      open = openOf(open, nowMs);
+      isLaneFull = this.lane.isFull(open, usable);
     });
     return this.takeDecisions();
   }
@@ -215,7 +210,7 @@
       const isOutOfReach = this.pool.isOnlyOutOfReach(item, nowMs);
       if (this.redirects.toAnywhere(item, isOutOfReach, nowMs)) return;
       // No upstream is known before the first reading of the list, so wait.
-      if (this.pool.all().length === 0) this.enqueue(item, nowMs);
+      if (this.pool.all().length === 0) this.queue.add(item, nowMs);
       else this.refusals.addWithoutUpstream(item, nowMs);
       return;
     }
@@ -238,27 +233,33 @@
   }
 
   /**
-   * Admits the request of a caller that comes back after a refusal: it may be
-   * answered late, as the caller may not come again. Returns false if it cannot
-   * run here in time even so.
+   * Decides on the request of a caller that was refused before. If its turn has
+   * come, it may be answered late, as the caller may not come again; otherwise
+   * it gets only room that new requests do not need. Returns false if it is to
+   * be treated as a new one.
    */
   private admitReturn(item: WorkItem, nowMs: number): boolean {
-    if (!item.isAllowedHere || !this.refusals.isReturn(item, nowMs)) {
+    const standing = this.refusals.standingOf(item, nowMs);
+    const usable = this.pool.usableFor(item, nowMs);
+    if (standing === 'new' || !item.isAllowedHere || usable.length === 0) {
       return false;
     }
-    this.refusals.redeem(item);
-    const usable = this.pool.usableFor(item, nowMs);
-    if (usable.length === 0 || hasFailedOn(item, usable)) return false;
+    const isDue = standing === 'due';
+    if (isDue) this.refusals.redeem(item);
     const eligible = this.lane.eligible(item, usable, usable, nowMs);
-    const ahead = this.queue.aheadOf(item, nowMs, true);
+    const ahead = this.queue.aheadOf(item, nowMs, isDue);
     const expected = forecast(item, ahead, eligible, nowMs);
+    if (isInTurn(item, expected, isDue)) {
+      if (!isDue) return false;
+      this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
+      this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
+      this.grantOrEnqueue(item, usable, nowMs, isDue);
+      return true;
+    }
     const expectedMs = expected.waitMs + expected.answerMs;
-    const isLate = !isInTime(item, expected);
-    if (isLate && this.redirects.toFaster(item, expectedMs, nowMs)) return true;
-    if (isLate && item.ageMs + expectedMs > maxLateMs(item)) return false;
-    this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
-    this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
-    this.grantOrEnqueue(item, usable, nowMs, true);
+    if (!this.redirects.toFaster(item, expectedMs, nowMs)) {
+      this.refusals.addOverloaded(item, expected.waitMs, nowMs);
+    }
     return true;
   }
 
@@ -278,15 +279,10 @@
     const upstream = this.queue.isFirst(item.priority)
       ? this.choose(item, usable, openOf(usable, nowMs), nowMs)
       : undefined;
-    if (upstream === undefined) this.enqueue(item, nowMs, isReturn);
+    if (upstream === undefined) this.queue.add(item, nowMs, isReturn);
     else this.grant(item, upstream, 0, nowMs);
   }
 
-  private enqueue(item: WorkItem, nowMs: number, isReturn = false): void {
-    const prefillMs = this.pool.estimates.minPrefillMs(item, nowMs);
-    this.queue.add({item, queuedAtMs: nowMs, prefillMs, isReturn});
-  }
-
   private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
     if (this.redirects.toAllowedRegion(item, nowMs)) return;
     this.refusals.add(
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -1,7 +1,9 @@
 /**
  * The requests that wait in a scheduler: by priority, within a priority by fair
- * queueing over the workspaces, and within a workspace those that came back
- * after a refusal first, then by arrival.
+ * queueing over the workspaces, and within a workspace by the latest useful
+ * start. So a large prompt, which takes longer to answer, goes before smaller
+ * ones that arrived a little earlier, and those of callers that came back after
+ * a refusal are first.
  */
 import {
   FairQueue,
@@ -19,11 +21,13 @@
   type WorkspaceId,
 } from '../types/ids.js';
 import {
+  BASE_FIRST_ANSWER_MS,
   DECODE_MS_PER_TOKEN,
   INITIAL_SERVICE_MS,
   MAX_FLOOR_SHARE_OF_PRIORITIES,
   PRIORITY_FLOOR_SHARE,
 } from './constants.js';
+import {maxFirstAnswerMs} from './forecast.js';
 import type {WorkItem} from './types.js';
 
 /** Shared by all requests of a deployment without workspaces. */
@@ -60,6 +64,15 @@
   readonly drain: DrainRate;
 }
 
+/** A load with those parts of it that are more urgent. */
+interface LoadAhead {
+  readonly own: QueueLoad;
+  readonly urgent: QueueLoad;
+}
+
+/** Estimates the prefill time of the prompt of a request. */
+export type PrefillEstimate = (item: WorkItem, nowMs: number) => number;
+
 /**
  * Orders the waiting requests of one scheduler. Less urgent priorities keep a
  * floor share of the grants, so that a flood of urgent requests does not starve
@@ -71,18 +84,21 @@
   private readonly priorityOf = new Map<RequestId, number>();
   private readonly floors = new RankScheduler<number>();
 
+  constructor(private readonly prefillMsOf: PrefillEstimate) {}
+
   get size(): number {
     return this.priorityOf.size;
   }
 
-  add(queued: QueuedItem): void {
-    const {item, queuedAtMs, prefillMs} = queued;
-    const queue = this.queueOf(item.priority);
-    queue.drain.observe(queue.queue.size > 0, queuedAtMs);
+  add(item: WorkItem, nowMs: number, isReturn = false): void {
+    const {queue, drain} = this.queueOf(item.priority);
+    drain.observe(queue.size > 0, nowMs);
     this.priorityOf.set(item.requestId, item.priority);
-    queue.queue.push({
-      request: fairItemOf(queued),
-      queuedAtMs,
+    const prefillMs = this.prefillMsOf(item, nowMs);
+    const queued = {item, queuedAtMs: nowMs, prefillMs, isReturn};
+    queue.push({
+      request: {...this.toFair(item, nowMs, isReturn), queued},
+      queuedAtMs: nowMs,
       expiresAtMs: Infinity,
       costMs: costMsOf(item, prefillMs),
       skipCount: 0,
@@ -175,30 +191,74 @@
 
   /** The load that is granted before a new request, by the fair order. */
   aheadOf(item: WorkItem, nowMs: number, isReturn = false): QueueLoad {
-    const own = this.queues.find(each => each.priority === item.priority);
     const urgent = this.ahead(item.priority - 1);
-    if (own === undefined) return urgent;
-    const request = {...sharingOf(item), isReturn};
-    const {queue} = own;
-    return {
-      requests: urgent.requests + queue.sumAhead(request, () => 1, nowMs),
-      prefillMs:
-        urgent.prefillMs +
-        queue.sumAhead(request, each => each.request.queued.prefillMs, nowMs),
+    const fair = this.toFair(item, nowMs, isReturn);
+    const {queue} = this.queueOf(item.priority);
+    const own = {
+      requests: queue.sumAhead(fair, () => 1, nowMs),
+      prefillMs: queue.sumAhead(
+        fair,
+        each => each.request.queued.prefillMs,
+        nowMs,
+      ),
     };
+    return this.withFloor({own, urgent});
+  }
+
+  /** The load ahead of each queued request. */
+  loadsAhead(): ReadonlyMap<RequestId, QueueLoad> {
+    return new Map(
+      this.queues.flatMap(({priority, queue}) => {
+        const urgent = this.ahead(priority - 1);
+        let own = EMPTY_LOAD;
+        return queue.inOrder().map(({request}): [RequestId, QueueLoad] => {
+          const load = this.withFloor({own, urgent});
+          own = loadWith(own, request.queued);
+          return [request.requestId, load];
+        });
+      }),
+    );
   }
 
   /**
-   * Slot time per millisecond that the workspace of a request gets within its
-   * priority. `slots` is expected while there is no measurement.
+   * Slot time per millisecond that the workspace of a request gets of its
+   * priority; `expectedRate` is that of the priority before a measurement.
    */
-  drainRate(item: WorkItem, slots: number, nowMs: number): number {
+  drainRate(item: WorkItem, expectedRate: number, nowMs: number): number {
     const {queue, drain} = this.queueOf(item.priority);
-    const {workspaceId, fairWeight} = sharingOf(item);
     drain.observe(queue.size > 0, nowMs);
-    return (
-      drain.rate(slots, nowMs) * queue.weightShare(workspaceId, fairWeight)
-    );
+    const share = queue.startShare(sharingOf(item), nowMs);
+    return drain.rate(expectedRate, nowMs) * share;
+  }
+
+  // While a priority gets its floor, only a part of the more urgent requests is
+  // granted before it.
+  private withFloor({own, urgent}: LoadAhead): QueueLoad {
+    const overtaking = (own.requests + 1) * (1 / this.floorShare() - 1);
+    const share =
+      urgent.requests === 0 ? 0 : Math.min(1, overtaking / urgent.requests);
+    return {
+      requests: own.requests + urgent.requests * share,
+      prefillMs: own.prefillMs + urgent.prefillMs * share,
+    };
+  }
+
+  private floorShare(): number {
+    return floorShareOf(this.backlogged().length);
+  }
+
+  private toFair(
+    item: WorkItem,
+    nowMs: number,
+    isReturn: boolean,
+  ): FairRequest {
+    const answerMs =
+      item.prompt === undefined
+        ? INITIAL_SERVICE_MS
+        : this.prefillMsOf(item, nowMs) + BASE_FIRST_ANSWER_MS;
+    const latestMs = maxFirstAnswerMs(item, answerMs);
+    const waitMs = isReturn ? 0 : latestMs - answerMs - item.ageMs;
+    return {...sharingOf(item), startByMs: nowMs + waitMs};
   }
 
   private backlogged(): readonly BackloggedRank<number>[] {
@@ -243,22 +303,23 @@
   return {requestId, workspaceId: workspace, fairWeight};
 }
 
-function fairItemOf(queued: QueuedItem): FairItem {
-  const {item, isReturn = false} = queued;
-  return {...sharingOf(item), isReturn, queued};
-}
-
 // Floors count grants, whatever their size.
 function toRank(priority: number): BackloggedRank<number> {
   return {rankId: priority, floorShare: PRIORITY_FLOOR_SHARE, headCost: 1};
 }
 
-// With many priorities their floors together leave room for the most urgent.
 function withFloors(
   ranks: readonly BackloggedRank<number>[],
 ): readonly BackloggedRank<number>[] {
-  const maxShare =
-    MAX_FLOOR_SHARE_OF_PRIORITIES / Math.max(1, ranks.length - 1);
-  const floorShare = Math.min(PRIORITY_FLOOR_SHARE, maxShare);
+  const floorShare = floorShareOf(ranks.length);
   return ranks.map(each => ({...each, floorShare}));
 }
+
+// With many priorities their floors together leave room for the most urgent.
+function floorShareOf(priorities: number): number {
+  const lessUrgent = Math.max(1, priorities - 1);
+  return Math.min(
+    PRIORITY_FLOOR_SHARE,
+    MAX_FLOOR_SHARE_OF_PRIORITIES / lessUrgent,
+  );
+}
