--- a/src/node/config/__tests__/answers.spec.ts
+++ b/src/node/config/__tests__/answers.spec.ts
@@ -20,6 +20,11 @@
   ['domain without entries', '[patagonia-a]', '[patagonia-a, patagonia-b]'],
   ['unknown model', 'models: [caption]', 'models: [captions]'],
   ['unknown rank', 'rank: urgent', 'rank: immediate'],
+  [
+    'unknown rank of a workspace',
+    '    home: centro\n',
+    '    home: centro\n    rank: immediate\n',
+  ],
   ['residency without home', 'residency: [cuyo]', 'residency: [centro]'],
   ['unknown residency', 'residency: [cuyo]', 'residency: [cuyo, pampa]'],
   ['service not at home', 'service: booking', 'service: orders'],
--- a/src/node/config/__tests__/generate.spec.ts
+++ b/src/node/config/__tests__/generate.spec.ts
@@ -144,6 +144,25 @@
   });
 });
 
+// Guards against calls of a workspace that keep the rank of their workload, or are
+// given its deadline, although their workspace has a rank.
+test('the rank of a workspace goes before those of its workloads', () => {
+  const answers = playgroundAnswers('trazo');
+  const [most, ...others] = answers.ranks.map(({id}) => id);
+  const least = others.at(-1) ?? most;
+  assert.ok(least !== undefined);
+  const ranksOf = (workspaces: Answers['workspaces']) =>
+    generate({...answers, workspaces}).workspaces.map(({workloads}) =>
+      workloads.map(({rankId}) => rankId),
+    );
+  const ranked = answers.workspaces.map((workspace, index) =>
+    index === 0 ? {...workspace, rank: least} : workspace,
+  );
+  const [first = [], ...rest] = ranksOf(answers.workspaces);
+  assert.ok(first.some(rank => rank !== least));
+  assert.deepEqual(ranksOf(ranked), [first.map(() => least), ...rest]);
+});
+
 // Guards against a change that an operator accepts without seeing it.
 test('the difference names items by id', () => {
   const answers = playgroundAnswers('trazo');
--- a/src/node/config/answers.ts
+++ b/src/node/config/answers.ts
@@ -129,6 +129,8 @@
   residency: z.array(idSchema<RegionId>()).min(1),
   /** SHA-256 digests of its callers' keys. */
   callerKeyDigests: z.array(digestSchema).min(1),
+  /** The rank of all its workloads, whatever they answer themselves. */
+  rank: idSchema<RankId>().optional(),
   /** Its share of a rank relative to other workspaces. @default 1 */
   fairWeight: z.number().positive().optional(),
   workloads: z.array(workloadAnswerSchema).min(1),
--- a/src/node/config/answers_checks.ts
+++ b/src/node/config/answers_checks.ts
@@ -226,6 +226,13 @@
       {name: workspace.home, path: [...path, 'home']},
     ]),
     ...unknown('region', regions, residency),
+    ...unknown(
+      'rank',
+      answers.ranks.map(({id}) => id),
+      workspace.rank === undefined
+        ? []
+        : [{name: workspace.rank, path: [...path, 'rank']}],
+    ),
     ...duplicates('region', residency),
     ...(homeIsAllowed
       ? []
--- a/src/node/config/generate_workspaces.ts
+++ b/src/node/config/generate_workspaces.ts
@@ -1,8 +1,16 @@
 /** Workspaces and workloads of the generated configuration. */
 import type {Answers, WorkloadAnswer, WorkspaceAnswer} from './answers.js';
 import type {WorkloadConfig, WorkspaceConfig} from './configuration.js';
+import type {RankId} from '../types/ids.js';
 import {rendezvousChoice} from './rendezvous.js';
-import {copied, copiedList, copiedOr, derived, type Traced} from './traced.js';
+import {
+  copied,
+  copiedList,
+  copiedOr,
+  derived,
+  type Leaf,
+  type Traced,
+} from './traced.js';
 
 const DEFAULT_FAIR_WEIGHT = 1;
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
@@ -43,7 +51,12 @@
       derived(DEFAULT_FAIR_WEIGHT, source, 'no answer: the default weight'),
     ),
     workloads: workspace.workloads.map((workload, index) =>
-      traceWorkload(answers, workload, `${source}.workloads[${index}]`),
+      traceWorkload(
+        answers,
+        workload,
+        `${source}.workloads[${index}]`,
+        rankOf(workspace, workload, source, index),
+      ),
     ),
   };
 }
@@ -52,6 +65,7 @@
   answers: Answers,
   workload: WorkloadAnswer,
   source: string,
+  rankId: Leaf<RankId>,
 ): Traced<WorkloadConfig> {
   const {model, service} = workload;
   return {
@@ -65,7 +79,7 @@
     ...(service === undefined
       ? {}
       : {serviceName: copied(service, `${source}.service`)}),
-    rankId: copied(workload.rank, `${source}.rank`),
+    rankId,
     idempotent: copiedOr(
       workload.idempotent,
       `${source}.idempotent`,
@@ -74,7 +88,7 @@
     deadlineMs: copiedOr(
       workload.deadlineMs,
       `${source}.deadlineMs`,
-      defaultDeadline(answers, workload, source),
+      defaultDeadline(answers, rankId),
     ),
     maxBodyBytes: copiedOr(
       workload.maxBodyBytes,
@@ -84,19 +98,30 @@
   };
 }
 
-function defaultDeadline(
-  answers: Answers,
+/** The rank of a workspace goes before that of a workload. */
+function rankOf(
+  workspace: WorkspaceAnswer,
   workload: WorkloadAnswer,
   source: string,
+  index: number,
+): Leaf<RankId> {
+  return workspace.rank === undefined
+    ? copied(workload.rank, `${source}.workloads[${index}].rank`)
+    : copied(workspace.rank, `${source}.rank`);
+}
+
+function defaultDeadline(
+  answers: Answers,
+  {value: rankId, sources}: Leaf<RankId>,
 ): ReturnType<typeof derived<number>> {
-  const index = answers.ranks.findIndex(({id}) => id === workload.rank);
+  const index = answers.ranks.findIndex(({id}) => id === rankId);
   const rank = answers.ranks[index];
   const deadlineMs =
     (rank?.firstTokenTargetMs ?? 0) +
     DEFAULT_ANSWER_TOKENS * (rank?.betweenTokensTargetMs ?? 0);
   return derived(
     deadlineMs,
-    [`${source}.rank`, `ranks[${index}]`],
+    [...sources, `ranks[${index}]`],
     `no answer: the rank's first-token target and ${DEFAULT_ANSWER_TOKENS} tokens at its target between tokens`,
   );
 }
