--- a/src/node/quotas/__tests__/quota_bound.spec.ts
+++ b/src/node/quotas/__tests__/quota_bound.spec.ts
@@ -17,8 +17,10 @@
   slackTokens: 5_000,
 };
 const LENGTH_MS = 30_000;
-const RUNS = 60;
+const RUNS = 120;
 const SEED = 43;
+/** Sums of shares are rounded. */
+const ROUNDING = 1.000_001;
 
 const entry = fc.integer({min: 0, max: 5});
 const times = {
@@ -70,7 +72,7 @@
         const busy = [random, random, random].map(draw =>
           Math.floor(draw() * 6),
         );
-        const decisions = new QuotaDays({
+        const day = new QuotaDays({
           entries: 6,
           spec,
           tolerance: TOLERANCE,
@@ -86,19 +88,23 @@
             const mean = largest / 2;
             return random() < wanted / mean ? [random() * largest] : [];
           },
-        }).run();
+        });
+        const decisions = day.run();
+        const quota = spec.quota as NonNullable<typeof spec.quota>;
+        const {capacityUnits, heldUnits, maxGrantUnits} = poolLimits(
+          quota,
+          TOLERANCE,
+        );
+        assert.ok(day.most.sharePerS <= ratePerS * ROUNDING, 'shares');
+        assert.ok(day.most.heldUnits <= heldUnits * ROUNDING, 'held units');
         [1_000, 3_000, 8_000].forEach(windowMs => {
-          const {capacityUnits, maxGrantUnits} = poolLimits(
-            spec.quota as NonNullable<typeof spec.quota>,
-            TOLERANCE,
-          );
           const rateUnits = (ratePerS * windowMs) / 1_000;
           const floors = (2 * FLOOR_RATE_SHARE * ratePerS * 8_000) / 1_000;
           const debt = Math.max(0, largest - maxGrantUnits);
           const most = rateUnits + capacityUnits + floors + debt;
           const worst = worstWindow(decisions, windowMs);
           assert.ok(
-            worst <= most * 1.000_001,
+            worst <= most * ROUNDING,
             `${worst} of ${most} in ${windowMs} ms`,
           );
         });
--- a/src/node/quotas/__tests__/support/quota_days.ts
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -88,6 +88,8 @@
 /** Plays one day; `decisions` has what became of each request. */
 export class QuotaDays {
   readonly decisions: Decision[] = [];
+  /** The largest sums over all entries that run, at any moment. */
+  readonly most = {sharePerS: 0, heldUnits: 0};
   private readonly entries: Entry[];
   private readonly leaders = [0, 1, 2];
   private readonly members: QuotaLeader[];
@@ -137,6 +139,20 @@
       }
       this.runEntry(entry, index, step);
     });
+    this.noteSums();
+  }
+
+  private noteSums(): void {
+    const states = this.entries
+      .filter((_, index) => !this.isUnder('suspend', index))
+      .map(entry => this.stateOf(entry).balance.state(this.now(entry)));
+    const sharePerS = states.reduce((sum, each) => sum + each.sharePerS, 0);
+    const heldUnits = states.reduce(
+      (sum, each) => sum + Math.max(0, each.units),
+      0,
+    );
+    this.most.sharePerS = Math.max(this.most.sharePerS, sharePerS);
+    this.most.heldUnits = Math.max(this.most.heldUnits, heldUnits);
   }
 
   private runEntry(entry: Entry, index: number, step: number): void {
