--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -39,6 +39,19 @@
   readonly timer: ReturnType<typeof setTimeout>;
 }
 
+/** What a decision on a request rests on. */
+export interface QuotaFigures {
+  readonly requestUnits: number;
+  readonly ratePerS: number;
+  /** What this entry had left, and what it may add a second by itself. */
+  readonly balanceUnits: number;
+  readonly sharePerS: number;
+  /** What callers asked this entry for recently. */
+  readonly demandPerS: number;
+  /** Whether a lease was valid; without one only the floor is left. */
+  readonly hasLease: boolean;
+}
+
 /** What a request counts against a quota. */
 export function unitsOf(
   {unit, plainTokens}: WorkspaceQuota,
@@ -82,6 +95,23 @@
     return admission;
   }
 
+  /** What a decision on a request rests on, rounded. */
+  figures(
+    {name, quota}: WorkspaceSpec,
+    prompt: Pick<PromptSize, 'promptTokens' | 'maxOutputTokens'> | undefined,
+  ): QuotaFigures {
+    const now = instantNow();
+    const state = this.quotas.stateOf(name, now).balance.state(now);
+    return {
+      requestUnits: quota === undefined ? 0 : unitsOf(quota, prompt),
+      ratePerS: quota?.ratePerS ?? 0,
+      balanceUnits: Math.round(state.units),
+      sharePerS: Math.round(state.sharePerS),
+      demandPerS: Math.round(state.demandPerS),
+      hasLease: state.hasLease,
+    };
+  }
+
   /** Takes back the charge of a request that did not run. */
   refund(charge: QuotaCharge): void {
     this.quotas.putBack(charge, instantNow());
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -3,7 +3,7 @@
  * of entries, keeps the origins of their streams, and executes the operators'
  * changes and reads.
  */
-import {okAsync, type Result, type ResultAsync} from 'neverthrow';
+import {ok, okAsync, type Result, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {pack, type Packed} from '../control/packing.js';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
@@ -33,6 +33,7 @@
 } from '../replication/group_member.js';
 import type {ReplicaStorage} from '../replication/replica_storage.js';
 import {instanceOf} from '../replication/peer_transport.js';
+import type {StorageChange} from '../replication/storage_writer.js';
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import type {GatewayError} from '../types/errors.js';
 import {asId, type InstanceId} from '../types/ids.js';
@@ -46,6 +47,7 @@
 import {
   EMPTY_CONTROL_STATE,
   homesOf,
+  summaryOf,
   type ControlState,
   type RouteTable,
   type WorkspaceSpec,
@@ -56,6 +58,7 @@
   type ControlChangeResult,
   type EvacuationOrder,
 } from './route_table_machine.js';
+import {SourceSeal} from './source_seal.js';
 
 const METHOD_PREFIX = 'routes.raft';
 const MEMBER_WEIGHT = 1;
@@ -91,6 +94,8 @@
   readonly toleratedLosses?: number;
   /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
   readonly quotaTolerance?: QuotaTolerance;
+  /** Shared by all instances; seals configurations that hold keys of callers. */
+  readonly clusterSecret: string;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -102,6 +107,7 @@
 /** One running control member. */
 export class ControlPlane {
   private readonly machine: RouteTableMachine;
+  private readonly seal: SourceSeal;
   private readonly registry: InstanceRegistry;
   private readonly abortController = new AbortController();
   private member: GroupMember<ControlChange, ControlChangeResult> | undefined;
@@ -114,6 +120,7 @@
   private membership: MembershipManager | undefined;
   private readonly quotas: QuotaLeader;
   private leadership: LeadershipCheck | undefined;
+  private isWritable = true;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
@@ -121,6 +128,7 @@
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
     this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
+    this.seal = new SourceSeal(options.clusterSecret);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -182,6 +190,7 @@
       proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
+      onStorageChange: change => this.noteStorage(change),
       onFailure: options.onFailure,
     });
     this.startServices(this.member);
@@ -205,7 +214,7 @@
     return this.forwardChange?.({
       kind: 'replace_table',
       version,
-      table: pack(table),
+      table: pack(this.seal.sealed(table)),
     });
   }
 
@@ -222,6 +231,11 @@
     return this.member?.replica.status().role === 'leader';
   }
 
+  /** Whether the disk takes writes; without that this member cannot lead. */
+  isDiskWritable(): boolean {
+    return this.isWritable;
+  }
+
   /** The latest committed state, or an error if that cannot be confirmed. */
   readState(): ResultAsync<ControlState, GatewayError> | undefined {
     return this.member?.replica
@@ -229,6 +243,13 @@
       .andThen(() => okAsync(this.machine.state));
   }
 
+  /** The text of the latest committed table; `undefined` without a table. */
+  readSource(): ResultAsync<string | undefined, GatewayError> | undefined {
+    return this.readState()?.andThen(({table}) =>
+      table === undefined ? ok(undefined) : this.seal.open(table),
+    );
+  }
+
   /** The table version applied on this member; may lag behind the leader. */
   appliedVersion(): number {
     return this.machine.state.table?.version ?? 0;
@@ -240,8 +261,9 @@
     host: string,
     limit: number,
   ): readonly string[] {
-    const routes = this.machine.state.table?.routes ?? [];
-    return this.registry.addressesFor(place, limit, homesOf(routes, host));
+    const {table} = this.machine.state;
+    const homes = table && homesOf(table, host);
+    return this.registry.addressesFor(place, limit, homes);
   }
 
   private startServices(
@@ -298,6 +320,19 @@
     this.leadership.start();
   }
 
+  private noteStorage({isWritable, cause}: StorageChange): void {
+    this.isWritable = isWritable;
+    const {logger} = this.options;
+    if (isWritable) {
+      logger.info({event: 'disk_regained'}, 'the disk takes writes again');
+      return;
+    }
+    logger.error(
+      {event: 'disk_refused', err: cause},
+      'the disk refuses or delays writes; this member does not lead or vote',
+    );
+  }
+
   private seedAddresses(): readonly string[] {
     const {seedAddresses, founderAddresses, innerAddress} = this.options;
     return (seedAddresses?.() ?? founderAddresses).filter(
@@ -337,12 +372,7 @@
     };
     this.packedForEntries = pack(this.stateForEntries);
     this.options.logger.info(
-      {
-        event: 'state_applied',
-        revision: state.revision,
-        version: table?.version ?? 0,
-        evacuatedDomains: state.evacuatedDomains,
-      },
+      {event: 'state_applied', ...summaryOf(state)},
       'applied a committed control state',
     );
   }
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -20,8 +20,10 @@
 export const WAIT_SHARE_OF_TARGET = 0.5;
 /** The rest is headroom for prompts whose size is underestimated. */
 export const USABLE_CACHE_SHARE = 0.92;
-/** One in this many grants goes to the lowest priority, against starvation. */
-export const GRANTS_PER_LOW_PRIORITY_TURN = 8;
+/** Share of the grants that a less urgent priority keeps while it has a queue. */
+export const PRIORITY_FLOOR_SHARE = 1 / 8;
+/** All less urgent priorities together get no larger share by their floors. */
+export const MAX_FLOOR_SHARE_OF_PRIORITIES = 1 / 2;
 /** Weight of one observation in exponentially weighted moving averages. */
 export const AVERAGE_WEIGHT = 0.1;
 /** Round trip between regions plus the hop through another entry. */
@@ -32,14 +34,8 @@
 export const PASS_COST_MS = 15;
 /** Minimum gain in expected time for a pass to another domain. */
 export const PASS_MIN_GAIN_MS = 25;
-/**
- * Long prompts are offloaded from a domain whose engines spend more than this
- * share of their time on prefill: above it the gaps between the tokens of
- * streams become longer than their callers accept.
- */
-export const OFFLOAD_PREFILL_SHARE = 0.55;
-/** Minimum difference in prefill share for such an offload. */
-export const OFFLOAD_PREFILL_SHARE_GAIN = 0.2;
+/** Work that is accepted now competes with what arrives within this time. */
+export const LOAD_HORIZON_MS = 1_000;
 /** Capacity digests older than this are ignored. */
 export const DIGEST_EXPIRY_MS = 1_500;
 /** Long enough for a short load peak to pass. */
