--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -142,6 +142,7 @@
 const REJECTION_TEXTS: Readonly<Record<string, string>> = {
   no_route_table: 'the entry knew no route table yet',
   no_route: 'no route of the table in force matches its host and path',
+  over_quota: 'its workspace has used its quota',
   unknown_key: 'its key belongs to no workspace of the table in force',
   unknown_workspace:
     'it was relayed for a workspace that this entry does not know',
@@ -161,11 +162,22 @@
   return [
     `${REJECTION_TEXTS[reason] ?? reason} ` +
       `(version ${numberField(rejection, 'tableVersion') ?? 0})`,
+    ...quotaReasons(rejection),
     ...startReasons(timeline, rejection),
     ...unreachablePeers(timeline, rejection),
   ];
 }
 
+/** The figures that decided that a workspace was over its quota. */
+function quotaReasons(rejection: LogLine): readonly string[] {
+  if (textField(rejection, 'reason') !== 'over_quota') return [];
+  const {fields} = rejection;
+  const figures = ['requestUnits', 'balanceUnits', 'sharePerS', 'demandPerS']
+    .concat('ratePerS', 'retryAfterMs', 'hasLease')
+    .map(name => `${name} ${String(fields[name])}`);
+  return [`workspace ${String(fields['workspace'])}: ${figures.join(', ')}`];
+}
+
 /** A recent start of the entry, which may explain missing state. */
 function startReasons(
   {beliefs}: Timeline,
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -40,6 +40,24 @@
   return status;
 }
 
+/** Refuses a request of a workspace that has used its quota. */
+export function sendOverQuota(
+  response: CallerResponse,
+  retryAfterMs: number,
+): number {
+  const status = 429;
+  const jitteredMs = retryAfterMs * (1 + RETRY_JITTER * Math.random());
+  response.sendComplete(
+    status,
+    [
+      ['retry-after', (jitteredMs / MS_PER_S).toFixed(2)],
+      ['content-type', 'application/json'],
+    ],
+    errorBody('over_quota', 'not_run'),
+  );
+  return status;
+}
+
 /** Responds to a request that ran or may have run at an upstream. */
 export function sendFailure(
   response: CallerResponse,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -20,7 +20,11 @@
 import {registerProcessGauges} from '../metrics/process_gauges.js';
 import {MetricsRegistry} from '../metrics/registry.js';
 import {RouteMatcher} from '../routes/route_matcher.js';
-import {EMPTY_CONTROL_STATE, type ControlState} from '../routes/route_table.js';
+import {
+  EMPTY_CONTROL_STATE,
+  summaryOf,
+  type ControlState,
+} from '../routes/route_table.js';
 import type {QuotaGate} from '../quotas/quota_gate.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
 import {UpstreamReachability} from '../reachability/upstream_reachability.js';
@@ -334,6 +338,7 @@
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       plannedStop: this.plannedStop,
+      quotas: this.quotas,
       context: {
         region: settings.regionId,
         self: settings.instanceId,
@@ -388,12 +393,7 @@
     void this.loops.refresh();
     this.controlLink.announceToAll();
     this.options.logger.info(
-      {
-        event: 'state_in_force',
-        revision: state.revision,
-        version: table?.version ?? 0,
-        evacuatedDomains: state.evacuatedDomains,
-      },
+      {event: 'state_in_force', ...summaryOf(state)},
       'applied a newer control state',
     );
   }
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -11,6 +11,7 @@
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
 import type {CallerLimits} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
+import type {QuotaGate} from '../quotas/quota_gate.js';
 import {toGatewayError} from '../types/errors.js';
 import {asId, type RequestId} from '../types/ids.js';
 import {CallerResponse} from './caller_response.js';
@@ -34,6 +35,7 @@
   type NoCallerRules,
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
+import {QuotaAdmission} from './quota_admission.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
 import {withService} from './service_choice.js';
 import type {InboundRequest} from './types.js';
@@ -68,11 +70,13 @@
   /** Resolves when there is a route table, or after `waitMs`. */
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
+  readonly quotas: QuotaGate;
 }
 
 /** The HTTP server for callers. */
 export class IngressServer {
   private readonly server: Server;
+  private readonly quotas: QuotaAdmission;
   private limits = DEFAULT_LIMITS;
   private openRequests = 0;
   /** Responses to callers whose bytes have not all left this process. */
@@ -80,6 +84,7 @@
   private readonly startedAtMs = monotonicNowMs();
 
   constructor(private readonly options: IngressServerOptions) {
+    this.quotas = new QuotaAdmission(options.quotas, options.context.log);
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSER_HEADER_BYTES,
@@ -249,7 +254,10 @@
       onRejected('no_service', sendRefusal(callerResponse, NOWHERE_RETRY_MS));
       return;
     }
-    await this.run(inbound, callerResponse, response);
+    const admitted = await this.quotas.admit(inbound, callerResponse);
+    if (admitted === undefined) return;
+    const hasRun = await this.run(inbound, callerResponse, response);
+    if (!hasRun) this.quotas.giveBack(admitted);
   }
 
   private async readRequestBody(
@@ -292,28 +300,33 @@
     return createRequestId(protocol.requestTraits(headers).attemptId);
   }
 
+  /** Returns whether an upstream has, or may have, run the request. */
   private async run(
     inbound: InboundRequest,
     callerResponse: CallerResponse,
     response: ServerResponse,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const cancellation = new AbortController();
     const leftMs = inbound.expiresAtMs - monotonicNowMs();
     const timer = setTimeout(() => cancellation.abort(), Math.max(0, leftMs));
     response.once('close', () => {
       if (!response.writableFinished) cancellation.abort();
     });
+    if (response.destroyed) cancellation.abort();
     const {context} = this.options;
     try {
-      const result = await new RequestRun(
+      const run = new RequestRun(
         context,
         inbound,
         callerResponse,
         cancellation.signal,
-      ).run();
+      );
+      const result = await run.run();
       if (result.kind === 'delivered') {
         this.options.plannedStop.noteAnswered(inbound);
       }
+      const isSent = result.kind === 'aborted' && result.isSent;
+      return run.mayHaveRun || isSent || result.kind === 'failed';
     } finally {
       clearTimeout(timer);
     }
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -49,6 +49,8 @@
   | 'no_common_region'
   /** It was relayed to a region that is no home of it. */
   | 'not_a_home'
+  /** Its workspace has used its quota. */
+  | 'over_quota'
   | 'no_service'
   | 'stopping'
   | 'headers_too_large'
@@ -150,9 +152,11 @@
     reason: RejectionReason,
     status: number,
     tableVersion: number,
+    figures: Readonly<Record<string, unknown>> = {},
   ): void {
     this.metrics.count('requests_rejected', {reason});
-    this.writeLine('rejected', {requestId, tableVersion, reason, status}, true);
+    const fields = {requestId, tableVersion, reason, status, ...figures};
+    this.writeLine('rejected', fields, true);
   }
 
   /** A request whose handling threw an error that nothing expected. */
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -110,6 +110,11 @@
     this.ends = new EndConfirmation({...context, request, signal});
   }
 
+  /** Whether an upstream has, or may have, run the request. */
+  get mayHaveRun(): boolean {
+    return this.tries.hasRun;
+  }
+
   /** Resolves when the caller has its final response. */
   async run(): Promise<TryResult> {
     const result = await this.tryUntilFinal();
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -147,6 +147,21 @@
   evacuatedDomains: [],
 };
 
+/** What log lines say of a state. */
+export interface StateSummary {
+  readonly revision: number;
+  readonly version: number;
+  readonly evacuatedDomains: readonly DomainId[];
+}
+
+export function summaryOf({
+  revision,
+  table,
+  evacuatedDomains,
+}: ControlState): StateSummary {
+  return {revision, version: table?.version ?? 0, evacuatedDomains};
+}
+
 /** Whether a request that may already have run can be retried. */
 export function isRepeatable(route: Route): boolean {
   return (
