Learn the speeds of upstreams from their answers

Callers of uneven engines waited for the slow ones: speeds were constants with one factor an engine, learned with a weight of a twentieth and no lower than 0.6, and the first in the list won among equals. Prefill rate, base time and the growth of a step with its batch are now learned for the service, and what differs for each upstream, with weights of 1/n down to a floor. The cost of a fuller batch follows from that growth. Urgent requests avoid slow engines, idle ones get preference that grows with time, and equals take turns. Long prompts leave the engines kept for them after a fifth of their target.

--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -1,11 +1,16 @@
 /** Constants shared by the modules of the scheduler. */
 
-/** Prefill rate of an engine of nominal speed that also decodes. */
+/**
+ * Prefill rate of an engine of nominal speed that also decodes. This and the next
+ * constants are first guesses; the speeds of upstreams are learned.
+ */
 export const PREFILL_TOKENS_PER_MS = 35;
 /** Time to the first answer of an idle engine with the prompt in its cache. */
 export const BASE_FIRST_ANSWER_MS = 20;
-/** Decode time of one output token in a busy batch. */
+/** Decode time of one output token in a full batch. */
 export const DECODE_MS_PER_TOKEN = 9;
+/** Decode time of one output token of a request that runs alone. */
+export const MIN_DECODE_MS_PER_TOKEN = 5;
 /** Service time assumed for a plain upstream before the first observation. */
 export const INITIAL_SERVICE_MS = 40;
 /**
--- a/src/node/scheduling/failure_share.ts
+++ b/src/node/scheduling/failure_share.ts
@@ -1,7 +1,16 @@
 /** The share of an upstream's recent requests that failed. */
 import {AVERAGE_WEIGHT} from './constants.js';
+import type {PlacementOutcome} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
+/** Outcomes that count against the upstream's health. */
+const FAILURE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
+  'failed',
+  'broken',
+  'unreachable',
+  'silent',
+]);
+
 /**
  * Decay constant of the share; an upstream that failed is tried again after a
  * small multiple of it.
@@ -26,6 +35,10 @@
     this.notedAtMs = nowMs;
   }
 
+  noteOutcome(outcome: PlacementOutcome, nowMs: number): void {
+    this.note(FAILURE_OUTCOMES.has(outcome), nowMs);
+  }
+
   clear(): void {
     this.share = 0;
   }
--- a/src/node/scheduling/placement.ts
+++ b/src/node/scheduling/placement.ts
@@ -5,9 +5,18 @@
   readonly item: WorkItem;
   readonly startedAtMs: number;
   readonly expiresAtMs: number;
-  readonly expectedMs: number;
+  /** Predicted prefill of its own prompt and those before it. */
+  readonly prefillMs: number;
+  /** Slowness of the upstream that the prediction assumed. */
+  readonly slowness: number;
+  /** Prefill that the upstream had been sent, in all, including this one. */
+  readonly prefillSentMs: number;
+  /** Requests in the batch with it as it started. */
+  readonly running: number;
   /** Tokens not shared with other requests. */
   readonly ownTokens: number;
+  /** Whether another scheduler granted it. */
+  readonly isAdopted: boolean;
   /** Whether its first answer was recorded. */
   hasBegun: boolean;
 }
--- a/src/node/scheduling/prompt_estimates.ts
+++ b/src/node/scheduling/prompt_estimates.ts
@@ -9,6 +9,8 @@
 
 /** Time for which an estimate is reused; caches change little in it. */
 const TTL_MS = 40;
+/** Prefill of fewer tokens is as fast as fetching them. */
+const MIN_FETCH_TOKENS = 300;
 
 /** An engine and the number of tokens of a prompt that it has cached. */
 export interface PrefixHolder {
@@ -16,6 +18,14 @@
   readonly tokens: number;
 }
 
+/** What an engine has to do before it can answer a prompt. */
+export interface PromptReading {
+  /** Tokens that it must prefill. */
+  readonly missingTokens: number;
+  /** Tokens that it gets from another engine. */
+  readonly fetchedTokens: number;
+}
+
 interface PromptEstimate {
   readonly atMs: number;
   /** Cached tokens of the prompt, by engine. */
@@ -32,13 +42,37 @@
 
   constructor(private readonly upstreams: () => readonly UpstreamState[]) {}
 
-  /** The engine from which others would fetch the prompt's prefix. */
-  holder(prompt: PromptSize, nowMs: number): PrefixHolder | undefined {
-    return this.estimateOf(prompt, nowMs).holder;
+  readingOf(
+    prompt: PromptSize,
+    upstream: UpstreamState,
+    nowMs: number,
+  ): PromptReading {
+    const cached = this.cachedTokens(prompt, upstream, nowMs);
+    const held = this.estimateOf(prompt, nowMs).holder?.tokens ?? 0;
+    const canFetch = upstream.traits.fetchMsPerToken > 0;
+    const fetchedTokens = canFetch ? Math.max(0, held - cached) : 0;
+    const known = cached + fetchedTokens;
+    return {
+      fetchedTokens,
+      missingTokens: Math.max(0, prompt.promptTokens - known),
+    };
+  }
+
+  /** The engine from which to fetch the prompt's prefix, if worthwhile. */
+  fetchSource(
+    prompt: PromptSize,
+    upstream: UpstreamState,
+    nowMs: number,
+  ): UpstreamState | undefined {
+    if (upstream.traits.fetchMsPerToken === 0) return undefined;
+    const {holder} = this.estimateOf(prompt, nowMs);
+    const cached = upstream.cache.cachedTokens(prompt.parts);
+    const isWorthFetching =
+      holder !== undefined && holder.tokens - cached >= MIN_FETCH_TOKENS;
+    return isWorthFetching ? holder.upstream : undefined;
   }
 
-  /** Tokens of the prompt that an engine has cached. */
-  cachedTokens(
+  private cachedTokens(
     prompt: PromptSize,
     upstream: UpstreamState,
     nowMs: number,
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -144,10 +144,11 @@
       const mustWait =
         isLaneFull &&
         queued.item.begun === undefined &&
-        this.lane.isLongPrefill(queued.prefillMs);
+        this.lane.isLongPrefill(queued.prefillMs) &&
+        !this.lane.mayLeave(agedItem(queued, nowMs));
       const upstream = mustWait
         ? undefined
-        : this.choose(queued.item, usable, open, nowMs);
+        : this.choose(agedItem(queued, nowMs), usable, open, nowMs);
       if (!this.processQueued(queued, upstream, usable, nowMs)) return;
       open = openOf(open, nowMs);
       isLaneFull = this.lane.isFull(open, usable);
@@ -385,6 +386,10 @@
   }
 }
 
+function agedItem({item, queuedAtMs}: QueuedItem, nowMs: number): WorkItem {
+  return {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
+}
+
 function openOf(
   upstreams: readonly UpstreamState[],
   nowMs: number,
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -1,53 +1,40 @@
 /** The scheduler's view of one upstream. */
 import type {InstanceId, RequestId, SoftwareVersion} from '../types/ids.js';
 import {
-  AVERAGE_WEIGHT,
-  BASE_FIRST_ANSWER_MS,
   COLD_RATE_SHARE,
-  DECODE_MS_PER_TOKEN,
   MAX_PREFILL_BACKLOG_MS,
-  INITIAL_SERVICE_MS,
   PLACEMENT_GRACE_MS,
   PREFILL_TOKENS_PER_MS,
   USABLE_CACHE_SHARE,
 } from './constants.js';
 import type {RunningRequest} from './crash_watch.js';
-import {EngineSlowness} from './engine_slowness.js';
 import {FailureShare} from './failure_share.js';
 import {LastAnswer} from './last_answer.js';
 import {NamedLimit} from './named_limit.js';
 import type {Placement} from './placement.js';
+import {PlacementBook} from './placement_book.js';
 import {PrefillBacklog} from './prefill_backlog.js';
 import {PrefixCache} from './prefix_cache.js';
 import type {PromptEstimates} from './prompt_estimates.js';
 import {ownTokens} from './prompt_parts.js';
 import {fits} from './software_versions.js';
 import {RejectionGuard} from './rejection_guard.js';
+import type {ServiceSpeeds} from './service_speeds.js';
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
   BegunStream,
   ListedUpstream,
   NamedLimits,
-  PlacementOutcome,
   Release,
   ServiceTraits,
   WorkItem,
 } from './types.js';
+import {UpstreamSpeed} from './upstream_speed.js';
 
 const MS_PER_S = 1_000;
-/** Outcomes that count against the upstream's health. */
-const FAILURE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
-  'failed',
-  'broken',
-  'unreachable',
-  'silent',
-]);
-/** Checked at intervals only, as placements without a release are rare. */
+/** Checked at intervals, as placements without a release are rare. */
 const EXPIRY_CHECK_MS = 200;
-/** Prefill of fewer tokens is as fast as fetching them. */
-const MIN_FETCH_TOKENS = 300;
-
 /** One upstream and the requests running on it. */
 export class UpstreamState {
   readonly cache = new PrefixCache();
@@ -71,15 +58,13 @@
   listedAsOfMs = Number.NEGATIVE_INFINITY;
   /** Readings of the list from before this time cannot mark it warm. */
   minWarmReadAtMs = 0;
-  private readonly placements = new Map<RequestId, Placement>();
+  /** When a request was last sent to it. */
+  startedAtMs = Number.NEGATIVE_INFINITY;
+  private readonly placements = new PlacementBook();
   private readonly prefill = new PrefillBacklog();
-  private usedTokens = 0;
-  /** Expected output tokens, summed over the placements. */
-  private outputTokens = 0;
   private nextExpiryCheckAtMs = 0;
   private readonly failures = new FailureShare();
-  private readonly slowness = new EngineSlowness();
-  private serviceMs = INITIAL_SERVICE_MS;
+  private readonly speed: UpstreamSpeed;
   /** Placements allowed beyond the slots of a plain upstream. */
   private readonly overcommit = new SlotOvercommit();
 
@@ -87,7 +72,10 @@
     public listed: ListedUpstream,
     public traits: ServiceTraits,
     private readonly estimates: PromptEstimates,
-  ) {}
+    speeds: ServiceSpeeds,
+  ) {
+    this.speed = new UpstreamSpeed(speeds, listed.slots);
+  }
 
   get running(): number {
     return this.placements.size;
@@ -95,10 +83,7 @@
 
   /** The requests that run on it, with the times at which they were sent. */
   get runningRequests(): readonly RunningRequest[] {
-    return [...this.placements.values()].map(({item, startedAtMs}) => ({
-      item,
-      startedAtMs,
-    }));
+    return this.placements.all();
   }
 
   /** A request that runs on it. */
@@ -133,7 +118,7 @@
   }
 
   get freeTokens(): number {
-    return Math.max(0, this.capacityTokens - this.usedTokens);
+    return Math.max(0, this.capacityTokens - this.placements.usedTokens);
   }
 
   get capacityTokens(): number {
@@ -156,7 +141,7 @@
 
   /** Moving average of the time of a plain call. */
   get meanServiceMs(): number {
-    return this.serviceMs;
+    return this.speed.callMs;
   }
 
   /** Time until the prefill of all prompts sent to it is done. */
@@ -204,59 +189,66 @@
 
   /** Ratio of its answer times to those of an engine of nominal speed. */
   get slownessFactor(): number {
-    return this.slowness.factor;
+    return this.speed.slowness;
+  }
+
+  /** Ratio of its times to those of an average engine of the service. */
+  get relativeSlowness(): number {
+    return this.speed.relativeSlowness;
+  }
+
+  /**
+   * What one more request costs those that run on it and itself, in time until
+   * all tokens of the request are written.
+   */
+  batchCostMs({prompt}: WorkItem): number {
+    const tokens = prompt?.expectedOutputTokens ?? 0;
+    return tokens * this.speed.stepGrowthMs * this.running;
   }
 
   /** Prefill time of the uncached part of a prompt, including any fetch. */
   prefillMs(item: WorkItem, nowMs: number): number {
-    const {prompt} = item;
-    if (prompt === undefined) return 0;
-    const cached = this.estimates.cachedTokens(prompt, this, nowMs);
-    const held = this.estimates.holder(prompt, nowMs)?.tokens ?? 0;
-    const fetched = this.traits.fetchMsPerToken > 0 ? held - cached : 0;
-    const known = cached + Math.max(0, fetched);
-    const missing = Math.max(0, prompt.promptTokens - known);
+    if (item.prompt === undefined) return 0;
+    const {missingTokens, fetchedTokens} = this.estimates.readingOf(
+      item.prompt,
+      this,
+      nowMs,
+    );
     return (
-      (missing / PREFILL_TOKENS_PER_MS) * this.slowness.factor +
-      Math.max(0, fetched) * this.traits.fetchMsPerToken
+      (missingTokens / PREFILL_TOKENS_PER_MS) * this.speed.slowness +
+      fetchedTokens * this.traits.fetchMsPerToken
     );
   }
 
   /** Expected time to the first answer if the request starts now. */
   expectedMs(item: WorkItem, nowMs: number): number {
-    if (!this.isEngine) return this.serviceMs;
+    if (!this.isEngine) return this.speed.callMs;
     return (
-      BASE_FIRST_ANSWER_MS * this.slowness.factor +
-      this.backlogMs(nowMs) +
-      this.prefillMs(item, nowMs)
+      this.speed.baseMs + this.backlogMs(nowMs) + this.prefillMs(item, nowMs)
     );
   }
 
   /** The engine from which to fetch the prompt's prefix, if worthwhile. */
-  fetchSource(item: WorkItem, nowMs: number): UpstreamState | undefined {
-    const {prompt} = item;
-    if (this.traits.fetchMsPerToken === 0 || prompt === undefined) {
-      return undefined;
-    }
-    const holder = this.estimates.holder(prompt, nowMs);
-    const cached = this.cache.cachedTokens(prompt.parts);
-    const isWorthFetching =
-      holder !== undefined && holder.tokens - cached >= MIN_FETCH_TOKENS;
-    return isWorthFetching ? holder.upstream : undefined;
+  fetchSource({prompt}: WorkItem, nowMs: number): UpstreamState | undefined {
+    return prompt === undefined
+      ? undefined
+      : this.estimates.fetchSource(prompt, this, nowMs);
   }
 
   /** Records a request that is sent to it now. */
   start(item: WorkItem, nowMs: number): void {
-    const expectedMs = this.expectedMs(item, nowMs);
-    this.prefill.add(item.requestId, this.prefillMs(item, nowMs), nowMs);
+    const prefillMs = this.prefillMs(item, nowMs);
+    const backlogMs = this.backlogMs(nowMs);
+    this.prefill.add(item.requestId, prefillMs, nowMs);
     const startsPerS = this.startsPerS(nowMs);
     if (startsPerS !== undefined) this.pacer.noteStart(startsPerS, nowMs);
-    this.addPlacement(item, expectedMs, nowMs);
+    this.startedAtMs = nowMs;
+    this.addPlacement(item, backlogMs + prefillMs, nowMs);
   }
 
   /** Records a running request that another scheduler granted. */
   adopt(item: WorkItem, nowMs: number): void {
-    this.addPlacement(item, this.expectedMs(item, nowMs), nowMs);
+    this.addPlacement(item, undefined, nowMs);
   }
 
   /** Ends a placement; unknown placements are ignored. */
@@ -269,16 +261,17 @@
       this.overcommit.reset();
       this.rejections.noteRejection(nowMs);
     }
-    this.failures.note(FAILURE_OUTCOMES.has(release.outcome), nowMs);
+    this.failures.noteOutcome(release.outcome, nowMs);
     if (release.outcome !== 'answered') return;
     this.lastAnswer.note(placement.item.entry, nowMs);
     this.overcommit.note(nowMs - placement.startedAtMs, release.totalMs);
-    this.updateEstimates(placement, release);
+    this.updateSpeed(placement, release, nowMs);
   }
 
   /** Records that a request was not begun by the expected time. */
   noteOverdue(requestId: RequestId): void {
-    if (this.placements.has(requestId)) this.prefill.noteOverdue(requestId);
+    if (this.placements.get(requestId) === undefined) return;
+    this.prefill.noteOverdue(requestId);
   }
 
   /** Records that a request which was overdue has begun. */
@@ -302,20 +295,17 @@
   expire(nowMs: number): void {
     if (nowMs < this.nextExpiryCheckAtMs) return;
     this.nextExpiryCheckAtMs = nowMs + EXPIRY_CHECK_MS;
-    [...this.placements.values()]
-      .filter(each => each.expiresAtMs <= nowMs)
-      .forEach(each => this.removePlacement(each));
+    this.speed.relax(nowMs);
+    this.placements.expired(nowMs).forEach(each => this.removePlacement(each));
   }
 
   entries(): readonly InstanceId[] {
-    return [...new Set([...this.placements.values()].map(e => e.item.entry))];
+    return this.placements.entries();
   }
 
   /** Removes the placements of an entry. */
   removeEntry(entry: WorkItem['entry']): void {
-    [...this.placements.values()]
-      .filter(each => each.item.entry === entry)
-      .forEach(each => this.removePlacement(each));
+    this.placements.ofEntry(entry).forEach(each => this.removePlacement(each));
   }
 
   /** Clears its state after a restart: nothing is cached or running. */
@@ -323,9 +313,8 @@
     this.isLeaving = false;
     this.placements.clear();
     this.cache.clear();
-    this.usedTokens = 0;
-    this.outputTokens = 0;
     this.prefill.clear();
+    this.speed.clear();
     this.failures.clear();
     this.overcommit.reset();
     this.limit.clear();
@@ -334,7 +323,7 @@
 
   /** Rate at which slots become free when all are occupied. */
   get slotsFreedPerMs(): number {
-    const meanMs = this.isEngine ? this.meanStreamMs() : this.serviceMs;
+    const meanMs = this.isEngine ? this.meanStreamMs() : this.speed.callMs;
     const freedPerMs = this.listed.slots / Math.max(1, meanMs);
     const {startsPerS} = this.limit;
     return startsPerS === undefined
@@ -342,53 +331,67 @@
       : Math.min(freedPerMs, startsPerS / MS_PER_S);
   }
 
+  /** `prefillMs` is `undefined` if another scheduler granted the request. */
   private addPlacement(
     item: WorkItem,
-    expectedMs: number,
+    prefillMs: number | undefined,
     nowMs: number,
   ): void {
-    const tokens = ownTokens(item);
     const replaced = this.placements.get(item.requestId);
     if (replaced !== undefined) this.removePlacement(replaced);
-    this.placements.set(item.requestId, {
+    this.placements.add({
       item,
       startedAtMs: nowMs,
-      ownTokens: tokens,
-      expectedMs,
+      ownTokens: ownTokens(item),
+      prefillMs: prefillMs ?? 0,
+      slowness: this.speed.slowness,
+      prefillSentMs: this.prefill.addedMs,
+      running: this.running,
+      isAdopted: prefillMs === undefined,
       hasBegun: false,
       expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
     });
-    this.usedTokens += tokens;
     if (item.prompt === undefined) return;
-    this.outputTokens += item.prompt.expectedOutputTokens;
     this.cache.touch(item.prompt.parts);
-    this.cache.shrinkTo(Math.max(0, this.capacityTokens - this.usedTokens));
+    this.cache.shrinkTo(this.freeTokens);
   }
 
   private meanStreamMs(): number {
-    const mean = this.outputTokens / Math.max(1, this.placements.size);
-    return Math.max(1, mean) * DECODE_MS_PER_TOKEN * this.slowness.factor;
+    const tokens = Math.max(1, this.placements.meanOutputTokens);
+    return tokens * this.speed.fullBatchTokenMs;
   }
 
-  private updateEstimates(placement: Placement, release: Release): void {
+  private updateSpeed(
+    placement: Placement,
+    release: Release,
+    nowMs: number,
+  ): void {
+    const {firstAnswerMs, totalMs, events = 0} = release;
     if (!this.isEngine) {
-      this.serviceMs += AVERAGE_WEIGHT * (release.totalMs - this.serviceMs);
+      this.speed.noteCall(totalMs);
       return;
     }
-    this.noteFirstAnswer(placement, release.firstAnswerMs);
+    this.noteFirstAnswer(placement, firstAnswerMs);
+    this.speed.noteStream({
+      events,
+      tokensPerEvent: this.traits.tokensPerEvent,
+      writingMs: firstAnswerMs > 0 ? totalMs - firstAnswerMs : 0,
+      prefillMs: this.prefill.doneMs(nowMs) - placement.prefillSentMs,
+      // The present batch does not include the request any more.
+      running: (placement.running + this.running) / 2 + 1,
+    });
   }
 
+  // What runs before an adopted request is not known.
   private noteFirstAnswer(placement: Placement, firstAnswerMs: number): void {
-    const {expectedMs, hasBegun} = placement;
-    if (hasBegun || firstAnswerMs <= 0) return;
+    const {prefillMs, slowness, hasBegun, isAdopted} = placement;
+    if (hasBegun || isAdopted || firstAnswerMs <= 0) return;
     placement.hasBegun = true;
-    this.slowness.note(firstAnswerMs, expectedMs);
+    this.speed.noteFirstAnswer({firstAnswerMs, prefillMs, slowness});
   }
 
   private removePlacement(placement: Placement): void {
-    this.placements.delete(placement.item.requestId);
+    this.placements.remove(placement);
     this.prefill.remove(placement.item.requestId);
-    this.usedTokens -= placement.ownTokens;
-    this.outputTokens -= placement.item.prompt?.expectedOutputTokens ?? 0;
   }
 }
