End the recovery of a new quota leader once all entries have reported

After a change of the leader a workspace without leases got nothing for the 11 s that leases of an earlier leader may last. Control members now remember which entries they heard of, and a leader goes on at once when all of these have told what they hold.

--- a/src/node/quotas/__tests__/support/quota_days.ts
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -99,7 +99,7 @@
   private atMs = 0;
 
   constructor(private readonly day: QuotaDay) {
-    this.members = this.leaders.map(() => new QuotaLeader(day.tolerance));
+    this.members = this.leaders.map(() => new QuotaLeader(day.tolerance, 0));
     this.entries = Array.from({length: day.entries}, (_, index) => ({
       id: asId<InstanceId>(`e${index}`),
       quotas: new EntryQuotas(() => day.entries),
--- /dev/null
+++ b/src/node/quotas/entry_contacts.ts
@@ -0,0 +1,40 @@
+/**
+ * Which entries may hold leases of an earlier leader. Every control member keeps it,
+ * from the announcements that it gets anyway.
+ */
+import type {InstanceId, Term} from '../types/ids.js';
+import {RECOVERY_MS} from './constants.js';
+
+interface Contact {
+  readonly heardAtMs: number;
+  /** Term of the leader that the entry accepts; `undefined` before its report. */
+  readonly term: number | undefined;
+}
+
+/** The entries that were heard of since leases of earlier leaders are valid. */
+export class EntryContacts {
+  private readonly contacts = new Map<InstanceId, Contact>();
+  private readonly startedAtMs: number;
+
+  constructor(nowMs: number) {
+    this.startedAtMs = nowMs;
+  }
+
+  note(entry: InstanceId, term: number | undefined, nowMs: number): void {
+    const known = this.contacts.get(entry);
+    this.contacts.set(entry, {heardAtMs: nowMs, term: term ?? known?.term});
+  }
+
+  /**
+   * Whether all entries that may hold a lease have told this leader what they hold.
+   * A member that has just started cannot know them.
+   */
+  haveAllReported(term: Term, nowMs: number): boolean {
+    const sinceMs = nowMs - RECOVERY_MS;
+    if (this.startedAtMs > sinceMs) return false;
+    [...this.contacts]
+      .filter(([, {heardAtMs}]) => heardAtMs < sinceMs)
+      .forEach(([entry]) => this.contacts.delete(entry));
+    return [...this.contacts.values()].every(each => each.term === term);
+  }
+}
--- a/src/node/quotas/leadership_check.ts
+++ b/src/node/quotas/leadership_check.ts
@@ -4,10 +4,11 @@
  */
 import type {ReplicatedLog} from '../replication/replicated_log.js';
 import type {Term} from '../types/ids.js';
-import {instantNow} from './instant.js';
+import {instantNow, longestMsBetween} from './instant.js';
 import type {Confirmation} from './quota_leader.js';
 
-const CHECK_INTERVAL_MS = 250;
+const CHECK_INTERVAL_MS = 50;
+const CONFIRM_INTERVAL_MS = 250;
 
 /** The part of a replicated log that the check uses. */
 export type LeadershipLog = Pick<
@@ -18,6 +19,7 @@
 /** Reports each confirmed leadership of one member. */
 export class LeadershipCheck {
   private timer: ReturnType<typeof setInterval> | undefined;
+  private asked: Confirmation | undefined;
 
   constructor(
     private readonly log: LeadershipLog,
@@ -36,6 +38,12 @@
     const term = this.ledTerm();
     if (term === undefined) return;
     const askedAt = instantNow();
+    // A new leader asks at once.
+    const isDue =
+      this.asked?.term !== term ||
+      longestMsBetween(this.asked.askedAt, askedAt) >= CONFIRM_INTERVAL_MS;
+    if (!isDue) return;
+    this.asked = {term, askedAt};
     const read = await this.log.readBarrier();
     // The barrier may have been that of another leader.
     if (read.isOk() && this.ledTerm() === term) {
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -2,6 +2,7 @@
 import type {WorkspaceSpec} from '../routes/route_table.js';
 import type {InstanceId, Term, WorkspaceId} from '../types/ids.js';
 import {LEADERSHIP_VALIDITY_MS, RECOVERY_MS} from './constants.js';
+import {EntryContacts} from './entry_contacts.js';
 import {longestMsBetween, type Instant} from './instant.js';
 import {poolLimits, type QuotaTolerance} from './limits.js';
 import type {QuotaReply, QuotaReport, WorkspaceGrant} from './messages.js';
@@ -22,7 +23,15 @@
   /** Names whose pool was dropped while their leases may still be in use. */
   private readonly droppedAtMs = new Map<WorkspaceId, number>();
 
-  constructor(private readonly tolerance: QuotaTolerance) {}
+  private readonly contacts: EntryContacts;
+  private isRecovering = false;
+
+  constructor(
+    private readonly tolerance: QuotaTolerance,
+    nowMs: number,
+  ) {
+    this.contacts = new EntryContacts(nowMs);
+  }
 
   /** A quorum confirmed that this member leads; pools of another term are void. */
   confirm(
@@ -35,8 +44,10 @@
     if (isNewTerm) {
       this.pools = new Map();
       this.workspaces = undefined;
+      this.isRecovering = true;
     }
     this.applyWorkspaces(workspaces, nowMs);
+    this.endRecovery(confirmation.term, nowMs);
   }
 
   /** The reply to an entry; `undefined` unless this member certainly leads. */
@@ -49,11 +60,13 @@
     const leads =
       confirmation !== undefined &&
       longestMsBetween(confirmation.askedAt, now) < LEADERSHIP_VALIDITY_MS;
+    const {instanceId, incarnation} = entry;
+    const adopted = leads ? report?.term : undefined;
+    this.contacts.note(instanceId, adopted, now.monotonicMs);
     if (!leads || this.pools.size === 0) return undefined;
     const {term} = confirmation;
     // What the entry holds counts only once it takes nothing from others.
     const reports = report?.term === term ? report.workspaces : [];
-    const {instanceId, incarnation} = entry;
     const source = {
       entry: instanceId,
       incarnation,
@@ -67,6 +80,13 @@
     return {term, workspaces};
   }
 
+  private endRecovery(term: Term, nowMs: number): void {
+    if (!this.isRecovering) return;
+    if (!this.contacts.haveAllReported(term, nowMs)) return;
+    this.isRecovering = false;
+    this.pools.forEach(pool => pool.endRecovery(nowMs));
+  }
+
   private applyWorkspaces(
     workspaces: readonly WorkspaceSpec[],
     nowMs: number,
--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -51,8 +51,8 @@
   private level = 0;
   private filledAtMs: number;
   private expiredAtMs: number;
-  private readonly grantsFromMs: number;
-  private readonly recoversUntilMs: number;
+  private grantsFromMs: number;
+  private recoversUntilMs: number;
   /** Leases of earlier leaders that entries told of. */
   private carried: LeaseRoom = {sharePerS: 0, ceilingUnits: 0};
 
@@ -65,6 +65,13 @@
     if (!mayHavePredecessor) this.level = this.maxLevel(nowMs);
   }
 
+  /** No entry holds a lease of which this leader does not know. */
+  endRecovery(nowMs: number): void {
+    this.fill(nowMs);
+    this.grantsFromMs = Math.min(this.grantsFromMs, nowMs);
+    this.recoversUntilMs = Math.min(this.recoversUntilMs, nowMs);
+  }
+
   applyLimits(limits: PoolLimits, nowMs: number): void {
     this.fill(nowMs);
     this.limits = limits;
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -127,7 +127,10 @@
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
-    this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
+    this.quotas = new QuotaLeader(
+      options.quotaTolerance ?? DEFAULT_TOLERANCE,
+      monotonicNowMs(),
+    );
     this.seal = new SourceSeal(options.clusterSecret);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
