Show the use of quotas and who is limited

Operators could see quotas only in the log lines of single entries. The command quotas asks the leader, to which entries now also tell for how long they have refused requests.

--- a/src/node/operator/cli.ts
+++ b/src/node/operator/cli.ts
@@ -8,12 +8,14 @@
 import {EXIT_SUCCESS, failureOf, usageFailure} from './failures.js';
 import {FLEET_COMMANDS} from './fleet_commands.js';
 import {MEMBER_COMMANDS} from './member_commands.js';
+import {QUOTA_COMMANDS} from './quota_commands.js';
 import {Session, type Terminal} from './session.js';
 
 const COMMANDS: readonly Command[] = [
   ...ANSWERS_COMMANDS,
   ...CONFIG_COMMANDS,
   ...FLEET_COMMANDS,
+  ...QUOTA_COMMANDS,
   ...MEMBER_COMMANDS,
   ...EXPLAIN_COMMANDS,
 ];
--- a/src/node/quotas/__tests__/support/quota_days.ts
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -8,6 +8,7 @@
   asId,
   asNumber,
   type InstanceId,
+  type RegionId,
   type Term,
   type WorkspaceId,
 } from '../../../types/ids.js';
@@ -19,6 +20,7 @@
 import {QuotaLeader} from '../../quota_leader.js';
 
 export const STEP_MS = 25;
+const REGION = asId<RegionId>('home');
 const ANNOUNCE_STEPS = 16;
 const CALL_TIMEOUT_MS = 800;
 const CONFIRM_STEPS = 10;
@@ -194,7 +196,7 @@
     const ask = (isCopy: boolean): void =>
       this.send(index, () => {
         const answer = this.members[member]?.answer(
-          {instanceId: id, incarnation},
+          {instanceId: id, incarnation, region: REGION},
           report as QuotaReport | undefined,
           this.memberNow(),
         );
--- a/src/node/quotas/entry_contacts.ts
+++ b/src/node/quotas/entry_contacts.ts
@@ -2,15 +2,22 @@
  * Which entries may hold leases of an earlier leader. Every control member keeps it,
  * from the announcements that it gets anyway.
  */
-import type {InstanceId, Term} from '../types/ids.js';
+import type {InstanceId, RegionId, Term} from '../types/ids.js';
 import {RECOVERY_MS} from './constants.js';
 
 interface Contact {
   readonly heardAtMs: number;
+  readonly region: RegionId;
   /** Term of the leader that the entry accepts; `undefined` before its report. */
   readonly term: number | undefined;
 }
 
+/** Where an entry is. */
+export interface KnownEntry {
+  readonly instanceId: InstanceId;
+  readonly region: RegionId;
+}
+
 /** The entries that were heard of since leases of earlier leaders are valid. */
 export class EntryContacts {
   private readonly contacts = new Map<InstanceId, Contact>();
@@ -20,9 +27,21 @@
     this.startedAtMs = nowMs;
   }
 
-  note(entry: InstanceId, term: number | undefined, nowMs: number): void {
-    const known = this.contacts.get(entry);
-    this.contacts.set(entry, {heardAtMs: nowMs, term: term ?? known?.term});
+  note(
+    {instanceId, region}: KnownEntry,
+    term: number | undefined,
+    nowMs: number,
+  ): void {
+    const known = this.contacts.get(instanceId);
+    this.contacts.set(instanceId, {
+      heardAtMs: nowMs,
+      region,
+      term: term ?? known?.term,
+    });
+  }
+
+  regionOf(entry: InstanceId): RegionId | undefined {
+    return this.contacts.get(entry)?.region;
   }
 
   /**
--- a/src/node/quotas/lease_account.ts
+++ b/src/node/quotas/lease_account.ts
@@ -54,6 +54,7 @@
   private returned: number;
   private demandPerS = 0;
   private unmet = 0;
+  private limited: number | undefined;
 
   constructor(
     private readonly incarnation: number,
@@ -68,6 +69,7 @@
     this.applied = report.appliedUnits;
     this.returned = report.returnedUnits;
     this.demandPerS = report.demandPerS;
+    this.limited = report.limitedForMs;
   }
 
   /** Whether a report comes from the holder of this account. */
@@ -86,6 +88,11 @@
     return this.versions[this.versions.length - 1] as LeaseTerms;
   }
 
+  /** For how long the entry has refused requests, by its last report. */
+  get limitedForMs(): number | undefined {
+    return this.limited;
+  }
+
   get grantedUnits(): number {
     return this.granted;
   }
@@ -119,6 +126,7 @@
       each => each.version >= report.version,
     );
     this.demandPerS = report.demandPerS;
+    this.limited = report.limitedForMs;
     this.applied = Math.min(this.granted, report.appliedUnits);
     const returned = Math.max(0, report.returnedUnits - this.returned);
     this.returned += returned;
--- a/src/node/quotas/limited_workspaces.ts
+++ b/src/node/quotas/limited_workspaces.ts
@@ -28,6 +28,15 @@
 
   constructor(private readonly options: LimitedWorkspacesOptions) {}
 
+  /** For how long requests have been refused; `undefined` if none are. */
+  limitedForMs(workspace: WorkspaceId): number | undefined {
+    const since = this.limited.get(workspace);
+    const nowMs = monotonicNowMs();
+    const isLimited =
+      since !== undefined && nowMs - since.refusedAtMs < LIMITED_FOR_MS;
+    return isLimited ? nowMs - since.sinceMs : undefined;
+  }
+
   note(
     spec: WorkspaceSpec,
     units: number,
--- a/src/node/quotas/messages.ts
+++ b/src/node/quotas/messages.ts
@@ -25,6 +25,8 @@
   readonly firstUnits: number;
   /** Units that would bring the balance up to what the demand needs. */
   readonly refillUnits: number;
+  /** For how long the entry has refused requests; missing if it refuses none. */
+  readonly limitedForMs?: number | undefined;
 }
 
 /** Sent with an announcement to the leader. */
@@ -81,6 +83,7 @@
       waitingUnits: amount,
       firstUnits: amount,
       refillUnits: amount,
+      limitedForMs: amount.optional(),
     }),
   ),
 });
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -131,7 +131,13 @@
   }
 
   reportFor(control: InstanceId): QuotaReport | undefined {
-    return this.quotas.reportFor(control, instantNow());
+    const report = this.quotas.reportFor(control, instantNow());
+    if (report === undefined) return undefined;
+    const workspaces = report.workspaces.map(each => ({
+      ...each,
+      limitedForMs: this.limited.limitedForMs(each.workspace),
+    }));
+    return {...report, workspaces};
   }
 
   /** The reply to an announcement that was sent at `sentAt`. */
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -1,12 +1,13 @@
 /** Divides the quotas of all workspaces among entries, while this member leads. */
 import type {WorkspaceSpec} from '../routes/route_table.js';
-import type {InstanceId, Term, WorkspaceId} from '../types/ids.js';
+import type {InstanceId, RegionId, Term, WorkspaceId} from '../types/ids.js';
 import {LEADERSHIP_VALIDITY_MS, RECOVERY_MS} from './constants.js';
-import {EntryContacts} from './entry_contacts.js';
+import {EntryContacts, type KnownEntry} from './entry_contacts.js';
 import {longestMsBetween, type Instant} from './instant.js';
 import {poolLimits, type QuotaTolerance} from './limits.js';
 import type {QuotaReply, QuotaReport, WorkspaceGrant} from './messages.js';
 import {WorkspacePool} from './workspace_pool.js';
+import type {QuotaStatus} from './workspace_use.js';
 
 /** That a quorum confirmed the leadership of this member. */
 export interface Confirmation {
@@ -52,17 +53,15 @@
 
   /** The reply to an entry; `undefined` unless this member certainly leads. */
   answer(
-    entry: {readonly instanceId: InstanceId; readonly incarnation: number},
+    entry: KnownEntry & {readonly incarnation: number},
     report: QuotaReport | undefined,
     now: Instant,
   ): QuotaReply | undefined {
     const {confirmation} = this;
-    const leads =
-      confirmation !== undefined &&
-      longestMsBetween(confirmation.askedAt, now) < LEADERSHIP_VALIDITY_MS;
+    const leads = isCurrent(confirmation, now);
     const {instanceId, incarnation} = entry;
     const adopted = leads ? report?.term : undefined;
-    this.contacts.note(instanceId, adopted, now.monotonicMs);
+    this.contacts.note(entry, adopted, now.monotonicMs);
     if (!leads || this.pools.size === 0) return undefined;
     const {term} = confirmation;
     // What the entry holds counts only once it takes nothing from others.
@@ -80,6 +79,19 @@
     return {term, workspaces};
   }
 
+  /** The use of all quotas, as far as this member knows it. */
+  status(now: Instant): QuotaStatus {
+    if (!isCurrent(this.confirmation, now)) {
+      return {isLeader: false, workspaces: []};
+    }
+    const regionOf = (entry: InstanceId): RegionId | undefined =>
+      this.contacts.regionOf(entry);
+    const workspaces = [...this.pools].map(([name, pool]) =>
+      pool.status(name, regionOf),
+    );
+    return {isLeader: true, workspaces};
+  }
+
   private endRecovery(term: Term, nowMs: number): void {
     if (!this.isRecovering) return;
     if (!this.contacts.haveAllReported(term, nowMs)) return;
@@ -131,3 +143,13 @@
     );
   }
 }
+
+function isCurrent(
+  confirmation: Confirmation | undefined,
+  now: Instant,
+): confirmation is Confirmation {
+  return (
+    confirmation !== undefined &&
+    longestMsBetween(confirmation.askedAt, now) < LEADERSHIP_VALIDITY_MS
+  );
+}
--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -4,7 +4,7 @@
  * return. Pool, ceilings and grants on their way never exceed the capacity in sum, so
  * that in no window more runs than the rate allows plus that capacity.
  */
-import type {InstanceId} from '../types/ids.js';
+import type {InstanceId, RegionId, WorkspaceId} from '../types/ids.js';
 import {
   MAX_CLOCK_DRIFT,
   RECOVERY_MS,
@@ -21,6 +21,12 @@
 import type {PoolLimits} from './limits.js';
 import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
 
+import {
+  statusByRegion,
+  type EntryUse,
+  type WorkspaceStatus,
+} from './workspace_use.js';
+
 const MS_PER_S = 1_000;
 const ACCOUNT_EXPIRY_MS = SHARE_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
 const EXPIRY_CHECK_INTERVAL_MS = 250;
@@ -83,6 +89,27 @@
     return this.totals;
   }
 
+  /** The use of the quota; `regionOf` tells where an entry is. */
+  status(
+    workspace: WorkspaceId,
+    regionOf: (entry: InstanceId) => RegionId | undefined,
+  ): WorkspaceStatus {
+    const uses = [...this.accounts].flatMap<EntryUse>(([entry, account]) => {
+      const region = regionOf(entry);
+      if (region === undefined) return [];
+      const {demandPerS} = account.reserved;
+      const {sharePerS} = account.lease;
+      const {limitedForMs} = account;
+      return [{region, demandPerS, sharePerS, limitedForMs}];
+    });
+    return {
+      workspace,
+      ratePerS: this.limits.ratePerS,
+      poolUnits: Math.round(this.level),
+      regions: [...statusByRegion(uses)],
+    };
+  }
+
   /** Records a report and decides the reply; `undefined` for one that came late. */
   answer(
     source: ReportSource,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -24,6 +24,7 @@
 import {LeadershipCheck} from '../quotas/leadership_check.js';
 import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
 import {QuotaLeader} from '../quotas/quota_leader.js';
+import {registerQuotaStatus} from '../quotas/status_method.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -152,6 +153,7 @@
       this.answerAnnouncement(announcement),
     );
     registerOriginMethods(router, new OriginStore());
+    registerQuotaStatus(router, this.quotas);
     router.register(
       FETCH_STATE_METHOD,
       z.object({}),
