--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -93,10 +93,10 @@
   readonly seedAddresses?: () => readonly string[];
   /** Members that may be lost at the same time. @default 1 */
   readonly toleratedLosses?: number;
-  /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
-  readonly quotaTolerance?: QuotaTolerance;
   /** Shared by all instances; seals configurations that hold keys of callers. */
   readonly clusterSecret: string;
+  /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
+  readonly quotaTolerance?: QuotaTolerance;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -119,20 +119,20 @@
     | undefined;
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
+  private isWritable = true;
   private readonly quotas: QuotaLeader;
   private leadership: LeadershipCheck | undefined;
-  private isWritable = true;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
+    this.seal = new SourceSeal(options.clusterSecret);
     this.quotas = new QuotaLeader(
       options.quotaTolerance ?? DEFAULT_TOLERANCE,
       monotonicNowMs(),
     );
-    this.seal = new SourceSeal(options.clusterSecret);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
