--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -4,7 +4,7 @@
  * return. Pool, ceilings and grants on their way never exceed the capacity in sum, so
  * that in no window more runs than the rate allows plus that capacity.
  */
-import type {InstanceId} from '../types/ids.js';
+import type {InstanceId, RegionId, WorkspaceId} from '../types/ids.js';
 import {
   MAX_CLOCK_DRIFT,
   RECOVERY_MS,
@@ -21,6 +21,12 @@
 import type {PoolLimits} from './limits.js';
 import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
 
+import {
+  statusByRegion,
+  type EntryUse,
+  type WorkspaceStatus,
+} from './workspace_use.js';
+
 const MS_PER_S = 1_000;
 const ACCOUNT_EXPIRY_MS = SHARE_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
 const EXPIRY_CHECK_INTERVAL_MS = 250;
@@ -51,8 +57,8 @@
   private level = 0;
   private filledAtMs: number;
   private expiredAtMs: number;
-  private readonly grantsFromMs: number;
-  private readonly recoversUntilMs: number;
+  private grantsFromMs: number;
+  private recoversUntilMs: number;
   /** Leases of earlier leaders that entries told of. */
   private carried: LeaseRoom = {sharePerS: 0, ceilingUnits: 0};
 
@@ -65,6 +71,13 @@
     if (!mayHavePredecessor) this.level = this.maxLevel(nowMs);
   }
 
+  /** No entry holds a lease of which this leader does not know. */
+  endRecovery(nowMs: number): void {
+    this.fill(nowMs);
+    this.grantsFromMs = Math.min(this.grantsFromMs, nowMs);
+    this.recoversUntilMs = Math.min(this.recoversUntilMs, nowMs);
+  }
+
   applyLimits(limits: PoolLimits, nowMs: number): void {
     this.fill(nowMs);
     this.limits = limits;
@@ -76,6 +89,27 @@
     return this.totals;
   }
 
+  /** The use of the quota; `regionOf` tells where an entry is. */
+  status(
+    workspace: WorkspaceId,
+    regionOf: (entry: InstanceId) => RegionId | undefined,
+  ): WorkspaceStatus {
+    const uses = [...this.accounts].flatMap<EntryUse>(([entry, account]) => {
+      const region = regionOf(entry);
+      if (region === undefined) return [];
+      const {demandPerS} = account.reserved;
+      const {sharePerS} = account.lease;
+      const {limitedForMs} = account;
+      return [{region, demandPerS, sharePerS, limitedForMs}];
+    });
+    return {
+      workspace,
+      ratePerS: this.limits.ratePerS,
+      poolUnits: Math.round(this.level),
+      regions: [...statusByRegion(uses)],
+    };
+  }
+
   /** Records a report and decides the reply; `undefined` for one that came late. */
   answer(
     source: ReportSource,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -24,6 +24,7 @@
 import {LeadershipCheck} from '../quotas/leadership_check.js';
 import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
 import {QuotaLeader} from '../quotas/quota_leader.js';
+import {registerQuotaStatus} from '../quotas/status_method.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -128,7 +129,10 @@
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
     this.seal = new SourceSeal(options.clusterSecret);
-    this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
+    this.quotas = new QuotaLeader(
+      options.quotaTolerance ?? DEFAULT_TOLERANCE,
+      monotonicNowMs(),
+    );
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -149,6 +153,7 @@
       this.answerAnnouncement(announcement),
     );
     registerOriginMethods(router, new OriginStore());
+    registerQuotaStatus(router, this.quotas);
     router.register(
       FETCH_STATE_METHOD,
       z.object({}),
