Bound what an entry holds for callers that send or read slowly

Only single bodies and responses were bounded. A quarter of the memory in the settings now bounds the sum; callers that hardly move are let go for others, visibly incomplete, bodies without room are refused as not run, and responses without room wait at their upstream.

--- a/src/node/http/__tests__/byte_buffer.spec.ts
+++ b/src/node/http/__tests__/byte_buffer.spec.ts
@@ -29,3 +29,19 @@
   });
   assert.deepEqual(accepted, [1_000, 100, 10]);
 });
+
+// Guards against a large body in small pieces that takes a multiple of its bytes.
+test('memory exceeds the bytes of a large body by a quarter at most', () => {
+  const maxBytes = 4_194_304;
+  const grown = new ByteBuffer({maxBytes});
+  const expected = new ByteBuffer({maxBytes});
+  expected.expect(3_000_000);
+  const piece = Buffer.alloc(1_000);
+  for (let sent = 0; sent < 3_000; sent++) {
+    [grown, expected].forEach(each => assert.ok(each.append(piece)));
+    const {length, capacityBytes} = grown;
+    const isSmall = length < 262_144;
+    assert.ok(isSmall || capacityBytes <= 1.25 * length + piece.length);
+  }
+  assert.equal(expected.capacityBytes, 3_000_000);
+});
--- a/src/node/http/byte_buffer.ts
+++ b/src/node/http/byte_buffer.ts
@@ -5,6 +5,9 @@
  */
 
 const MIN_BLOCK_BYTES = 1_024;
+/** Larger blocks grow by a quarter: doubled, they would take twice their bytes. */
+const LARGE_BLOCK_BYTES = 262_144;
+const LARGE_GROWTH = 1.25;
 
 /**
  * What a piece from an upstream counts beside its bytes: it costs processor time
@@ -23,6 +26,7 @@
   private block = Buffer.alloc(0);
   private sizeBytes = 0;
   private pieces = 0;
+  private expectedBytes = 0;
 
   constructor(private readonly options: ByteBufferOptions) {}
 
@@ -31,16 +35,47 @@
     return this.sizeBytes;
   }
 
+  /** Bytes of memory, with those that are not used yet. */
+  get capacityBytes(): number {
+    return this.block.length;
+  }
+
+  /** Takes all memory with the next piece if the sum of all is known. */
+  expect(totalBytes: number): void {
+    this.expectedBytes = Math.min(totalBytes, this.options.maxBytes);
+  }
+
+  /** Whether another piece keeps the limit. */
+  isWithinLimit(pieceBytes: number): boolean {
+    const {maxBytes, bytesPerPiece = 0} = this.options;
+    const costBytes = (this.pieces + 1) * bytesPerPiece;
+    return this.sizeBytes + pieceBytes + costBytes <= maxBytes;
+  }
+
+  /** What `capacityBytes` will be after another piece. */
+  capacityWith(pieceBytes: number): number {
+    const neededBytes = this.sizeBytes + pieceBytes;
+    const {length} = this.block;
+    if (neededBytes <= length) return length;
+    if (neededBytes <= this.expectedBytes) return this.expectedBytes;
+    const factor = length >= LARGE_BLOCK_BYTES ? LARGE_GROWTH : 2;
+    const roomyBytes = Math.min(
+      this.options.maxBytes,
+      Math.max(MIN_BLOCK_BYTES, Math.ceil(factor * length)),
+    );
+    return Math.max(neededBytes, roomyBytes);
+  }
+
   /** Adds a piece; returns false and drops all bytes above the limit. */
   append(piece: Uint8Array): boolean {
-    const {maxBytes, bytesPerPiece = 0} = this.options;
-    const neededBytes = this.sizeBytes + piece.length;
-    this.pieces += 1;
-    if (neededBytes + this.pieces * bytesPerPiece > maxBytes) {
+    if (!this.isWithinLimit(piece.length)) {
       this.clear();
       return false;
     }
-    if (neededBytes > this.block.length) this.grow(neededBytes);
+    const neededBytes = this.sizeBytes + piece.length;
+    this.pieces += 1;
+    const capacityBytes = this.capacityWith(piece.length);
+    if (capacityBytes > this.block.length) this.grow(capacityBytes);
     this.block.set(piece, this.sizeBytes);
     this.sizeBytes = neededBytes;
     return true;
@@ -64,9 +99,8 @@
     this.pieces = 0;
   }
 
-  private grow(neededBytes: number): void {
-    const doubledBytes = Math.max(MIN_BLOCK_BYTES, 2 * this.block.length);
-    const grown = Buffer.allocUnsafe(Math.max(neededBytes, doubledBytes));
+  private grow(capacityBytes: number): void {
+    const grown = Buffer.allocUnsafe(capacityBytes);
     this.block.copy(grown, 0, 0, this.sizeBytes);
     this.block = grown;
   }
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -4,6 +4,7 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import {GatewayError} from '../types/errors.js';
 import {ByteBuffer} from './byte_buffer.js';
+import type {Holding} from './held_bytes.js';
 import {
   closeIdleConnections,
   stopListening,
@@ -84,12 +85,15 @@
 
 /**
  * Reads a complete request body. Rejects with `too_large` above the limit and
- * with `cancelled` if the sender disconnects before the end of the body. This
+ * with `cancelled` if the sender disconnects before the end of the body. With a
+ * `holding` it rejects with `overloaded` if there is no room for the body, before
+ * it is read if its length is known. This
  * function does not close the connection, so that a response can be sent.
  */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  holding?: Holding,
 ): Promise<Buffer> {
   const peer = request.socket.remoteAddress ?? 'caller';
   const tooLarge = (): GatewayError =>
@@ -99,16 +103,27 @@
       step: 'http.read_body',
       peer,
     });
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
-    return Promise.reject(tooLarge());
+  const announcedBytes = Number(request.headers['content-length'] ?? 0);
+  if (announcedBytes > maxBytes) return Promise.reject(tooLarge());
+  if (holding?.hasRoomFor(announcedBytes) === false) {
+    return Promise.reject(noRoomFor(peer));
   }
   return new Promise((resolve, reject) => {
     const body = new ByteBuffer({maxBytes});
-    const onData = (chunk: Buffer): void => {
-      if (body.append(chunk)) return;
+    const giveUp = (error: GatewayError): void => {
       request.off('data', onData).pause();
-      reject(tooLarge());
+      body.take();
+      holding?.resize('body', 0);
+      reject(error);
+    };
+    const onData = (chunk: Buffer): void => {
+      holding?.noteReceived(chunk.length);
+      if (!body.append(chunk)) giveUp(tooLarge());
+      else if (holding?.resize('body', body.capacityBytes) === false) {
+        giveUp(noRoomFor(peer));
+      }
     };
+    holding?.startBody(() => giveUp(noRoomFor(peer)));
     const onDisconnect = (): void =>
       reject(
         new GatewayError({
@@ -121,13 +136,25 @@
       );
     request
       .on('data', onData)
-      .on('end', () => resolve(body.take()))
+      .on('end', () => {
+        holding?.endBody();
+        resolve(body.take());
+      })
       .on('error', onDisconnect)
       .on('close', onDisconnect);
     if (request.destroyed) onDisconnect();
   });
 }
 
+function noRoomFor(peer: string): GatewayError {
+  return new GatewayError({
+    code: 'overloaded',
+    message: 'no room for the body',
+    step: 'http.read_body',
+    peer,
+  });
+}
+
 /** A complete response, sent from memory. */
 export interface CompleteResponse {
   readonly status: number;
--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -1,7 +1,9 @@
 /** The response to one caller. */
 import type {ServerResponse} from 'node:http';
+import type {HeldBytes, HeldPeer, Holding} from '../http/held_bytes.js';
 import type {HeaderPair} from './protocol.js';
 
+const PIECE_BYTES = 16_384;
 const HTTP_WITHOUT_CHUNKS = '1.0';
 
 /**
@@ -16,7 +18,9 @@
  * each end of this process or of the connection would look like its end. What is
  * sent complete without framing is small, or may not be whole.
  */
-export class CallerResponse {
+export class CallerResponse implements HeldPeer {
+  /** The bytes held for the request; `undefined` if they have no bound. */
+  readonly holding: Holding | undefined;
   private hasBegun = false;
   private hasEnded = false;
   private isFramed = true;
@@ -25,7 +29,26 @@
     private readonly response: ServerResponse,
     /** Whether the connection must be closed after this response. */
     private readonly mustClose: () => boolean,
-  ) {}
+    held?: HeldBytes,
+  ) {
+    this.holding = held?.open(this);
+  }
+
+  /** Bytes that wait in this process for the caller to read them. */
+  get unreadBytes(): number {
+    return this.response.closed ? 0 : this.response.writableLength;
+  }
+
+  /** Bytes that have left this process on the connection of the caller. */
+  get takenBytes(): number {
+    const {socket} = this.response;
+    return socket === null ? 0 : socket.bytesWritten - socket.writableLength;
+  }
+
+  /** Ends what a caller does not read, or has not sent. */
+  letGo(): void {
+    this.terminate();
+  }
 
   /** Whether the status and headers were sent. */
   get isBegun(): boolean {
@@ -55,7 +78,7 @@
       this.response.setHeader('connection', 'close');
     }
     this.response.writeHead(status);
-    this.response.end(body);
+    this.sendPieces(body, 0);
   }
 
   begin(status: number, headers: readonly HeaderPair[]): void {
@@ -89,6 +112,18 @@
     this.response.destroy();
   }
 
+  // In one piece, nothing would tell how much of it the caller has read.
+  private sendPieces(body: Buffer, from: number): void {
+    const to = from + PIECE_BYTES;
+    if (to >= body.length) {
+      this.response.end(body.subarray(from));
+      return;
+    }
+    const isTaken = this.response.write(body.subarray(from, to));
+    if (isTaken) this.sendPieces(body, to);
+    else this.response.once('drain', () => this.sendPieces(body, to));
+  }
+
   private setHeaders(headers: readonly HeaderPair[]): void {
     if (this.mustClose()) this.response.setHeader('connection', 'close');
     headers.forEach(([name, value]) => this.response.appendHeader(name, value));
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -33,6 +33,7 @@
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
 import {PlannedStop} from './planned_stop.js';
+import {createHeldBytes} from './memory_bound.js';
 import type {RequestProtocol} from './protocol.js';
 import {RelayClient} from './relay.js';
 import {RequestLog} from './request_log.js';
@@ -333,6 +334,7 @@
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       plannedStop: this.plannedStop,
+      held: createHeldBytes(settings.memoryMb, this.metrics, logger),
       context: {
         region: settings.regionId,
         self: settings.instanceId,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {waitForDelivery} from '../http/delivery.js';
+import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
 import type {CallerLimits, Route} from '../routes/route_table.js';
@@ -27,6 +28,7 @@
   requestFromCaller,
   requestFromRelay,
 } from './inbound_request.js';
+import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {decodeRelayRequest} from './relay.js';
 import type {RejectionReason} from './request_log.js';
 import type {PlannedStop} from './planned_stop.js';
@@ -63,6 +65,8 @@
   /** Resolves when there is a route table, or after `waitMs`. */
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
+  /** Bounds what is held for slow callers. */
+  readonly held?: HeldBytes;
 }
 
 /** The route of a caller's request, and the routes that were in force then. */
@@ -126,21 +130,27 @@
 
   /** Runs a request relayed by another entry. */
   async receiveRelayed(bytes: Buffer, response: ServerResponse): Promise<void> {
+    const callerResponse = new CallerResponse(
+      response,
+      () => false,
+      this.options.held,
+    );
     this.openRequests += 1;
     try {
-      await this.runRelayed(bytes, response);
+      await this.runRelayed(bytes, response, callerResponse);
       await waitForDelivery(response);
     } finally {
       this.openRequests -= 1;
+      callerResponse.holding?.close();
     }
   }
 
   private async runRelayed(
     bytes: Buffer,
     response: ServerResponse,
+    callerResponse: CallerResponse,
   ): Promise<void> {
     const {metadata, body} = decodeRelayRequest(bytes);
-    const callerResponse = new CallerResponse(response, () => false);
     const matcher = this.options.matcher();
     const route = matcher?.match(metadata.host, metadata.path);
     if (matcher === undefined || route === undefined) {
@@ -159,9 +169,19 @@
       return;
     }
     const {version} = matcher.table;
+    const requestId = asId<RequestId>(metadata.requestId);
+    if (callerResponse.holding?.resize('body', bytes.length) === false) {
+      const status = sendRefusal(callerResponse, MEMORY_RETRY_MS, 'unsent');
+      this.options.context.log.rejected(
+        requestId,
+        'no_memory',
+        status,
+        version,
+      );
+      return;
+    }
     if (this.options.plannedStop.isTooLateFor(route)) {
       const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, 'unsent');
-      const requestId = asId<RequestId>(metadata.requestId);
       this.options.context.log.rejected(requestId, 'stopping', status, version);
       return;
     }
@@ -178,6 +198,7 @@
     const callerResponse = new CallerResponse(
       response,
       () => this.options.plannedStop.hasBegun,
+      this.options.held,
     );
     this.openRequests += 1;
     this.undelivered.add(callerResponse);
@@ -186,6 +207,7 @@
       .finally(() => {
         this.openRequests -= 1;
         this.undelivered.delete(callerResponse);
+        callerResponse.holding?.close();
       });
   }
 
@@ -303,11 +325,14 @@
     onRejected: (reason: RejectionReason, status: number) => void,
   ): Promise<Buffer | undefined> {
     try {
-      return await readBody(request, this.limits.maxBodyBytes);
+      const {holding} = callerResponse;
+      return await readBody(request, this.limits.maxBodyBytes, holding);
     } catch (thrown) {
       const error = toGatewayError(thrown, 'ingress.read_body', 'caller');
       if (error.code === 'too_large') {
         onRejected('body_too_large', sendRejection(callerResponse, 413));
+      } else if (error.code === 'overloaded') {
+        onRejected('no_memory', sendRefusal(callerResponse, MEMORY_RETRY_MS));
       } else {
         callerResponse.terminate();
         onRejected('body_incomplete', 0);
--- /dev/null
+++ b/src/node/ingress/memory_bound.ts
@@ -0,0 +1,48 @@
+/** The bound on what an entry holds for callers and upstreams. */
+import type {Logger} from '../logging/logger.js';
+import type {MetricsRegistry} from '../metrics/registry.js';
+import {HeldBytes} from '../http/held_bytes.js';
+
+/** `retry-after` if there is no room: slow peers are let go within this time. */
+export const MEMORY_RETRY_MS = 1_000;
+
+const BYTES_PER_MB = 1_048_576;
+/**
+ * The rest is for the runtime, the kernel's buffers of unread bytes, and copies that
+ * exist for a moment.
+ */
+const HELD_SHARE = 0.25;
+/** Without a setting: more than a process of the earlier deployments may use. */
+const DEFAULT_MAX_BYTES = 1_024 * BYTES_PER_MB;
+
+/** The bound for a process that may use `memoryMb` in all. */
+export function maxHeldBytes(memoryMb: number | undefined): number {
+  if (memoryMb === undefined) return DEFAULT_MAX_BYTES;
+  return Math.floor(memoryMb * BYTES_PER_MB * HELD_SHARE);
+}
+
+/** The held bytes of an entry, with their metrics and log lines. */
+export function createHeldBytes(
+  memoryMb: number | undefined,
+  metrics: MetricsRegistry,
+  logger: Logger,
+): HeldBytes {
+  const held = new HeldBytes({
+    maxBytes: maxHeldBytes(memoryMb),
+    onLetGo: ({heldBytes, movedBytes, bytesPerS, observedMs}) => {
+      metrics.count('slow_peers_let_go');
+      logger.warn(
+        {
+          event: 'slow_peer_let_go',
+          heldBytes,
+          movedBytes,
+          bytesPerS: Math.round(bytesPerS),
+          observedMs: Math.round(observedMs),
+        },
+        'let a slow caller go to free memory',
+      );
+    },
+  });
+  metrics.beforeRead(() => metrics.set('held_bytes', {}, held.totalBytes));
+  return held;
+}
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -45,6 +45,7 @@
   | 'stopping'
   | 'headers_too_large'
   | 'body_too_large'
+  | 'no_memory'
   | 'body_incomplete';
 
 /** What is logged when a request has ended. */
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -41,6 +41,7 @@
 import type {RelayClient} from './relay.js';
 import type {RetryShares} from './retry_shares.js';
 import {RunRecorder} from './run_recorder.js';
+import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
@@ -231,6 +232,10 @@
 
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
+    const {holding} = this.response;
+    if (holding?.resize('copy', request.body.length) === false) {
+      return {kind: 'not_run', cause: 'memory', retryAfterMs: MEMORY_RETRY_MS};
+    }
     const reader = this.createReader(monotonicNowMs());
     const ended = await context.relay.send(
       region,
@@ -244,6 +249,7 @@
       reader,
       this.signal,
     );
+    holding?.resize('copy', 0);
     const result = this.interpret(endOfTry(ended, reader), reader);
     context.metrics.count('requests_offloaded', {region, result: result.kind});
     // Another entry of this region may take what a lost one could not.
@@ -321,6 +327,7 @@
   }
 
   private interpret(end: ExchangeEnd, reader: ResponseReader): TryResult {
+    reader.endWait();
     if (end.kind === 'aborted') return end;
     if (end.kind === 'not_sent') {
       this.tries.noteNotRun();
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -92,6 +92,9 @@
     bytesPerPiece: PIECE_COST_BYTES,
   });
 
+  /** Ends the wait for room; the exchange has ended. */
+  endWait: () => void = () => undefined;
+
   constructor(private readonly options: ResponseReaderOptions) {}
 
   get isSuccess(): boolean {
@@ -153,14 +156,14 @@
       throw new Error('successful response is unsigned or content-encoded');
     }
     this.isRelaying = isStream && this.isSuccess;
+    this.buffered.expect(Number(headers['content-length'] ?? 0));
     if (!isStream) this.options.onResponseStart();
   }
 
   onData(chunk: Buffer, resume: () => void): boolean {
     if (!this.isRelaying) {
       this.noteProgress();
-      this.buffer(chunk);
-      return true;
+      return this.buffer(chunk, resume);
     }
     this.meter.add(chunk);
     if (!this.options.isResumable) return this.relayBytes(chunk, resume);
@@ -195,11 +198,32 @@
     return isNotRun && attemptId !== '' && !isFromPeer;
   }
 
-  private buffer(chunk: Buffer): void {
-    if (this.buffered.append(chunk)) return;
-    throw new Error(
-      `response exceeds ${MAX_BUFFERED_BYTES} bytes or has too many chunks`,
-    );
+  // Without room the upstream waits; it cuts off a response that stays unread.
+  private buffer(chunk: Buffer, resume: () => void): boolean {
+    if (!this.buffered.isWithinLimit(chunk.length)) {
+      throw new Error(
+        `response exceeds ${MAX_BUFFERED_BYTES} bytes or has too many chunks`,
+      );
+    }
+    if (this.bufferNow(chunk)) return true;
+    this.endWait();
+    const {holding} = this.options.response;
+    const stopWaiting = holding?.whenRoom(() => {
+      this.noteProgress();
+      if (!this.bufferNow(chunk)) return false;
+      resume();
+      return true;
+    });
+    this.endWait = () => stopWaiting?.();
+    return false;
+  }
+
+  /** False, and nothing changed, if the entry has no room. */
+  private bufferNow(chunk: Buffer): boolean {
+    const {holding} = this.options.response;
+    const capacityBytes = this.buffered.capacityWith(chunk.length);
+    if (holding?.resize('response', capacityBytes) === false) return false;
+    return this.buffered.append(chunk);
   }
 
   private relayBytes(bytes: Buffer, resume: () => void): boolean {
@@ -234,6 +258,8 @@
     progress.isStarted = true;
     progress.begun ??= {softwareVersion: this.softwareVersion()};
     onResponseStart();
+    // Of an earlier try that failed.
+    response.holding?.resize('response', 0);
     response.begin(this.head.status, this.callerHeaders());
   }
 
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -48,6 +48,8 @@
   retryRatio: z.number().min(0),
   retryWindowMs: z.number().positive(),
   retrySlack: z.number().min(0),
+  /** Memory that the process may use; bounds what it holds for slow peers. */
+  memoryMb: z.number().positive().optional(),
 });
 
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -166,6 +166,12 @@
     status: z.number(),
     tableVersion: z.number(),
   },
+  slow_peer_let_go: {
+    heldBytes: z.number(),
+    movedBytes: z.number(),
+    bytesPerS: z.number(),
+    observedMs: z.number(),
+  },
   request_crashed: {requestId: z.string(), status: z.number()},
   granted: {...matched, scheduler: z.string(), upstreamId: z.string()},
   offloaded: {
