--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -5,6 +5,7 @@
 import type {InboundRequest, TryResult} from './types.js';
 
 const REJECTION_CODES = {
+  401: 'unauthorized',
   404: 'not_found',
   413: 'too_large',
   431: 'headers_too_large',
@@ -39,6 +40,24 @@
   return status;
 }
 
+/** Refuses a request of a workspace that has used its quota. */
+export function sendOverQuota(
+  response: CallerResponse,
+  retryAfterMs: number,
+): number {
+  const status = 429;
+  const jitteredMs = retryAfterMs * (1 + RETRY_JITTER * Math.random());
+  response.sendComplete(
+    status,
+    [
+      ['retry-after', (jitteredMs / MS_PER_S).toFixed(2)],
+      ['content-type', 'application/json'],
+    ],
+    errorBody('over_quota', 'not_run'),
+  );
+  return status;
+}
+
 /** Responds to a request that ran or may have run at an upstream. */
 export function sendFailure(
   response: CallerResponse,
@@ -66,7 +85,7 @@
   return sendFailure(response, {kind: 'failed', cause: 'unexpected error'});
 }
 
-/** Rejects a request that exceeds a limit or matches no route. */
+/** Rejects a request that exceeds a limit, matches no route or has no known key. */
 export function sendRejection(
   response: CallerResponse,
   status: keyof typeof REJECTION_CODES,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -10,11 +10,11 @@
 import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
-import type {CallerLimits, Route} from '../routes/route_table.js';
+import type {CallerLimits} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
+import type {QuotaGate} from '../quotas/quota_gate.js';
 import {toGatewayError} from '../types/errors.js';
 import {asId, type RequestId} from '../types/ids.js';
-import type {StreamOrigin} from '../origins/origin_store.js';
 import {CallerResponse} from './caller_response.js';
 import {
   sendRefusal,
@@ -25,14 +25,21 @@
   createRequestId,
   headerBytes,
   headersOf,
-  requestFromCaller,
   requestFromRelay,
 } from './inbound_request.js';
 import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {decodeRelayRequest} from './relay.js';
 import type {RejectionReason} from './request_log.js';
+import {
+  headersWithoutIdentity,
+  rulesForCaller,
+  rulesForRelayed,
+  type NoCallerRules,
+} from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
+import {QuotaAdmission} from './quota_admission.js';
 import {RequestRun, type RequestRunContext} from './request_run.js';
+import {withService} from './service_choice.js';
 import type {InboundRequest} from './types.js';
 
 /** Above the limit of any route table, so that the latter applies first. */
@@ -53,8 +60,8 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
-/** `retry-after` if the route has no service to choose from. */
-const NO_SERVICE_RETRY_MS = 1_000;
+/** `retry-after` if the route table leaves nowhere to run the request. */
+const NOWHERE_RETRY_MS = 1_000;
 
 export interface IngressServerOptions {
   /** `host:port`. */
@@ -65,20 +72,15 @@
   /** Resolves when there is a route table, or after `waitMs`. */
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
+  readonly quotas: QuotaGate;
   /** Bounds what is held for slow callers. */
   readonly held?: HeldBytes;
 }
 
-/** The route of a caller's request, and the routes that were in force then. */
-interface RouteMatch {
-  readonly matcher: RouteMatcher;
-  readonly route: Route;
-  readonly receivedAtMs: number;
-}
-
 /** The HTTP server for callers. */
 export class IngressServer {
   private readonly server: Server;
+  private readonly quotas: QuotaAdmission;
   private limits = DEFAULT_LIMITS;
   private openRequests = 0;
   /** Responses to callers whose bytes have not all left this process. */
@@ -86,6 +88,7 @@
   private readonly startedAtMs = monotonicNowMs();
 
   constructor(private readonly options: IngressServerOptions) {
+    this.quotas = new QuotaAdmission(options.quotas, options.context.log);
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSER_HEADER_BYTES,
@@ -151,44 +154,30 @@
     callerResponse: CallerResponse,
   ): Promise<void> {
     const {metadata, body} = decodeRelayRequest(bytes);
+    const {protocol, region, log} = this.options.context;
     const matcher = this.options.matcher();
-    const route = matcher?.match(metadata.host, metadata.path);
-    if (matcher === undefined || route === undefined) {
-      const reason = matcher === undefined ? 'no_route_table' : 'no_route';
-      const status = sendRefusal(
-        callerResponse,
-        this.startupRetryMs(),
-        'unsent',
-      );
-      this.options.context.log.rejected(
-        asId<RequestId>(metadata.requestId),
-        reason,
-        status,
-        matcher?.table.version ?? 0,
-      );
-      return;
+    const version = matcher?.table.version ?? 0;
+    const refuse = (reason: RejectionReason, retryAfterMs: number): void => {
+      const status = sendRefusal(callerResponse, retryAfterMs, 'unsent');
+      const requestId = asId<RequestId>(metadata.requestId);
+      log.rejected(requestId, reason, status, version);
+    };
+    if (matcher === undefined) {
+      return refuse('no_route_table', this.startupRetryMs());
     }
-    const {version} = matcher.table;
-    const requestId = asId<RequestId>(metadata.requestId);
+    const rules = rulesForRelayed(matcher, metadata, region);
+    if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
-      const status = sendRefusal(callerResponse, MEMORY_RETRY_MS, 'unsent');
-      this.options.context.log.rejected(
-        requestId,
-        'no_memory',
-        status,
-        version,
-      );
-      return;
+      return refuse('no_memory', MEMORY_RETRY_MS);
     }
-    if (this.options.plannedStop.isTooLateFor(route)) {
-      const status = sendRefusal(callerResponse, STOPPING_RETRY_MS, 'unsent');
-      this.options.context.log.rejected(requestId, 'stopping', status, version);
-      return;
+    if (this.options.plannedStop.isTooLateFor(rules.value.route)) {
+      return refuse('stopping', STOPPING_RETRY_MS);
     }
-    const {protocol} = this.options.context;
+    const {rawHeaders} = metadata;
     const inbound = requestFromRelay(metadata, body, {
-      traits: protocol.requestTraits(headersOf(metadata.rawHeaders)),
-      route,
+      ...rules.value,
+      traits: protocol.requestTraits(headersOf(rawHeaders)),
+      rawHeaders: headersWithoutIdentity(matcher, rawHeaders, protocol),
       tableVersion: version,
     });
     await this.run(inbound, callerResponse, response);
@@ -251,72 +240,39 @@
       onRejected('headers_too_large', sendRejection(callerResponse, 431));
       return;
     }
-    const path = request.url ?? '/';
-    const route = matcher.match(request.headers.host ?? '', path);
-    if (route === undefined) {
-      onRejected('no_route', sendRejection(callerResponse, 404));
+    const {headers, url: path = '/'} = request;
+    const {protocol} = this.options.context;
+    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    if (found.isErr()) {
+      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
       return;
     }
+    const rules = found.value;
     const body = await this.readRequestBody(
       request,
       callerResponse,
       onRejected,
     );
     if (body === undefined) return;
-    if (this.options.plannedStop.isTooLateFor(route)) {
+    if (this.options.plannedStop.isTooLateFor(rules.route)) {
       onRejected('stopping', sendRefusal(callerResponse, STOPPING_RETRY_MS));
       return;
     }
-    const inbound = await this.withService(request, body, {
-      matcher,
-      route,
-      receivedAtMs,
-    });
+    const match = {matcher, rules, receivedAtMs};
+    const inbound = await withService(
+      request,
+      body,
+      match,
+      this.options.context,
+    );
     if (inbound === undefined) {
-      onRejected(
-        'no_service',
-        sendRefusal(callerResponse, NO_SERVICE_RETRY_MS),
-      );
+      onRejected('no_service', sendRefusal(callerResponse, NOWHERE_RETRY_MS));
       return;
     }
-    await this.run(inbound, callerResponse, response);
-  }
-
-  /** The request for a service of its route; `undefined` if that has none. */
-  private async withService(
-    request: IncomingMessage,
-    body: Buffer,
-    {matcher, route, receivedAtMs}: RouteMatch,
-  ): Promise<InboundRequest | undefined> {
-    const {protocol} = this.options.context;
-    const origin = await this.findOrigin(request, route);
-    const service =
-      origin?.service ?? matcher.pickService(route, Math.random());
-    if (service === undefined) return undefined;
-    return requestFromCaller(request, body, {
-      traits: protocol.requestTraits(request.headers),
-      route,
-      service,
-      tableVersion: matcher.table.version,
-      origin,
-      receivedAtMs,
-    });
-  }
-
-  /** What began the stream that the caller takes up again, as far as known. */
-  private async findOrigin(
-    request: IncomingMessage,
-    route: Route,
-  ): Promise<StreamOrigin | undefined> {
-    const {protocol, origins} = this.options.context;
-    const {resumedAttemptId} = protocol.requestTraits(request.headers);
-    if (resumedAttemptId === undefined) return undefined;
-    const origin = await origins.find(resumedAttemptId);
-    // The route may lead to another service by now.
-    const isServed = route.shares.some(
-      ({service, weight}) => service === origin?.service && weight > 0,
-    );
-    return isServed ? origin : undefined;
+    const admitted = await this.quotas.admit(inbound, callerResponse);
+    if (admitted === undefined) return;
+    const hasRun = await this.run(inbound, callerResponse, response);
+    if (!hasRun) this.quotas.giveBack(admitted);
   }
 
   private async readRequestBody(
@@ -362,30 +318,50 @@
     return createRequestId(protocol.requestTraits(headers).attemptId);
   }
 
+  /** Returns whether an upstream has, or may have, run the request. */
   private async run(
     inbound: InboundRequest,
     callerResponse: CallerResponse,
     response: ServerResponse,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const cancellation = new AbortController();
     const leftMs = inbound.expiresAtMs - monotonicNowMs();
     const timer = setTimeout(() => cancellation.abort(), Math.max(0, leftMs));
     response.once('close', () => {
       if (!response.writableFinished) cancellation.abort();
     });
+    if (response.destroyed) cancellation.abort();
     const {context} = this.options;
     try {
-      const result = await new RequestRun(
+      const run = new RequestRun(
         context,
         inbound,
         callerResponse,
         cancellation.signal,
-      ).run();
+      );
+      const result = await run.run();
       if (result.kind === 'delivered') {
         this.options.plannedStop.noteAnswered(inbound);
       }
+      const isSent = result.kind === 'aborted' && result.isSent;
+      return run.mayHaveRun || isSent || result.kind === 'failed';
     } finally {
       clearTimeout(timer);
     }
   }
 }
+
+/** Answers a caller to whose request no rules apply; returns the status. */
+function sendWithoutRules(
+  response: CallerResponse,
+  reason: NoCallerRules,
+): number {
+  switch (reason) {
+    case 'no_route':
+      return sendRejection(response, 404);
+    case 'unknown_key':
+      return sendRejection(response, 401);
+    case 'no_common_region':
+      return sendRefusal(response, NOWHERE_RETRY_MS);
+  }
+}
--- a/src/node/ingress/memory_bound.ts
+++ b/src/node/ingress/memory_bound.ts
@@ -2,10 +2,18 @@
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import {HeldBytes} from '../http/held_bytes.js';
+import type {TryResult} from './types.js';
 
 /** `retry-after` if there is no room: slow peers are let go within this time. */
 export const MEMORY_RETRY_MS = 1_000;
 
+/** The end of a try for which there is no room. */
+export const NO_ROOM: TryResult = {
+  kind: 'not_run',
+  cause: 'memory',
+  retryAfterMs: MEMORY_RETRY_MS,
+};
+
 const BYTES_PER_MB = 1_048_576;
 /**
  * The rest is for the runtime, the kernel's buffers of unread bytes, and copies that
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -41,7 +41,7 @@
 import type {RelayClient} from './relay.js';
 import type {RetryShares} from './retry_shares.js';
 import {RunRecorder} from './run_recorder.js';
-import {MEMORY_RETRY_MS} from './memory_bound.js';
+import {NO_ROOM} from './memory_bound.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
@@ -111,6 +111,11 @@
     this.ends = new EndConfirmation({...context, request, signal});
   }
 
+  /** Whether an upstream has, or may have, run the request. */
+  get mayHaveRun(): boolean {
+    return this.tries.hasRun;
+  }
+
   /** Resolves when the caller has its final response. */
   async run(): Promise<TryResult> {
     const result = await this.tryUntilFinal();
@@ -187,23 +192,19 @@
       onHead: head => this.noteAnswer(grant, head, sentAtMs),
       onExtraAnswer: answer => this.recorder.extraAnswer(grant, answer),
     });
-    const headers = context.protocol.upstreamHeaders(request.rawHeaders, {
-      upstreamId,
-      remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
-      priority: request.route.priority,
-      ...(grant.fetchFrom === undefined ? {} : {fetchFrom: grant.fetchFrom}),
-      ...(this.progress.lastEventId === undefined
-        ? {}
-        : {lastEventId: this.progress.lastEventId}),
-    });
-    const {method, path, body} = request;
-    const {attemptId} = request.traits;
+    const {method, path, body, traits} = request;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
       grants: this.grants,
       reader,
-      request: {attemptId, method, path, body, headers: headers.flat()},
+      request: {
+        attemptId: traits.attemptId,
+        method,
+        path,
+        body,
+        headers: this.upstreamHeaders(grant, sentAtMs),
+      },
       targetGapMs: request.route.targetGapMs,
       replacementItem: this.tries.mayRunAgain
         ? () => this.items.replacing(grant)
@@ -223,6 +224,7 @@
       outcome,
       firstAnswerMs: this.recorder.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
+      ...(reader.isRelaying ? {events: monitor.piecesReceived} : {}),
     });
     if (TROUBLE_OUTCOMES.has(outcome)) context.reachability.doubt(upstreamId);
     this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
@@ -230,12 +232,26 @@
     return result;
   }
 
+  private upstreamHeaders(grant: Grant, sentAtMs: number): readonly string[] {
+    const {request, progress} = this;
+    const {workspace} = request;
+    const headers = this.context.protocol.upstreamHeaders(request.rawHeaders, {
+      upstreamId: grant.upstreamId,
+      remainingMs: Math.floor(request.expiresAtMs - sentAtMs),
+      priority: request.route.priority,
+      ...(workspace === undefined ? {} : {workspace: workspace.name}),
+      ...(grant.fetchFrom === undefined ? {} : {fetchFrom: grant.fetchFrom}),
+      ...(progress.lastEventId === undefined
+        ? {}
+        : {lastEventId: progress.lastEventId}),
+    });
+    return headers.flat();
+  }
+
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
     const {holding} = this.response;
-    if (holding?.resize('copy', request.body.length) === false) {
-      return {kind: 'not_run', cause: 'memory', retryAfterMs: MEMORY_RETRY_MS};
-    }
+    if (holding?.resize('copy', request.body.length) === false) return NO_ROOM;
     const reader = this.createReader(monotonicNowMs());
     const ended = await context.relay.send(
       region,
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -12,25 +12,15 @@
   hasFailedOn,
   untriedOf,
 } from './choose_upstream.js';
-import {
-  ADMISSION_SHARE_OF_TARGET,
-  NO_UPSTREAM_CLOSED_MS,
-  NO_UPSTREAM_RETRY_AFTER_MS,
-  NO_UPSTREAM_WAIT_MS,
-  OFFLOAD_PREFILL_SHARE,
-} from './constants.js';
 import {grantOf} from './decisions.js';
-import {PrefillLoad} from './prefill_load.js';
+import {EarlyMoves} from './early_moves.js';
+import {LoadForecast} from './load_forecast.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
-import {
-  canFinish,
-  forecast,
-  isInTime,
-  maxFirstAnswerMs,
-  queueWaitMs,
-} from './forecast.js';
+import {canFinish, forecast, isInTime, maxFirstAnswerMs} from './forecast.js';
 import {LongPromptLane} from './long_prompt_lane.js';
+import {OverdueWaits} from './overdue_waits.js';
+import {isInTurn} from './return_limits.js';
 import {Redirects} from './redirects.js';
 import {Refusals} from './refusals.js';
 import {QuarantineGate} from './quarantine_gate.js';
@@ -44,7 +34,7 @@
 } from './types.js';
 import {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
-import {WorkQueue, type QueuedItem} from './work_queue.js';
+import {WorkQueue, type QueuedItem, type QueueLoad} from './work_queue.js';
 
 /** The scheduler of one service. `decide` returns its decisions. */
 export class Scheduler {
@@ -52,15 +42,21 @@
   readonly board: CapacityBoard;
   readonly retryBudget: RetryBudget;
   private readonly redirects: Redirects;
-  private readonly queue = new WorkQueue();
+  private readonly queue = new WorkQueue((item, nowMs) =>
+    this.pool.estimates.minPrefillMs(item, nowMs),
+  );
   private readonly lane: LongPromptLane;
-  private readonly prefillLoad = new PrefillLoad();
+  private readonly loadForecast = new LoadForecast();
+  private readonly moves: EarlyMoves;
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
+  private readonly overdueWaits: OverdueWaits;
   private decisions: Decision[] = [];
 
   constructor(private readonly options: SchedulerOptions) {
-    this.board = new CapacityBoard(options.region);
+    this.board = new CapacityBoard(options.region, item =>
+      this.loadForecast.slotMsOf(item),
+    );
     this.redirects = new Redirects(options.region, this.board, decision =>
       this.decisions.push(decision),
     );
@@ -68,12 +64,20 @@
     this.retryBudget = new RetryBudget(options.retries);
     this.quarantine = new QuarantineGate(options.evidence);
     this.lane = new LongPromptLane(this.pool.estimates, options.onLaneChange);
+    this.moves = new EarlyMoves({
+      pool: this.pool,
+      queue: this.queue,
+      loadForecast: this.loadForecast,
+      redirects: this.redirects,
+    });
     this.refusals = new Refusals({
       pool: this.pool,
       board: this.board,
-      queueLength: () => this.queue.size,
+      queue: this.queue,
       push: decision => this.decisions.push(decision),
     });
+    const {pool, queue, redirects, refusals} = this;
+    this.overdueWaits = new OverdueWaits({pool, queue, redirects, refusals});
   }
 
   get queueLength(): number {
@@ -90,7 +94,7 @@
       return;
     }
     if (item.replaces !== undefined) this.replace(item, item.replaces, nowMs);
-    else this.admit(item, nowMs);
+    else if (!this.admitReturn(item, nowMs)) this.admit(item, nowMs);
   }
 
   /** Ends placements. */
@@ -99,6 +103,8 @@
       const item = this.pool.requestOf(release);
       this.quarantine.noteEnd(item, release.outcome, nowMs);
       this.pool.end(release, nowMs);
+      if (item === undefined || release.outcome !== 'answered') return;
+      this.loadForecast.noteEnd(item, release.totalMs);
     });
   }
 
@@ -139,18 +145,26 @@
     const usable = this.pool.usable(nowMs);
     let open = openOf(usable, nowMs);
     let isLaneFull = this.lane.isFull(open, usable);
-    this.queue.inOrder().forEach(queued => {
+    const loads = this.overdueWaits.isPredictionDue(nowMs)
+      ? this.queue.loadsAhead()
+      : undefined;
+    this.queue.inOrder().forEach((queued, position) => {
       // The lane may have no engine at which a begun stream can go on.
       const mustWait =
         isLaneFull &&
         queued.item.begun === undefined &&
-        this.lane.isLongPrefill(queued.prefillMs);
+        this.lane.isLongPrefill(queued.prefillMs) &&
+        !this.lane.mayLeave(agedItem(queued, nowMs));
       const upstream = mustWait
         ? undefined
-        : this.choose(queued.item, usable, open, nowMs);
-      if (!this.processQueued(queued, upstream, usable, nowMs)) return;
-      open = openOf(open, nowMs);
-      isLaneFull = this.lane.isFull(open, usable);
+        : this.choose(agedItem(queued, nowMs), usable, open, nowMs);
+      const ahead = loads?.get(queued.item.requestId);
+      if (this.processQueued(queued, upstream, usable, nowMs, ahead)) {
+        open = openOf(open, nowMs);
+        isLaneFull = this.lane.isFull(open, usable);
+        return;
+      }
+      this.moves.moveQueued(queued, position, usable, nowMs);
     });
     return this.takeDecisions();
   }
@@ -164,9 +178,12 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const {pool, queue, prefillLoad} = this;
+    const {pool, queue, loadForecast} = this;
     const {region, domain} = this.options;
-    return digestOf({region, domain, service, pool, queue, prefillLoad}, nowMs);
+    return digestOf(
+      {region, domain, service, pool, queue, loadForecast},
+      nowMs,
+    );
   }
 
   // A request that runs elsewhere does not wait in the queue: its upstream may
@@ -193,13 +210,12 @@
 
   private admit(item: WorkItem, nowMs: number): void {
     if (!item.isAllowedHere) {
-      this.sendToAllowedRegion(item, nowMs);
+      if (this.redirects.toAllowedRegion(item, nowMs)) return;
+      this.refusals.addWithoutRegion(item, nowMs);
       return;
     }
     this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
-    this.prefillLoad.noteArrival(item, this.pool.estimates, nowMs);
     const usable = this.pool.usableFor(item, nowMs);
-    if (this.offloadLongPrompt(item, usable, nowMs)) return;
     if (hasFailedOn(item, usable) && this.redirects.toSibling(item, nowMs)) {
       return;
     }
@@ -207,18 +223,20 @@
       const isOutOfReach = this.pool.isOnlyOutOfReach(item, nowMs);
       if (this.redirects.toAnywhere(item, isOutOfReach, nowMs)) return;
       // No upstream is known before the first reading of the list, so wait.
-      if (this.pool.all().length === 0) this.enqueue(item, nowMs);
+      if (this.pool.all().length === 0) this.queue.add(item, nowMs);
       else this.refusals.addWithoutUpstream(item, nowMs);
       return;
     }
     const eligible = this.lane.eligible(item, usable, usable, nowMs);
     const expected = forecast(
       item,
-      this.queue.ahead(item.priority),
+      this.queue.aheadOf(item, nowMs),
       eligible,
       nowMs,
     );
+    if (this.moves.moveNew(item, expected, usable, nowMs)) return;
     if (isInTime(item, expected)) {
+      this.moves.noteKept(item, nowMs);
       this.grantOrEnqueue(item, usable, nowMs);
       return;
     }
@@ -226,7 +244,38 @@
     if (this.redirects.toFaster(item, expectedMs, nowMs)) return;
     const latestMs = maxFirstAnswerMs(item, expected.answerMs);
     const closedForMs = item.ageMs + expectedMs - latestMs;
-    this.refusals.add(item, 'overloaded', expected.waitMs, nowMs, closedForMs);
+    this.refusals.addOverloaded(item, expected.waitMs, nowMs, closedForMs);
+  }
+
+  /**
+   * Decides on the request of a caller that was refused before. If its turn has
+   * come, it may be answered late, as the caller may not come again; otherwise
+   * it gets only room that new requests do not need. Returns false if it is to
+   * be treated as a new one.
+   */
+  private admitReturn(item: WorkItem, nowMs: number): boolean {
+    const standing = this.refusals.standingOf(item, nowMs);
+    const usable = this.pool.usableFor(item, nowMs);
+    if (standing === 'new' || !item.isAllowedHere || usable.length === 0) {
+      return false;
+    }
+    const isDue = standing === 'due';
+    if (isDue) this.refusals.redeem(item);
+    const eligible = this.lane.eligible(item, usable, usable, nowMs);
+    const ahead = this.queue.aheadOf(item, nowMs, isDue);
+    const expected = forecast(item, ahead, eligible, nowMs);
+    if (isInTurn(item, expected, isDue)) {
+      if (!isDue) return false;
+      this.lane.noteArrival(item, this.pool.usable(nowMs), nowMs);
+      this.moves.noteKept(item, nowMs);
+      this.grantOrEnqueue(item, usable, nowMs, isDue);
+      return true;
+    }
+    const expectedMs = expected.waitMs + expected.answerMs;
+    if (!this.redirects.toFaster(item, expectedMs, nowMs)) {
+      this.refusals.addOverloaded(item, expected.waitMs, nowMs);
+    }
+    return true;
   }
 
   // A request with others ahead of it in the queue waits for its turn.
@@ -234,58 +283,33 @@
     item: WorkItem,
     usable: readonly UpstreamState[],
     nowMs: number,
+    isReturn = false,
   ): void {
-    const lowPriority = this.queue.lowPriorityTurn();
-    if (lowPriority !== undefined) {
+    const lessUrgent = this.queue.floorTurn(item.priority);
+    if (lessUrgent !== undefined) {
       const open = openOf(usable, nowMs);
-      const chosen = this.choose(lowPriority.item, usable, open, nowMs);
-      this.processQueued(lowPriority, chosen, usable, nowMs);
+      const chosen = this.choose(lessUrgent.item, usable, open, nowMs);
+      this.processQueued(lessUrgent, chosen, usable, nowMs);
     }
     const upstream = this.queue.isFirst(item.priority)
       ? this.choose(item, usable, openOf(usable, nowMs), nowMs)
       : undefined;
-    if (upstream === undefined) this.enqueue(item, nowMs);
+    if (upstream === undefined) this.queue.add(item, nowMs, isReturn);
     else this.grant(item, upstream, 0, nowMs);
   }
 
-  private enqueue(item: WorkItem, nowMs: number): void {
-    const prefillMs = this.pool.estimates.minPrefillMs(item, nowMs);
-    this.queue.add({item, queuedAtMs: nowMs, prefillMs});
-  }
-
-  private sendToAllowedRegion(item: WorkItem, nowMs: number): void {
-    if (this.redirects.toAllowedRegion(item, nowMs)) return;
-    this.refusals.add(
-      item,
-      'no_upstream',
-      NO_UPSTREAM_RETRY_AFTER_MS,
-      nowMs,
-      NO_UPSTREAM_CLOSED_MS,
-    );
-  }
-
-  /** Offloads a long prompt from a domain with a high prefill share. */
-  private offloadLongPrompt(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): boolean {
-    const readShare = this.prefillLoad.share(usable, nowMs);
-    const isOverThreshold =
-      readShare > OFFLOAD_PREFILL_SHARE && this.lane.isLong(item, nowMs);
-    return (
-      isOverThreshold && this.redirects.toLessLoaded(item, readShare, nowMs)
-    );
-  }
-
-  /** Grants, ends or keeps a queued request; returns true if it was granted. */
+  /**
+   * Grants, ends or keeps a queued request; returns true if it was granted. The
+   * load `ahead` of it is set if its wait is to be predicted.
+   */
   private processQueued(
-    {item, queuedAtMs}: QueuedItem,
+    queued: QueuedItem,
     upstream: UpstreamState | undefined,
     usable: readonly UpstreamState[],
     nowMs: number,
+    ahead?: QueueLoad,
   ): boolean {
-    const queuedMs = nowMs - queuedAtMs;
+    const {item, queuedAtMs} = queued;
     const isRefused =
       this.refuseQuarantined(item, nowMs) || this.refuseOverBudget(item, nowMs);
     if (isRefused) {
@@ -293,10 +317,10 @@
       return false;
     }
     if (upstream !== undefined) {
-      this.grant(item, upstream, queuedMs, nowMs);
+      this.grant(item, upstream, nowMs - queuedAtMs, nowMs);
       return true;
     }
-    this.endOverdueWait(item, fittingOf(item, usable), queuedMs, nowMs);
+    this.overdueWaits.end(queued, fittingOf(item, usable), ahead, nowMs);
     return false;
   }
 
@@ -333,45 +357,13 @@
     return chooseUpstream(item, eligible, this.lane, nowMs);
   }
 
-  /** Removes a request from the queue once it has waited too long. */
-  private endOverdueWait(
-    item: WorkItem,
-    usable: readonly UpstreamState[],
-    queuedMs: number,
-    nowMs: number,
-  ): void {
-    const waitedMs = item.ageMs + queuedMs;
-    const isPassed =
-      usable.length === 0 &&
-      ((this.pool.isOnlyOutOfReach(item, nowMs) &&
-        this.redirects.toPeer(item)) ||
-        this.redirects.toSibling(item, nowMs));
-    if (isPassed) {
-      this.queue.remove(item.requestId);
-      return;
-    }
-    const hasNoUpstream = usable.length === 0 && queuedMs > NO_UPSTREAM_WAIT_MS;
-    const isLate = waitedMs > item.targetLatencyMs * ADMISSION_SHARE_OF_TARGET;
-    if (!hasNoUpstream && !isLate) return;
-    this.queue.remove(item.requestId);
-    const aged = {...item, ageMs: waitedMs};
-    if (this.redirects.toFaster(aged, Number.POSITIVE_INFINITY, nowMs)) return;
-    if (hasNoUpstream) {
-      this.refusals.addWithoutUpstream(item, nowMs);
-      return;
-    }
-    const waitMs = queueWaitMs(this.queue.ahead(item.priority), usable, nowMs);
-    this.refusals.add(item, 'overloaded', waitMs, nowMs);
-  }
-
   private grant(
     item: WorkItem,
     upstream: UpstreamState,
     queuedMs: number,
     nowMs: number,
   ): void {
-    this.queue.remove(item.requestId);
-    this.queue.noteGrant();
+    this.queue.grant(item, nowMs);
     if (item.isRepeat) this.retryBudget.noteRetry(nowMs);
     else this.retryBudget.noteRequest(nowMs);
     const decision = grantOf(item, upstream, {
@@ -385,6 +377,10 @@
   }
 }
 
+function agedItem({item, queuedAtMs}: QueuedItem, nowMs: number): WorkItem {
+  return {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
+}
+
 function openOf(
   upstreams: readonly UpstreamState[],
   nowMs: number,
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -10,6 +10,7 @@
   UpstreamProcessId,
   WorkspaceId,
 } from '../types/ids.js';
+import type {DomainLoad} from './placement_cost.js';
 
 /** One part of a prompt that engines may have cached. */
 export interface PromptPart {
@@ -244,6 +245,8 @@
   readonly firstAnswerMs: number;
   /** Time from sending to the end. */
   readonly totalMs: number;
+  /** Events of a stream, if it was one. */
+  readonly events?: number;
 }
 
 /** A placement that an earlier scheduler may have granted. */
@@ -307,4 +310,8 @@
   readonly loads?: readonly PriorityLoad[];
   /** Share of the engines' time that prefill takes; above 1 when overloaded. */
   readonly readShare: number;
+  /** Slots of its usable upstreams. */
+  readonly slots?: number;
+  /** Foreseen use in the next second. */
+  readonly load?: DomainLoad;
 }
