--- a/src/node/replication/replica.ts
+++ b/src/node/replication/replica.ts
@@ -75,7 +75,7 @@
         onStorageChange: change => this.changeStorage(change),
         onFailure: error => this.stopOnFailure(error),
       },
-      {stallMs: options.electionMinMs},
+      {stallMs: 2 * options.electionMaxMs},
     );
     this.compaction = new Compaction(options, this.runner, this.writer, event =>
       this.enqueue(event),
