--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -40,6 +40,7 @@
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
 import {PlannedStop} from './planned_stop.js';
+import {createHeldBytes} from './memory_bound.js';
 import type {RequestProtocol} from './protocol.js';
 import {RelayClient} from './relay.js';
 import {RequestLog} from './request_log.js';
@@ -333,31 +334,29 @@
 
   private createIngress(): IngressServer {
     const {settings, protocol, feed, logger} = this.options;
+    const {instanceId: self, clusterSecret} = settings;
+    const {members, connections} = this;
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       plannedStop: this.plannedStop,
+      held: createHeldBytes(settings.memoryMb, this.metrics, logger),
       quotas: this.quotas,
       context: {
         region: settings.regionId,
-        self: settings.instanceId,
+        self,
         protocol,
-        members: this.members,
+        members,
         scheduler: this.scheduler,
-        connections: this.connections,
+        connections,
         paces: this.paces,
         reachability: this.reachability,
         limits: this.limits,
         notices: new UpstreamNotices(),
         retryShares: this.retryShares,
         evacuatedDomains: () => this.state.evacuatedDomains,
-        relay: new RelayClient({
-          self: settings.instanceId,
-          clusterSecret: settings.clusterSecret,
-          members: this.members,
-          connections: this.connections,
-        }),
+        relay: new RelayClient({self, clusterSecret, members, connections}),
         origins: this.origins,
         responseEnds: createEndCheck(
           feed,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {waitForDelivery} from '../http/delivery.js';
+import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
 import type {CallerLimits} from '../routes/route_table.js';
@@ -26,6 +27,7 @@
   headersOf,
   requestFromRelay,
 } from './inbound_request.js';
+import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {decodeRelayRequest} from './relay.js';
 import type {RejectionReason} from './request_log.js';
 import {
@@ -71,6 +73,8 @@
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
   readonly quotas: QuotaGate;
+  /** Bounds what is held for slow callers. */
+  readonly held?: HeldBytes;
 }
 
 /** The HTTP server for callers. */
@@ -129,21 +133,27 @@
 
   /** Runs a request relayed by another entry. */
   async receiveRelayed(bytes: Buffer, response: ServerResponse): Promise<void> {
+    const callerResponse = new CallerResponse(
+      response,
+      () => false,
+      this.options.held,
+    );
     this.openRequests += 1;
     try {
-      await this.runRelayed(bytes, response);
+      await this.runRelayed(bytes, response, callerResponse);
       await waitForDelivery(response);
     } finally {
       this.openRequests -= 1;
+      callerResponse.holding?.close();
     }
   }
 
   private async runRelayed(
     bytes: Buffer,
     response: ServerResponse,
+    callerResponse: CallerResponse,
   ): Promise<void> {
     const {metadata, body} = decodeRelayRequest(bytes);
-    const callerResponse = new CallerResponse(response, () => false);
     const {protocol, region, log} = this.options.context;
     const matcher = this.options.matcher();
     const version = matcher?.table.version ?? 0;
@@ -157,6 +167,9 @@
     }
     const rules = rulesForRelayed(matcher, metadata, region);
     if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
+    if (callerResponse.holding?.resize('body', bytes.length) === false) {
+      return refuse('no_memory', MEMORY_RETRY_MS);
+    }
     if (this.options.plannedStop.isTooLateFor(rules.value.route)) {
       return refuse('stopping', STOPPING_RETRY_MS);
     }
@@ -174,6 +187,7 @@
     const callerResponse = new CallerResponse(
       response,
       () => this.options.plannedStop.hasBegun,
+      this.options.held,
     );
     this.openRequests += 1;
     this.undelivered.add(callerResponse);
@@ -182,6 +196,7 @@
       .finally(() => {
         this.openRequests -= 1;
         this.undelivered.delete(callerResponse);
+        callerResponse.holding?.close();
       });
   }
 
@@ -266,11 +281,14 @@
     onRejected: (reason: RejectionReason, status: number) => void,
   ): Promise<Buffer | undefined> {
     try {
-      return await readBody(request, this.limits.maxBodyBytes);
+      const {holding} = callerResponse;
+      return await readBody(request, this.limits.maxBodyBytes, holding);
     } catch (thrown) {
       const error = toGatewayError(thrown, 'ingress.read_body', 'caller');
       if (error.code === 'too_large') {
         onRejected('body_too_large', sendRejection(callerResponse, 413));
+      } else if (error.code === 'overloaded') {
+        onRejected('no_memory', sendRefusal(callerResponse, MEMORY_RETRY_MS));
       } else {
         callerResponse.terminate();
         onRejected('body_incomplete', 0);
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -41,6 +41,7 @@
 import type {RelayClient} from './relay.js';
 import type {RetryShares} from './retry_shares.js';
 import {RunRecorder} from './run_recorder.js';
+import {NO_ROOM} from './memory_bound.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
@@ -191,15 +192,14 @@
       onHead: head => this.noteAnswer(grant, head, sentAtMs),
       onExtraAnswer: answer => this.recorder.extraAnswer(grant, answer),
     });
-    const {method, path, body} = request;
-    const {attemptId} = request.traits;
+    const {method, path, body, traits} = request;
     const {end: ended, replacement} = await new UpstreamTry({
       ...context,
       grant,
       grants: this.grants,
       reader,
       request: {
-        attemptId,
+        attemptId: traits.attemptId,
         method,
         path,
         body,
@@ -250,6 +250,8 @@
 
   private async sendToRegion(region: RegionId): Promise<TryResult> {
     const {context, request} = this;
+    const {holding} = this.response;
+    if (holding?.resize('copy', request.body.length) === false) return NO_ROOM;
     const reader = this.createReader(monotonicNowMs());
     const ended = await context.relay.send(
       region,
@@ -263,6 +265,7 @@
       reader,
       this.signal,
     );
+    holding?.resize('copy', 0);
     const result = this.interpret(endOfTry(ended, reader), reader);
     context.metrics.count('requests_offloaded', {region, result: result.kind});
     // Another entry of this region may take what a lost one could not.
@@ -340,6 +343,7 @@
   }
 
   private interpret(end: ExchangeEnd, reader: ResponseReader): TryResult {
+    reader.endWait();
     if (end.kind === 'aborted') return end;
     if (end.kind === 'not_sent') {
       this.tries.noteNotRun();
