--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -217,6 +217,7 @@
       noteRefusal: () => undefined,
     },
     relay: {
+      isDoubtful: () => false,
       send: (_region: RegionId, _request: unknown, sink: ResponseSink) => {
         sink.onHead(503, peerRefusal);
         return Promise.resolve({kind: 'complete'});
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -17,6 +17,7 @@
 } from '../types/ids.js';
 import type {ConnectionPools} from './connections.js';
 import {exchangeWith, type ResponseSink, type ExchangeEnd} from './exchange.js';
+import {RelayDoubts, type WaitingRelay} from './relay_doubts.js';
 import type {InboundRequest} from './types.js';
 
 /** Path for relayed requests on the inner listener. */
@@ -49,8 +50,15 @@
 
 /** Sends requests to entries of other regions. */
 export class RelayClient {
+  private readonly doubts = new RelayDoubts();
+
   constructor(private readonly options: RelayOptions) {}
 
+  /** Whether requests sent to the region now would probably not be answered. */
+  isDoubtful(region: RegionId): boolean {
+    return this.doubts.isDoubtful(region, monotonicNowMs());
+  }
+
   /** Aborting the signal closes the connection and so cancels the request. */
   async send(
     region: RegionId,
@@ -66,6 +74,8 @@
       return {kind: 'not_sent', cause: `no live entry in region ${region}`};
     }
     const body = encodeRelayRequest(metadataOf(request, nowMs), request.body);
+    const {targetLatencyMs} = request.route;
+    const waiting = this.doubts.noteSent(region, targetLatencyMs, nowMs);
     const end = await exchangeWith(
       connections,
       {address: entry.innerAddress},
@@ -78,14 +88,26 @@
         ],
         body,
       },
-      sink,
+      this.observed(sink, waiting),
       signal,
     );
+    const isFailed = end.kind === 'not_sent' || end.kind === 'broken';
+    this.doubts.noteEnd(waiting, isFailed, monotonicNowMs());
     if (end.kind === 'not_sent') {
       members.suspect(entry.instanceId, monotonicNowMs());
     }
     return end;
   }
+
+  private observed(sink: ResponseSink, waiting: WaitingRelay): ResponseSink {
+    return {
+      onHead: (status, headers) => {
+        this.doubts.noteAnswer(waiting, monotonicNowMs());
+        sink.onHead(status, headers);
+      },
+      onData: (chunk, resume) => sink.onData(chunk, resume),
+    };
+  }
 }
 
 /** Encodes the metadata length, the metadata as JSON, and the body. */
--- a/src/node/ingress/work_items.ts
+++ b/src/node/ingress/work_items.ts
@@ -14,6 +14,7 @@
   type UpstreamId,
 } from '../types/ids.js';
 import {fingerprintOf} from './fingerprint.js';
+import type {RelayClient} from './relay.js';
 import type {StreamProgress} from './response_reader.js';
 import type {TryBudget} from './try_budget.js';
 import type {InboundRequest} from './types.js';
@@ -25,6 +26,7 @@
   readonly members: FleetMembers;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
+  readonly relay: Pick<RelayClient, 'isDoubtful'>;
   readonly evacuatedDomains: () => readonly DomainId[];
   readonly request: InboundRequest;
   readonly progress: StreamProgress;
@@ -123,12 +125,15 @@
   }
 
   private otherRegions(): readonly RegionId[] {
-    const {region, members, request} = this.options;
+    const {region, members, request, relay} = this.options;
     if (request.isRelayed) return [];
-    return members
+    const others = members
       .regions()
       .filter(each => each !== region)
       .filter(each => allowsRegion(request.route, each))
       .filter(each => !this.refusedRegions.includes(each));
+    const inReach = others.filter(each => !relay.isDoubtful(each));
+    const mayStay = allowsRegion(request.route, region);
+    return mayStay || inReach.length > 0 ? inReach : others;
   }
 }
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -6,6 +6,7 @@
 import {
   BASE_FIRST_ANSWER_MS,
   DIGEST_EXPIRY_MS,
+  EARLY_MOVE_DIGEST_AGE_MS,
   OFFLOAD_COST_MS,
   OFFLOAD_MIN_GAIN_MS,
   PASS_COST_MS,
@@ -49,7 +50,7 @@
 
   /** The places outside the own domain that have room for the request. */
   places(item: WorkItem, nowMs: number): readonly RemotePlace[] {
-    const fresh = this.fresh(nowMs);
+    const fresh = this.fresh(nowMs, EARLY_MOVE_DIGEST_AGE_MS);
     const {ownRegion} = this;
     const allowed = fresh.filter(each => this.isAllowed(each, item));
     const slotMs = this.slotMsOf(item);
@@ -107,9 +108,12 @@
     this.records.get(domain)?.sent.add(size, tokens, nowMs);
   }
 
-  private fresh(nowMs: number): readonly DigestRecord[] {
+  private fresh(
+    nowMs: number,
+    maxAgeMs = DIGEST_EXPIRY_MS,
+  ): readonly DigestRecord[] {
     return [...this.records.values()].filter(
-      ({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS,
+      ({atMs}) => nowMs - atMs <= maxAgeMs,
     );
   }
 
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -36,6 +36,8 @@
 export const LOAD_HORIZON_MS = 1_000;
 /** Capacity digests older than this are ignored. */
 export const DIGEST_EXPIRY_MS = 1_500;
+/** Room in older ones may be taken, or out of reach behind a cut link. */
+export const EARLY_MOVE_DIGEST_AGE_MS = 700;
 /** Long enough for a short load peak to pass. */
 export const MIN_RETRY_AFTER_MS = 300;
 export const MAX_RETRY_AFTER_MS = 3_000;
--- a/src/node/scheduling/demand_rate.ts
+++ b/src/node/scheduling/demand_rate.ts
@@ -14,9 +14,11 @@
   private shortPerMs = 0;
   private longPerMs = 0;
   private atMs = 0;
+  private firstAtMs: number | undefined;
 
   /** Counts an amount of work that arrives now. */
   note(amount: number, nowMs: number): void {
+    this.firstAtMs ??= nowMs;
     this.shortPerMs = this.shortAt(nowMs) + amount / SHORT_WINDOW_MS;
     this.longPerMs = this.longAt(nowMs) + amount / LONG_WINDOW_MS;
     this.atMs = Math.max(this.atMs, nowMs);
@@ -24,9 +26,11 @@
 
   /** The rate that the trend leads to after `aheadMs`. */
   foreseenPerMs(aheadMs: number, nowMs: number): number {
-    const shortPerMs = this.shortAt(nowMs);
-    const slope =
-      (shortPerMs - this.longAt(nowMs)) / (LONG_WINDOW_MS - SHORT_WINDOW_MS);
+    const shortPerMs =
+      this.shortAt(nowMs) / this.filledShare(SHORT_WINDOW_MS, nowMs);
+    const longPerMs =
+      this.longAt(nowMs) / this.filledShare(LONG_WINDOW_MS, nowMs);
+    const slope = (shortPerMs - longPerMs) / (LONG_WINDOW_MS - SHORT_WINDOW_MS);
     const foreseen = shortPerMs + slope * (SHORT_WINDOW_MS + aheadMs);
     return Math.min(
       shortPerMs * MAX_GROWTH,
@@ -42,6 +46,12 @@
     return this.longPerMs * this.decay(LONG_WINDOW_MS, nowMs);
   }
 
+  /** Share of an average's window that has passed since the first arrival. */
+  private filledShare(windowMs: number, nowMs: number): number {
+    const elapsedMs = nowMs - (this.firstAtMs ?? nowMs);
+    return 1 - Math.exp(-Math.max(SHORT_WINDOW_MS, elapsedMs) / windowMs);
+  }
+
   private decay(windowMs: number, nowMs: number): number {
     return Math.exp(-Math.max(0, nowMs - this.atMs) / windowMs);
   }
