Count the shared prompt parts that other regions hold in the cost of a move

A prompt that moved counted as read anew everywhere, so prompts went where nobody had their shared part, or stayed.

--- a/src/node/dispatch/region_loops.ts
+++ b/src/node/dispatch/region_loops.ts
@@ -22,6 +22,8 @@
 /** Bounds the delay until a removed upstream is noticed. */
 const LIST_INTERVAL_MS = 1_000;
 const DIGEST_INTERVAL_MS = 250;
+/** One in this many digests names the prompt parts that the domain holds. */
+const DIGESTS_PER_PARTS = 4;
 const PROBE_INTERVAL_MS = 500;
 
 export interface RegionLoopsOptions {
@@ -44,6 +46,7 @@
 export class RegionLoops {
   private timers: ReturnType<typeof setInterval>[] = [];
   private isReading = false;
+  private digestRounds = 0;
   /** Whether this entry schedules a service with model engines. */
   schedulesEngines = false;
   private readonly probing = new Set<UpstreamId>();
@@ -132,7 +135,10 @@
     const {host, client, members} = this.options;
     const own = host.digests().filter(each => this.isOwn(each));
     const isCutOff = members.isOwnRegionCutOff(monotonicNowMs());
-    const digests = isCutOff ? own.map(withoutCapacity) : own;
+    const hasParts = this.digestRounds % DIGESTS_PER_PARTS === 0;
+    this.digestRounds += 1;
+    const sized = hasParts ? own : own.map(withoutParts);
+    const digests = isCutOff ? sized.map(withoutCapacity) : sized;
     host.recordDigests(digests);
     const byAddress = new Map<string, CapacityDigest[]>();
     digests.forEach(digest =>
@@ -194,6 +200,13 @@
   }
 }
 
+function withoutParts({
+  heldParts: _heldParts,
+  ...digest
+}: CapacityDigest): CapacityDigest {
+  return digest;
+}
+
 function withoutCapacity(digest: CapacityDigest): CapacityDigest {
   return {...digest, upstreams: 0, freeSlots: 0, softwareVersions: []};
 }
--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -13,12 +13,14 @@
   PASS_MIN_GAIN_MS,
   PREFILL_TOKENS_PER_MS,
 } from './constants.js';
-import {uncachedSize, type DigestRecord} from './digest_record.js';
+import {sizeIn, type DigestRecord} from './digest_record.js';
 import {remotePlaces, type RemotePlace} from './remote_places.js';
 import {SentWork} from './sent_work.js';
 import {fits} from './software_versions.js';
 import type {CapacityDigest, WorkItem} from './types.js';
 
+const NO_PARTS: ReadonlySet<string> = new Set();
+
 /** A domain that could take a request. */
 export interface RemoteOffer {
   readonly region: RegionId;
@@ -43,9 +45,14 @@
   ) {}
 
   record(digest: CapacityDigest, nowMs: number): void {
-    const sent = this.records.get(digest.domain)?.sent ?? new SentWork();
+    const known = this.records.get(digest.domain);
+    const sent = known?.sent ?? new SentWork();
     sent.noteDigest(nowMs);
-    this.records.set(digest.domain, {digest, atMs: nowMs, sent});
+    const heldParts =
+      digest.heldParts === undefined
+        ? (known?.heldParts ?? NO_PARTS)
+        : new Set(digest.heldParts);
+    this.records.set(digest.domain, {digest, atMs: nowMs, sent, heldParts});
   }
 
   /** The places outside the own domain that have room for the request. */
@@ -103,9 +110,10 @@
 
   /** Counts a request sent to a domain against its last digest. */
   noteSent(domain: DomainId, item: WorkItem, nowMs: number): void {
-    const size = uncachedSize(item, this.slotMsOf(item));
-    const tokens = item.prompt?.promptTokens ?? 0;
-    this.records.get(domain)?.sent.add(size, tokens, nowMs);
+    const record = this.records.get(domain);
+    if (record === undefined) return;
+    const size = sizeIn(record, item, this.slotMsOf(item));
+    record.sent.add(size, item.prompt?.promptTokens ?? 0, nowMs);
   }
 
   private fresh(
--- a/src/node/scheduling/capacity_digest.ts
+++ b/src/node/scheduling/capacity_digest.ts
@@ -1,6 +1,7 @@
 /** Builds the capacity digest that a scheduler sends to other domains. */
 import type {DomainId, RegionId, ServiceId} from '../types/ids.js';
 import {queueWaitMs} from './forecast.js';
+import type {HotParts} from './hot_parts.js';
 import type {LoadForecast} from './load_forecast.js';
 import type {CapacityDigest} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
@@ -14,6 +15,7 @@
   readonly pool: UpstreamPool;
   readonly queue: WorkQueue;
   readonly loadForecast: LoadForecast;
+  readonly hotParts: HotParts;
 }
 
 /** A request of this priority overtakes the whole queue. */
@@ -21,7 +23,7 @@
 
 /** Upstreams that get few requests a second are no capacity for others. */
 export function digestOf(
-  {region, domain, service, pool, queue, loadForecast}: DigestSource,
+  {region, domain, service, pool, queue, loadForecast, hotParts}: DigestSource,
   nowMs: number,
 ): CapacityDigest {
   const all = pool.usable(nowMs);
@@ -50,5 +52,6 @@
     readShare: load.prefill,
     slots: usable.reduce((sum, each) => sum + each.listed.slots, 0),
     load,
+    heldParts: hotParts.keys(part => all.some(each => each.cache.has(part))),
   };
 }
--- a/src/node/scheduling/digest_record.ts
+++ b/src/node/scheduling/digest_record.ts
@@ -1,5 +1,6 @@
 /** The last capacity digest of a domain, and what was sent there since. */
 import {LOAD_HORIZON_MS, PREFILL_TOKENS_PER_MS} from './constants.js';
+import {heldTokens} from './hot_parts.js';
 import type {DomainLoad, WorkSize} from './placement_cost.js';
 import type {SentWork} from './sent_work.js';
 import type {CapacityDigest, WorkItem} from './types.js';
@@ -8,12 +9,19 @@
   readonly digest: CapacityDigest;
   readonly atMs: number;
   readonly sent: SentWork;
+  /** Keys of the shared prompt parts that the domain holds. */
+  readonly heldParts: ReadonlySet<string>;
 }
 
-/** What a request takes from a domain that has cached nothing of its prompt. */
-export function uncachedSize(item: WorkItem, slotMs: number): WorkSize {
-  const tokens = item.prompt?.promptTokens ?? 0;
-  return {slotMs, prefillMs: tokens / PREFILL_TOKENS_PER_MS};
+/** What a request takes from the domain. */
+export function sizeIn(
+  {heldParts}: DigestRecord,
+  {prompt}: WorkItem,
+  slotMs: number,
+): WorkSize {
+  const tokens = prompt?.promptTokens ?? 0;
+  const unread = Math.max(0, tokens - heldTokens(prompt, heldParts));
+  return {slotMs, prefillMs: unread / PREFILL_TOKENS_PER_MS};
 }
 
 /**
--- a/src/node/scheduling/prefix_cache.ts
+++ b/src/node/scheduling/prefix_cache.ts
@@ -17,6 +17,10 @@
     return held.reduce((sum, part) => sum + part.tokens, 0);
   }
 
+  has(partId: string): boolean {
+    return this.parts.has(partId);
+  }
+
   /** Marks the parts of a prompt as most recently used. */
   touch(parts: readonly PromptPart[]): void {
     // The first part is touched last, so that shared leading parts are evicted
--- a/src/node/scheduling/remote_places.ts
+++ b/src/node/scheduling/remote_places.ts
@@ -11,11 +11,7 @@
   PASS_COST_MS,
   PASS_MIN_GAIN_MS,
 } from './constants.js';
-import {
-  correctedLoad,
-  uncachedSize,
-  type DigestRecord,
-} from './digest_record.js';
+import {correctedLoad, sizeIn, type DigestRecord} from './digest_record.js';
 import {
   delayToOthersMs,
   isCongested,
@@ -55,13 +51,12 @@
   {ownRegion, fresh, allowed, slotMs}: PlaceInputs,
   nowMs: number,
 ): readonly RemotePlace[] {
-  const size = uncachedSize(item, slotMs);
   const senders = 1 + fresh.filter(each => mayAlsoSend(each.digest)).length;
   const options = allowed.flatMap(record => {
     const load = correctedLoad(record, senders, nowMs);
     const hasRoom =
       load !== undefined && hasRoomFor(item, record, senders, nowMs);
-    return hasRoom ? [{record, load, size}] : [];
+    return hasRoom ? [{record, load, size: sizeIn(record, item, slotMs)}] : [];
   });
   const near = options.filter(each => each.record.digest.region === ownRegion);
   const far = options.filter(each => each.record.digest.region !== ownRegion);
@@ -94,7 +89,7 @@
   const expectedMs =
     networkMs +
     BASE_FIRST_ANSWER_MS +
-    roomiest.size.prefillMs +
+    Math.min(...options.map(({size}) => size.prefillMs)) +
     meanOf(options, ({record}) => record.digest.waitMs);
   const delayMs = meanOf(options, ({size, load}) =>
     delayToOthersMs(size, load),
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
 import {ADMISSION_SHARE_OF_TARGET, NO_UPSTREAM_WAIT_MS} from './constants.js';
 import {grantOf} from './decisions.js';
 import {EarlyMoves} from './early_moves.js';
+import {HotParts} from './hot_parts.js';
 import {LoadForecast} from './load_forecast.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -50,6 +51,7 @@
   private readonly queue = new WorkQueue();
   private readonly lane: LongPromptLane;
   private readonly loadForecast = new LoadForecast();
+  private readonly hotParts = new HotParts();
   private readonly moves: EarlyMoves;
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
@@ -173,10 +175,10 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const {pool, queue, loadForecast} = this;
+    const {pool, queue, loadForecast, hotParts} = this;
     const {region, domain} = this.options;
     return digestOf(
-      {region, domain, service, pool, queue, loadForecast},
+      {region, domain, service, pool, queue, loadForecast, hotParts},
       nowMs,
     );
   }
@@ -367,6 +369,7 @@
       queuedMs,
       nowMs,
     });
+    if (item.prompt !== undefined) this.hotParts.note(item.prompt);
     upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
     this.quarantine.noteStart(item, nowMs);
     this.decisions.push(decision);
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -312,4 +312,9 @@
   readonly slots?: number;
   /** Foreseen use in the next second. */
   readonly load?: DomainLoad;
+  /**
+   * Keys of the shared prompt parts that its engines hold. Left out of most
+   * digests; the last ones hold until then.
+   */
+  readonly heldParts?: readonly string[];
 }
--- a/src/node/scheduling/weighted_choice.ts
+++ b/src/node/scheduling/weighted_choice.ts
@@ -24,11 +24,18 @@
 
 /** A value in [0, 1) that depends on the key alone. */
 function fraction(key: string): number {
-  const hash = [...key].reduce(
-    (state, each) => Math.imul(state ^ each.charCodeAt(0), FNV_PRIME),
-    FNV_OFFSET,
-  );
   // The last characters of a key hardly reach the high bits without mixing.
+  const hash = hashOf(key);
   const mixed = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
   return ((mixed ^ (mixed >>> 16)) >>> 0) / RANGE;
 }
+
+/** 32-bit FNV-1a hash of a text. */
+export function hashOf(text: string): number {
+  return (
+    [...text].reduce(
+      (state, each) => Math.imul(state ^ each.charCodeAt(0), FNV_PRIME),
+      FNV_OFFSET,
+    ) >>> 0
+  );
+}
