--- a/src/node/scheduling/__tests__/early_moves.spec.ts
+++ b/src/node/scheduling/__tests__/early_moves.spec.ts
@@ -4,7 +4,12 @@
 import {DemandRate} from '../demand_rate.js';
 import type {DomainLoad} from '../placement_cost.js';
 import type {Scheduler} from '../scheduler.js';
-import type {CapacityDigest, Decision, WorkItem} from '../types.js';
+import type {
+  CapacityDigest,
+  Decision,
+  ListedUpstream,
+  WorkItem,
+} from '../types.js';
 import {
   AWAY,
   AWAY_A,
@@ -206,3 +211,39 @@
   assert.ok(rising > perMs(12_000), `rising ${rising}`);
   assert.ok(falling < perMs(12_000), `falling ${falling}`);
 });
+
+// Load: a peak while the other region is evacuated, or its upstreams are cold or
+// drained. Guards against requests that cross regions to find nothing.
+test('a domain whose upstreams take no load attracts nothing', () => {
+  const away = (fields: Partial<ListedUpstream>): Scheduler => {
+    const scheduler = createScheduler(ENGINE_TRAITS, {
+      region: AWAY,
+      domain: AWAY_A,
+    });
+    const upstreams = ['c', 'd'].map(name =>
+      upstream(name, {slots: SLOTS, domain: AWAY_A, ...fields}),
+    );
+    scheduler.pool.applyReading({upstreams, readAtMs: 0, lagMs: 0});
+    return scheduler;
+  };
+  const evacuated = away({});
+  evacuated.setEvacuated([AWAY_A], 0);
+  const receivers = {
+    usable: away({}),
+    evacuated,
+    cold: away({coldRemainingMs: 60_000}),
+    draining: away({isDraining: true}),
+  };
+  const hasMoved = Object.entries(receivers).map(([name, receiver]) => {
+    const scheduler = homeScheduler();
+    scheduler.board.record(receiver.digest(chat('x').service, 0), 0);
+    const decisions = submitAll(scheduler, chats(45, {otherRegions: [AWAY]}));
+    return [name, countOf(decisions, 'offload') > 0];
+  });
+  assert.deepEqual(Object.fromEntries(hasMoved), {
+    usable: true,
+    evacuated: false,
+    cold: false,
+    draining: false,
+  });
+});
