--- a/src/node/scheduling/early_moves.ts
+++ b/src/node/scheduling/early_moves.ts
@@ -52,7 +52,8 @@
     const costMs =
       latenessRiskMs(totalMs, item.targetLatencyMs) +
       delayToOthersMs(this.sizeOf(item, nowMs), load);
-    return redirects.toCheaper(item, costMs, nowMs);
+    const expectedMs = totalMs - item.ageMs;
+    return redirects.toCheaper(item, {expectedMs, costMs}, nowMs);
   }
 
   /**
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -2,7 +2,7 @@
 import type {DomainId, RegionId} from '../types/ids.js';
 import type {CapacityBoard, RemoteOffer} from './capacity_board.js';
 import {maxFirstAnswerMs} from './forecast.js';
-import type {RemotePlace} from './remote_places.js';
+import type {PlaceCost, RemotePlace} from './remote_places.js';
 import type {WorkItem} from './types.js';
 import {weightedChoice} from './weighted_choice.js';
 
@@ -47,23 +47,23 @@
   }
 
   /**
-   * Returns a place at which the request costs clearly less than
-   * `localCostMs` and meets its target. Good places are taken in turn, so that
+   * Returns a place at which the request costs clearly less than here and meets
+   * its target. Good places are taken in turn, so that
    * the schedulers of a region do not rush to the same one.
    */
   cheaperTarget(
     item: WorkItem,
-    localCostMs: number,
+    local: PlaceCost,
     nowMs: number,
   ): OffloadTarget | undefined {
     const gainMs = ({costMs, minGainMs}: RemotePlace): number =>
-      localCostMs - costMs - minGainMs;
+      local.costMs - costMs - minGainMs;
     const good = this.board
       .places(item, nowMs)
       .filter(each => meetsTarget(item, each))
       .filter(each => gainMs(each) > 0);
     const place = weightedChoice(item.requestId, good, gainMs);
-    return place === undefined ? undefined : targetOf(place, UNKNOWN_MS);
+    return place === undefined ? undefined : targetOf(place, local.expectedMs);
   }
 
   /** Returns a domain that answers clearly sooner and within the target. */
--- a/src/node/scheduling/redirects.ts
+++ b/src/node/scheduling/redirects.ts
@@ -7,6 +7,7 @@
   UNKNOWN_MS,
   type OffloadTarget,
 } from './offload_planner.js';
+import type {PlaceCost} from './remote_places.js';
 import type {Decision, WorkItem} from './types.js';
 
 /** Each method returns whether it redirected the request. */
@@ -61,9 +62,9 @@
     );
   }
 
-  /** Sends the request to where it costs clearly less than `localCostMs`. */
-  toCheaper(item: WorkItem, localCostMs: number, nowMs: number): boolean {
-    const target = this.offloads.cheaperTarget(item, localCostMs, nowMs);
+  /** Sends the request to where it costs clearly less than here. */
+  toCheaper(item: WorkItem, local: PlaceCost, nowMs: number): boolean {
+    const target = this.offloads.cheaperTarget(item, local, nowMs);
     return this.follow(target, item, nowMs);
   }
 
--- a/src/node/scheduling/remote_places.ts
+++ b/src/node/scheduling/remote_places.ts
@@ -21,15 +21,19 @@
 } from './placement_cost.js';
 import type {CapacityDigest, WorkItem} from './types.js';
 
-/** A place with the predicted cost of running a request there. */
-export interface RemotePlace {
-  readonly region: RegionId;
-  /** The domain; for another region, the one with the most room. */
-  readonly domain: DomainId;
+/** What running a request at a place costs. */
+export interface PlaceCost {
   /** Expected time to the first answer, including the network cost. */
   readonly expectedMs: number;
   /** Lateness risk and delay to others. */
   readonly costMs: number;
+}
+
+/** A place outside the own domain at which a request could run. */
+export interface RemotePlace extends PlaceCost {
+  readonly region: RegionId;
+  /** The domain; for another region, the one with the most room. */
+  readonly domain: DomainId;
   /** Minimum gain in cost that justifies the move. */
   readonly minGainMs: number;
 }
