--- a/src/node/scheduling/capacity_board.ts
+++ b/src/node/scheduling/capacity_board.ts
@@ -6,18 +6,21 @@
 import {
   BASE_FIRST_ANSWER_MS,
   DIGEST_EXPIRY_MS,
+  EARLY_MOVE_DIGEST_AGE_MS,
   OFFLOAD_COST_MS,
   OFFLOAD_MIN_GAIN_MS,
   PASS_COST_MS,
   PASS_MIN_GAIN_MS,
   PREFILL_TOKENS_PER_MS,
 } from './constants.js';
-import {uncachedSize, type DigestRecord} from './digest_record.js';
+import {sizeIn, type DigestRecord} from './digest_record.js';
 import {remotePlaces, type RemotePlace} from './remote_places.js';
 import {SentWork} from './sent_work.js';
 import {fits} from './software_versions.js';
 import type {CapacityDigest, WorkItem} from './types.js';
 
+const NO_PARTS: ReadonlySet<string> = new Set();
+
 /** A domain that could take a request. */
 export interface RemoteOffer {
   readonly region: RegionId;
@@ -42,14 +45,19 @@
   ) {}
 
   record(digest: CapacityDigest, nowMs: number): void {
-    const sent = this.records.get(digest.domain)?.sent ?? new SentWork();
+    const known = this.records.get(digest.domain);
+    const sent = known?.sent ?? new SentWork();
     sent.noteDigest(nowMs);
-    this.records.set(digest.domain, {digest, atMs: nowMs, sent});
+    const heldParts =
+      digest.heldParts === undefined
+        ? (known?.heldParts ?? NO_PARTS)
+        : new Set(digest.heldParts);
+    this.records.set(digest.domain, {digest, atMs: nowMs, sent, heldParts});
   }
 
   /** The places outside the own domain that have room for the request. */
   places(item: WorkItem, nowMs: number): readonly RemotePlace[] {
-    const fresh = this.fresh(nowMs);
+    const fresh = this.fresh(nowMs, EARLY_MOVE_DIGEST_AGE_MS);
     const {ownRegion} = this;
     const allowed = fresh.filter(each => this.isAllowed(each, item));
     const slotMs = this.slotMsOf(item);
@@ -102,14 +110,18 @@
 
   /** Counts a request sent to a domain against its last digest. */
   noteSent(domain: DomainId, item: WorkItem, nowMs: number): void {
-    const size = uncachedSize(item, this.slotMsOf(item));
-    const tokens = item.prompt?.promptTokens ?? 0;
-    this.records.get(domain)?.sent.add(size, tokens, nowMs);
+    const record = this.records.get(domain);
+    if (record === undefined) return;
+    const size = sizeIn(record, item, this.slotMsOf(item));
+    record.sent.add(size, item.prompt?.promptTokens ?? 0, nowMs);
   }
 
-  private fresh(nowMs: number): readonly DigestRecord[] {
+  private fresh(
+    nowMs: number,
+    maxAgeMs = DIGEST_EXPIRY_MS,
+  ): readonly DigestRecord[] {
     return [...this.records.values()].filter(
-      ({atMs}) => nowMs - atMs <= DIGEST_EXPIRY_MS,
+      ({atMs}) => nowMs - atMs <= maxAgeMs,
     );
   }
 
