--- a/src/node/decisions/admission/admission_queue.ts
+++ b/src/node/decisions/admission/admission_queue.ts
@@ -183,7 +183,7 @@
     const request = this.queued.get(requestId);
     if (request === undefined) return 'absent';
     this.queued.delete(requestId);
-    this.pool(request.poolId).remove(request.rankId, requestId);
+    this.pool(request.poolId).remove(request);
     return 'queued';
   }
 
--- a/src/node/decisions/admission/fair_queue.ts
+++ b/src/node/decisions/admission/fair_queue.ts
@@ -62,6 +62,15 @@
   startTag: number;
 }
 
+/** The requests that start before a new one. */
+export interface RequestsAhead<Request extends FairRequest> {
+  /** Those of its workspace. */
+  readonly own: readonly WaitingRequest<Request>[];
+  readonly others: readonly WaitingRequest<Request>[];
+  /** Share of the starts that its workspace gets. */
+  readonly startShare: number;
+}
+
 interface TaggedRequest<Request extends FairRequest> {
   readonly waiting: WaitingRequest<Request>;
   readonly startTag: number;
@@ -120,12 +129,10 @@
 
   /** Takes a given request, whatever its turn; its workspace pays for it. */
   take(
-    requestId: RequestId,
+    {workspaceId, requestId}: FairRequest,
     nowMs: number,
   ): DequeuedRequest<Request> | undefined {
-    const queue = this.backlogged().find(each =>
-      each.waiting.some(({request}) => request.requestId === requestId),
-    );
+    const queue = this.queues.get(workspaceId);
     const waiting = queue?.waiting.find(
       ({request}) => request.requestId === requestId,
     );
@@ -171,11 +178,16 @@
   }
 
   /** Removes one request; returns false if it is not queued here. */
-  remove(requestId: RequestId): boolean {
-    const removed = this.removeWhere(
-      waiting => waiting.request.requestId === requestId,
-    );
-    return removed.length > 0;
+  remove({workspaceId, requestId}: FairRequest): boolean {
+    const queue = this.queues.get(workspaceId);
+    const position =
+      queue?.waiting.findIndex(
+        ({request}) => request.requestId === requestId,
+      ) ?? -1;
+    if (queue === undefined || position < 0) return false;
+    queue.waiting.splice(position, 1);
+    this.count -= 1;
+    return true;
   }
 
   /** Removes and returns the expired requests. */
@@ -198,36 +210,28 @@
       .reduce((least, each) => Math.min(least, each.expiresAtMs), Infinity);
   }
 
-  /**
-   * The cost of the requests that will start before one more request of a
-   * workspace. The requests queued ahead of it now are an underestimate while
-   * other workspaces keep sending, so the result is at least the workspace's
-   * queue divided by its share of the starts.
-   */
+  /** The cost of the requests that will start before one more request. */
   costAheadMs(request: FairRequest, nowMs: number): number {
-    return this.sumAhead(request, each => each.costMs, nowMs);
+    return sumAhead(this.ahead(request, nowMs), each => each.costMs);
   }
 
-  /** The same for another measure of the requests. */
-  sumAhead(
-    request: FairRequest,
-    measure: Measure<Request>,
-    nowMs: number,
-  ): number {
-    const own = this.queues.get(request.workspaceId);
+  /** The requests that will start before one more request. */
+  ahead(request: FairRequest, nowMs: number): RequestsAhead<Request> {
+    const {workspaceId, fairWeight} = request;
+    const own = this.queues.get(workspaceId);
     const ownAhead = aheadInQueue(own, request);
+    const isAlone = this.queues.size === (own === undefined ? 0 : 1);
+    if (isAlone) return {own: ownAhead, others: [], startShare: 1};
     const startTag =
       Math.max(this.virtualTime, own?.startTag ?? 0) +
-      sumOf(ownAhead, each => each.costMs) / request.fairWeight;
-    const othersAhead = this.backlogged()
+      sumOf(ownAhead, each => each.costMs) / fairWeight;
+    const others = this.backlogged()
       .filter(queue => queue !== own)
       .flatMap(taggedOf)
       .filter(each => each.startTag < startTag)
       .map(each => each.waiting);
-    const ownSum = sumOf(ownAhead, measure);
-    const sum = ownSum + sumOf(othersAhead, measure);
-    if (ownSum === 0) return sum;
-    return Math.max(sum, ownSum / this.startShare(request, nowMs));
+    const startShare = this.startShare(request, nowMs);
+    return {own: ownAhead, others, startShare};
   }
 
   private backlogged(): readonly WorkspaceQueue<Request>[] {
@@ -323,6 +327,19 @@
   }
 }
 
+/**
+ * Sums a measure over the requests ahead of a new one. Those queued now are an
+ * underestimate while other workspaces keep sending, so the result is at least
+ * that of its own workspace divided by its share of the starts.
+ */
+export function sumAhead<Request extends FairRequest>(
+  {own, others, startShare}: RequestsAhead<Request>,
+  measure: Measure<Request>,
+): number {
+  const ownSum = sumOf(own, measure);
+  return Math.max(ownSum + sumOf(others, measure), ownSum / startShare);
+}
+
 function totalCost<Request extends FairRequest>(
   queue: WorkspaceQueue<Request>,
 ): number {
--- a/src/node/decisions/admission/pool_queue.ts
+++ b/src/node/decisions/admission/pool_queue.ts
@@ -1,5 +1,5 @@
 /** The queues, slots and predicted waits of one pool on one instance. */
-import type {RankId, RequestId} from '../../types/ids.js';
+import type {RankId} from '../../types/ids.js';
 import type {PoolId} from '../fleet/pool.js';
 import {
   DEMAND_HALF_LIFE_MS,
@@ -189,8 +189,8 @@
     rankQueue.meanServiceMs = mean + (serviceMs - mean) * SERVICE_MEAN_WEIGHT;
   }
 
-  remove(rankId: RankId, requestId: RequestId): boolean {
-    return this.rankQueue(rankId).queue.remove(requestId);
+  remove(request: AdmissionRequest): boolean {
+    return this.rankQueue(request.rankId).queue.remove(request);
   }
 
   expire(nowMs: number): readonly AdmissionRequest[] {
--- a/src/node/scheduling/work_queue.ts
+++ b/src/node/scheduling/work_queue.ts
@@ -7,6 +7,7 @@
  */
 import {
   FairQueue,
+  sumAhead,
   type FairRequest,
 } from '../decisions/admission/fair_queue.js';
 import {DrainRate} from '../decisions/admission/drain_rate.js';
@@ -60,6 +61,8 @@
 interface PriorityQueue {
   readonly priority: number;
   readonly queue: FairQueue<FairItem>;
+  /** Of all its requests. */
+  prefillMs: number;
   /** Slot time per millisecond that it gets while it has a backlog. */
   readonly drain: DrainRate;
 }
@@ -81,23 +84,31 @@
 export class WorkQueue {
   /** Most urgent first. */
   private queues: PriorityQueue[] = [];
-  private readonly priorityOf = new Map<RequestId, number>();
+  private readonly items = new Map<RequestId, FairItem>();
   private readonly floors = new RankScheduler<number>();
 
   constructor(private readonly prefillMsOf: PrefillEstimate) {}
 
   get size(): number {
-    return this.priorityOf.size;
+    return this.items.size;
   }
 
   add(item: WorkItem, nowMs: number, isReturn = false): void {
-    const {queue, drain} = this.queueOf(item.priority);
+    const priorityQueue = this.queueOf(item.priority);
+    const {queue, drain} = priorityQueue;
     drain.observe(queue.size > 0, nowMs);
-    this.priorityOf.set(item.requestId, item.priority);
     const prefillMs = this.prefillMsOf(item, nowMs);
     const queued = {item, queuedAtMs: nowMs, prefillMs, isReturn};
+    const {requestId, workspaceId, fairWeight, startByMs} = this.toFair(
+      item,
+      nowMs,
+      isReturn,
+    );
+    const request = {requestId, workspaceId, fairWeight, startByMs, queued};
+    this.items.set(item.requestId, request);
+    priorityQueue.prefillMs += prefillMs;
     queue.push({
-      request: {...this.toFair(item, nowMs, isReturn), queued},
+      request,
       queuedAtMs: nowMs,
       expiresAtMs: Infinity,
       costMs: costMsOf(item, prefillMs),
@@ -107,10 +118,9 @@
 
   /** Removes a request that will not be granted. */
   remove(requestId: RequestId): void {
-    const priority = this.priorityOf.get(requestId);
-    if (priority === undefined) return;
-    this.priorityOf.delete(requestId);
-    this.queueOf(priority).queue.remove(requestId);
+    const request = this.items.get(requestId);
+    if (request === undefined) return;
+    this.forget(request).queue.remove(request);
   }
 
   removeEntries(isGone: (entry: InstanceId) => boolean): void {
@@ -120,7 +130,7 @@
   }
 
   has(requestId: RequestId): boolean {
-    return this.priorityOf.has(requestId);
+    return this.items.has(requestId);
   }
 
   /** The queued requests in the order in which they may be granted now. */
@@ -139,17 +149,12 @@
    * the queue.
    */
   grant({requestId, priority}: WorkItem, nowMs: number): void {
-    const chosen = toRank(priority);
-    const others = this.backlogged().filter(each => each.rankId !== priority);
-    const ranks = withFloors(
-      [...others, chosen].sort((a, b) => a.rankId - b.rankId),
-    );
-    const rank = ranks.find(each => each.rankId === priority) ?? chosen;
-    this.floors.charge(rank, ranks);
-    if (!this.priorityOf.delete(requestId)) return;
-    const {queue, drain} = this.queueOf(priority);
+    this.chargeFloors(priority);
+    const request = this.items.get(requestId);
+    if (request === undefined) return;
+    const {queue, drain} = this.forget(request);
     drain.observe(queue.size > 0, nowMs);
-    const taken = queue.take(requestId, nowMs);
+    const taken = queue.take(request, nowMs);
     if (taken !== undefined) drain.add(taken.costMs, nowMs);
   }
 
@@ -185,22 +190,23 @@
   ahead(priority = Number.POSITIVE_INFINITY): QueueLoad {
     return this.queues
       .filter(each => each.priority <= priority)
-      .flatMap(({queue}) => queue.inOrder())
-      .reduce((load, {request}) => loadWith(load, request.queued), EMPTY_LOAD);
+      .reduce(
+        (load, {queue, prefillMs}) => ({
+          requests: load.requests + queue.size,
+          prefillMs: load.prefillMs + prefillMs,
+        }),
+        EMPTY_LOAD,
+      );
   }
 
   /** The load that is granted before a new request, by the fair order. */
   aheadOf(item: WorkItem, nowMs: number, isReturn = false): QueueLoad {
     const urgent = this.ahead(item.priority - 1);
     const fair = this.toFair(item, nowMs, isReturn);
-    const {queue} = this.queueOf(item.priority);
+    const ahead = this.queueOf(item.priority).queue.ahead(fair, nowMs);
     const own = {
-      requests: queue.sumAhead(fair, () => 1, nowMs),
-      prefillMs: queue.sumAhead(
-        fair,
-        each => each.request.queued.prefillMs,
-        nowMs,
-      ),
+      requests: sumAhead(ahead, () => 1),
+      prefillMs: sumAhead(ahead, each => each.request.queued.prefillMs),
     };
     return this.withFloor({own, urgent});
   }
@@ -231,6 +237,32 @@
     return drain.rate(expectedRate, nowMs) * share;
   }
 
+  private chargeFloors(priority: number): void {
+    const others = this.backlogged().filter(each => each.rankId !== priority);
+    const chosen = toRank(priority);
+    if (others.length === 0) {
+      this.floors.charge(chosen, [chosen]);
+      return;
+    }
+    const ranks = withFloors(
+      [...others, chosen].sort((a, b) => a.rankId - b.rankId),
+    );
+    this.floors.charge(
+      ranks.find(each => each.rankId === priority) ?? chosen,
+      ranks,
+    );
+  }
+
+  /** Drops a request from the totals; returns the queue that holds it. */
+  private forget({requestId, queued}: FairItem): PriorityQueue {
+    this.items.delete(requestId);
+    const priorityQueue = this.queueOf(queued.item.priority);
+    const isLast = priorityQueue.queue.size <= 1;
+    const prefillMs = priorityQueue.prefillMs - queued.prefillMs;
+    priorityQueue.prefillMs = isLast ? 0 : prefillMs;
+    return priorityQueue;
+  }
+
   // While a priority gets its floor, only a part of the more urgent requests is
   // granted before it.
   private withFloor({own, urgent}: LoadAhead): QueueLoad {
@@ -251,14 +283,15 @@
     item: WorkItem,
     nowMs: number,
     isReturn: boolean,
-  ): FairRequest {
+  ): FairRequest & {readonly startByMs: number} {
     const answerMs =
       item.prompt === undefined
         ? INITIAL_SERVICE_MS
         : this.prefillMsOf(item, nowMs) + BASE_FIRST_ANSWER_MS;
     const latestMs = maxFirstAnswerMs(item, answerMs);
     const waitMs = isReturn ? 0 : latestMs - answerMs - item.ageMs;
-    return {...sharingOf(item), startByMs: nowMs + waitMs};
+    const {requestId, workspaceId, fairWeight} = sharingOf(item);
+    return {requestId, workspaceId, fairWeight, startByMs: nowMs + waitMs};
   }
 
   private backlogged(): readonly BackloggedRank<number>[] {
@@ -271,7 +304,8 @@
     const known = this.queues.find(each => each.priority === priority);
     if (known !== undefined) return known;
     const queue = new FairQueue<FairItem>();
-    const created = {priority, queue, drain: new DrainRate()};
+    const drain = new DrainRate();
+    const created = {priority, queue, prefillMs: 0, drain};
     this.queues = [...this.queues, created].sort(
       (a, b) => a.priority - b.priority,
     );
