--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -35,6 +35,8 @@
   requestId: z.string(),
   route: z.string(),
   service: z.string(),
+  /** Missing if the route is public or the table has no workspaces. */
+  workspace: z.string().optional(),
   /** Version of the route table that it was matched with. */
   tableVersion: z.number(),
   /** Since the request was received. */
@@ -54,6 +56,8 @@
   unhandled_rejection: {},
   uncaught_exception: {},
   log_failed: {},
+  disk_refused: {},
+  disk_regained: {},
   // Dependencies.
   control_lost: peerChange,
   control_regained: peerChange,
@@ -110,6 +114,23 @@
     /** Entries among which the slack of the deployment is divided. */
     entries: z.number(),
   },
+  quota_limited: {
+    workspace: z.string(),
+    ratePerS: z.number(),
+    /** Of the request that was refused first. */
+    requestUnits: z.number(),
+    /** What this entry had left, and what it may add a second by itself. */
+    balanceUnits: z.number(),
+    sharePerS: z.number(),
+    demandPerS: z.number(),
+    /** Whether a lease was valid; without one only the floor is left. */
+    hasLease: z.boolean(),
+  },
+  quota_unlimited: {
+    workspace: z.string(),
+    limitedMs: z.number(),
+    refusedUnits: z.number(),
+  },
   scheduler_silent: {
     requestId: z.string(),
     scheduler: z.string(),
@@ -273,6 +294,12 @@
   },
   change_superseded: change,
   change_rejected: {problems: z.array(z.unknown())},
+  fields_ignored: {
+    version: z.number(),
+    /** `routes[].NAME`; the first of `fieldCount`. */
+    fields: z.array(z.string()),
+    fieldCount: z.number(),
+  },
   operator_call_failed: {},
   member_removed: peerChange,
   member_removal_failed: peerChange,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -3,7 +3,7 @@
  * of entries, keeps the origins of their streams, and executes the operators'
  * changes and reads.
  */
-import {okAsync, type Result, type ResultAsync} from 'neverthrow';
+import {ok, okAsync, type Result, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {pack, type Packed} from '../control/packing.js';
 import {monotonicNowMs, wallNowMs} from '../clock/clock.js';
@@ -20,6 +20,10 @@
   type CallerLocation,
 } from '../fleet/instance_registry.js';
 import type {Logger} from '../logging/logger.js';
+import {instantNow} from '../quotas/instant.js';
+import {LeadershipCheck} from '../quotas/leadership_check.js';
+import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
+import {QuotaLeader} from '../quotas/quota_leader.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -29,6 +33,7 @@
 } from '../replication/group_member.js';
 import type {ReplicaStorage} from '../replication/replica_storage.js';
 import {instanceOf} from '../replication/peer_transport.js';
+import type {StorageChange} from '../replication/storage_writer.js';
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import type {GatewayError} from '../types/errors.js';
 import {asId, type InstanceId} from '../types/ids.js';
@@ -44,6 +49,7 @@
   homesOf,
   type ControlState,
   type RouteTable,
+  type WorkspaceSpec,
 } from './route_table.js';
 import {
   RouteTableMachine,
@@ -51,6 +57,7 @@
   type ControlChangeResult,
   type EvacuationOrder,
 } from './route_table_machine.js';
+import {SourceSeal} from './source_seal.js';
 
 const METHOD_PREFIX = 'routes.raft';
 const MEMBER_WEIGHT = 1;
@@ -67,6 +74,7 @@
 const ELECTION_MAX_MS = 900;
 /** Callers of the operators' interface wait little longer than one second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
+const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 export interface ControlPlaneOptions {
   readonly instanceId: InstanceId;
@@ -83,6 +91,10 @@
   readonly seedAddresses?: () => readonly string[];
   /** Members that may be lost at the same time. @default 1 */
   readonly toleratedLosses?: number;
+  /** Shared by all instances; seals configurations that hold keys of callers. */
+  readonly clusterSecret: string;
+  /** By how much quotas may be exceeded. @default `DEFAULT_TOLERANCE` */
+  readonly quotaTolerance?: QuotaTolerance;
   readonly storage: ReplicaStorage;
   readonly client: RpcClient;
   readonly router: RpcRouter;
@@ -94,6 +106,7 @@
 /** One running control member. */
 export class ControlPlane {
   private readonly machine: RouteTableMachine;
+  private readonly seal: SourceSeal;
   private readonly registry: InstanceRegistry;
   private readonly abortController = new AbortController();
   private member: GroupMember<ControlChange, ControlChangeResult> | undefined;
@@ -104,12 +117,17 @@
     | undefined;
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
+  private isWritable = true;
+  private readonly quotas: QuotaLeader;
+  private leadership: LeadershipCheck | undefined;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
+    this.seal = new SourceSeal(options.clusterSecret);
+    this.quotas = new QuotaLeader(options.quotaTolerance ?? DEFAULT_TOLERANCE);
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
@@ -171,6 +189,7 @@
       proposeTimeoutMs: PROPOSE_TIMEOUT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
+      onStorageChange: change => this.noteStorage(change),
       onFailure: options.onFailure,
     });
     this.startServices(this.member);
@@ -179,6 +198,7 @@
   /** Transfers leadership, leaves a group with other voters, closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
+    this.leadership?.stop();
     this.abortController.abort();
     await this.member?.replica.transferLeadership();
     await this.membership?.leave();
@@ -193,7 +213,7 @@
     return this.forwardChange?.({
       kind: 'replace_table',
       version,
-      table: pack(table),
+      table: pack(this.seal.sealed(table)),
     });
   }
 
@@ -210,6 +230,11 @@
     return this.member?.replica.status().role === 'leader';
   }
 
+  /** Whether the disk takes writes; without that this member cannot lead. */
+  isDiskWritable(): boolean {
+    return this.isWritable;
+  }
+
   /** The latest committed state, or an error if that cannot be confirmed. */
   readState(): ResultAsync<ControlState, GatewayError> | undefined {
     return this.member?.replica
@@ -217,6 +242,13 @@
       .andThen(() => okAsync(this.machine.state));
   }
 
+  /** The text of the latest committed table; `undefined` without a table. */
+  readSource(): ResultAsync<string | undefined, GatewayError> | undefined {
+    return this.readState()?.andThen(({table}) =>
+      table === undefined ? ok(undefined) : this.seal.open(table),
+    );
+  }
+
   /** The table version applied on this member; may lag behind the leader. */
   appliedVersion(): number {
     return this.machine.state.table?.version ?? 0;
@@ -228,8 +260,9 @@
     host: string,
     limit: number,
   ): readonly string[] {
-    const routes = this.machine.state.table?.routes ?? [];
-    return this.registry.addressesFor(place, limit, homesOf(routes, host));
+    const {table} = this.machine.state;
+    const homes = table && homesOf(table, host);
+    return this.registry.addressesFor(place, limit, homes);
   }
 
   private startServices(
@@ -276,6 +309,27 @@
       seedAddresses: () => this.seedAddresses(),
     });
     this.membership.start();
+    this.leadership = new LeadershipCheck(log, confirmation =>
+      this.quotas.confirm(
+        confirmation,
+        this.machine.state.table?.workspaces ?? NO_WORKSPACES,
+        monotonicNowMs(),
+      ),
+    );
+    this.leadership.start();
+  }
+
+  private noteStorage({isWritable, cause}: StorageChange): void {
+    this.isWritable = isWritable;
+    const {logger} = this.options;
+    if (isWritable) {
+      logger.info({event: 'disk_regained'}, 'the disk takes writes again');
+      return;
+    }
+    logger.error(
+      {event: 'disk_refused', err: cause},
+      'the disk refuses or delays writes; this member does not lead or vote',
+    );
   }
 
   private seedAddresses(): readonly string[] {
@@ -286,11 +340,14 @@
   }
 
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
-    this.registry.record(announcement.entry, monotonicNowMs());
+    const {entry} = announcement;
+    this.registry.record(entry, monotonicNowMs());
+    const quotas = this.quotas.answer(entry, announcement.quotas, instantNow());
     return {
       revision: this.stateForEntries.revision,
-      incarnation: this.registry.incarnationOf(announcement.entry.instanceId),
+      incarnation: this.registry.incarnationOf(entry.instanceId),
       ...this.registry.viewUpdate(announcement, this.controlMembers()),
+      ...(quotas === undefined ? {} : {quotas}),
     };
   }
 
