--- a/src/node/scheduling/early_moves.ts
+++ b/src/node/scheduling/early_moves.ts
@@ -18,7 +18,7 @@
 import type {WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
 import type {UpstreamState} from './upstream_state.js';
-import type {QueuedItem, WorkQueue} from './work_queue.js';
+import type {QueuedItem, QueueLoad, WorkQueue} from './work_queue.js';
 
 /** A queued request is looked at again after this time: digests are rare. */
 const RECONSIDER_MS = 100;
@@ -57,12 +57,12 @@
   }
 
   /**
-   * Moves a request that would wait too long at its position of the queue, as
-   * after a loss of upstreams.
+   * Moves a request that would wait too long behind the load `ahead` of it in the
+   * queue, as after a loss of upstreams.
    */
   moveQueued(
     {item, queuedAtMs}: QueuedItem,
-    position: number,
+    ahead: QueueLoad,
     usable: readonly UpstreamState[],
     nowMs: number,
   ): boolean {
@@ -73,7 +73,7 @@
     if (fitting.length === 0 || !queue.has(item.requestId)) return false;
     this.reconsiderAtMs.set(item, nowMs + RECONSIDER_MS);
     const aged = {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
-    const waitMs = queueWaitMs(queue.share(position), fitting, nowMs);
+    const waitMs = queueWaitMs(ahead, fitting, nowMs);
     const isMoved = this.moveNew(aged, {waitMs, answerMs: 0}, fitting, nowMs);
     if (isMoved) queue.remove(item.requestId);
     return isMoved;
