--- a/src/node/scheduling/capacity_digest.ts
+++ b/src/node/scheduling/capacity_digest.ts
@@ -3,6 +3,7 @@
 import {queueWaitMs} from './forecast.js';
 import type {HotParts} from './hot_parts.js';
 import type {LoadForecast} from './load_forecast.js';
+import {poolUseOf} from './pool_use.js';
 import type {CapacityDigest} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
 import type {WorkQueue} from './work_queue.js';
@@ -29,7 +30,11 @@
   const all = pool.usable(nowMs);
   const usable = all.filter(each => each.startsPerS(nowMs) === undefined);
   const freeSlots = usable.reduce((sum, each) => sum + each.freeSlots, 0);
-  const load = loadForecast.foreseen(usable, queue.ahead(), nowMs);
+  const load = loadForecast.foreseen(
+    poolUseOf(usable, nowMs),
+    queue.ahead(),
+    nowMs,
+  );
   const versions = all.flatMap(each => each.softwareVersion ?? []);
   return {
     region,
--- a/src/node/scheduling/early_moves.ts
+++ b/src/node/scheduling/early_moves.ts
@@ -14,6 +14,7 @@
 } from './placement_cost.js';
 import {queueWaitMs, type Forecast} from './forecast.js';
 import type {LoadForecast} from './load_forecast.js';
+import {poolUseOf, type PoolUse} from './pool_use.js';
 import type {Redirects} from './redirects.js';
 import type {WorkItem} from './types.js';
 import type {UpstreamPool} from './upstream_pool.js';
@@ -22,6 +23,8 @@
 
 /** A queued request is looked at again after this time: digests are rare. */
 const RECONSIDER_MS = 100;
+/** Examining every upstream for each request takes time. */
+const USE_TTL_MS = 20;
 
 export interface EarlyMovesOptions {
   readonly pool: UpstreamPool;
@@ -32,21 +35,18 @@
 
 /** Each method returns whether it moved the request. */
 export class EarlyMoves {
+  private use: PoolUse | undefined;
+  private usedAtMs = 0;
   private readonly reconsiderAtMs = new WeakMap<WorkItem, number>();
 
   constructor(private readonly options: EarlyMovesOptions) {}
 
   /** Moves a new request, whose latency here is `expected`. */
-  moveNew(
-    item: WorkItem,
-    expected: Forecast,
-    usable: readonly UpstreamState[],
-    nowMs: number,
-  ): boolean {
+  moveNew(item: WorkItem, expected: Forecast, nowMs: number): boolean {
     const {loadForecast, queue, redirects} = this.options;
-    const load = loadForecast.foreseen(usable, queue.ahead(), nowMs);
-    const backlogMs = Math.min(...usable.map(each => each.backlogMs(nowMs)));
-    const waitMs = Math.max(expected.waitMs, backlogMs);
+    const use = this.currentUse(nowMs);
+    const load = loadForecast.foreseen(use, queue.ahead(), nowMs);
+    const waitMs = Math.max(expected.waitMs, use.minBacklogMs);
     if (waitMs === 0 && !isCongested(load)) return false;
     const totalMs = item.ageMs + waitMs + expected.answerMs;
     const costMs =
@@ -74,7 +74,7 @@
     this.reconsiderAtMs.set(item, nowMs + RECONSIDER_MS);
     const aged = {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
     const waitMs = queueWaitMs(ahead, fitting, nowMs);
-    const isMoved = this.moveNew(aged, {waitMs, answerMs: 0}, fitting, nowMs);
+    const isMoved = this.moveNew(aged, {waitMs, answerMs: 0}, nowMs);
     if (isMoved) queue.remove(item.requestId);
     return isMoved;
   }
@@ -84,6 +84,14 @@
     this.options.loadForecast.noteKept(this.sizeOf(item, nowMs), nowMs);
   }
 
+  private currentUse(nowMs: number): PoolUse {
+    if (this.use === undefined || nowMs - this.usedAtMs >= USE_TTL_MS) {
+      this.use = poolUseOf(this.options.pool.usable(nowMs), nowMs);
+      this.usedAtMs = nowMs;
+    }
+    return this.use;
+  }
+
   private isDue(item: WorkItem, queuedAtMs: number, nowMs: number): boolean {
     const dueAtMs = this.reconsiderAtMs.get(item) ?? queuedAtMs + RECONSIDER_MS;
     return item.otherRegions.length > 0 && nowMs >= dueAtMs;
--- a/src/node/scheduling/load_forecast.ts
+++ b/src/node/scheduling/load_forecast.ts
@@ -6,9 +6,9 @@
   LOAD_HORIZON_MS,
 } from './constants.js';
 import {DemandRate} from './demand_rate.js';
+import type {PoolUse} from './pool_use.js';
 import type {DomainLoad, WorkSize} from './placement_cost.js';
 import type {WorkItem} from './types.js';
-import type {UpstreamState} from './upstream_state.js';
 
 const MIN_HOLD_FACTOR = 0.3;
 const MAX_HOLD_FACTOR = 4;
@@ -46,19 +46,13 @@
     return nominalSlotMs(item) * this.holdFactor;
   }
 
-  /** Foreseen shares of the capacity of the usable upstreams. */
-  foreseen(
-    usable: readonly UpstreamState[],
-    queued: QueuedWork,
-    nowMs: number,
-  ): DomainLoad {
-    const slots = sum(usable.map(each => each.listed.slots));
-    const running = sum(usable.map(each => each.running));
-    if (slots === 0) return {slots: 0, prefill: 0};
-    const occupied = this.occupiedSlots(running + queued.requests, nowMs);
+  /** Foreseen shares of the capacity of the upstreams. */
+  foreseen(use: PoolUse, queued: QueuedWork, nowMs: number): DomainLoad {
+    if (use.slots === 0) return {slots: 0, prefill: 0};
+    const occupied = this.occupiedSlots(use.running + queued.requests, nowMs);
     return {
-      slots: Math.max(occupied / slots, memoryShare(usable)),
-      prefill: this.prefillShare(usable, queued, nowMs),
+      slots: Math.max(occupied / use.slots, use.memoryShare),
+      prefill: this.prefillShare(use, queued, nowMs),
     };
   }
 
@@ -73,19 +67,14 @@
   }
 
   private prefillShare(
-    usable: readonly UpstreamState[],
+    {engines, backlogMs}: PoolUse,
     queued: QueuedWork,
     nowMs: number,
   ): number {
-    const engines = usable.filter(each => each.isEngine);
-    const capacity = sum(engines.map(each => 1 / each.slownessFactor));
-    if (capacity === 0) return 0;
-    const backlogMs = sum(
-      engines.map(each => each.backlogMs(nowMs) / each.slownessFactor),
-    );
+    if (engines === 0) return 0;
     const unread = (backlogMs + queued.prefillMs) / LOAD_HORIZON_MS;
     const arriving = this.prefillMs.foreseenPerMs(LOAD_HORIZON_MS, nowMs);
-    return (arriving + unread) / capacity;
+    return (arriving + unread) / engines;
   }
 }
 
@@ -94,13 +83,3 @@
     ? INITIAL_SERVICE_MS
     : Math.max(1, prompt.expectedOutputTokens) * DECODE_MS_PER_TOKEN;
 }
-
-function memoryShare(usable: readonly UpstreamState[]): number {
-  const capacity = sum(usable.map(each => each.capacityTokens));
-  const free = sum(usable.map(each => each.freeTokens));
-  return capacity === 0 ? 0 : 1 - free / capacity;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, each) => total + each, 0);
-}
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -237,7 +237,7 @@
       eligible,
       nowMs,
     );
-    if (this.moves.moveNew(item, expected, usable, nowMs)) return;
+    if (this.moves.moveNew(item, expected, nowMs)) return;
     if (isInTime(item, expected)) {
       this.moves.noteKept(item, nowMs);
       this.grantOrEnqueue(item, usable, nowMs);
