--- a/src/node/ingress/__tests__/work_items.spec.ts
+++ b/src/node/ingress/__tests__/work_items.spec.ts
@@ -44,6 +44,7 @@
     members: {regions: () => REGIONS, hasConnectedPeer: () => true},
     reachability: {unreachable: () => ['u1']},
     notices: {forbidden: () => []},
+    relay: {isDoubtful: () => false},
     evacuatedDomains: () => [],
     request,
     progress: {},
