--- a/src/node/ingress/__tests__/work_items.spec.ts
+++ b/src/node/ingress/__tests__/work_items.spec.ts
@@ -19,6 +19,7 @@
 function itemsOf(
   homeRegions: readonly RegionId[],
   isRelayed = false,
+  doubtful: readonly RegionId[] = [],
 ): WorkItems {
   const workspace: WorkspaceSpec = {
     name: asId<WorkspaceId>('blue'),
@@ -44,7 +45,7 @@
     members: {regions: () => REGIONS, hasConnectedPeer: () => true},
     reachability: {unreachable: () => ['u1']},
     notices: {forbidden: () => []},
-    relay: {isDoubtful: () => false},
+    relay: {isDoubtful: (each: RegionId) => doubtful.includes(each)},
     evacuatedDomains: () => [],
     request,
     progress: {},
@@ -101,3 +102,14 @@
     },
   ]);
 });
+
+// Guards against requests that go on being sent into a cut between two regions, and
+// against a request that is refused at once because its only region is in doubt.
+test('a region in doubt is left out unless a request can run nowhere else', () => {
+  const others = REGIONS.filter(each => each !== NORTH);
+  const [first] = others;
+  const unbound = itemsOf([], false, others.slice(0, 1)).next();
+  const bound = itemsOf(others.slice(0, 1), false, others).next();
+  assert.equal(unbound.otherRegions.includes(first as RegionId), false);
+  assert.deepEqual(bound.otherRegions, others.slice(0, 1));
+});
--- a/src/node/scheduling/offload_planner.ts
+++ b/src/node/scheduling/offload_planner.ts
@@ -48,8 +48,8 @@
 
   /**
    * Returns a place at which the request costs clearly less than here and meets
-   * its target. Good places are taken in turn, so that
-   * the schedulers of a region do not rush to the same one.
+   * its target. Good places are drawn by the request's id, in proportion to the
+   * gain, so that the schedulers of a region do not rush to the same one.
    */
   cheaperTarget(
     item: WorkItem,
