--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -110,6 +110,11 @@
     this.ends = new EndConfirmation({...context, request, signal});
   }
 
+  /** Whether an upstream has, or may have, run the request. */
+  get mayHaveRun(): boolean {
+    return this.tries.hasRun;
+  }
+
   /** Resolves when the caller has its final response. */
   async run(): Promise<TryResult> {
     const result = await this.tryUntilFinal();
@@ -219,6 +224,7 @@
       outcome,
       firstAnswerMs: this.recorder.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
+      ...(reader.isRelaying ? {events: monitor.piecesReceived} : {}),
     });
     if (TROUBLE_OUTCOMES.has(outcome)) context.reachability.doubt(upstreamId);
     this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -47,6 +47,7 @@
 import {
   EMPTY_CONTROL_STATE,
   homesOf,
+  summaryOf,
   type ControlState,
   type RouteTable,
   type WorkspaceSpec,
@@ -371,12 +372,7 @@
     };
     this.packedForEntries = pack(this.stateForEntries);
     this.options.logger.info(
-      {
-        event: 'state_applied',
-        revision: state.revision,
-        version: table?.version ?? 0,
-        evacuatedDomains: state.evacuatedDomains,
-      },
+      {event: 'state_applied', ...summaryOf(state)},
       'applied a committed control state',
     );
   }
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -155,10 +155,11 @@
       const mustWait =
         isLaneFull &&
         queued.item.begun === undefined &&
-        this.lane.isLongPrefill(queued.prefillMs);
+        this.lane.isLongPrefill(queued.prefillMs) &&
+        !this.lane.mayLeave(agedItem(queued, nowMs));
       const upstream = mustWait
         ? undefined
-        : this.choose(queued.item, usable, open, nowMs);
+        : this.choose(agedItem(queued, nowMs), usable, open, nowMs);
       const ahead = loads?.get(queued.item.requestId);
       if (!this.processQueued(queued, upstream, usable, nowMs, ahead)) {
         if (ahead !== undefined) {
@@ -381,6 +382,10 @@
   }
 }
 
+function agedItem({item, queuedAtMs}: QueuedItem, nowMs: number): WorkItem {
+  return {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
+}
+
 function openOf(
   upstreams: readonly UpstreamState[],
   nowMs: number,
