--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -14,6 +14,7 @@
 } from './choose_upstream.js';
 import {grantOf} from './decisions.js';
 import {EarlyMoves} from './early_moves.js';
+import {HotParts} from './hot_parts.js';
 import {LoadForecast} from './load_forecast.js';
 import {RetryBudget} from './retry_budget.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -47,6 +48,7 @@
   );
   private readonly lane: LongPromptLane;
   private readonly loadForecast = new LoadForecast();
+  private readonly hotParts = new HotParts();
   private readonly moves: EarlyMoves;
   private readonly quarantine: QuarantineGate;
   private readonly refusals: Refusals;
@@ -148,7 +150,7 @@
     const loads = this.overdueWaits.isPredictionDue(nowMs)
       ? this.queue.loadsAhead()
       : undefined;
-    this.queue.inOrder().forEach((queued, position) => {
+    this.queue.inOrder().forEach(queued => {
       // The lane may have no engine at which a begun stream can go on.
       const mustWait =
         isLaneFull &&
@@ -159,12 +161,14 @@
         ? undefined
         : this.choose(agedItem(queued, nowMs), usable, open, nowMs);
       const ahead = loads?.get(queued.item.requestId);
-      if (this.processQueued(queued, upstream, usable, nowMs, ahead)) {
-        open = openOf(open, nowMs);
-        isLaneFull = this.lane.isFull(open, usable);
+      if (!this.processQueued(queued, upstream, usable, nowMs, ahead)) {
+        if (ahead !== undefined) {
+          this.moves.moveQueued(queued, ahead, usable, nowMs);
+        }
         return;
       }
-      this.moves.moveQueued(queued, position, usable, nowMs);
+      open = openOf(open, nowMs);
+      isLaneFull = this.lane.isFull(open, usable);
     });
     return this.takeDecisions();
   }
@@ -178,10 +182,10 @@
 
   /** Builds the capacity digest that is sent to other domains. */
   digest(service: WorkItem['service'], nowMs: number): CapacityDigest {
-    const {pool, queue, loadForecast} = this;
+    const {pool, queue, loadForecast, hotParts} = this;
     const {region, domain} = this.options;
     return digestOf(
-      {region, domain, service, pool, queue, loadForecast},
+      {region, domain, service, pool, queue, loadForecast, hotParts},
       nowMs,
     );
   }
@@ -234,7 +238,7 @@
       eligible,
       nowMs,
     );
-    if (this.moves.moveNew(item, expected, usable, nowMs)) return;
+    if (this.moves.moveNew(item, expected, nowMs)) return;
     if (isInTime(item, expected)) {
       this.moves.noteKept(item, nowMs);
       this.grantOrEnqueue(item, usable, nowMs);
@@ -371,6 +375,7 @@
       queuedMs,
       nowMs,
     });
+    if (item.prompt !== undefined) this.hotParts.note(item.prompt);
     upstream.start({...item, remainingMs: item.remainingMs - queuedMs}, nowMs);
     this.quarantine.noteStart(item, nowMs);
     this.decisions.push(decision);
