Name a time to come back after a rejection by an upstream

A caller whose request was turned away by upstreams, or refused by the entry that it was relayed to, got retry-after 0 and was back at once. It now gets the time that the other entry named, or 300 ms.

--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -13,6 +13,8 @@
 const MS_PER_S = 1_000;
 const RETRY_JITTER = 0.3;
 const NOT_RUN_WITHOUT_CAUSE = {cause: '', retryAfterMs: 0};
+/** For a rejection by an upstream; a caller that returns at once meets it again. */
+const MIN_RETRY_AFTER_MS = 300;
 
 /**
  * Refuses a request that did not run and will not run. `retry-after` has
@@ -101,7 +103,12 @@
   const code = cause === 'quarantined' ? 'quarantined' : 'overloaded';
   const notRun = wasAtUpstream ? 'rejected' : 'unsent';
   const relayed = isRelayed ? notRun : undefined;
-  return sendRefusal(response, retryAfterMs, relayed, code);
+  return sendRefusal(
+    response,
+    Math.max(MIN_RETRY_AFTER_MS, retryAfterMs),
+    relayed,
+    code,
+  );
 }
 
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -333,7 +333,10 @@
       return {
         kind: 'not_run',
         cause: `status ${head?.status}`,
-        retryAfterMs: 0,
+        // Another entry says when there will be room.
+        retryAfterMs: reader.isRefusedByPeer
+          ? (head?.traits.retryAfterMs ?? 0)
+          : 0,
       };
     }
     this.tries.noteRun();
