Settle misdirected answers by a health check

The entry now asks the upstream at the address who it is, once for each upstream at a time, and ends the pause if it is the one that was meant; requests of that service wait for this round trip. If it is another one, the pause holds as before.

--- a/src/node/dispatch/upstream_notices.ts
+++ b/src/node/dispatch/upstream_notices.ts
@@ -58,6 +58,11 @@
     return [...this.untilMs.keys()];
   }
 
+  /** Ends the pause of an upstream that is at its address after all. */
+  lift(processId: UpstreamProcessId): void {
+    if (!this.leaving.has(processId)) this.forget(processId);
+  }
+
   private forget(processId: UpstreamProcessId): void {
     this.untilMs.delete(processId);
     this.leaving.delete(processId);
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -27,11 +27,13 @@
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
+import type {ServiceId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
 import {createEndCheck} from './end_confirmation.js';
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
+import {createMisdirectionCheck} from './misdirection_check.js';
 import {PlannedStop} from './planned_stop.js';
 import type {RequestProtocol} from './protocol.js';
 import {RelayClient} from './relay.js';
@@ -39,6 +41,7 @@
 import {createRetryShares, type RetryShares} from './retry_shares.js';
 import {registerSchedulerMethods} from './scheduler_calls.js';
 import {
+  announcedSettings,
   domainLocations,
   domainIdsOfRegion,
   domainsOfRegion,
@@ -46,6 +49,7 @@
   seedInnerAddresses,
   type IngressSettings,
 } from './settings.js';
+
 import {TableWaiters} from './table_waiters.js';
 import {UpstreamPaces} from './upstream_pace.js';
 
@@ -205,14 +209,9 @@
   }
 
   private describe(): EntryInstance {
-    const {settings} = this;
     return {
-      instanceId: settings.instanceId,
+      ...announcedSettings(this.settings),
       incarnation: this.incarnation,
-      domain: settings.domainId,
-      region: settings.regionId,
-      innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
-      callersAddress: settings.callerAddress,
       isReady: this.isReady(),
       isStopping: this.plannedStop.hasBegun,
       isScheduling: this.loops.schedulesEngines,
@@ -328,6 +327,9 @@
 
   private createIngress(): IngressServer {
     const {settings, protocol, feed, logger} = this.options;
+    const notices = new UpstreamNotices();
+    const healthPathOf = (service: ServiceId) =>
+      this.matcher?.service(service)?.healthPath;
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
@@ -343,7 +345,8 @@
         paces: this.paces,
         reachability: this.reachability,
         limits: this.limits,
-        notices: new UpstreamNotices(),
+        notices,
+        misdirections: createMisdirectionCheck(feed, notices, healthPathOf),
         retryShares: this.retryShares,
         evacuatedDomains: () => this.state.evacuatedDomains,
         relay: new RelayClient({
@@ -353,10 +356,7 @@
           connections: this.connections,
         }),
         origins: this.origins,
-        responseEnds: createEndCheck(
-          feed,
-          service => this.matcher?.service(service)?.healthPath,
-        ),
+        responseEnds: createEndCheck(feed, healthPathOf),
         log: new RequestLog(logger, this.metrics),
         metrics: this.metrics,
       },
--- a/src/node/ingress/protocol.ts
+++ b/src/node/ingress/protocol.ts
@@ -57,6 +57,8 @@
    * to be sent as it is not at its address.
    */
   readonly retryAfterMs?: number;
+  /** Whether it says that it is not the upstream that was meant. */
+  readonly isMisdirected?: boolean;
   /** Whether the upstream is about to stop. */
   readonly isLeaving: boolean;
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -35,6 +35,7 @@
 import type {ExchangeEnd} from './exchange.js';
 import {GrantSource} from './grant_source.js';
 import {namedLimits} from './named_limits.js';
+import type {MisdirectionCheck} from './misdirection_check.js';
 import {ProgressMonitor} from './progress_monitor.js';
 import {roundNumbers, type RequestLog} from './request_log.js';
 import type {RequestProtocol} from './protocol.js';
@@ -62,6 +63,7 @@
   readonly relay: RelayClient;
   readonly reachability: UpstreamReachability;
   readonly notices: UpstreamNotices;
+  readonly misdirections: MisdirectionCheck;
   /** The evacuated domains that this entry knows. */
   readonly evacuatedDomains: () => readonly DomainId[];
   readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
@@ -149,7 +151,8 @@
   }
 
   private async askScheduler(): Promise<SchedulerAnswer> {
-    const {reachability, region} = this.context;
+    const {reachability, region, misdirections} = this.context;
+    await misdirections.pending(this.request.service);
     const askedAtMs = monotonicNowMs();
     // The scheduler could only say the same.
     if (reachability.isCutOff && this.items.mayUsePeer(askedAtMs)) {
@@ -272,6 +275,7 @@
     }
     const isNew = notices.note(grant.processId, traits);
     if (!isNew) return;
+    if (traits.isMisdirected) this.context.misdirections.begin(grant);
     if (isLeaving) scheduler.report('leaving', grant);
     log.write('upstream_notice', this.request, {
       upstream,
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {addressSchema, idSchema} from '../config/configuration.js';
 import type {DomainLocation} from '../fleet/fleet_members.js';
+import type {EntryInstance} from '../fleet/messages.js';
 import type {RetryBudgetOptions} from '../scheduling/retry_budget.js';
 import {
   asId,
@@ -52,6 +53,22 @@
 
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
 
+/** The part of an entry's announcements that its settings decide. */
+export function announcedSettings(
+  settings: IngressSettings,
+): Pick<
+  EntryInstance,
+  'callersAddress' | 'domain' | 'innerAddress' | 'instanceId' | 'region'
+> {
+  return {
+    instanceId: settings.instanceId,
+    domain: settings.domainId,
+    region: settings.regionId,
+    innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
+    callersAddress: settings.callerAddress,
+  };
+}
+
 /** All failure domains of the deployment. */
 export function domainLocations({
   regionOfDomain,
