Bound what first answers under load teach of a service

First answers that waited for a slot, and events that arrived together, counted as slow engines. Longer first answers now weigh less, the ratios of a service are bounded, and streams count the tokens expected of them.

--- a/src/node/scheduling/learned_average.ts
+++ b/src/node/scheduling/learned_average.ts
@@ -7,6 +7,11 @@
   readonly guessSamples: number;
   /** Weight of one sample once there are many. */
   readonly minWeight: number;
+  /**
+   * Share of the weight that samples above the average get: less than 1 if waits for
+   * something else may lengthen what is measured. @default 1
+   */
+  readonly weightAbove?: number;
 }
 
 /** A moving average whose first samples weigh more than later ones. */
@@ -22,15 +27,12 @@
     return this.current;
   }
 
-  get isLearned(): boolean {
-    return this.samples > 0;
-  }
-
   note(sample: number): void {
-    const {guessSamples, minWeight} = this.options;
+    const {guessSamples, minWeight, weightAbove = 1} = this.options;
     this.samples += 1;
     const weight = Math.max(minWeight, 1 / (guessSamples + this.samples));
-    this.current += weight * (sample - this.current);
+    const share = sample > this.current ? weightAbove : 1;
+    this.current += weight * share * (sample - this.current);
   }
 
   /** Moves the average towards the first guess by a share, 0 to 1. */
--- a/src/node/scheduling/service_speeds.ts
+++ b/src/node/scheduling/service_speeds.ts
@@ -7,13 +7,15 @@
 import {StepTimes} from './step_times.js';
 
 const MIN_WEIGHT = 0.02;
+/** Weight of first answers that took longer: they may have waited for a slot. */
+const WAITING_WEIGHT = 0.3;
 
 /** The learned speeds of one service. */
 export class ServiceSpeeds {
   /** Ratio of prefill times to those at the nominal rate. */
-  readonly prefillRatio = average(1);
+  readonly prefillRatio = average(1, WAITING_WEIGHT);
   /** Time to the first answer without any prefill. */
-  readonly baseMs = average(BASE_FIRST_ANSWER_MS);
+  readonly baseMs = average(BASE_FIRST_ANSWER_MS, WAITING_WEIGHT);
   /** Time of a plain call. */
   readonly callMs = average(INITIAL_SERVICE_MS);
   /** Time between two tokens of a stream, including the prefill beside it. */
@@ -27,6 +29,11 @@
   }
 }
 
-function average(guess: number): LearnedAverage {
-  return new LearnedAverage({guess, guessSamples: 1, minWeight: MIN_WEIGHT});
+function average(guess: number, weightAbove = 1): LearnedAverage {
+  return new LearnedAverage({
+    guess,
+    guessSamples: 1,
+    minWeight: MIN_WEIGHT,
+    weightAbove,
+  });
 }
--- a/src/node/scheduling/upstream_speed.ts
+++ b/src/node/scheduling/upstream_speed.ts
@@ -2,6 +2,7 @@
  * How fast one upstream is, learned from its answers: relative to the other
  * upstreams of its service, so that what all have in common is learned once.
  */
+import {BASE_FIRST_ANSWER_MS, DECODE_MS_PER_TOKEN} from './constants.js';
 import {LearnedAverage} from './learned_average.js';
 import type {ServiceSpeeds} from './service_speeds.js';
 
@@ -15,6 +16,10 @@
 const MAX_BASE_PREFILL_MS = 40;
 /** An upstream is at most this many times slower than the average. */
 const MAX_RATIO = 6;
+/** A service is at most this many times slower than the first guess. */
+const MAX_SERVICE_RATIO = 2;
+const MAX_BASE_MS = MAX_SERVICE_RATIO * BASE_FIRST_ANSWER_MS;
+const MAX_TOKEN_MS = MAX_SERVICE_RATIO * DECODE_MS_PER_TOKEN;
 /** Few are much faster than the average; a lucky one must not draw all work. */
 const MIN_RATIO = 0.6;
 /**
@@ -46,6 +51,8 @@
 export interface EndedStream {
   readonly events: number;
   readonly tokensPerEvent: number;
+  /** Tokens that it was expected to write. */
+  readonly expectedTokens: number;
   /** Time from the first event to the last one. */
   readonly writingMs: number;
   /** Prefill of prompts that came during the stream, as predicted. */
@@ -117,7 +124,8 @@
     const {firstAnswerMs, prefillMs, slowness} = answer;
     const nominalMs = prefillMs / slowness;
     if (nominalMs <= MAX_BASE_PREFILL_MS) {
-      this.service.baseMs.note(Math.max(1, firstAnswerMs - prefillMs));
+      const baseMs = Math.max(1, firstAnswerMs - prefillMs);
+      this.service.baseMs.note(Math.min(MAX_BASE_MS, baseMs));
     }
     if (nominalMs < MIN_PREFILL_MS) return;
     const readMs = Math.max(1, firstAnswerMs - this.baseMs);
@@ -127,21 +135,23 @@
     );
     const {prefillRatio} = this.service;
     const before = prefillRatio.value;
-    prefillRatio.note(before * correction);
+    prefillRatio.note(Math.min(MAX_SERVICE_RATIO, before * correction));
     // What the service has learned from it is not learned of the upstream again.
     this.noteRelative(correction * (before / prefillRatio.value));
   }
 
   noteStream(stream: EndedStream): void {
-    const {events, tokensPerEvent, writingMs, prefillMs, running} = stream;
+    const {events, tokensPerEvent, expectedTokens} = stream;
+    const {writingMs, prefillMs, running} = stream;
     if (events < MIN_STREAM_EVENTS || writingMs <= 0) return;
-    const tokens = (events - 1) * tokensPerEvent;
+    // Events that arrive together count as one.
+    const tokens = Math.max((events - 1) * tokensPerEvent, expectedTokens);
     const {tokenMs} = this.service;
-    tokenMs.note(writingMs / tokens);
+    tokenMs.note(Math.min(MAX_TOKEN_MS, writingMs / tokens));
     if (prefillMs > writingMs * MAX_PREFILL_SHARE) return;
     const stepMs = (writingMs - prefillMs) / tokens;
     const steps = this.service.stepsFor(this.slots);
-    steps.note(running, stepMs);
+    steps.note(running, Math.min(MAX_TOKEN_MS, stepMs));
     const usualMs = steps.stepMs(running);
     const expectedMs = Math.max(MIN_STEP_MS, usualMs) * this.relative.value;
     this.noteRelative(withinBounds(stepMs / expectedMs, MAX_CORRECTION));
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -375,6 +375,7 @@
     this.speed.noteStream({
       events,
       tokensPerEvent: this.traits.tokensPerEvent,
+      expectedTokens: placement.item.prompt?.expectedOutputTokens ?? 0,
       writingMs: firstAnswerMs > 0 ? totalMs - firstAnswerMs : 0,
       prefillMs: this.prefill.doneMs(nowMs) - placement.prefillSentMs,
       // The present batch does not include the request any more.
