Give entries work in proportion to what they bear

Entries of 0.243 cores got as many callers, relays and schedulers as those of 0.81. An entry computes its capacity from the optional settings processorShare, memoryMb, linkMbps and maxDescriptors, and announces it. The directory names larger entries more often, relays choose by capacity, and the rendezvous hash of schedulers is weighted. While not all entries of a choice announce a capacity, everything is as before.

--- a/src/node/fleet/fleet_members.ts
+++ b/src/node/fleet/fleet_members.ts
@@ -1,6 +1,7 @@
 /** An entry's list of the other instances, merged from all control members. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {VIEW_EXPIRY_MS} from './constants.js';
+import {assignedByCapacity} from './entry_capacity.js';
 import type {
   AnnouncementReply,
   ControlInstance,
@@ -129,7 +130,7 @@
     const live = this.liveEntries(region, nowMs);
     const inDomain = live.filter(each => each.domain === domain);
     const candidates = inDomain.length > 0 ? inDomain : live;
-    return lowestRanked(candidates, `${domain} ${service}`, idOf);
+    return assignedByCapacity(candidates, `${domain} ${service}`);
   }
 
   /** Live entries of a region by rendezvous rank for a job, first one first. */
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -1,6 +1,7 @@
 /** The live entries that have announced themselves to one control member. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {ENTRY_EXPIRY_MS} from './constants.js';
+import {namedEntries} from './entry_capacity.js';
 import {preferConnected} from './fleet_members.js';
 import type {
   Announcement,
@@ -52,6 +53,7 @@
   constructor(
     epoch: string,
     private readonly onChange: (change: RegistryChange) => void,
+    private readonly random: () => number = Math.random,
   ) {
     this.history = new ViewHistory(epoch);
   }
@@ -127,7 +129,8 @@
    * those of `homeRegions` (`undefined` for a host without bound requests), so that requests bound to these regions are not
    * received elsewhere. If these have none either, entries of its own region that
    * stop or start: a planned restart of all of them must not lead bound requests
-   * to a third region. Entries of all regions if none of these is known.
+   * to a third region. Entries of all regions if none of these is known. Among
+   * entries of different capacity, the larger ones are named more often.
    */
   addressesFor(
     place: CallerLocation,
@@ -145,7 +148,9 @@
       ready,
     ];
     const chosen = choices.find(entries => entries.length > 0) ?? [];
-    return chosen.map(entry => entry.callersAddress).slice(0, limit);
+    return namedEntries(chosen, this.random)
+      .map(entry => entry.callersAddress)
+      .slice(0, limit);
   }
 
   private recordChange(
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -21,6 +21,8 @@
   readonly isScheduling: boolean;
   /** Whether it cannot reach any upstream. */
   readonly isCutOff?: boolean | undefined;
+  /** How much it bears, if its settings say so; see `entry_capacity.ts`. */
+  readonly capacity?: number | undefined;
 }
 
 /** One control member that entries announce themselves to. */
@@ -43,6 +45,7 @@
   isStopping: z.boolean(),
   isScheduling: z.boolean(),
   isCutOff: z.boolean().optional(),
+  capacity: z.number().positive().optional(),
 });
 
 /** Sent by an entry to a control member periodically, as a heartbeat. */
--- a/src/node/ingress/relay.ts
+++ b/src/node/ingress/relay.ts
@@ -3,6 +3,7 @@
  * there. A request is relayed at most once: the receiver never relays it again.
  */
 import {monotonicNowMs} from '../clock/clock.js';
+import {drawnEntry} from '../fleet/entry_capacity.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import {
   AUTHENTICATION_HEADER,
@@ -61,7 +62,7 @@
     const {members, connections, self, clusterSecret} = this.options;
     const nowMs = monotonicNowMs();
     const entries = members.relayTargets(region, nowMs);
-    const entry = entries[Math.floor(Math.random() * entries.length)];
+    const entry = drawnEntry(entries, Math.random);
     if (entry === undefined) {
       return {kind: 'not_sent', cause: `no live entry in region ${region}`};
     }
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of an ingress entry, in YAML or JSON. */
 import {z} from 'zod';
 import {addressSchema, idSchema} from '../config/configuration.js';
+import {capacityOf} from '../fleet/entry_capacity.js';
 import type {DomainLocation} from '../fleet/fleet_members.js';
 import type {EntryInstance} from '../fleet/messages.js';
 import type {RetryBudgetOptions} from '../scheduling/retry_budget.js';
@@ -49,6 +50,11 @@
   retryRatio: z.number().min(0),
   retryWindowMs: z.number().positive(),
   retrySlack: z.number().min(0),
+  /** What the entry may use; what is not known is left out or null. */
+  processorShare: z.number().positive().nullish(),
+  memoryMb: z.number().positive().nullish(),
+  linkMbps: z.number().positive().nullish(),
+  maxDescriptors: z.number().positive().nullish(),
 });
 
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
@@ -58,9 +64,16 @@
   settings: IngressSettings,
 ): Pick<
   EntryInstance,
-  'callersAddress' | 'domain' | 'innerAddress' | 'instanceId' | 'region'
+  | 'callersAddress'
+  | 'capacity'
+  | 'domain'
+  | 'innerAddress'
+  | 'instanceId'
+  | 'region'
 > {
+  const capacity = capacityOf(settings);
   return {
+    ...(capacity === undefined ? {} : {capacity}),
     instanceId: settings.instanceId,
     domain: settings.domainId,
     region: settings.regionId,
