Count shared parts in use against the memory of engines

An engine could be granted requests that exceed its memory and crash: shared parts of prompts that running requests use were left to the cache and not counted. They now count once each.

--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -173,7 +173,9 @@
   /** Whether it can accept the request now. */
   canTake(item: WorkItem, nowMs: number): boolean {
     if (!this.isOpen(nowMs)) return false;
-    return !this.isEngine || ownTokens(item) <= this.freeTokens;
+    return (
+      !this.isEngine || this.placements.neededTokens(item) <= this.freeTokens
+    );
   }
 
   /** Whether it can accept any request now. */
@@ -353,7 +355,7 @@
     });
     if (item.prompt === undefined) return;
     this.cache.touch(item.prompt.parts);
-    this.cache.shrinkTo(this.freeTokens);
+    this.cache.shrinkTo(this.capacityTokens - this.placements.usedOwnTokens);
   }
 
   private meanStreamMs(): number {
