--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -32,6 +32,7 @@
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
+import type {ServiceId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
 import {createOrigins} from './create_origins.js';
 import {createQuotas} from './create_quotas.js';
@@ -39,6 +40,7 @@
 import {createInnerServer, startTextServers} from './entry_servers.js';
 import {IngressServer} from './ingress_server.js';
 import {LoadLog} from './load_log.js';
+import {createMisdirectionCheck} from './misdirection_check.js';
 import {PlannedStop} from './planned_stop.js';
 import {createHeldBytes} from './memory_bound.js';
 import type {RequestProtocol} from './protocol.js';
@@ -47,12 +49,14 @@
 import {createRetryShares, type RetryShares} from './retry_shares.js';
 import {registerSchedulerMethods} from './scheduler_calls.js';
 import {
+  announcedSettings,
   domainLocations,
   domainIdsOfRegion,
   schedulerRetries,
   seedInnerAddresses,
   type IngressSettings,
 } from './settings.js';
+
 import {TableWaiters} from './table_waiters.js';
 import {UpstreamPaces} from './upstream_pace.js';
 
@@ -225,14 +229,9 @@
   }
 
   private describe(): EntryInstance {
-    const {settings} = this;
     return {
-      instanceId: settings.instanceId,
+      ...announcedSettings(this.settings),
       incarnation: this.incarnation,
-      domain: settings.domainId,
-      region: settings.regionId,
-      innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
-      callersAddress: settings.callerAddress,
       isReady: this.isReady(),
       isStopping: this.plannedStop.hasBegun,
       isScheduling: this.loops.schedulesEngines,
@@ -336,12 +335,19 @@
     const {settings, protocol, feed, logger} = this.options;
     const {instanceId: self, clusterSecret} = settings;
     const {members, connections} = this;
+    const notices = new UpstreamNotices();
+    const healthPathOf = (service: ServiceId) =>
+      this.matcher?.service(service)?.healthPath;
     return new IngressServer({
       address: settings.callerAddress,
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       plannedStop: this.plannedStop,
-      held: createHeldBytes(settings.memoryMb, this.metrics, logger),
+      held: createHeldBytes(
+        settings.memoryMb ?? undefined,
+        this.metrics,
+        logger,
+      ),
       quotas: this.quotas,
       context: {
         region: settings.regionId,
@@ -353,15 +359,13 @@
         paces: this.paces,
         reachability: this.reachability,
         limits: this.limits,
-        notices: new UpstreamNotices(),
+        notices,
+        misdirections: createMisdirectionCheck(feed, notices, healthPathOf),
         retryShares: this.retryShares,
         evacuatedDomains: () => this.state.evacuatedDomains,
         relay: new RelayClient({self, clusterSecret, members, connections}),
         origins: this.origins,
-        responseEnds: createEndCheck(
-          feed,
-          service => this.matcher?.service(service)?.healthPath,
-        ),
+        responseEnds: createEndCheck(feed, healthPathOf),
         log: new RequestLog(logger, this.metrics),
         metrics: this.metrics,
       },
--- a/src/node/ingress/settings.ts
+++ b/src/node/ingress/settings.ts
@@ -1,7 +1,9 @@
 /** Settings of an ingress entry, in YAML or JSON. */
 import {z} from 'zod';
 import {addressSchema, idSchema} from '../config/configuration.js';
+import {capacityOf} from '../fleet/entry_capacity.js';
 import type {DomainLocation} from '../fleet/fleet_members.js';
+import type {EntryInstance} from '../fleet/messages.js';
 import type {RetryBudgetOptions} from '../scheduling/retry_budget.js';
 import {
   asId,
@@ -48,12 +50,39 @@
   retryRatio: z.number().min(0),
   retryWindowMs: z.number().positive(),
   retrySlack: z.number().min(0),
-  /** Memory that the process may use; bounds what it holds for slow peers. */
-  memoryMb: z.number().positive().optional(),
+  /** What the entry may use; what is not known is left out or null. */
+  processorShare: z.number().positive().nullish(),
+  /** Also bounds what the entry holds for slow peers. */
+  memoryMb: z.number().positive().nullish(),
+  linkMbps: z.number().positive().nullish(),
+  maxDescriptors: z.number().positive().nullish(),
 });
 
 export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
 
+/** The part of an entry's announcements that its settings decide. */
+export function announcedSettings(
+  settings: IngressSettings,
+): Pick<
+  EntryInstance,
+  | 'callersAddress'
+  | 'capacity'
+  | 'domain'
+  | 'innerAddress'
+  | 'instanceId'
+  | 'region'
+> {
+  const capacity = capacityOf(settings);
+  return {
+    ...(capacity === undefined ? {} : {capacity}),
+    instanceId: settings.instanceId,
+    domain: settings.domainId,
+    region: settings.regionId,
+    innerAddress: settings.advertisedInnerAddress ?? settings.innerAddress,
+    callersAddress: settings.callerAddress,
+  };
+}
+
 /** All failure domains of the deployment. */
 export function domainLocations({
   regionOfDomain,
