--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -25,7 +25,8 @@
 import type {ConnectionPool} from '../../connection_pool.js';
 import type {ResponseSink} from '../../exchange.js';
 import {NOT_RUN_HEADER} from '../../inner_headers.js';
-import {RequestRun, type RequestRunContext} from '../../request_run.js';
+import type {RequestRunContext} from '../../request_context.js';
+import {RequestRun} from '../../request_run.js';
 import type {InboundRequest} from '../../types.js';
 import {UpstreamPaces} from '../../upstream_pace.js';
 
--- a/src/node/ingress/__tests__/unexpected_errors.spec.ts
+++ b/src/node/ingress/__tests__/unexpected_errors.spec.ts
@@ -7,7 +7,7 @@
 import {IngressServer} from '../ingress_server.js';
 import type {QuotaGate} from '../../quotas/quota_gate.js';
 import {PlannedStop} from '../planned_stop.js';
-import type {RequestRunContext} from '../request_run.js';
+import type {RequestRunContext} from '../request_context.js';
 
 async function endOfExchange(
   t: TestContext,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -343,11 +343,7 @@
       matcher: () => this.matcher,
       waitForTable: waitMs => this.tableWaiters.wait(waitMs),
       plannedStop: this.plannedStop,
-      held: createHeldBytes(
-        settings.memoryMb ?? undefined,
-        this.metrics,
-        logger,
-      ),
+      held: createHeldBytes(settings.memoryMb, this.metrics, logger),
       quotas: this.quotas,
       context: {
         region: settings.regionId,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -38,7 +38,8 @@
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {QuotaAdmission} from './quota_admission.js';
-import {RequestRun, type RequestRunContext} from './request_run.js';
+import type {RequestRunContext} from './request_context.js';
+import {RequestRun} from './request_run.js';
 import {withService} from './service_choice.js';
 import type {InboundRequest} from './types.js';
 
--- a/src/node/ingress/memory_bound.ts
+++ b/src/node/ingress/memory_bound.ts
@@ -24,14 +24,14 @@
 const DEFAULT_MAX_BYTES = 1_024 * BYTES_PER_MB;
 
 /** The bound for a process that may use `memoryMb` in all. */
-export function maxHeldBytes(memoryMb: number | undefined): number {
-  if (memoryMb === undefined) return DEFAULT_MAX_BYTES;
+export function maxHeldBytes(memoryMb: number | null | undefined): number {
+  if (memoryMb == null) return DEFAULT_MAX_BYTES;
   return Math.floor(memoryMb * BYTES_PER_MB * HELD_SHARE);
 }
 
 /** The held bytes of an entry, with their metrics and log lines. */
 export function createHeldBytes(
-  memoryMb: number | undefined,
+  memoryMb: number | null | undefined,
   metrics: MetricsRegistry,
   logger: Logger,
 ): HeldBytes {
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -4,24 +4,10 @@
  * retries where that is safe.
  */
 import {monotonicNowMs} from '../clock/clock.js';
-import type {FleetMembers} from '../fleet/fleet_members.js';
-import type {MetricsRegistry} from '../metrics/registry.js';
-import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {UNVERSIONED} from '../scheduling/software_versions.js';
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
 import {localOffload} from '../dispatch/local_decisions.js';
-import type {SchedulerClient} from '../dispatch/scheduler_client.js';
-import type {ResponseEndCheck} from '../dispatch/response_end_check.js';
-import type {UpstreamNotices} from '../dispatch/upstream_notices.js';
-import type {OriginRegistry} from '../origins/origin_registry.js';
-import type {UpstreamLimits} from '../dispatch/upstream_limits.js';
-import {
-  asId,
-  type AttemptId,
-  type DomainId,
-  type InstanceId,
-  type RegionId,
-} from '../types/ids.js';
+import {asId, type AttemptId, type RegionId} from '../types/ids.js';
 import {
   ResponseReader,
   type ResponseHead,
@@ -30,49 +16,22 @@
 } from './response_reader.js';
 import {sendBuffered} from './buffered_response.js';
 import type {CallerResponse} from './caller_response.js';
-import {EndConfirmation, type EndedTry} from './end_confirmation.js';
-import type {ConnectionPools} from './connections.js';
+import {EndConfirmation} from './end_confirmation.js';
 import type {ExchangeEnd} from './exchange.js';
 import {GrantSource} from './grant_source.js';
 import {namedLimits} from './named_limits.js';
-import type {MisdirectionCheck} from './misdirection_check.js';
 import {ProgressMonitor} from './progress_monitor.js';
-import {roundNumbers, type RequestLog} from './request_log.js';
-import type {RequestProtocol} from './protocol.js';
-import type {RelayClient} from './relay.js';
-import type {RetryShares} from './retry_shares.js';
+import {roundNumbers} from './request_log.js';
+import type {RequestRunContext} from './request_context.js';
 import {RunRecorder} from './run_recorder.js';
 import {NO_ROOM} from './memory_bound.js';
 import {sendFinalResponse} from './error_responses.js';
 import {TryBudget} from './try_budget.js';
 import {causeOf, endOfTry, isFalsePromise, outcomeOf} from './try_outcome.js';
 import type {InboundRequest, TryResult} from './types.js';
-import type {UpstreamPaces} from './upstream_pace.js';
 import {WorkItems} from './work_items.js';
 import {cancelGrant, UpstreamTry, type Grant} from './upstream_try.js';
 
-export interface RequestRunContext {
-  readonly region: RegionId;
-  readonly self: InstanceId;
-  readonly protocol: RequestProtocol;
-  readonly members: FleetMembers;
-  readonly scheduler: SchedulerClient;
-  readonly connections: ConnectionPools;
-  readonly paces: UpstreamPaces;
-  readonly limits: UpstreamLimits;
-  readonly retryShares: RetryShares;
-  readonly relay: RelayClient;
-  readonly reachability: UpstreamReachability;
-  readonly notices: UpstreamNotices;
-  readonly misdirections: MisdirectionCheck;
-  /** The evacuated domains that this entry knows. */
-  readonly evacuatedDomains: () => readonly DomainId[];
-  readonly origins: Pick<OriginRegistry, 'note' | 'find'>;
-  readonly responseEnds: Pick<ResponseEndCheck<EndedTry>, 'check'>;
-  readonly log: RequestLog;
-  readonly metrics: MetricsRegistry;
-}
-
 /** Outcomes that a lost path to the upstream may cause. */
 const TROUBLE_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   'broken',
--- a/src/node/ingress/service_choice.ts
+++ b/src/node/ingress/service_choice.ts
@@ -4,7 +4,7 @@
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import type {Route} from '../routes/route_table.js';
 import {requestFromCaller} from './inbound_request.js';
-import type {RequestRunContext} from './request_run.js';
+import type {RequestRunContext} from './request_context.js';
 import {headersWithoutIdentity, type RequestRules} from './request_rules.js';
 import type {InboundRequest} from './types.js';
 
--- a/src/node/logging/logger.ts
+++ b/src/node/logging/logger.ts
@@ -7,7 +7,7 @@
 export type Logger = pino.Logger;
 
 /** Lines are written together, as each write costs a system call and a thread. */
-const MAX_BUFFERED_BYTES = 16_384;
+const MAX_BUFFERED_BYTES = 8_192;
 /** A process that is killed loses the lines of this time. */
 const FLUSH_INTERVAL_MS = 100;
 
