--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -195,6 +195,7 @@
       }),
     },
     members: {regions: () => ['home']},
+    misdirections: {pending: () => undefined, begin: () => undefined},
     scheduler: {
       acquire: (item: WorkItem) => {
         const decide = decisions[Math.min(asked, decisions.length - 1)];
