--- a/src/node/ingress/progress_monitor.ts
+++ b/src/node/ingress/progress_monitor.ts
@@ -27,12 +27,6 @@
   private readonly sentAtMs = monotonicNowMs();
   private timer: ReturnType<typeof setTimeout> | undefined;
   private isOverdue = false;
-  private pieces = 0;
-
-  /** In how many pieces the answer came: about one for each event of a stream. */
-  get piecesReceived(): number {
-    return this.pieces;
-  }
 
   constructor(private readonly options: ProgressMonitorOptions) {
     const {hasPrompt, grant} = options;
@@ -49,7 +43,6 @@
   readonly record = (previousAtMs: number, nowMs: number): void => {
     const {paces, scheduler, grant} = this.options;
     const {sentAtMs} = this;
-    this.pieces += 1;
     paces.noteProgress(grant, {sentAtMs, previousAtMs, nowMs});
     if (previousAtMs > 0) return;
     this.stop();
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -186,7 +186,6 @@
       outcome,
       firstAnswerMs: this.recorder.firstAnswerMs,
       totalMs: monotonicNowMs() - sentAtMs,
-      ...(reader.isRelaying ? {events: monitor.piecesReceived} : {}),
     });
     if (TROUBLE_OUTCOMES.has(outcome)) context.reachability.doubt(upstreamId);
     this.recorder.tryEnded(grant, outcome, sentAtMs, causeOf(end, reader));
--- a/src/node/scheduling/constants.ts
+++ b/src/node/scheduling/constants.ts
@@ -9,8 +9,6 @@
 export const BASE_FIRST_ANSWER_MS = 20;
 /** Decode time of one output token in a full batch. */
 export const DECODE_MS_PER_TOKEN = 9;
-/** Decode time of one output token of a request that runs alone. */
-export const MIN_DECODE_MS_PER_TOKEN = 5;
 /** Service time assumed for a plain upstream before the first observation. */
 export const INITIAL_SERVICE_MS = 40;
 /**
--- a/src/node/scheduling/long_prompt_lane.ts
+++ b/src/node/scheduling/long_prompt_lane.ts
@@ -20,12 +20,7 @@
 /** An engine is replaced by one whose slowness is lower by more than this. */
 const SLOWNESS_MARGIN = 0.2;
 /** Limits swaps: speed estimates are noisy and new members have cold caches. */
-const SWAP_INTERVAL_MS = 4_000;
-/**
- * A long prompt that has waited for the lane for this share of its target may run
- * on the other engines: their streams bear its prefill, its caller no longer waits.
- */
-const PATIENCE_SHARE = 0.2;
+const SWAP_INTERVAL_MS = 10_000;
 /** Target slot occupancy of the engines outside the lane. */
 const STREAM_OCCUPANCY = 0.75;
 
@@ -86,11 +81,6 @@
     return this.members.has(upstream.listed.upstreamId);
   }
 
-  /** Whether the request has waited for the lane for long enough. */
-  mayLeave({ageMs, targetLatencyMs}: WorkItem): boolean {
-    return ageMs >= targetLatencyMs * PATIENCE_SHARE;
-  }
-
   /**
    * Returns the members of `upstreams` that may get the request. While the lane
    * has no usable engine, all of them may.
@@ -102,9 +92,7 @@
     nowMs: number,
   ): readonly UpstreamState[] {
     const isUnrestricted =
-      this.mayLeave(item) ||
-      !this.isLong(item, nowMs) ||
-      !usable.some(each => this.has(each));
+      !this.isLong(item, nowMs) || !usable.some(each => this.has(each));
     return isUnrestricted
       ? upstreams
       : upstreams.filter(each => this.has(each));
--- a/src/node/scheduling/placement.ts
+++ b/src/node/scheduling/placement.ts
@@ -9,10 +9,6 @@
   readonly prefillMs: number;
   /** Slowness of the upstream that the prediction assumed. */
   readonly slowness: number;
-  /** Prefill that the upstream had been sent, in all, including this one. */
-  readonly prefillSentMs: number;
-  /** Requests in the batch with it as it started. */
-  readonly running: number;
   /** Tokens not shared with other requests. */
   readonly ownTokens: number;
   /** Whether another scheduler granted it. */
--- a/src/node/scheduling/prefill_backlog.ts
+++ b/src/node/scheduling/prefill_backlog.ts
@@ -13,21 +13,9 @@
   private readonly overdue = new Set<RequestId>();
   /** Prefill time from the first overdue prompt on; 0 if none is overdue. */
   private overdueMs = 0;
-  private sumMs = 0;
-
-  /** Prefill time of all prompts that were ever added. */
-  get addedMs(): number {
-    return this.sumMs;
-  }
-
-  /** Prefill time of those of them that are read. */
-  doneMs(nowMs: number): number {
-    return this.sumMs - this.remainingMs(nowMs);
-  }
 
   /** Adds a prompt that is sent to the engine now. */
   add(requestId: RequestId, prefillMs: number, nowMs: number): void {
-    this.sumMs += prefillMs;
     this.untilMs = Math.max(this.untilMs, nowMs) + prefillMs;
     this.prefillMs.set(requestId, prefillMs);
     if (this.overdue.size > 0) this.overdueMs += prefillMs;
--- a/src/node/scheduling/scheduler.ts
+++ b/src/node/scheduling/scheduler.ts
@@ -155,11 +155,10 @@
       const mustWait =
         isLaneFull &&
         queued.item.begun === undefined &&
-        this.lane.isLongPrefill(queued.prefillMs) &&
-        !this.lane.mayLeave(agedItem(queued, nowMs));
+        this.lane.isLongPrefill(queued.prefillMs);
       const upstream = mustWait
         ? undefined
-        : this.choose(agedItem(queued, nowMs), usable, open, nowMs);
+        : this.choose(queued.item, usable, open, nowMs);
       const ahead = loads?.get(queued.item.requestId);
       if (!this.processQueued(queued, upstream, usable, nowMs, ahead)) {
         if (ahead !== undefined) {
@@ -381,10 +380,6 @@
   }
 }
 
-function agedItem({item, queuedAtMs}: QueuedItem, nowMs: number): WorkItem {
-  return {...item, ageMs: item.ageMs + nowMs - queuedAtMs};
-}
-
 function openOf(
   upstreams: readonly UpstreamState[],
   nowMs: number,
--- a/src/node/scheduling/types.ts
+++ b/src/node/scheduling/types.ts
@@ -245,8 +245,6 @@
   readonly firstAnswerMs: number;
   /** Time from sending to the end. */
   readonly totalMs: number;
-  /** Events of a stream, if it was one. */
-  readonly events?: number;
 }
 
 /** A placement that an earlier scheduler may have granted. */
--- a/src/node/scheduling/upstream_pool.ts
+++ b/src/node/scheduling/upstream_pool.ts
@@ -13,7 +13,6 @@
 import {PoolChanges, type PoolChange} from './pool_changes.js';
 import {PromptEstimates} from './prompt_estimates.js';
 import {withoutFailing} from './failure_share.js';
-import {ServiceSpeeds} from './service_speeds.js';
 import {fits} from './software_versions.js';
 import type {
   BegunStream,
@@ -52,7 +51,6 @@
   readonly estimates = new PromptEstimates(() => this.available());
 
   private traits: ServiceTraits;
-  private readonly speeds = new ServiceSpeeds();
   private readonly crashes: CrashWatch;
   private readonly changes: PoolChanges;
   private readonly pending = new PendingHandover();
@@ -307,15 +305,10 @@
     );
   }
 
-  private create(listed: ListedUpstream): UpstreamState {
-    const {traits, estimates, speeds} = this;
-    return new UpstreamState(listed, traits, estimates, speeds);
-  }
-
   private applyListed(listed: ListedUpstream, reading: ListReading): void {
     const known = this.states.get(listed.upstreamId);
     if (known === undefined) {
-      const created = this.create(listed);
+      const created = new UpstreamState(listed, this.traits, this.estimates);
       created.listedAsOfMs = reading.readAtMs - reading.lagMs;
       this.states.set(listed.upstreamId, created);
       applyCold(created, listed, reading);
--- a/src/node/scheduling/upstream_state.ts
+++ b/src/node/scheduling/upstream_state.ts
@@ -19,7 +19,6 @@
 import {ownTokens} from './prompt_parts.js';
 import {fits} from './software_versions.js';
 import {RejectionGuard} from './rejection_guard.js';
-import type {ServiceSpeeds} from './service_speeds.js';
 import {SlotOvercommit} from './slot_overcommit.js';
 import {StartPacer} from './start_pacer.js';
 import type {
@@ -58,13 +57,11 @@
   listedAsOfMs = Number.NEGATIVE_INFINITY;
   /** Readings of the list from before this time cannot mark it warm. */
   minWarmReadAtMs = 0;
-  /** When a request was last sent to it. */
-  startedAtMs = Number.NEGATIVE_INFINITY;
   private readonly placements = new PlacementBook();
   private readonly prefill = new PrefillBacklog();
   private nextExpiryCheckAtMs = 0;
   private readonly failures = new FailureShare();
-  private readonly speed: UpstreamSpeed;
+  private readonly speed = new UpstreamSpeed();
   /** Placements allowed beyond the slots of a plain upstream. */
   private readonly overcommit = new SlotOvercommit();
 
@@ -72,10 +69,7 @@
     public listed: ListedUpstream,
     public traits: ServiceTraits,
     private readonly estimates: PromptEstimates,
-    speeds: ServiceSpeeds,
-  ) {
-    this.speed = new UpstreamSpeed(speeds, listed.slots);
-  }
+  ) {}
 
   get running(): number {
     return this.placements.size;
@@ -194,20 +188,6 @@
     return this.speed.slowness;
   }
 
-  /** Ratio of its times to those of an average engine of the service. */
-  get relativeSlowness(): number {
-    return this.speed.relativeSlowness;
-  }
-
-  /**
-   * What one more request costs those that run on it and itself, in time until
-   * all tokens of the request are written.
-   */
-  batchCostMs({prompt}: WorkItem): number {
-    const tokens = prompt?.expectedOutputTokens ?? 0;
-    return tokens * this.speed.stepGrowthMs * this.running;
-  }
-
   /** Prefill time of the uncached part of a prompt, including any fetch. */
   prefillMs(item: WorkItem, nowMs: number): number {
     if (item.prompt === undefined) return 0;
@@ -244,7 +224,6 @@
     this.prefill.add(item.requestId, prefillMs, nowMs);
     const startsPerS = this.startsPerS(nowMs);
     if (startsPerS !== undefined) this.pacer.noteStart(startsPerS, nowMs);
-    this.startedAtMs = nowMs;
     this.addPlacement(item, backlogMs + prefillMs, nowMs);
   }
 
@@ -267,7 +246,7 @@
     if (release.outcome !== 'answered') return;
     this.lastAnswer.note(placement.item.entry, nowMs);
     this.overcommit.note(nowMs - placement.startedAtMs, release.totalMs);
-    this.updateSpeed(placement, release, nowMs);
+    this.updateSpeed(placement, release);
   }
 
   /** Records that a request was not begun by the expected time. */
@@ -297,7 +276,6 @@
   expire(nowMs: number): void {
     if (nowMs < this.nextExpiryCheckAtMs) return;
     this.nextExpiryCheckAtMs = nowMs + EXPIRY_CHECK_MS;
-    this.speed.relax(nowMs);
     this.placements.expired(nowMs).forEach(each => this.removePlacement(each));
   }
 
@@ -316,7 +294,6 @@
     this.placements.clear();
     this.cache.clear();
     this.prefill.clear();
-    this.speed.clear();
     this.failures.clear();
     this.overcommit.reset();
     this.limit.clear();
@@ -347,8 +324,6 @@
       ownTokens: ownTokens(item),
       prefillMs: prefillMs ?? 0,
       slowness: this.speed.slowness,
-      prefillSentMs: this.prefill.addedMs,
-      running: this.running,
       isAdopted: prefillMs === undefined,
       hasBegun: false,
       expiresAtMs: nowMs + item.remainingMs + PLACEMENT_GRACE_MS,
@@ -363,26 +338,13 @@
     return tokens * this.speed.fullBatchTokenMs;
   }
 
-  private updateSpeed(
-    placement: Placement,
-    release: Release,
-    nowMs: number,
-  ): void {
-    const {firstAnswerMs, totalMs, events = 0} = release;
+  private updateSpeed(placement: Placement, release: Release): void {
+    const {firstAnswerMs, totalMs} = release;
     if (!this.isEngine) {
       this.speed.noteCall(totalMs);
       return;
     }
     this.noteFirstAnswer(placement, firstAnswerMs);
-    this.speed.noteStream({
-      events,
-      tokensPerEvent: this.traits.tokensPerEvent,
-      expectedTokens: placement.item.prompt?.expectedOutputTokens ?? 0,
-      writingMs: firstAnswerMs > 0 ? totalMs - firstAnswerMs : 0,
-      prefillMs: this.prefill.doneMs(nowMs) - placement.prefillSentMs,
-      // The present batch does not include the request any more.
-      running: (placement.running + this.running) / 2 + 1,
-    });
   }
 
   // What runs before an adopted request is not known.
