Say upstream and workspace where the source had other words

Four places in src/ used words of the platform: the questionnaire's template, a comment on the configuration, and two specs.

--- a/src/node/config/configuration.ts
+++ b/src/node/config/configuration.ts
@@ -69,7 +69,7 @@
   innerAddress: addressSchema,
 });
 
-/** A back end that requests are sent to. */
+/** An upstream that requests are sent to. */
 export const upstreamSchema = z.strictObject({
   upstreamId: idSchema<UpstreamId>(),
   domainId: idSchema<DomainId>(),
--- a/src/node/operator/answers_template.ts
+++ b/src/node/operator/answers_template.ts
@@ -43,7 +43,7 @@
     innerAddress: 10.0.1.1:7100
     disk: false
 
-# Which back ends do the work?
+# Which upstreams do the work?
 upstreams:
   - kind: model
     id: north-engine-1
--- a/src/node/routes/__tests__/source_seal.spec.ts
+++ b/src/node/routes/__tests__/source_seal.spec.ts
@@ -8,7 +8,7 @@
 import {tableOf} from './support/control_group.js';
 
 const SECRET = 'secret-of-the-specs';
-const SOURCE = '{"tenants": [{"apiKeys": ["key-of-blue"]}], "note": "ü"}';
+const SOURCE = '{"workspaces": [{"keys": ["key-of-blue"]}], "note": "ü"}';
 const WITH_KEYS: RouteTable = {
   ...tableOf(7),
   source: SOURCE,
--- a/src/node/scheduling/__tests__/early_moves.spec.ts
+++ b/src/node/scheduling/__tests__/early_moves.spec.ts
@@ -148,9 +148,9 @@
 // against senders that all rush to the room that one digest shows.
 test('many senders together do not overrun one receiver', () => {
   const senders = ['home', 'other'].flatMap(region =>
-    ['a', 'b'].map(zone => ({
+    ['a', 'b'].map(letter => ({
       region: asId<RegionId>(region),
-      domain: asId<DomainId>(`${region}-${zone}`),
+      domain: asId<DomainId>(`${region}-${letter}`),
     })),
   );
   const load = {slots: 0.5, prefill: 0.1};
