--- a/src/node/ingress/__tests__/unexpected_errors.spec.ts
+++ b/src/node/ingress/__tests__/unexpected_errors.spec.ts
@@ -5,6 +5,7 @@
 import {ConnectionPools} from '../connections.js';
 import {exchangeWith, type ExchangeEnd} from '../exchange.js';
 import {IngressServer} from '../ingress_server.js';
+import {LoadShedding} from '../../decisions/admission/load_shedding.js';
 import type {QuotaGate} from '../../quotas/quota_gate.js';
 import {PlannedStop} from '../planned_stop.js';
 import type {RequestRunContext} from '../request_context.js';
@@ -55,6 +56,7 @@
     waitForTable: () => Promise.resolve(),
     plannedStop: new PlannedStop(8_000),
     quotas: {} as QuotaGate,
+    shedding: new LoadShedding(),
   });
   const address = await server.start();
   t.after(() => server.close());
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -5,6 +5,7 @@
   cancelledPlacements,
   DecisionSender,
 } from '../dispatch/decision_sender.js';
+import {LoadShedding} from '../decisions/admission/load_shedding.js';
 import {DomainChoice} from '../dispatch/domain_choice.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
@@ -27,13 +28,14 @@
 } from '../routes/route_table.js';
 import type {QuotaGate} from '../quotas/quota_gate.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
-import {UpstreamReachability} from '../reachability/upstream_reachability.js';
+import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import type {ServiceId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
+import {createReachability} from './create_reachability.js';
 import {createOrigins} from './create_origins.js';
 import {createQuotas} from './create_quotas.js';
 import {createEndCheck} from './end_confirmation.js';
@@ -94,6 +96,7 @@
   private readonly innerServer: InnerServer;
   private readonly textServers: Server[] = [];
   private readonly loadLog: LoadLog;
+  private readonly shedding = new LoadShedding();
   private incarnation = wallNowMs();
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
@@ -138,7 +141,13 @@
       metrics: this.metrics,
       nearestControlMember: () => this.controlLink.nearestMember(),
     });
-    this.reachability = this.createReachability();
+    this.reachability = createReachability(feed, {
+      paces: this.paces,
+      connections: this.connections,
+      onCutOff: () => this.controlLink.announceToAll(),
+      logger,
+      metrics: this.metrics,
+    });
     this.origins.register(this.router);
     this.ingress = this.createIngress();
     const {host, decisions, scheduler, listReader, metrics} = this;
@@ -148,6 +157,8 @@
       metrics,
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
+      shedding: this.shedding,
+      processorShare: settings.processorShare,
     });
     this.innerServer = createInnerServer(settings, this.router, this.ingress);
     registerSchedulerMethods(this.router, {
@@ -318,19 +329,6 @@
     });
   }
 
-  private createReachability(): UpstreamReachability {
-    const {feed, logger} = this.options;
-    return new UpstreamReachability({
-      canConnect: address => feed.canConnect(address),
-      heardAtMs: upstreamId => this.paces.progressAtMs(upstreamId),
-      onLost: ({address, upstreamId}) =>
-        this.connections.retire(address, upstreamId),
-      onCutOff: () => this.controlLink.announceToAll(),
-      logger,
-      metrics: this.metrics,
-    });
-  }
-
   private createIngress(): IngressServer {
     const {settings, protocol, feed, logger} = this.options;
     const {instanceId: self, clusterSecret} = settings;
@@ -345,6 +343,7 @@
       plannedStop: this.plannedStop,
       held: createHeldBytes(settings.memoryMb, this.metrics, logger),
       quotas: this.quotas,
+      shedding: this.shedding,
       context: {
         region: settings.regionId,
         self,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,10 +7,11 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {waitForDelivery} from '../http/delivery.js';
+import type {LoadShedding} from '../decisions/admission/load_shedding.js';
 import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
-import type {CallerLimits} from '../routes/route_table.js';
+import type {CallerLimits, Route} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import type {QuotaGate} from '../quotas/quota_gate.js';
 import {toGatewayError} from '../types/errors.js';
@@ -61,6 +62,8 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
+/** `retry-after` of an entry that is too busy; another one may have room. */
+const BUSY_RETRY_MS = 1_000;
 /** `retry-after` if the route table leaves nowhere to run the request. */
 const NOWHERE_RETRY_MS = 1_000;
 
@@ -74,6 +77,8 @@
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
   readonly quotas: QuotaGate;
+  /** Refuses what this process cannot serve in time. */
+  readonly shedding: LoadShedding;
   /** Bounds what is held for slow callers. */
   readonly held?: HeldBytes;
 }
@@ -168,6 +173,9 @@
     }
     const rules = rulesForRelayed(matcher, metadata, region);
     if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
+    if (this.isTooBusyFor(rules.value.route)) {
+      return refuse('busy', BUSY_RETRY_MS);
+    }
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
       return refuse('no_memory', MEMORY_RETRY_MS);
     }
@@ -249,6 +257,10 @@
       return;
     }
     const rules = found.value;
+    if (this.isTooBusyFor(rules.route)) {
+      onRejected('busy', sendRefusal(callerResponse, BUSY_RETRY_MS));
+      return;
+    }
     const body = await this.readRequestBody(
       request,
       callerResponse,
@@ -276,6 +288,11 @@
     if (!hasRun) this.quotas.giveBack(admitted);
   }
 
+  private isTooBusyFor({priority}: Route): boolean {
+    const {shedding} = this.options;
+    return !shedding.admit(priority, monotonicNowMs());
+  }
+
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
--- a/src/node/ingress/load_log.ts
+++ b/src/node/ingress/load_log.ts
@@ -1,4 +1,5 @@
 /** Logs the load of an entry, and how many retries it and its schedulers count. */
+import type {LoadShedding} from '../decisions/admission/load_shedding.js';
 import type {SchedulerHost} from '../dispatch/scheduler_host.js';
 import type {Logger} from '../logging/logger.js';
 import {LoadMonitor, type LoadReport} from '../metrics/load_monitor.js';
@@ -14,6 +15,9 @@
   readonly metrics: MetricsRegistry;
   readonly logger: Logger;
   readonly requestsInFlight: () => number;
+  readonly shedding: LoadShedding;
+  /** Requests are shed only if the processor is known to be limited. */
+  readonly processorShare: number | null | undefined;
 }
 
 /** Logs one line a second while the entry schedules or its event loop lags. */
@@ -22,8 +26,16 @@
   private previousItemsTaken = 0;
 
   constructor(private readonly options: LoadLogOptions) {
-    this.monitor = new LoadMonitor(options.metrics, report =>
-      this.write(report),
+    const {metrics, shedding, processorShare} = options;
+    this.monitor = new LoadMonitor(
+      metrics,
+      report => this.write(report),
+      delayMs => {
+        if (processorShare != null) shedding.noteDelay(delayMs);
+      },
+    );
+    metrics.beforeRead(() =>
+      metrics.set('admitted_share', {}, shedding.admittedShare),
     );
   }
 
@@ -36,7 +48,8 @@
   }
 
   private write(report: LoadReport): void {
-    const {host, retryShares, logger, requestsInFlight} = this.options;
+    const {host, retryShares, logger, requestsInFlight, shedding} =
+      this.options;
     host.logRetries();
     retryShares.log();
     const {itemsTaken, queueLength} = host.load();
@@ -52,6 +65,7 @@
         itemsScheduled,
         queueLength,
         requestsInFlight: requestsInFlight(),
+        admittedShare: Number(shedding.admittedShare.toFixed(2)),
       },
       'load during the last second',
     );
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -51,6 +51,8 @@
   | 'not_a_home'
   /** Its workspace has used its quota. */
   | 'over_quota'
+  /** This process cannot serve it in time. */
+  | 'busy'
   | 'no_service'
   | 'stopping'
   | 'headers_too_large'
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -145,6 +145,7 @@
     itemsScheduled: z.number(),
     queueLength: z.number(),
     requestsInFlight: z.number(),
+    admittedShare: z.number(),
   },
   incarnation_raised: {held: z.number()},
   long_prompt_lane: {service: z.string(), members: z.array(z.string())},
--- a/src/node/metrics/load_monitor.ts
+++ b/src/node/metrics/load_monitor.ts
@@ -29,6 +29,7 @@
   constructor(
     private readonly metrics: MetricsRegistry,
     private readonly onReport: (report: LoadReport) => void,
+    private readonly onDelay: (delayMs: number) => void = () => undefined,
   ) {}
 
   start(): void {
@@ -53,6 +54,7 @@
   private sample(delayMs: number): void {
     this.metrics.recordMs('event_loop_delay_ms', {}, delayMs);
     this.longestDelayMs = Math.max(this.longestDelayMs, delayMs);
+    this.onDelay(delayMs);
     this.samples += 1;
     if (this.samples >= SAMPLES_IN_REPORT) this.report();
   }
