--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -94,7 +94,7 @@
   private readonly controlLink: ControlLink;
   private readonly ingress: IngressServer;
   private readonly innerServer: InnerServer;
-  private readonly textServers: Server[] = [];
+  private textServers: readonly Server[] = [];
   private readonly loadLog: LoadLog;
   private readonly shedding = new LoadShedding();
   private incarnation = wallNowMs();
@@ -148,27 +148,18 @@
       logger,
       metrics: this.metrics,
     });
-    this.origins.register(this.router);
     this.ingress = this.createIngress();
-    const {host, decisions, scheduler, listReader, metrics} = this;
     this.loadLog = new LoadLog({
-      host,
+      host: this.host,
       retryShares: this.retryShares,
-      metrics,
+      metrics: this.metrics,
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
       shedding: this.shedding,
       processorShare: settings.processorShare,
     });
     this.innerServer = createInnerServer(settings, this.router, this.ingress);
-    registerSchedulerMethods(this.router, {
-      incarnation: () => this.incarnation,
-      host,
-      decisions,
-      scheduler,
-      listReader,
-      feed,
-    });
+    this.registerMethods();
   }
 
   async start(): Promise<void> {
@@ -177,9 +168,7 @@
     await this.innerServer.start();
     await this.ingress.start();
     const isReady = (): boolean => this.isReady();
-    this.textServers.push(
-      ...(await startTextServers(settings, isReady, this.metrics)),
-    );
+    this.textServers = await startTextServers(settings, isReady, this.metrics);
     this.controlLink.start();
     this.loops.start();
     this.reachability.start();
@@ -235,6 +224,18 @@
     await this.innerServer.stop();
   }
 
+  private registerMethods(): void {
+    this.origins.register(this.router);
+    registerSchedulerMethods(this.router, {
+      incarnation: () => this.incarnation,
+      host: this.host,
+      decisions: this.decisions,
+      scheduler: this.scheduler,
+      listReader: this.listReader,
+      feed: this.options.feed,
+    });
+  }
+
   private isReady(): boolean {
     return this.matcher !== undefined && !this.plannedStop.hasBegun;
   }
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -36,6 +36,7 @@
   rulesForCaller,
   rulesForRelayed,
   type NoCallerRules,
+  type RequestRules,
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {QuotaAdmission} from './quota_admission.js';
@@ -245,22 +246,8 @@
       );
       return;
     }
-    if (headerBytes(request) > this.limits.maxHeaderBytes) {
-      onRejected('headers_too_large', sendRejection(callerResponse, 431));
-      return;
-    }
-    const {headers, url: path = '/'} = request;
-    const {protocol} = this.options.context;
-    const found = rulesForCaller(matcher, {headers, path}, protocol);
-    if (found.isErr()) {
-      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
-      return;
-    }
-    const rules = found.value;
-    if (this.isTooBusyFor(rules.route)) {
-      onRejected('busy', sendRefusal(callerResponse, BUSY_RETRY_MS));
-      return;
-    }
+    const rules = this.admit(request, callerResponse, matcher, onRejected);
+    if (rules === undefined) return;
     const body = await this.readRequestBody(
       request,
       callerResponse,
@@ -288,6 +275,32 @@
     if (!hasRun) this.quotas.giveBack(admitted);
   }
 
+  /** Finds the rules for a request, or answers it before its body is read. */
+  private admit(
+    request: IncomingMessage,
+    callerResponse: CallerResponse,
+    matcher: RouteMatcher,
+    onRejected: (reason: RejectionReason, status: number) => void,
+  ): RequestRules | undefined {
+    if (headerBytes(request) > this.limits.maxHeaderBytes) {
+      onRejected('headers_too_large', sendRejection(callerResponse, 431));
+      return undefined;
+    }
+    const {headers, url: path = '/'} = request;
+    const {protocol} = this.options.context;
+    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    if (found.isErr()) {
+      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
+      return undefined;
+    }
+    const rules = found.value;
+    if (this.isTooBusyFor(rules.route)) {
+      onRejected('busy', sendRefusal(callerResponse, BUSY_RETRY_MS));
+      return undefined;
+    }
+    return rules;
+  }
+
   private isTooBusyFor({priority}: Route): boolean {
     const {shedding} = this.options;
     return !shedding.admit(priority, monotonicNowMs());
