--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -142,6 +142,7 @@
     loopDelayMs: z.number(),
     processorMs: z.number(),
     elapsedMs: z.number(),
+    loopUtilization: z.number(),
     itemsScheduled: z.number(),
     queueLength: z.number(),
     requestsInFlight: z.number(),
--- a/src/node/metrics/load_monitor.ts
+++ b/src/node/metrics/load_monitor.ts
@@ -16,6 +16,8 @@
   /** Processor time used. */
   readonly processorMs: number;
   readonly elapsedMs: number;
+  /** Share of the time in which the event loop was not idle. */
+  readonly loopUtilization: number;
 }
 
 /** Samples the load of this process until it is stopped. */
@@ -25,6 +27,7 @@
   private longestDelayMs = 0;
   private reportedAtMs = 0;
   private reportedProcessorMs = 0;
+  private reportedLoop = performance.eventLoopUtilization();
 
   constructor(
     private readonly metrics: MetricsRegistry,
@@ -62,15 +65,22 @@
   private report(): void {
     const nowMs = monotonicNowMs();
     const usedMs = processorMs();
+    const loop = performance.eventLoopUtilization();
+    const {utilization} = performance.eventLoopUtilization(
+      loop,
+      this.reportedLoop,
+    );
     this.onReport({
       loopDelayMs: Math.round(this.longestDelayMs),
       processorMs: Math.round(usedMs - this.reportedProcessorMs),
       elapsedMs: Math.round(nowMs - this.reportedAtMs),
+      loopUtilization: Number(utilization.toFixed(2)),
     });
     this.samples = 0;
     this.longestDelayMs = 0;
     this.reportedAtMs = nowMs;
     this.reportedProcessorMs = usedMs;
+    this.reportedLoop = loop;
   }
 }
 
