--- a/src/node/decisions/__tests__/load_shedding.spec.ts
+++ b/src/node/decisions/__tests__/load_shedding.spec.ts
@@ -55,7 +55,8 @@
     this.backlogMs = Math.max(0, this.backlogMs - SAMPLE_MS * PROCESSOR_SHARE);
     const delayMs = this.backlogMs / PROCESSOR_SHARE;
     outcome.longestDelayMs = Math.max(outcome.longestDelayMs, delayMs);
-    this.shedding.noteDelay(delayMs);
+    const utilization = this.backlogMs > 0 ? 1 : 0.5;
+    this.shedding.noteSample({delayMs, utilization});
   }
 
   private arrive(priority: number): boolean {
@@ -111,6 +112,17 @@
 // Guards against refusals for a pause, as that of a garbage collection.
 test('a single long turn of the event loop sheds nothing', () => {
   const shedding = new LoadShedding();
-  [0, 0, 400, 0, 0, 300, 1].forEach(delayMs => shedding.noteDelay(delayMs));
+  [0, 0, 400, 0, 0, 300, 1].forEach(delayMs =>
+    shedding.noteSample({delayMs, utilization: 1}),
+  );
+  assert.equal(shedding.admittedShare, 1);
+});
+
+// Guards against refusals while something else delays the timers, as at the start.
+test('delays of a process with idle time shed nothing', () => {
+  const shedding = new LoadShedding();
+  [90, 120, 80, 100].forEach(delayMs =>
+    shedding.noteSample({delayMs, utilization: 0.6}),
+  );
   assert.equal(shedding.admittedShare, 1);
 });
--- a/src/node/decisions/admission/load_shedding.ts
+++ b/src/node/decisions/admission/load_shedding.ts
@@ -3,6 +3,7 @@
  * more than a refusal. Without it, every request of a flood takes processor time until
  * its caller gives up, and hardly any is answered.
  */
+import type {LoadSample} from '../../metrics/load_monitor.js';
 import {DecayedSum} from './decayed_sum.js';
 
 /**
@@ -10,6 +11,8 @@
  * delay of each turn adds a quarter of a second to it.
  */
 export const MAX_STANDING_DELAY_MS = 25;
+/** An event loop that is idle for more of its time keeps up in spite of delays. */
+const BUSY_UTILIZATION = 0.95;
 /** A delay that no sample in a row of this length lacks is more than a pause. */
 const STANDING_SAMPLES = 2;
 /** Factor for the admitted share at each sample above the maximum. */
@@ -40,15 +43,15 @@
     return this.share;
   }
 
-  /** Takes a sample of the delay of the event loop; samples come at a fixed pace. */
-  noteDelay(delayMs: number): void {
-    this.recentDelaysMs = [...this.recentDelaysMs, delayMs].slice(
+  /** Takes a sample; they come at a fixed pace. */
+  noteSample({delayMs, utilization}: LoadSample): void {
+    const standingMs = utilization < BUSY_UTILIZATION ? 0 : delayMs;
+    this.recentDelaysMs = [...this.recentDelaysMs, standingMs].slice(
       -STANDING_SAMPLES,
     );
-    const standingMs = Math.min(...this.recentDelaysMs);
     const isOverloaded =
       this.recentDelaysMs.length === STANDING_SAMPLES &&
-      standingMs > MAX_STANDING_DELAY_MS;
+      Math.min(...this.recentDelaysMs) > MAX_STANDING_DELAY_MS;
     this.share = isOverloaded
       ? Math.max(MIN_SHARE, this.share * DECREASE)
       : Math.min(1, this.share + INCREASE);
--- a/src/node/ingress/load_log.ts
+++ b/src/node/ingress/load_log.ts
@@ -30,8 +30,8 @@
     this.monitor = new LoadMonitor(
       metrics,
       report => this.write(report),
-      delayMs => {
-        if (processorShare != null) shedding.noteDelay(delayMs);
+      sample => {
+        if (processorShare != null) shedding.noteSample(sample);
       },
     );
     metrics.beforeRead(() =>
--- a/src/node/metrics/load_monitor.ts
+++ b/src/node/metrics/load_monitor.ts
@@ -20,6 +20,14 @@
   readonly loopUtilization: number;
 }
 
+/** One sample. */
+export interface LoadSample {
+  /** Delay of a timer. */
+  readonly delayMs: number;
+  /** Share of the time since the last sample in which the event loop was not idle. */
+  readonly utilization: number;
+}
+
 /** Samples the load of this process until it is stopped. */
 export class LoadMonitor {
   private timer: ReturnType<typeof setTimeout> | undefined;
@@ -27,12 +35,13 @@
   private longestDelayMs = 0;
   private reportedAtMs = 0;
   private reportedProcessorMs = 0;
+  private sampledLoop = performance.eventLoopUtilization();
   private reportedLoop = performance.eventLoopUtilization();
 
   constructor(
     private readonly metrics: MetricsRegistry,
     private readonly onReport: (report: LoadReport) => void,
-    private readonly onDelay: (delayMs: number) => void = () => undefined,
+    private readonly onSample: (sample: LoadSample) => void = () => undefined,
   ) {}
 
   start(): void {
@@ -57,11 +66,18 @@
   private sample(delayMs: number): void {
     this.metrics.recordMs('event_loop_delay_ms', {}, delayMs);
     this.longestDelayMs = Math.max(this.longestDelayMs, delayMs);
-    this.onDelay(delayMs);
+    this.onSample({delayMs, utilization: this.sampleUtilization()});
     this.samples += 1;
     if (this.samples >= SAMPLES_IN_REPORT) this.report();
   }
 
+  private sampleUtilization(): number {
+    const loop = performance.eventLoopUtilization();
+    const {sampledLoop} = this;
+    this.sampledLoop = loop;
+    return performance.eventLoopUtilization(loop, sampledLoop).utilization;
+  }
+
   private report(): void {
     const nowMs = monotonicNowMs();
     const usedMs = processorMs();
