--- a/src/node/decisions/admission/load_shedding.ts
+++ b/src/node/decisions/admission/load_shedding.ts
@@ -20,6 +20,9 @@
 /** Added to the admitted share at each sample below it. */
 const INCREASE = 0.03;
 const MIN_SHARE = 0.05;
+/** Time until a refused caller is likely admitted, if half of them are. */
+const HALF_RETRY_MS = 1_000;
+const MAX_RETRY_MS = 4_000;
 /** Share of its requests that each priority keeps under load. */
 const PRIORITY_FLOOR_SHARE = 0.05;
 /** Time over which the mix of priorities is observed. */
@@ -43,6 +46,11 @@
     return this.share;
   }
 
+  /** When a refused caller may come back: later, the more callers are refused. */
+  get retryMs(): number {
+    return Math.min(MAX_RETRY_MS, HALF_RETRY_MS / (2 * this.share));
+  }
+
   /** Takes a sample; they come at a fixed pace. */
   noteSample({delayMs, utilization}: LoadSample): void {
     const standingMs = utilization < BUSY_UTILIZATION ? 0 : delayMs;
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -1,7 +1,11 @@
 /** The live entries that have announced themselves to one control member. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {ENTRY_EXPIRY_MS} from './constants.js';
-import {namedEntries} from './entry_capacity.js';
+import {
+  helpingEntries,
+  steeredEntries,
+  type LoadedEntry,
+} from './caller_steering.js';
 import {preferConnected} from './fleet_members.js';
 import type {
   Announcement,
@@ -28,6 +32,8 @@
 interface AnnouncedEntry {
   readonly entry: EntryInstance;
   readonly atMs: number;
+  /** Of the requests of its callers, as last announced. */
+  readonly admittedShare: number;
 }
 
 /** Location of a caller, as stated in its request for addresses. */
@@ -64,10 +70,10 @@
   }
 
   /** Records an announcement; ignores one from an earlier incarnation. */
-  record(entry: EntryInstance, nowMs: number): void {
+  record(entry: EntryInstance, nowMs: number, admittedShare = 1): void {
     const known = this.announced.get(entry.instanceId);
     if (this.incarnationOf(entry.instanceId) > entry.incarnation) return;
-    this.announced.set(entry.instanceId, {entry, atMs: nowMs});
+    this.announced.set(entry.instanceId, {entry, atMs: nowMs, admittedShare});
     if (known !== undefined && isSameEntry(known.entry, entry)) return;
     this.recordChange(known === undefined ? 'joined' : 'changed', entry, 0);
   }
@@ -130,7 +136,9 @@
    * received elsewhere. If these have none either, entries of its own region that
    * stop or start: a planned restart of all of them must not lead bound requests
    * to a third region. Entries of all regions if none of these is known. Among
-   * entries of different capacity, the larger ones are named more often.
+   * entries of different capacity, the larger ones are named more often, and busy ones
+   * less often. Callers of hosts without bound requests are also given entries of other
+   * regions while those of their own refuse requests.
    */
   addressesFor(
     place: CallerLocation,
@@ -141,18 +149,34 @@
     const ready = known.filter(entry => entry.isReady && !entry.isStopping);
     const isInRegion = ({region}: EntryInstance): boolean =>
       region === place.region;
+    const own = ready.filter(isInRegion);
     const choices = [
-      preferNonSchedulers(preferMostlyConnected(ready.filter(isInRegion))),
+      preferNonSchedulers(preferMostlyConnected(own)),
       ready.filter(entry => homeRegions?.includes(entry.region)),
       homeRegions === undefined ? [] : known.filter(isInRegion),
       ready,
     ];
     const chosen = choices.find(entries => entries.length > 0) ?? [];
-    return namedEntries(chosen, this.random)
+    const helping =
+      homeRegions === undefined && own.length > 0
+        ? helpingEntries(
+            this.withLoad(own),
+            this.withLoad(ready.filter(each => !isInRegion(each))),
+            this.random,
+          )
+        : [];
+    return [...steeredEntries(this.withLoad(chosen), this.random), ...helping]
       .map(entry => entry.callersAddress)
       .slice(0, limit);
   }
 
+  private withLoad(entries: readonly EntryInstance[]): readonly LoadedEntry[] {
+    return entries.map(entry => ({
+      entry,
+      admittedShare: this.announced.get(entry.instanceId)?.admittedShare ?? 1,
+    }));
+  }
+
   private recordChange(
     kind: RegistryChange['kind'],
     entry: EntryInstance,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -63,8 +63,6 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
-/** `retry-after` of an entry that is too busy; another one may have room. */
-const BUSY_RETRY_MS = 1_000;
 /** `retry-after` if the route table leaves nowhere to run the request. */
 const NOWHERE_RETRY_MS = 1_000;
 
@@ -175,7 +173,7 @@
     const rules = rulesForRelayed(matcher, metadata, region);
     if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
     if (this.isTooBusyFor(rules.value.route)) {
-      return refuse('busy', BUSY_RETRY_MS);
+      return refuse('busy', this.options.shedding.retryMs);
     }
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
       return refuse('no_memory', MEMORY_RETRY_MS);
@@ -295,7 +293,8 @@
     }
     const rules = found.value;
     if (this.isTooBusyFor(rules.route)) {
-      onRejected('busy', sendRefusal(callerResponse, BUSY_RETRY_MS));
+      const {retryMs} = this.options.shedding;
+      onRejected('busy', sendRefusal(callerResponse, retryMs));
       return undefined;
     }
     return rules;
