--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -137,8 +137,8 @@
    * stop or start: a planned restart of all of them must not lead bound requests
    * to a third region. Entries of all regions if none of these is known. Among
    * entries of different capacity, the larger ones are named more often, and busy ones
-   * less often. Callers of hosts without bound requests are also given entries of other
-   * regions while those of their own refuse requests.
+   * less often. While entries of its own region refuse requests, a caller is also given
+   * entries of other regions, for bound requests only of their homes.
    */
   addressesFor(
     place: CallerLocation,
@@ -157,14 +157,14 @@
       ready,
     ];
     const chosen = choices.find(entries => entries.length > 0) ?? [];
-    const helping =
-      homeRegions === undefined && own.length > 0
-        ? helpingEntries(
-            this.withLoad(own),
-            this.withLoad(ready.filter(each => !isInRegion(each))),
-            this.random,
-          )
-        : [];
+    const mayHelp = ({region}: EntryInstance): boolean =>
+      region !== place.region &&
+      (homeRegions === undefined || homeRegions.includes(region));
+    const helping = helpingEntries(
+      this.withLoad(own),
+      this.withLoad(ready.filter(mayHelp)),
+      this.random,
+    );
     return [...steeredEntries(this.withLoad(chosen), this.random), ...helping]
       .map(entry => entry.callersAddress)
       .slice(0, limit);
