--- a/src/node/decisions/__tests__/load_shedding.spec.ts
+++ b/src/node/decisions/__tests__/load_shedding.spec.ts
@@ -43,14 +43,12 @@
   private step({urgentPerS, batchPerS}: Arrivals, outcome: Outcome): void {
     this.dueUrgent += (urgentPerS * SAMPLE_MS) / 1_000;
     this.dueBatch += (batchPerS * SAMPLE_MS) / 1_000;
-    while (this.dueUrgent >= 1) {
-      this.dueUrgent -= 1;
-      if (this.arrive(URGENT)) outcome.admitted.urgent += 1;
-    }
-    while (this.dueBatch >= 1) {
-      this.dueBatch -= 1;
-      if (this.arrive(BATCH)) outcome.admitted.batch += 1;
-    }
+    const urgent = Math.floor(this.dueUrgent);
+    const batch = Math.floor(this.dueBatch);
+    this.dueUrgent -= urgent;
+    this.dueBatch -= batch;
+    outcome.admitted.urgent += this.admittedOf(urgent, URGENT);
+    outcome.admitted.batch += this.admittedOf(batch, BATCH);
     this.nowMs += SAMPLE_MS;
     this.backlogMs = Math.max(0, this.backlogMs - SAMPLE_MS * PROCESSOR_SHARE);
     const delayMs = this.backlogMs / PROCESSOR_SHARE;
@@ -59,8 +57,13 @@
     this.shedding.noteSample({delayMs, utilization});
   }
 
+  private admittedOf(count: number, priority: number): number {
+    const arrived = Array.from({length: count}, () => this.arrive(priority));
+    return arrived.filter(isAdmitted => isAdmitted).length;
+  }
+
   private arrive(priority: number): boolean {
-    const isAdmitted = this.shedding.admit(priority, this.nowMs);
+    const isAdmitted = this.shedding.refuse(priority, this.nowMs) === undefined;
     this.backlogMs += isAdmitted ? SERVED_MS : REFUSED_MS;
     return isAdmitted;
   }
@@ -126,3 +129,32 @@
   );
   assert.equal(shedding.admittedShare, 1);
 });
+
+// Guards against a short dip that refuses the first request of each priority, and
+// against a rare priority that waits for its share to add up.
+test('the first request after a calm time is admitted', () => {
+  const shedding = new LoadShedding();
+  [100, 100].forEach(delayMs => shedding.noteSample({delayMs, utilization: 1}));
+  assert.ok(shedding.admittedShare < 1);
+  const refusals = [URGENT, BATCH].map(priority =>
+    shedding.refuse(priority, 0),
+  );
+  assert.deepEqual(refusals, [undefined, undefined]);
+});
+
+// Guards against callers that come back while most of their priority are refused.
+test('callers of a priority that is hardly admitted return later', () => {
+  const shedding = new LoadShedding();
+  Array.from({length: 6}).forEach(() =>
+    shedding.noteSample({delayMs: 100, utilization: 1}),
+  );
+  const retryAfterMs = (priority: number): number =>
+    Math.max(
+      ...Array.from(
+        {length: 20},
+        () => shedding.refuse(priority, 0)?.retryAfterMs ?? 0,
+      ),
+    );
+  assert.ok(retryAfterMs(URGENT) < 2_000);
+  assert.equal(retryAfterMs(BATCH), 4_000);
+});
--- a/src/node/decisions/admission/load_shedding.ts
+++ b/src/node/decisions/admission/load_shedding.ts
@@ -13,25 +13,36 @@
 export const MAX_STANDING_DELAY_MS = 25;
 /** An event loop that is idle for more of its time keeps up in spite of delays. */
 const BUSY_UTILIZATION = 0.95;
-/** A delay that no sample in a row of this length lacks is more than a pause. */
+/** So many samples in a row must be late; one is a pause, as for garbage. */
 const STANDING_SAMPLES = 2;
 /** Factor for the admitted share at each sample above the maximum. */
 const DECREASE = 0.85;
 /** Added to the admitted share at each sample below it. */
 const INCREASE = 0.03;
+/** A priority with less, decayed, is forgotten. */
+const FORGOTTEN_ARRIVALS = 0.01;
 const MIN_SHARE = 0.05;
-/** Time until a refused caller is likely admitted, if half of them are. */
+/** If half of the callers of a priority are refused. */
 const HALF_RETRY_MS = 1_000;
 const MAX_RETRY_MS = 4_000;
 /** Share of its requests that each priority keeps under load. */
 const PRIORITY_FLOOR_SHARE = 0.05;
-/** Time over which the mix of priorities is observed. */
-const MIX_MS = 2_000;
+/** The mix of priorities is observed over some of these. */
+const MIX_HALF_LIFE_MS = 2_000;
+
+/** What a refusal rests on. */
+export interface BusyRefusal {
+  readonly priority: number;
+  /** Of the requests of all priorities. */
+  readonly admittedShare: number;
+  /** Later, the more of its priority are refused. */
+  readonly retryAfterMs: number;
+}
 
 interface PriorityLoad {
   readonly priority: number;
   readonly arrivals: DecayedSum;
-  /** Part of a request that is admitted but has not arrived yet. */
+  /** Grows by the admitted share with each request; one costs 1. */
   credit: number;
 }
 
@@ -46,14 +57,10 @@
     return this.share;
   }
 
-  /** When a refused caller may come back: later, the more callers are refused. */
-  get retryMs(): number {
-    return Math.min(MAX_RETRY_MS, HALF_RETRY_MS / (2 * this.share));
-  }
-
   /** Takes a sample; they come at a fixed pace. */
   noteSample({delayMs, utilization}: LoadSample): void {
-    const standingMs = utilization < BUSY_UTILIZATION ? 0 : delayMs;
+    const isBusy = utilization >= BUSY_UTILIZATION;
+    const standingMs = isBusy ? delayMs : 0;
     this.recentDelaysMs = [...this.recentDelaysMs, standingMs].slice(
       -STANDING_SAMPLES,
     );
@@ -65,18 +72,25 @@
       : Math.min(1, this.share + INCREASE);
   }
 
-  /** Counts a new request; returns whether it is admitted. */
-  admit(priority: number, nowMs: number): boolean {
-    const load = this.loadOf(priority);
+  /** Counts a new request; returns why it is refused, or `undefined`. */
+  refuse(priority: number, nowMs: number): BusyRefusal | undefined {
+    const load = this.loadOf(priority, nowMs);
     load.arrivals.add(1, nowMs);
     if (this.share >= 1) {
-      load.credit = 0;
-      return true;
+      load.credit = 1;
+      return undefined;
+    }
+    const share = this.shareOf(load, nowMs);
+    load.credit += share;
+    if (load.credit >= 1) {
+      load.credit -= 1;
+      return undefined;
     }
-    load.credit += this.shareOf(load, nowMs);
-    if (load.credit < 1) return false;
-    load.credit -= 1;
-    return true;
+    return {
+      priority,
+      admittedShare: Number(this.share.toFixed(2)),
+      retryAfterMs: Math.min(MAX_RETRY_MS, HALF_RETRY_MS / (2 * share)),
+    };
   }
 
   // More urgent requests use up the admitted share first.
@@ -89,11 +103,15 @@
     return Math.min(1, Math.max(PRIORITY_FLOOR_SHARE, share));
   }
 
-  private loadOf(priority: number): PriorityLoad {
+  private loadOf(priority: number, nowMs: number): PriorityLoad {
     const known = this.loads.find(each => each.priority === priority);
     if (known !== undefined) return known;
-    const created = {priority, arrivals: new DecayedSum(MIX_MS), credit: 0};
-    this.loads = [...this.loads, created];
+    const arrivals = new DecayedSum(MIX_HALF_LIFE_MS);
+    const created = {priority, arrivals, credit: 1};
+    const recent = this.loads.filter(
+      each => each.arrivals.valueAt(nowMs) > FORGOTTEN_ARRIVALS,
+    );
+    this.loads = [...recent, created];
     return created;
   }
 }
--- a/src/node/dispatch/batching_actor.ts
+++ b/src/node/dispatch/batching_actor.ts
@@ -1,7 +1,6 @@
 /**
- * An actor that handles all messages of its mailbox in one turn of the event loop. A
- * plain actor takes one message a turn; a busy process has few turns, so that its
- * messages would wait although it has the time to handle them.
+ * An actor that handles all messages of its mailbox in one turn of the event loop. The
+ * library's actors take one message a turn, and a busy process has few turns.
  */
 import {dispatch, spawn, start, stop} from 'nact';
 
--- a/src/node/dispatch/scheduler_host.ts
+++ b/src/node/dispatch/scheduler_host.ts
@@ -19,7 +19,6 @@
 import type {UpstreamCrash} from '../scheduling/crash_watch.js';
 import {suspectRuns} from '../scheduling/suspects.js';
 import type {PoolChange} from '../scheduling/pool_changes.js';
-import {toGatewayError} from '../types/errors.js';
 import type {
   DomainId,
   InstanceId,
@@ -106,14 +105,7 @@
       name: 'scheduler_host',
       handle: message => this.handle(message),
       onBatch: messages => this.finish(messages),
-      onFailure: (_message, thrown) =>
-        options.logger.error(
-          {
-            event: 'scheduler_failed',
-            err: toGatewayError(thrown, 'schedule', 'self'),
-          },
-          'scheduler failed to handle a message; message dropped',
-        ),
+      onFailure: (_message, thrown) => this.log.failed(thrown),
     });
   }
 
@@ -253,16 +245,23 @@
   private finish(messages: readonly HostMessage[]): void {
     const isCheckDue = messages.some(({kind}) => kind === 'check');
     const nowMs = monotonicNowMs();
+    this.schedulers().forEach(each =>
+      this.guard(() =>
+        this.deliver(isCheckDue ? each.decide(nowMs) : each.takeDecisions()),
+      ),
+    );
+    this.armQueueTimer();
+    messages.forEach(each => {
+      if (each.kind === 'submission') each.onHandled();
+    });
+  }
+
+  // A fault in one scheduler must not keep the decisions of the others back.
+  private guard(action: () => void): void {
     try {
-      const decisions = this.schedulers().flatMap(each =>
-        isCheckDue ? each.decide(nowMs) : each.takeDecisions(),
-      );
-      this.deliver(decisions);
-      this.armQueueTimer();
-    } finally {
-      messages.forEach(each => {
-        if (each.kind === 'submission') each.onHandled();
-      });
+      action();
+    } catch (thrown) {
+      this.log.failed(thrown);
     }
   }
 
--- a/src/node/dispatch/scheduler_log.ts
+++ b/src/node/dispatch/scheduler_log.ts
@@ -6,6 +6,7 @@
 import type {PoolChange} from '../scheduling/pool_changes.js';
 import type {RetryCounts} from '../scheduling/retry_budget.js';
 import type {UpstreamPool} from '../scheduling/upstream_pool.js';
+import {toGatewayError} from '../types/errors.js';
 import type {InstanceId, ServiceId, UpstreamId} from '../types/ids.js';
 import {logCrash} from './crash_log.js';
 import type {SchedulerScope} from './messages.js';
@@ -27,6 +28,17 @@
     );
   }
 
+  /** Other messages and other schedulers are not affected. */
+  failed(thrown: unknown): void {
+    this.options.logger.error(
+      {
+        event: 'scheduler_failed',
+        err: toGatewayError(thrown, 'schedule', 'self'),
+      },
+      'scheduler failed to handle a message or its queue',
+    );
+  }
+
   /** Logged before the scheduler applies what the entry hands over. */
   handedOver(
     entry: InstanceId,
--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -143,6 +143,7 @@
   no_route_table: 'the entry knew no route table yet',
   no_route: 'no route of the table in force matches its host and path',
   over_quota: 'its workspace has used its quota',
+  busy: 'the processor of the entry was used up',
   unknown_key: 'its key belongs to no workspace of the table in force',
   unknown_workspace:
     'it was relayed for a workspace that this entry does not know',
--- a/src/node/fleet/caller_steering.ts
+++ b/src/node/fleet/caller_steering.ts
@@ -16,7 +16,10 @@
 /** Keeps an entry from being left out for good, so that its load can fall. */
 const MIN_WEIGHT_SHARE = 0.1;
 
-/** The entries of a region to name, the busy ones less often. */
+/**
+ * The entries of a region to name, the busy ones less often. Sizes count only if all
+ * entries name theirs, as older builds do not.
+ */
 export function steeredEntries(
   entries: readonly LoadedEntry[],
   random: () => number,
@@ -27,18 +30,21 @@
       random,
     );
   }
+  const areSized = entries.every(({entry}) => entry.capacity !== undefined);
   const weighted = entries.map(({entry, admittedShare}) => ({
     instanceId: entry.instanceId,
-    capacity: (entry.capacity ?? 1) * Math.max(MIN_WEIGHT_SHARE, admittedShare),
+    capacity:
+      (areSized ? (entry.capacity ?? 1) : 1) *
+      Math.max(MIN_WEIGHT_SHARE, admittedShare),
     entry,
   }));
   return namedEntries(weighted, random).map(({entry}) => entry);
 }
 
 /**
- * Entries of other regions to name beside `own` ones: as many as it would take to
- * serve what those refuse, of the ones that refuse nothing, and at most as many as
- * there are own ones.
+ * Entries of other regions to name beside the `own` ones that are named: about as many
+ * as those refuse of themselves in sum, of the ones that refuse nothing, and at most as
+ * many as there are own ones.
  */
 export function helpingEntries(
   own: readonly LoadedEntry[],
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -32,7 +32,7 @@
 interface AnnouncedEntry {
   readonly entry: EntryInstance;
   readonly atMs: number;
-  /** Of the requests of its callers, as last announced. */
+  /** Share of the requests of its callers that it admits. */
   readonly admittedShare: number;
 }
 
@@ -149,9 +149,9 @@
     const ready = known.filter(entry => entry.isReady && !entry.isStopping);
     const isInRegion = ({region}: EntryInstance): boolean =>
       region === place.region;
-    const own = ready.filter(isInRegion);
+    const own = preferred(ready.filter(isInRegion));
     const choices = [
-      preferNonSchedulers(preferMostlyConnected(own)),
+      own,
       ready.filter(entry => homeRegions?.includes(entry.region)),
       homeRegions === undefined ? [] : known.filter(isInRegion),
       ready,
@@ -162,7 +162,7 @@
       (homeRegions === undefined || homeRegions.includes(region));
     const helping = helpingEntries(
       this.withLoad(own),
-      this.withLoad(ready.filter(mayHelp)),
+      this.withLoad(preferred(ready.filter(mayHelp))),
       this.random,
     );
     return [...steeredEntries(this.withLoad(chosen), this.random), ...helping]
@@ -188,6 +188,12 @@
   }
 }
 
+function preferred(
+  entries: readonly EntryInstance[],
+): readonly EntryInstance[] {
+  return preferNonSchedulers(preferMostlyConnected(entries));
+}
+
 function preferNonSchedulers(
   entries: readonly EntryInstance[],
 ): readonly EntryInstance[] {
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -64,7 +64,7 @@
   readonly acceptsChanges?: boolean | undefined;
   /** Sent to the leader of the control group only. */
   readonly quotas?: QuotaReport | undefined;
-  /** Share of its callers' requests that a busy entry admits; left out if all. */
+  /** Share of the requests of callers that a busy entry admits; left out if all. */
   readonly admittedShare?: number | undefined;
 }
 
--- a/src/node/ingress/error_responses.ts
+++ b/src/node/ingress/error_responses.ts
@@ -1,6 +1,7 @@
 /** Error responses that the ingress itself generates. */
 import type {CallerResponse} from './caller_response.js';
 import {NOT_RUN_HEADER, type NotRun} from './inner_headers.js';
+import type {NoCallerRules} from './request_rules.js';
 import type {TryBudget} from './try_budget.js';
 import type {InboundRequest, TryResult} from './types.js';
 
@@ -12,6 +13,8 @@
 } as const;
 
 const MS_PER_S = 1_000;
+/** `retry-after` if the route table leaves nowhere to run the request. */
+export const NOWHERE_RETRY_MS = 1_000;
 const RETRY_JITTER = 0.3;
 const NOT_RUN_WITHOUT_CAUSE = {cause: '', retryAfterMs: 0};
 /** For a rejection by an upstream; a caller that returns at once meets it again. */
@@ -133,3 +136,18 @@
 function errorBody(code: string, work: 'not_run' | 'unknown'): Buffer {
   return Buffer.from(JSON.stringify({error: {code, work}}));
 }
+
+/** Answers a caller to whose request no rules apply; returns the status. */
+export function sendWithoutRules(
+  response: CallerResponse,
+  reason: NoCallerRules,
+): number {
+  switch (reason) {
+    case 'no_route':
+      return sendRejection(response, 404);
+    case 'unknown_key':
+      return sendRejection(response, 401);
+    case 'no_common_region':
+      return sendRefusal(response, NOWHERE_RETRY_MS);
+  }
+}
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,7 +7,10 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {waitForDelivery} from '../http/delivery.js';
-import type {LoadShedding} from '../decisions/admission/load_shedding.js';
+import type {
+  BusyRefusal,
+  LoadShedding,
+} from '../decisions/admission/load_shedding.js';
 import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
@@ -18,9 +21,11 @@
 import {asId, type RequestId} from '../types/ids.js';
 import {CallerResponse} from './caller_response.js';
 import {
+  NOWHERE_RETRY_MS,
   sendRefusal,
   sendRejection,
   sendUnexpectedError,
+  sendWithoutRules,
 } from './error_responses.js';
 import {
   createRequestId,
@@ -30,12 +35,11 @@
 } from './inbound_request.js';
 import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {decodeRelayRequest} from './relay.js';
-import type {RejectionReason} from './request_log.js';
+import type {OnRejected, RejectionReason} from './request_log.js';
 import {
   headersWithoutIdentity,
   rulesForCaller,
   rulesForRelayed,
-  type NoCallerRules,
   type RequestRules,
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
@@ -63,8 +67,6 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
-/** `retry-after` if the route table leaves nowhere to run the request. */
-const NOWHERE_RETRY_MS = 1_000;
 
 export interface IngressServerOptions {
   /** `host:port`. */
@@ -172,9 +174,6 @@
     }
     const rules = rulesForRelayed(matcher, metadata, region);
     if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
-    if (this.isTooBusyFor(rules.value.route)) {
-      return refuse('busy', this.options.shedding.retryMs);
-    }
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
       return refuse('no_memory', MEMORY_RETRY_MS);
     }
@@ -235,8 +234,16 @@
     }
     const matcher = currentMatcher();
     const version = matcher?.table.version ?? 0;
-    const onRejected = (reason: RejectionReason, status: number): void =>
-      this.logRejection(request, reason, status, version);
+    const onRejected: OnRejected = (reason, status, figures) => {
+      const requestId = this.requestIdOf(request);
+      this.options.context.log.rejected(
+        requestId,
+        reason,
+        status,
+        version,
+        figures,
+      );
+    };
     if (matcher === undefined) {
       onRejected(
         'no_route_table',
@@ -278,7 +285,7 @@
     request: IncomingMessage,
     callerResponse: CallerResponse,
     matcher: RouteMatcher,
-    onRejected: (reason: RejectionReason, status: number) => void,
+    onRejected: OnRejected,
   ): RequestRules | undefined {
     if (headerBytes(request) > this.limits.maxHeaderBytes) {
       onRejected('headers_too_large', sendRejection(callerResponse, 431));
@@ -292,23 +299,26 @@
       return undefined;
     }
     const rules = found.value;
-    if (this.isTooBusyFor(rules.route)) {
-      const {retryMs} = this.options.shedding;
-      onRejected('busy', sendRefusal(callerResponse, retryMs));
-      return undefined;
-    }
-    return rules;
+    const busy = this.busyRefusal(rules.route);
+    if (busy === undefined) return rules;
+    onRejected('busy', sendRefusal(callerResponse, busy.retryAfterMs), {
+      ...busy,
+    });
+    return undefined;
   }
 
-  private isTooBusyFor({priority}: Route): boolean {
-    const {shedding} = this.options;
-    return !shedding.admit(priority, monotonicNowMs());
+  // A stopping entry gets no new callers; it serves the last ones.
+  private busyRefusal({priority}: Route): BusyRefusal | undefined {
+    const {shedding, plannedStop} = this.options;
+    return plannedStop.hasBegun
+      ? undefined
+      : shedding.refuse(priority, monotonicNowMs());
   }
 
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
-    onRejected: (reason: RejectionReason, status: number) => void,
+    onRejected: OnRejected,
   ): Promise<Buffer | undefined> {
     try {
       const {holding} = callerResponse;
@@ -333,16 +343,6 @@
     return Math.max(MIN_STARTUP_RETRY_MS, EXPECTED_STARTUP_MS - uptimeMs);
   }
 
-  private logRejection(
-    request: IncomingMessage,
-    reason: RejectionReason,
-    status: number,
-    tableVersion: number,
-  ): void {
-    const {log} = this.options.context;
-    log.rejected(this.requestIdOf(request), reason, status, tableVersion);
-  }
-
   private requestIdOf({headers}: IncomingMessage): RequestId {
     const {protocol} = this.options.context;
     return createRequestId(protocol.requestTraits(headers).attemptId);
@@ -380,18 +380,3 @@
     }
   }
 }
-
-/** Answers a caller to whose request no rules apply; returns the status. */
-function sendWithoutRules(
-  response: CallerResponse,
-  reason: NoCallerRules,
-): number {
-  switch (reason) {
-    case 'no_route':
-      return sendRejection(response, 404);
-    case 'unknown_key':
-      return sendRejection(response, 401);
-    case 'no_common_region':
-      return sendRefusal(response, NOWHERE_RETRY_MS);
-  }
-}
--- a/src/node/ingress/load_log.ts
+++ b/src/node/ingress/load_log.ts
@@ -56,7 +56,9 @@
     const itemsScheduled = itemsTaken - this.previousItemsTaken;
     this.previousItemsTaken = itemsTaken;
     const shouldLog =
-      itemsScheduled > 0 || report.loopDelayMs >= NOTICEABLE_LOOP_DELAY_MS;
+      itemsScheduled > 0 ||
+      report.loopDelayMs >= NOTICEABLE_LOOP_DELAY_MS ||
+      shedding.admittedShare < 1;
     if (!shouldLog) return;
     logger.info(
       {
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -60,6 +60,13 @@
   | 'no_memory'
   | 'body_incomplete';
 
+/** Called for a request that is rejected before it is run; logs what decided. */
+export type OnRejected = (
+  reason: RejectionReason,
+  status: number,
+  figures?: Readonly<Record<string, unknown>>,
+) => void;
+
 /** What is logged when a request has ended. */
 export interface RequestSummary {
   readonly status: number;
--- a/src/node/metrics/load_monitor.ts
+++ b/src/node/metrics/load_monitor.ts
@@ -20,7 +20,7 @@
   readonly loopUtilization: number;
 }
 
-/** One sample. */
+/** The load of a process since its previous sample, about 100 ms. */
 export interface LoadSample {
   /** Delay of a timer. */
   readonly delayMs: number;
@@ -36,7 +36,7 @@
   private reportedAtMs = 0;
   private reportedProcessorMs = 0;
   private sampledLoop = performance.eventLoopUtilization();
-  private reportedLoop = performance.eventLoopUtilization();
+  private reportedLoop = this.sampledLoop;
 
   constructor(
     private readonly metrics: MetricsRegistry,
@@ -47,6 +47,8 @@
   start(): void {
     this.reportedAtMs = monotonicNowMs();
     this.reportedProcessorMs = processorMs();
+    this.sampledLoop = performance.eventLoopUtilization();
+    this.reportedLoop = this.sampledLoop;
     this.schedule();
   }
 
