--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -5,6 +5,7 @@
   cancelledPlacements,
   DecisionSender,
 } from '../dispatch/decision_sender.js';
+import {LoadShedding} from '../decisions/admission/load_shedding.js';
 import {DomainChoice} from '../dispatch/domain_choice.js';
 import {ListReader} from '../dispatch/list_reader.js';
 import {RegionLoops} from '../dispatch/region_loops.js';
@@ -27,13 +28,14 @@
 } from '../routes/route_table.js';
 import type {QuotaGate} from '../quotas/quota_gate.js';
 import type {OriginRegistry} from '../origins/origin_registry.js';
-import {UpstreamReachability} from '../reachability/upstream_reachability.js';
+import type {UpstreamReachability} from '../reachability/upstream_reachability.js';
 import {HttpRpcClient} from '../rpc/http_client.js';
 import type {InnerServer} from '../rpc/http_server.js';
 import {StreamRpcClient} from '../rpc/stream_client.js';
 import {RpcRouter} from '../rpc/rpc.js';
 import type {ServiceId} from '../types/ids.js';
 import {ConnectionPools} from './connections.js';
+import {createReachability} from './create_reachability.js';
 import {createOrigins} from './create_origins.js';
 import {createQuotas} from './create_quotas.js';
 import {createEndCheck} from './end_confirmation.js';
@@ -92,8 +94,9 @@
   private readonly controlLink: ControlLink;
   private readonly ingress: IngressServer;
   private readonly innerServer: InnerServer;
-  private readonly textServers: Server[] = [];
+  private textServers: readonly Server[] = [];
   private readonly loadLog: LoadLog;
+  private readonly shedding = new LoadShedding();
   private incarnation = wallNowMs();
   private settings: IngressSettings;
   private state: ControlState = EMPTY_CONTROL_STATE;
@@ -131,6 +134,7 @@
       onState: state => this.applyState(state),
       onStaleIncarnation: held => this.raiseIncarnation(held),
       quotas: this.quotas,
+      shedding: this.shedding,
     });
     this.origins = createOrigins(settings, {
       members: this.members,
@@ -138,26 +142,25 @@
       metrics: this.metrics,
       nearestControlMember: () => this.controlLink.nearestMember(),
     });
-    this.reachability = this.createReachability();
-    this.origins.register(this.router);
+    this.reachability = createReachability(feed, {
+      paces: this.paces,
+      connections: this.connections,
+      onCutOff: () => this.controlLink.announceToAll(),
+      logger,
+      metrics: this.metrics,
+    });
     this.ingress = this.createIngress();
-    const {host, decisions, scheduler, listReader, metrics} = this;
     this.loadLog = new LoadLog({
-      host,
+      host: this.host,
       retryShares: this.retryShares,
-      metrics,
+      metrics: this.metrics,
       logger,
       requestsInFlight: () => this.ingress.requestsInFlight,
+      shedding: this.shedding,
+      processorShare: settings.processorShare,
     });
     this.innerServer = createInnerServer(settings, this.router, this.ingress);
-    registerSchedulerMethods(this.router, {
-      incarnation: () => this.incarnation,
-      host,
-      decisions,
-      scheduler,
-      listReader,
-      feed,
-    });
+    this.registerMethods();
   }
 
   async start(): Promise<void> {
@@ -166,9 +169,7 @@
     await this.innerServer.start();
     await this.ingress.start();
     const isReady = (): boolean => this.isReady();
-    this.textServers.push(
-      ...(await startTextServers(settings, isReady, this.metrics)),
-    );
+    this.textServers = await startTextServers(settings, isReady, this.metrics);
     this.controlLink.start();
     this.loops.start();
     this.reachability.start();
@@ -224,6 +225,18 @@
     await this.innerServer.stop();
   }
 
+  private registerMethods(): void {
+    this.origins.register(this.router);
+    registerSchedulerMethods(this.router, {
+      incarnation: () => this.incarnation,
+      host: this.host,
+      decisions: this.decisions,
+      scheduler: this.scheduler,
+      listReader: this.listReader,
+      feed: this.options.feed,
+    });
+  }
+
   private isReady(): boolean {
     return this.matcher !== undefined && !this.plannedStop.hasBegun;
   }
@@ -318,19 +331,6 @@
     });
   }
 
-  private createReachability(): UpstreamReachability {
-    const {feed, logger} = this.options;
-    return new UpstreamReachability({
-      canConnect: address => feed.canConnect(address),
-      heardAtMs: upstreamId => this.paces.progressAtMs(upstreamId),
-      onLost: ({address, upstreamId}) =>
-        this.connections.retire(address, upstreamId),
-      onCutOff: () => this.controlLink.announceToAll(),
-      logger,
-      metrics: this.metrics,
-    });
-  }
-
   private createIngress(): IngressServer {
     const {settings, protocol, feed, logger} = this.options;
     const {instanceId: self, clusterSecret} = settings;
@@ -345,6 +345,7 @@
       plannedStop: this.plannedStop,
       held: createHeldBytes(settings.memoryMb, this.metrics, logger),
       quotas: this.quotas,
+      shedding: this.shedding,
       context: {
         region: settings.regionId,
         self,
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -7,19 +7,25 @@
 } from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {waitForDelivery} from '../http/delivery.js';
+import type {
+  BusyRefusal,
+  LoadShedding,
+} from '../decisions/admission/load_shedding.js';
 import type {HeldBytes} from '../http/held_bytes.js';
 import {closeIdleConnections} from '../http/open_connections.js';
 import {listen, readBody, SLOW_SENDER_CHECK_MS} from '../http/server.js';
-import type {CallerLimits} from '../routes/route_table.js';
+import type {CallerLimits, Route} from '../routes/route_table.js';
 import type {RouteMatcher} from '../routes/route_matcher.js';
 import type {QuotaGate} from '../quotas/quota_gate.js';
 import {toGatewayError} from '../types/errors.js';
 import {asId, type RequestId} from '../types/ids.js';
 import {CallerResponse} from './caller_response.js';
 import {
+  NOWHERE_RETRY_MS,
   sendRefusal,
   sendRejection,
   sendUnexpectedError,
+  sendWithoutRules,
 } from './error_responses.js';
 import {
   createRequestId,
@@ -29,12 +35,12 @@
 } from './inbound_request.js';
 import {MEMORY_RETRY_MS} from './memory_bound.js';
 import {decodeRelayRequest} from './relay.js';
-import type {RejectionReason} from './request_log.js';
+import type {OnRejected, RejectionReason} from './request_log.js';
 import {
   headersWithoutIdentity,
   rulesForCaller,
   rulesForRelayed,
-  type NoCallerRules,
+  type RequestRules,
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {QuotaAdmission} from './quota_admission.js';
@@ -61,8 +67,6 @@
 const MIN_STARTUP_RETRY_MS = 400;
 /** `retry-after` of an entry that stops: another one takes the request now. */
 const STOPPING_RETRY_MS = 0;
-/** `retry-after` if the route table leaves nowhere to run the request. */
-const NOWHERE_RETRY_MS = 1_000;
 
 export interface IngressServerOptions {
   /** `host:port`. */
@@ -74,6 +78,8 @@
   readonly waitForTable: (waitMs: number) => Promise<void>;
   readonly plannedStop: PlannedStop;
   readonly quotas: QuotaGate;
+  /** Refuses what this process cannot serve in time. */
+  readonly shedding: LoadShedding;
   /** Bounds what is held for slow callers. */
   readonly held?: HeldBytes;
 }
@@ -228,8 +234,16 @@
     }
     const matcher = currentMatcher();
     const version = matcher?.table.version ?? 0;
-    const onRejected = (reason: RejectionReason, status: number): void =>
-      this.logRejection(request, reason, status, version);
+    const onRejected: OnRejected = (reason, status, figures) => {
+      const requestId = this.requestIdOf(request);
+      this.options.context.log.rejected(
+        requestId,
+        reason,
+        status,
+        version,
+        figures,
+      );
+    };
     if (matcher === undefined) {
       onRejected(
         'no_route_table',
@@ -237,18 +251,8 @@
       );
       return;
     }
-    if (headerBytes(request) > this.limits.maxHeaderBytes) {
-      onRejected('headers_too_large', sendRejection(callerResponse, 431));
-      return;
-    }
-    const {headers, url: path = '/'} = request;
-    const {protocol} = this.options.context;
-    const found = rulesForCaller(matcher, {headers, path}, protocol);
-    if (found.isErr()) {
-      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
-      return;
-    }
-    const rules = found.value;
+    const rules = this.admit(request, callerResponse, matcher, onRejected);
+    if (rules === undefined) return;
     const body = await this.readRequestBody(
       request,
       callerResponse,
@@ -276,10 +280,45 @@
     if (!hasRun) this.quotas.giveBack(admitted);
   }
 
+  /** Finds the rules for a request, or answers it before its body is read. */
+  private admit(
+    request: IncomingMessage,
+    callerResponse: CallerResponse,
+    matcher: RouteMatcher,
+    onRejected: OnRejected,
+  ): RequestRules | undefined {
+    if (headerBytes(request) > this.limits.maxHeaderBytes) {
+      onRejected('headers_too_large', sendRejection(callerResponse, 431));
+      return undefined;
+    }
+    const {headers, url: path = '/'} = request;
+    const {protocol} = this.options.context;
+    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    if (found.isErr()) {
+      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
+      return undefined;
+    }
+    const rules = found.value;
+    const busy = this.busyRefusal(rules.route);
+    if (busy === undefined) return rules;
+    onRejected('busy', sendRefusal(callerResponse, busy.retryAfterMs), {
+      ...busy,
+    });
+    return undefined;
+  }
+
+  // A stopping entry gets no new callers; it serves the last ones.
+  private busyRefusal({priority}: Route): BusyRefusal | undefined {
+    const {shedding, plannedStop} = this.options;
+    return plannedStop.hasBegun
+      ? undefined
+      : shedding.refuse(priority, monotonicNowMs());
+  }
+
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
-    onRejected: (reason: RejectionReason, status: number) => void,
+    onRejected: OnRejected,
   ): Promise<Buffer | undefined> {
     try {
       const {holding} = callerResponse;
@@ -304,16 +343,6 @@
     return Math.max(MIN_STARTUP_RETRY_MS, EXPECTED_STARTUP_MS - uptimeMs);
   }
 
-  private logRejection(
-    request: IncomingMessage,
-    reason: RejectionReason,
-    status: number,
-    tableVersion: number,
-  ): void {
-    const {log} = this.options.context;
-    log.rejected(this.requestIdOf(request), reason, status, tableVersion);
-  }
-
   private requestIdOf({headers}: IncomingMessage): RequestId {
     const {protocol} = this.options.context;
     return createRequestId(protocol.requestTraits(headers).attemptId);
@@ -351,18 +380,3 @@
     }
   }
 }
-
-/** Answers a caller to whose request no rules apply; returns the status. */
-function sendWithoutRules(
-  response: CallerResponse,
-  reason: NoCallerRules,
-): number {
-  switch (reason) {
-    case 'no_route':
-      return sendRejection(response, 404);
-    case 'unknown_key':
-      return sendRejection(response, 401);
-    case 'no_common_region':
-      return sendRefusal(response, NOWHERE_RETRY_MS);
-  }
-}
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -51,6 +51,8 @@
   | 'not_a_home'
   /** Its workspace has used its quota. */
   | 'over_quota'
+  /** This process cannot serve it in time. */
+  | 'busy'
   | 'no_service'
   | 'stopping'
   | 'headers_too_large'
@@ -58,6 +60,13 @@
   | 'no_memory'
   | 'body_incomplete';
 
+/** Called for a request that is rejected before it is run; logs what decided. */
+export type OnRejected = (
+  reason: RejectionReason,
+  status: number,
+  figures?: Readonly<Record<string, unknown>>,
+) => void;
+
 /** What is logged when a request has ended. */
 export interface RequestSummary {
   readonly status: number;
