Say in the audit trail what an accepted version changes

An operator saw that a version was accepted, by whom and when, but not what it changed; the answers of the versions before it are kept for eight versions only. The leader now adds the difference between the two configurations to the command, at most twelve changes, with digests shortened to twelve digits. It is absent if the leader does not hold the base version, and then the change is a conflict anyway. A member of an earlier build ignores the field and audits the version number alone.

--- /dev/null
+++ b/src/node/control/change_summary.ts
@@ -0,0 +1,52 @@
+/** What a version changes, as the audit trail says it. */
+import type {Configuration} from '../config/configuration.js';
+import {diff, type Change} from '../config/diff.js';
+
+/** Bounds of an audit entry, which stays in the state of the group. */
+const MAX_CHANGES = 12;
+const MAX_VALUE_CHARACTERS = 40;
+/** So much of a digest tells keys apart; `workspace show --keys` has it whole. */
+const DIGEST_CHARACTERS = 12;
+const DIGEST_PATTERN = /\b[0-9a-f]{64}\b/g;
+
+/** The changes between two configurations, at most some of them. */
+export function summarizeChanges(
+  before: Configuration,
+  after: Configuration,
+): string {
+  const changes = diff(before, after);
+  const shown = changes.slice(0, MAX_CHANGES).map(describe);
+  const rest = changes.length - shown.length;
+  return [...shown, ...(rest > 0 ? [`${rest} more changes`] : [])].join('; ');
+}
+
+function describe({path, kind, before, after}: Change): string {
+  if (kind === 'added') return `+ ${path}${valueOf(after)}`;
+  if (kind === 'removed') return `- ${path}`;
+  if (!isTextList(before) || !isTextList(after)) {
+    return `~ ${path}: ${shorten(before)} -> ${shorten(after)}`;
+  }
+  const added = after.filter(each => !before.includes(each));
+  const removed = before.filter(each => !after.includes(each));
+  const items = [
+    ...added.map(each => `+${shorten(each)}`),
+    ...removed.map(each => `-${shorten(each)}`),
+  ];
+  return `~ ${path}: ${items.slice(0, MAX_CHANGES).join(' ')}`;
+}
+
+/** Items that are added whole are named by their path only. */
+function valueOf(value: unknown): string {
+  return typeof value === 'object' ? '' : ` = ${shorten(value)}`;
+}
+
+function isTextList(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every(each => typeof each === 'string');
+}
+
+function shorten(value: unknown): string {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return text
+    .replace(DIGEST_PATTERN, digest => digest.slice(0, DIGEST_CHARACTERS))
+    .slice(0, MAX_VALUE_CHARACTERS);
+}
--- a/src/node/control/commands.ts
+++ b/src/node/control/commands.ts
@@ -29,6 +29,8 @@
   readonly answersDigest: string;
   /** `Configuration`, packed. */
   readonly configuration: Packed;
+  /** What it changes, for the audit trail; missing if the leader lacks the base. */
+  readonly changes?: string;
   readonly atMs: number;
 }
 
--- a/src/node/control/configuration_machine.ts
+++ b/src/node/control/configuration_machine.ts
@@ -205,7 +205,7 @@
 
   private accept(command: AcceptCommand): ControlResult {
     const {answers, configuration, atMs, operator, operationId} = command;
-    const {baseVersion} = command;
+    const {baseVersion, changes = ''} = command;
     const version = asNumber<ConfigVersion>(baseVersion + 1);
     const entry = {version, baseVersion, operationId, operator, atMs};
     const {state} = this;
@@ -224,7 +224,7 @@
     this.record(command, 'accept', {
       version,
       result: 'accepted',
-      detail: `version ${version}`,
+      detail: `version ${version}${changes === '' ? '' : `: ${changes}`}`,
     });
     return {status: 'accepted', version, atMs};
   }
--- a/src/node/control/control_service.ts
+++ b/src/node/control/control_service.ts
@@ -9,8 +9,14 @@
 import type {ReplicatedLog} from '../replication/replicated_log.js';
 import type {RpcClient, RpcRouter} from '../rpc/rpc.js';
 import {GatewayError} from '../types/errors.js';
-import type {InstanceId} from '../types/ids.js';
-import type {ControlCommand, ControlResult, Requester} from './commands.js';
+import type {ConfigVersion, InstanceId} from '../types/ids.js';
+import {summarizeChanges} from './change_summary.js';
+import type {
+  AcceptCommand,
+  ControlCommand,
+  ControlResult,
+  Requester,
+} from './commands.js';
 import type {ConfigurationMachine} from './configuration_machine.js';
 import {withUnknownOutcome, LeaderCalls} from './leader_calls.js';
 import {MemberChanges} from './member_changes.js';
@@ -164,6 +170,7 @@
         answers: pack(validated.answers),
         answersDigest: digestOf(validated.answers),
         configuration: pack(validated.configuration),
+        ...this.changesSince(baseVersion, validated.configuration),
         atMs,
       });
     }
@@ -189,6 +196,16 @@
     return refusal;
   }
 
+  private changesSince(
+    baseVersion: ConfigVersion,
+    after: Configuration,
+  ): Pick<AcceptCommand, 'changes'> {
+    const accepted = this.options.machine.accepted();
+    return accepted?.version === baseVersion
+      ? {changes: summarizeChanges(accepted.configuration, after)}
+      : {};
+  }
+
   private async propose(command: ControlCommand): Promise<ControlResult> {
     const result = await this.options.log.propose(command);
     if (result.isOk()) return result.value;
