Create and change workspaces from the command line

To give one customer a new key, an operator had to export all answers, edit the file and accept it. 'workspace create', 'set', 'add-key' and 'remove-key' amend the answers of a named version and accept them by the existing call, so versions, conflicts, operation ids and the audit trail are those of 'answers accept'.

--- a/src/node/operator/answers_commands.ts
+++ b/src/node/operator/answers_commands.ts
@@ -8,19 +8,13 @@
 import type {CurrentResult} from '../control/methods.js';
 import {acceptAnswers, identifyChange} from './accept_answers.js';
 import {ANSWERS_TEMPLATE} from './answers_template.js';
-import {
-  countOption,
-  textOption,
-  type Command,
-  type ParsedOptions,
-} from './command.js';
+import {CHANGE_OPTIONS, changeFlags, waitIfAsked} from './change_options.js';
+import {textOption, type Command} from './command.js';
 import {CommandFailure, EXIT_FAILURE} from './failures.js';
 import type {Session} from './session.js';
 import {formatTable} from './table.js';
-import {waitForVersion} from './wait_for_version.js';
 
 const DEFAULT_ANSWERS_FILE = 'answers.yaml';
-const DEFAULT_WAIT_MS = 60_000;
 
 function fileOf(argument: string | undefined): string {
   return argument ?? DEFAULT_ANSWERS_FILE;
@@ -143,17 +137,10 @@
 const accept: Command = {
   usage: 'answers accept [file]',
   description: 'Make answers the next version of the configuration',
-  options: [
-    ['--base-version', 'The version that the answers amend; default: current'],
-    ['--operation-id', 'Resend a change under the id of its first try'],
-    ['--wait', 'Wait until the version is in force on every entry'],
-    ['--timeout-ms', `Longest wait; default ${DEFAULT_WAIT_MS}`],
-  ],
+  options: CHANGE_OPTIONS,
   examples: ['answers accept answers.yaml --base-version 4 --wait'],
   run: async (session, [argument], options) => {
-    const baseVersion = countOption(options, 'base-version', 0);
-    const operationId = textOption(options, 'operation-id');
-    const timeoutMs = countOption(options, 'timeout-ms', 1) ?? DEFAULT_WAIT_MS;
+    const {baseVersion, operationId, timeoutMs} = changeFlags(options);
     const answers = loadAnswers(session, fileOf(argument));
     const identity = await identifyChange(session, baseVersion, operationId);
     const result = await acceptAnswers(session, answers, identity);
@@ -170,18 +157,6 @@
   },
 };
 
-async function waitIfAsked(
-  session: Session,
-  answers: Answers,
-  version: Parameters<typeof waitForVersion>[2],
-  options: ParsedOptions,
-  timeoutMs: number,
-): Promise<object> {
-  if (options['wait'] !== true) return {};
-  const {instances} = generate(answers);
-  return waitForVersion(session, instances, version, timeoutMs);
-}
-
 /** The commands on answers. */
 export const ANSWERS_COMMANDS: readonly Command[] = [
   init,
--- a/src/node/operator/cli.ts
+++ b/src/node/operator/cli.ts
@@ -10,10 +10,12 @@
 import {MEMBER_COMMANDS} from './member_commands.js';
 import {QUOTA_COMMANDS} from './quota_commands.js';
 import {Session, type Terminal} from './session.js';
+import {WORKSPACE_COMMANDS} from './workspace_commands.js';
 
 const COMMANDS: readonly Command[] = [
   ...ANSWERS_COMMANDS,
   ...CONFIG_COMMANDS,
+  ...WORKSPACE_COMMANDS,
   ...FLEET_COMMANDS,
   ...QUOTA_COMMANDS,
   ...MEMBER_COMMANDS,
@@ -21,9 +23,16 @@
 ];
 
 /** Flags without a value; without this list they would take the next word. */
-const SWITCHES = ['json', 'wait', 'local', 'answers'];
+const SWITCHES = ['json', 'wait', 'local', 'answers', 'keys'];
 /** Flags with text; without this list digits would become numbers. */
-const TEXTS = ['settings', 'operation-id', 'against', 'logs'];
+const TEXTS = ['settings', 'operation-id', 'against', 'logs'].concat([
+  'home',
+  'residency',
+  'rank',
+  'workloads-of',
+  'key-file',
+  'key-digest',
+]);
 
 function nameOf(command: Command): string {
   return command.usage.replace(/ \[.*$/, '');
--- /dev/null
+++ b/src/node/operator/workspace_commands.ts
@@ -0,0 +1,231 @@
+/** `cyclamenfall workspace ...`: customers, their keys, homes and ranks. */
+import type {Answers, WorkspaceAnswer} from '../config/answers.js';
+import {
+  addKey,
+  addWorkspace,
+  changeWorkspace,
+  removeKey,
+  type EditedAnswers,
+  type WorkspaceTraits,
+} from '../config/workspace_edits.js';
+import {
+  asId,
+  type ConfigVersion,
+  type RankId,
+  type RegionId,
+  type WorkspaceId,
+} from '../types/ids.js';
+import {acceptAnswers, identifyChange} from './accept_answers.js';
+import {CHANGE_OPTIONS, changeFlags, waitIfAsked} from './change_options.js';
+import {KEY_OPTIONS, keyDigestOption} from './caller_keys.js';
+import {
+  requiredArgument,
+  textOption,
+  type Command,
+  type ParsedOptions,
+} from './command.js';
+import {CommandFailure, EXIT_FAILURE, usageFailure} from './failures.js';
+import {readAccepted} from './fleet_queries.js';
+import type {Session} from './session.js';
+import {formatTable} from './table.js';
+
+const TRAIT_OPTIONS = [
+  ['--home', 'Home region'],
+  ['--residency', 'Regions that may serve it, with commas between them'],
+  ['--rank', 'Rank of all its workloads; `none` leaves it to these'],
+  ['--fair-weight', 'Share among workspaces of the same rank'],
+] as const;
+
+function traitsOf(options: ParsedOptions): WorkspaceTraits {
+  const home = textOption(options, 'home');
+  const residency = textOption(options, 'residency');
+  const rank = textOption(options, 'rank');
+  const fairWeight = options['fair-weight'];
+  if (fairWeight !== undefined && typeof fairWeight !== 'number') {
+    throw usageFailure('--fair-weight needs a number');
+  }
+  return {
+    ...(home === undefined ? {} : {home: asId<RegionId>(home)}),
+    ...(residency === undefined
+      ? {}
+      : {
+          residency: residency
+            .split(',')
+            .map(each => asId<RegionId>(each.trim())),
+        }),
+    ...(rank === undefined ? {} : {rank: asId<RankId>(rank)}),
+    ...(fairWeight === undefined ? {} : {fairWeight}),
+  };
+}
+
+/** The answers that a change starts from; a resend names an earlier version. */
+async function answersAt(
+  session: Session,
+  version: ConfigVersion,
+): Promise<Answers> {
+  const accepted = await readAccepted(session);
+  return accepted.version === version
+    ? accepted.answers
+    : session.control.query<Answers>('config.answers', {version});
+}
+
+/** Makes the edited answers the next version after the one they were read at. */
+async function change(
+  session: Session,
+  options: ParsedOptions,
+  edit: (answers: Answers) => EditedAnswers,
+): Promise<void> {
+  const {baseVersion, operationId, timeoutMs} = changeFlags(options);
+  const identity = await identifyChange(session, baseVersion, operationId);
+  const edited = edit(await answersAt(session, identity.baseVersion));
+  if (edited.isErr()) throw new CommandFailure(EXIT_FAILURE, edited.error);
+  const answers = edited.value;
+  const result = await acceptAnswers(session, answers, identity);
+  const {version} = result;
+  const progress = await waitIfAsked(
+    session,
+    answers,
+    version,
+    options,
+    timeoutMs,
+  );
+  session.print({...identity, ...result, ...progress}, [
+    `accepted as version ${version}`,
+  ]);
+}
+
+function nameOf(argument: string | undefined): WorkspaceId {
+  return asId(requiredArgument(argument, 'workspace'));
+}
+
+const show: Command = {
+  usage: 'workspace show [workspace]',
+  description: 'Show workspaces with their homes, ranks and number of keys',
+  options: [['--keys', 'Show the digests of the keys, too']],
+  examples: ['workspace show', 'workspace show reports --keys'],
+  run: async (session, [name], options) => {
+    const {version, answers} = await readAccepted(session);
+    const shown = answers.workspaces.filter(
+      ({id}) => name === undefined || id === name,
+    );
+    if (name !== undefined && shown.length === 0) {
+      throw new CommandFailure(EXIT_FAILURE, `there is no workspace ${name}`);
+    }
+    const showsKeys = options['keys'] === true;
+    session.note(`version ${version}`);
+    session.print(
+      shown.map(each => summaryOf(each, showsKeys)),
+      [
+        ...formatTable(
+          ['workspace', 'home', 'residency', 'rank', 'weight', 'keys'].concat(
+            'workloads',
+          ),
+          shown.map(each => [
+            each.id,
+            each.home,
+            each.residency.join(', '),
+            each.rank,
+            each.fairWeight,
+            each.callerKeyDigests.length,
+            each.workloads.map(({id, rank}) => `${id} (${rank})`).join(', '),
+          ]),
+        ),
+        ...(showsKeys ? ['', ...keyTable(shown)] : []),
+      ],
+    );
+  },
+};
+
+function summaryOf(
+  {callerKeyDigests, ...others}: WorkspaceAnswer,
+  showsKeys: boolean,
+): object {
+  return {
+    ...others,
+    keyCount: callerKeyDigests.length,
+    ...(showsKeys ? {callerKeyDigests} : {}),
+  };
+}
+
+function keyTable(workspaces: readonly WorkspaceAnswer[]): readonly string[] {
+  const rows = workspaces.flatMap(({id, callerKeyDigests}) =>
+    callerKeyDigests.map(digest => [id, digest]),
+  );
+  return formatTable(['workspace', 'SHA-256 of a key'], rows);
+}
+
+const create: Command = {
+  usage: 'workspace create [workspace]',
+  description: 'Add a workspace with the workloads of another one',
+  options: [
+    ['--workloads-of', 'The workspace whose workloads it gets'],
+    ...TRAIT_OPTIONS,
+    ...KEY_OPTIONS,
+    ...CHANGE_OPTIONS,
+  ],
+  examples: [
+    'workspace create second --workloads-of first --home south --key-file key',
+  ],
+  run: (session, [argument], options) => {
+    const name = nameOf(argument);
+    const model = textOption(options, 'workloads-of');
+    if (model === undefined) throw usageFailure('--workloads-of is missing');
+    const traits = traitsOf(options);
+    const digest = keyDigestOption(options);
+    return change(session, options, answers =>
+      addWorkspace(answers, name, asId(model), digest, traits),
+    );
+  },
+};
+
+const set: Command = {
+  usage: 'workspace set [workspace]',
+  description: 'Change homes, rank or weight of a workspace',
+  options: [...TRAIT_OPTIONS, ...CHANGE_OPTIONS],
+  examples: ['workspace set reports --rank urgent --base-version 4 --wait'],
+  run: (session, [argument], options) => {
+    const name = nameOf(argument);
+    const traits = traitsOf(options);
+    if (Object.keys(traits).length === 0) {
+      throw usageFailure('name what to change');
+    }
+    return change(session, options, answers =>
+      changeWorkspace(answers, name, traits),
+    );
+  },
+};
+
+const addKeyCommand: Command = {
+  usage: 'workspace add-key [workspace]',
+  description: 'Let a further key identify callers of a workspace',
+  options: [...KEY_OPTIONS, ...CHANGE_OPTIONS],
+  examples: ['workspace add-key reports --key-file new-key --wait'],
+  run: (session, [argument], options) => {
+    const name = nameOf(argument);
+    const digest = keyDigestOption(options);
+    return change(session, options, answers => addKey(answers, name, digest));
+  },
+};
+
+const removeKeyCommand: Command = {
+  usage: 'workspace remove-key [workspace]',
+  description: 'Take a key away from a workspace',
+  options: [...KEY_OPTIONS, ...CHANGE_OPTIONS],
+  examples: ['workspace remove-key reports --key-file old-key --wait'],
+  run: (session, [argument], options) => {
+    const name = nameOf(argument);
+    const digest = keyDigestOption(options);
+    return change(session, options, answers =>
+      removeKey(answers, name, digest),
+    );
+  },
+};
+
+/** The commands on workspaces. */
+export const WORKSPACE_COMMANDS: readonly Command[] = [
+  show,
+  create,
+  set,
+  addKeyCommand,
+  removeKeyCommand,
+];
