Explain refused keys and home regions by the figures that decided

For a refused key an operator had to compare all versions of the table, and a request that ran in another region, or could not, showed waits only: the lines on moves and refusals did not say where the entry was and which regions were allowed.

'rejected' says since which version the key has been unknown and whose it was, or that none was sent; it holds neither key nor digest. It has the homes of route and workspace where these decided, 'offloaded' and 'refused' have the region of the entry and the homes. explain-request turns them into causes.

--- a/src/node/explain/__tests__/explain.spec.ts
+++ b/src/node/explain/__tests__/explain.spec.ts
@@ -130,10 +130,131 @@
   {atMs: 140, instance: 'e1', event: 'started', region: 'north'},
 ];
 
+const MOVED = {event: 'offloaded', ageMs: 1, scheduler: 'e2', region: 'south'};
+const HERE = {instance: 'e1', entryRegion: 'north', ...CHAT};
+const DELIVERED = {
+  event: 'ended',
+  ageMs: 90,
+  result: 'delivered',
+  status: 200,
+  isRelayed: false,
+  totalMs: 90,
+};
+
+/** Requests of workspaces with keys, homes and quotas. */
+const WORKSPACE_REQUESTS: readonly Line[] = [
+  ...[
+    {requestId: 'no-key', hasKey: false},
+    {requestId: 'never', hasKey: true, unknownSinceVersion: 2},
+    {
+      requestId: 'taken',
+      hasKey: true,
+      unknownSinceVersion: 3,
+      formerWorkspace: 'blue',
+    },
+  ].map(fields => ({
+    atMs: 200,
+    instance: 'e1',
+    event: 'rejected',
+    reason: 'unknown_key',
+    status: 401,
+    tableVersion: 4,
+    ...fields,
+  })),
+  {
+    atMs: 210,
+    instance: 'e1',
+    event: 'rejected',
+    requestId: 'nowhere',
+    reason: 'no_common_region',
+    status: 503,
+    tableVersion: 4,
+    route: 'homed',
+    routeHomes: ['south'],
+    workspace: 'green',
+    workspaceHomes: ['north'],
+  },
+  {
+    atMs: 220,
+    instance: 'e5',
+    event: 'rejected',
+    requestId: 'relayed',
+    reason: 'not_a_home',
+    status: 503,
+    tableVersion: 5,
+    entryRegion: 'south',
+    route: 'chat',
+    routeHomes: [],
+    workspace: 'green',
+    workspaceHomes: ['north'],
+  },
+  {
+    atMs: 230,
+    ...HERE,
+    ...MOVED,
+    requestId: 'home',
+    workspace: 'red',
+    localWaitMs: -1,
+    remoteWaitMs: 80,
+    homeRegions: ['south'],
+    workspaceHomes: ['south'],
+  },
+  {
+    atMs: 231,
+    ...HERE,
+    ...MOVED,
+    requestId: 'sooner',
+    localWaitMs: 900,
+    remoteWaitMs: 80,
+  },
+  {
+    atMs: 232,
+    ...HERE,
+    ...MOVED,
+    requestId: 'stranded',
+    scheduler: 'e1',
+    region: 'north',
+    localWaitMs: -1,
+    remoteWaitMs: -1,
+  },
+  ...['home', 'sooner', 'stranded'].map(requestId => ({
+    atMs: 300,
+    ...HERE,
+    ...DELIVERED,
+    requestId,
+  })),
+  {
+    atMs: 240,
+    ...HERE,
+    event: 'refused',
+    requestId: 'bound',
+    ageMs: 2,
+    workspace: 'green',
+    scheduler: 'e2',
+    reason: 'overloaded',
+    predictedWaitMs: 900,
+    retryAfterMs: 900,
+    usableUpstreams: 2,
+    queueLength: 31,
+    homeRegions: ['north'],
+    workspaceHomes: ['north'],
+  },
+  {
+    atMs: 241,
+    ...HERE,
+    event: 'ended',
+    requestId: 'bound',
+    ageMs: 3,
+    result: 'not_run',
+    status: 503,
+    isRelayed: false,
+  },
+];
+
 async function explainFrom(t: TestContext, id: string, ...options: string[]) {
   const folder = mkdtempSync(join(tmpdir(), 'explain-'));
   t.after(() => rmSync(folder, {recursive: true}));
-  const lines = [...BELIEFS, ...REQUESTS].map(serialize);
+  const lines = [...BELIEFS, ...REQUESTS, ...WORKSPACE_REQUESTS].map(serialize);
   const [first = '', ...others] = lines;
   // Two files: a collector's prefix in one, truncated lines in both.
   writeFileSync(join(folder, 'a.log'), `  0.1 e1 ${first}\n${first.slice(9)}`);
@@ -158,6 +279,24 @@
   matchSnapshot(import.meta.url, 'explanations of failed requests', explained);
 });
 
+// Guards against an operator who must read the tables of several versions to learn why
+// a key is refused, or why a request left its region or could not leave it.
+test('explanations name keys, home regions and moves', async t => {
+  const ids = ['no-key', 'never', 'taken', 'nowhere', 'relayed'].concat([
+    'home',
+    'sooner',
+    'stranded',
+    'bound',
+  ]);
+  const explained = await Promise.all(
+    ids.map(async id => {
+      const {out} = await explainFrom(t, id);
+      return {id, out: out.slice(0, out.indexOf(''))};
+    }),
+  );
+  matchSnapshot(import.meta.url, 'explanations for workspaces', explained);
+});
+
 // Guards against renamed fields in the JSON output that other programs parse.
 test('an explanation as JSON names ending, decision and reasons', async t => {
   const {out} = await explainFrom(t, 'flood', '--json');
--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -1,6 +1,7 @@
 /** Determines how a request ended, the decision behind it and its reasons. */
 import type {LogEvent} from '../logging/event_schema.js';
 import {numberField, textField, type LogLine} from './log_line.js';
+import {homeFigures, homeReasons, moveReasons} from './placement.js';
 import {isLifecycleEvent, type Timeline} from './timeline.js';
 
 /** How the caller's request ended. */
@@ -43,7 +44,11 @@
   }
   const ending = end === undefined ? 'not_logged' : endingOf(end);
   if (ending === 'served') {
-    return {ending, decision: end, reasons: latencyReasons(timeline, end)};
+    const reasons = [
+      ...moveReasons(timeline),
+      ...latencyReasons(timeline, end),
+    ];
+    return {ending, decision: end, reasons};
   }
   if (ending === 'not_logged') {
     const decision = request.at(-1);
@@ -63,7 +68,11 @@
   }
   const outcome = request.findLast(line => line.event === 'upstream_outcome');
   const decision = outcome ?? end;
-  return {ending, decision, reasons: upstreamReasons(timeline, outcome, end)};
+  const reasons = [
+    ...upstreamReasons(timeline, outcome, end),
+    ...moveReasons(timeline),
+  ];
+  return {ending, decision, reasons};
 }
 
 /** The `ended` line of the entry that the caller was connected to. */
@@ -133,6 +142,8 @@
   return [
     REFUSAL_TEXTS[reason] ?? reason,
     ...inputsOf(refusal),
+    ...homeReasons(refusal),
+    ...moveReasons(timeline),
     ...unusableUpstreams(timeline, scheduler, refusal.timeMs),
     ...unreachablePeers(timeline, refusal),
     ...evacuationReasons(timeline),
@@ -163,6 +174,8 @@
     `${REJECTION_TEXTS[reason] ?? reason} ` +
       `(version ${numberField(rejection, 'tableVersion') ?? 0})`,
     ...quotaReasons(rejection),
+    ...unknownKeyReasons(rejection),
+    ...homeFigures(rejection),
     ...startReasons(timeline, rejection),
     ...unreachablePeers(timeline, rejection),
   ];
@@ -178,6 +191,20 @@
   return [`workspace ${String(fields['workspace'])}: ${figures.join(', ')}`];
 }
 
+/** Since when the key has been unknown, as far as the entry knew. */
+function unknownKeyReasons(rejection: LogLine): readonly string[] {
+  if (textField(rejection, 'reason') !== 'unknown_key') return [];
+  if (rejection.fields['hasKey'] === false) return ['no key was sent'];
+  const version = numberField(rejection, 'unknownSinceVersion');
+  if (version === undefined) return [];
+  const former = textField(rejection, 'formerWorkspace');
+  return [
+    former === undefined
+      ? `key unknown since version ${version} or earlier, the first that ${rejection.instance} knows of`
+      : `key unknown since version ${version}, which took it away from workspace ${former}`,
+  ];
+}
+
 /** A recent start of the entry, which may explain missing state. */
 function startReasons(
   {beliefs}: Timeline,
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -383,7 +383,7 @@
     this.state = state;
     const {table} = state;
     if (table !== undefined && table.version !== before.table?.version) {
-      this.matcher = new RouteMatcher(table);
+      this.matcher = new RouteMatcher(table, this.matcher);
       this.ingress.applyLimits(table.limits);
       this.quotas.applyWorkspaces(table.workspaces ?? []);
       this.tableWaiters.resumeAll();
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -38,6 +38,11 @@
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {QuotaAdmission} from './quota_admission.js';
+import {
+  callerFigures,
+  relayFigures,
+  type RejectionFigures,
+} from './rejection_figures.js';
 import type {RequestRunContext} from './request_context.js';
 import {RequestRun} from './request_run.js';
 import {withService} from './service_choice.js';
@@ -78,6 +83,12 @@
   readonly held?: HeldBytes;
 }
 
+type OnRejected = (
+  reason: RejectionReason,
+  status: number,
+  figures?: RejectionFigures,
+) => void;
+
 /** The HTTP server for callers. */
 export class IngressServer {
   private readonly server: Server;
@@ -158,16 +169,23 @@
     const {protocol, region, log} = this.options.context;
     const matcher = this.options.matcher();
     const version = matcher?.table.version ?? 0;
-    const refuse = (reason: RejectionReason, retryAfterMs: number): void => {
+    const refuse = (
+      reason: RejectionReason,
+      retryAfterMs: number,
+      figures?: RejectionFigures,
+    ): void => {
       const status = sendRefusal(callerResponse, retryAfterMs, 'unsent');
       const requestId = asId<RequestId>(metadata.requestId);
-      log.rejected(requestId, reason, status, version);
+      log.rejected(requestId, reason, status, version, figures);
     };
     if (matcher === undefined) {
       return refuse('no_route_table', this.startupRetryMs());
     }
     const rules = rulesForRelayed(matcher, metadata, region);
-    if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
+    if (rules.isErr()) {
+      const figures = relayFigures(rules.error, matcher, metadata, region);
+      return refuse(rules.error, this.startupRetryMs(), figures);
+    }
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
       return refuse('no_memory', MEMORY_RETRY_MS);
     }
@@ -228,8 +246,8 @@
     }
     const matcher = currentMatcher();
     const version = matcher?.table.version ?? 0;
-    const onRejected = (reason: RejectionReason, status: number): void =>
-      this.logRejection(request, reason, status, version);
+    const onRejected: OnRejected = (reason, status, figures) =>
+      this.logRejection(request, reason, status, version, figures);
     if (matcher === undefined) {
       onRejected(
         'no_route_table',
@@ -241,12 +259,13 @@
       onRejected('headers_too_large', sendRejection(callerResponse, 431));
       return;
     }
-    const {headers, url: path = '/'} = request;
+    const head = {headers: request.headers, path: request.url ?? '/'};
     const {protocol} = this.options.context;
-    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    const found = rulesForCaller(matcher, head, protocol);
     if (found.isErr()) {
-      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
-      return;
+      const figures = callerFigures(found.error, matcher, head, protocol);
+      const status = sendWithoutRules(callerResponse, found.error);
+      return onRejected(found.error, status, figures);
     }
     const rules = found.value;
     const body = await this.readRequestBody(
@@ -279,7 +298,7 @@
   private async readRequestBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
-    onRejected: (reason: RejectionReason, status: number) => void,
+    onRejected: OnRejected,
   ): Promise<Buffer | undefined> {
     try {
       const {holding} = callerResponse;
@@ -309,9 +328,11 @@
     reason: RejectionReason,
     status: number,
     tableVersion: number,
+    figures?: RejectionFigures,
   ): void {
     const {log} = this.options.context;
-    log.rejected(this.requestIdOf(request), reason, status, tableVersion);
+    const requestId = this.requestIdOf(request);
+    log.rejected(requestId, reason, status, tableVersion, figures);
   }
 
   private requestIdOf({headers}: IncomingMessage): RequestId {
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -11,7 +11,12 @@
 import {sharedParts} from '../scheduling/prompt_parts.js';
 import type {PlacementOutcome, SchedulerAnswer} from '../scheduling/types.js';
 import type {GatewayError} from '../types/errors.js';
-import type {RequestId, SoftwareVersion, UpstreamId} from '../types/ids.js';
+import type {
+  RegionId,
+  RequestId,
+  SoftwareVersion,
+  UpstreamId,
+} from '../types/ids.js';
 import type {InboundRequest, TryResult} from './types.js';
 
 const MAX_LINES_PER_S = 150;
@@ -96,7 +101,12 @@
     private readonly metrics: MetricsRegistry,
   ) {}
 
-  decision(request: InboundRequest, decision: SchedulerAnswer): void {
+  /** A decision for a request that an entry of `entryRegion` has. */
+  decision(
+    request: InboundRequest,
+    decision: SchedulerAnswer,
+    entryRegion: RegionId,
+  ): void {
     const {requestId: _id, entry: _entry, kind, ...inputs} = decision;
     const events = {
       grant: 'granted',
@@ -109,6 +119,8 @@
     const {begun, traits} = request;
     this.write(events[kind], request, {
       ...roundNumbers(inputs),
+      entryRegion,
+      ...homeFields(request),
       // Tells a stream whose version has left from one whose origin is unknown.
       ...(begun === undefined
         ? {}
@@ -213,6 +225,18 @@
   }
 }
 
+/** The regions that a request is bound to, and its workspace; absent if to none. */
+function homeFields({
+  route,
+  workspace,
+}: InboundRequest): Readonly<Record<string, unknown>> {
+  const isOwn = (workspace?.homeRegions.length ?? 0) > 0;
+  return {
+    ...(route.homeRegions.length > 0 ? {homeRegions: route.homeRegions} : {}),
+    ...(isOwn ? {workspaceHomes: workspace?.homeRegions} : {}),
+  };
+}
+
 /** Rounds the numbers among the fields of a line. */
 export function roundNumbers(
   fields: Readonly<Record<string, unknown>>,
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -97,7 +97,7 @@
   private async attempt(): Promise<TryResult> {
     const decision = this.takeReplacement() ?? (await this.askScheduler());
     if (decision.kind !== 'refuse' || !this.signal.aborted) {
-      this.context.log.decision(this.request, decision);
+      this.context.log.decision(this.request, decision, this.context.region);
     }
     switch (decision.kind) {
       case 'grant':
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -43,6 +43,16 @@
   ageMs: z.number(),
 };
 
+/** Where a request is and may run. */
+const boundTo = {
+  /** The region of the entry that decided or was told. */
+  entryRegion: z.string(),
+  /** Of its route and its workspace together; missing if all regions may. */
+  homeRegions: z.array(z.string()).optional(),
+  /** Missing if its workspace is not bound. */
+  workspaceHomes: z.array(z.string()).optional(),
+};
+
 const FIELDS = {
   // Process lifecycle.
   started: {},
@@ -184,6 +194,19 @@
     reason: z.string(),
     status: z.number(),
     tableVersion: z.number(),
+    // With `unknown_key`; neither the key nor its digest is logged.
+    hasKey: z.boolean().optional(),
+    /** This version and all later ones lack the key, as far as the entry knows. */
+    unknownSinceVersion: z.number().optional(),
+    /** Missing if no version that the entry knows has held the key. */
+    formerWorkspace: z.string().optional(),
+    // With `no_common_region`, `not_a_home` and `unknown_workspace`.
+    entryRegion: z.string().optional(),
+    route: z.string().optional(),
+    /** Empty if it is not bound to any. */
+    routeHomes: z.array(z.string()).optional(),
+    workspace: z.string().optional(),
+    workspaceHomes: z.array(z.string()).optional(),
   },
   slow_peer_let_go: {
     heldBytes: z.number(),
@@ -195,6 +218,7 @@
   granted: {...matched, scheduler: z.string(), upstreamId: z.string()},
   offloaded: {
     ...matched,
+    ...boundTo,
     scheduler: z.string(),
     region: z.string(),
     localWaitMs: z.number(),
@@ -202,6 +226,7 @@
   },
   refused: {
     ...matched,
+    ...boundTo,
     scheduler: z.string(),
     reason: z.string(),
     predictedWaitMs: z.number(),
--- a/src/node/routes/route_matcher.ts
+++ b/src/node/routes/route_matcher.ts
@@ -1,5 +1,6 @@
 /** Selects the route and the service for a request. */
 import type {ServiceId} from '../types/ids.js';
+import {KeyHistory} from '../workspaces/key_history.js';
 import {WorkspaceIndex} from '../workspaces/workspace_index.js';
 import type {Route, RouteTable, ServiceSpec} from './route_table.js';
 
@@ -10,8 +11,16 @@
   /** `undefined` if callers need no keys. */
   readonly workspaces: WorkspaceIndex | undefined;
 
-  constructor(readonly table: RouteTable) {
+  /** Of callers whose key this table and perhaps earlier ones do not hold. */
+  readonly keyHistory: KeyHistory;
+
+  /** `before` is the matcher that this one replaces. */
+  constructor(
+    readonly table: RouteTable,
+    before?: RouteMatcher,
+  ) {
     const {workspaces} = table;
+    this.keyHistory = KeyHistory.upTo(table, before?.keyHistory);
     this.workspaces = workspaces && new WorkspaceIndex(workspaces);
     this.services = new Map(table.services.map(each => [each.name, each]));
     [...table.routes]
