Say by what and since when a workspace is limited

'quotas' showed for how many seconds entries have been refusing, without the unit of the limit, and left it to the reader to compare the demand of all regions with the limit. It now has the unit, the time, and whether the rate limits or the shares of the rate that entries hold.

The spec of the command lists the new columns beside all former ones and has a third workspace, limited by its shares.

--- a/src/node/operator/__tests__/quotas.spec.ts
+++ b/src/node/operator/__tests__/quotas.spec.ts
@@ -11,12 +11,14 @@
 import {asId, type RegionId, type WorkspaceId} from '../../types/ids.js';
 import {runCli} from '../cli.js';
 
+const NOW_MS = Date.UTC(2026, 11, 6, 12, 0, 10);
 const REGION = {region: asId<RegionId>('north'), entries: 3};
 const STATUS: QuotaStatus = {
   isLeader: true,
   workspaces: [
     {
       workspace: asId<WorkspaceId>('limited'),
+      unit: 'tokens',
       ratePerS: 1_000,
       poolUnits: 0,
       regions: [
@@ -29,6 +31,21 @@
         },
       ],
     },
+    {
+      workspace: asId<WorkspaceId>('apart'),
+      unit: 'requests',
+      ratePerS: 50,
+      poolUnits: 9,
+      regions: [
+        {
+          ...REGION,
+          demandPerS: 20,
+          sharePerS: 5,
+          limitedEntries: 1,
+          limitedForMs: 400,
+        },
+      ],
+    },
     {
       workspace: asId<WorkspaceId>('calm'),
       ratePerS: 500,
@@ -41,6 +58,7 @@
 // Guards against an operator who cannot tell which workspace is limited, by what and
 // since when, or who is answered by a member that does not know.
 test('quotas shows who is limited, as the leader tells', async t => {
+  t.mock.timers.enable({apis: ['Date'], now: NOW_MS});
   const folder = mkdtempSync(join(tmpdir(), 'cyclamenfall-quotas-'));
   t.after(() => rmSync(folder, {recursive: true}));
   const network = new MemoryNetwork();
@@ -74,13 +92,31 @@
   assert.deepEqual(
     out.map(line => line.split(/\s{2,}/)),
     [
-      ['workspace', 'region', 'demand/s', 'share/s', 'limit/s', 'pool'].concat(
-        'entries',
-        'refusing',
+      ['workspace', 'region', 'unit', 'demand/s', 'share/s', 'limit/s'].concat(
+        ['pool', 'entries', 'refusing', 'limited by', 'limited since'],
         'limited for s',
       ),
-      ['limited', 'north', '4000', '950', '1000', '0', '3', '2', '3.4'],
-      ['calm', 'north', '20', '475', '500', '90', '3', '0', '-'],
+      [
+        'limited',
+        'north',
+        'tokens',
+        '4000',
+        '950',
+        '1000',
+        '0',
+        '3',
+        '2',
+      ].concat(['rate', '2026-12-06 12:00:06Z', '3.4']),
+      ['apart', 'north', 'requests', '20', '5', '50', '9', '3', '1'].concat([
+        'shares',
+        '2026-12-06 12:00:09Z',
+        '0.4',
+      ]),
+      ['calm', 'north', '-', '20', '475', '500', '90', '3', '0'].concat([
+        '-',
+        '-',
+        '-',
+      ]),
     ],
   );
 });
--- a/src/node/operator/quota_commands.ts
+++ b/src/node/operator/quota_commands.ts
@@ -1,14 +1,16 @@
 /** `quotas`: which workspace is limited, by what and since when. */
+import {wallNowMs} from '../clock/clock.js';
 import {QUOTA_STATUS_METHOD} from '../quotas/status_method.js';
 import {
   quotaStatusSchema,
   type QuotaStatus,
+  type RegionStatus,
   type WorkspaceStatus,
 } from '../quotas/workspace_use.js';
 import type {Command} from './command.js';
 import {CommandFailure, EXIT_FAILURE} from './failures.js';
 import type {Session} from './session.js';
-import {formatTable, type Cell} from './table.js';
+import {formatTable, formatTime, type Cell} from './table.js';
 
 const TIMEOUT_MS = 2_000;
 const MS_PER_S = 1_000;
@@ -48,37 +50,56 @@
         [
           'workspace',
           'region',
+          'unit',
           'demand/s',
           'share/s',
           'limit/s',
           'pool',
           'entries',
           'refusing',
+          'limited by',
+          'limited since',
           'limited for s',
         ],
-        workspaces.flatMap(rowsOf),
+        workspaces.flatMap(each => rowsOf(each, wallNowMs())),
       ),
     ]);
   },
 };
 
-function rowsOf(status: WorkspaceStatus): readonly (readonly Cell[])[] {
-  const {workspace, ratePerS, poolUnits, regions} = status;
-  if (regions.length === 0) {
-    return [[workspace, undefined, 0, 0, ratePerS, poolUnits, 0, 0, undefined]];
-  }
-  return regions.map(each => [
+/** Shown for a workspace that no entry has had requests of lately. */
+const IDLE: Omit<RegionStatus, 'region'> = {
+  demandPerS: 0,
+  sharePerS: 0,
+  entries: 0,
+  limitedEntries: 0,
+};
+
+function rowsOf(
+  status: WorkspaceStatus,
+  nowMs: number,
+): readonly (readonly Cell[])[] {
+  const {workspace, unit, ratePerS, poolUnits, regions} = status;
+  const demandPerS = regions.reduce((sum, each) => sum + each.demandPerS, 0);
+  const cause = demandPerS > ratePerS ? 'rate' : 'shares';
+  const shown = regions.length === 0 ? [{...IDLE, region: undefined}] : regions;
+  return shown.map(each => [
     workspace,
     each.region,
+    unit,
     each.demandPerS,
     each.sharePerS,
     ratePerS,
     poolUnits,
     each.entries,
     each.limitedEntries,
-    each.limitedForMs === undefined
-      ? undefined
-      : (each.limitedForMs / MS_PER_S).toFixed(1),
+    ...(each.limitedForMs === undefined
+      ? [undefined, undefined, undefined]
+      : [
+          cause,
+          formatTime(nowMs - each.limitedForMs),
+          (each.limitedForMs / MS_PER_S).toFixed(1),
+        ]),
   ]);
 }
 
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -1,5 +1,5 @@
 /** Divides the quotas of all workspaces among entries, while this member leads. */
-import type {WorkspaceSpec} from '../routes/route_table.js';
+import type {QuotaUnit, WorkspaceSpec} from '../routes/route_table.js';
 import type {InstanceId, RegionId, Term, WorkspaceId} from '../types/ids.js';
 import {LEADERSHIP_VALIDITY_MS, RECOVERY_MS} from './constants.js';
 import {EntryContacts, type KnownEntry} from './entry_contacts.js';
@@ -86,12 +86,18 @@
     }
     const regionOf = (entry: InstanceId): RegionId | undefined =>
       this.contacts.regionOf(entry);
-    const workspaces = [...this.pools].map(([name, pool]) =>
-      pool.status(name, regionOf),
-    );
+    const workspaces = [...this.pools].map(([name, pool]) => ({
+      ...pool.status(name, regionOf),
+      unit: this.unitOf(name),
+    }));
     return {isLeader: true, workspaces};
   }
 
+  private unitOf(workspace: WorkspaceId): QuotaUnit | undefined {
+    const spec = this.workspaces?.find(each => each.name === workspace);
+    return spec?.quota?.unit;
+  }
+
   private endRecovery(term: Term, nowMs: number): void {
     if (!this.isRecovering) return;
     if (!this.contacts.haveAllReported(term, nowMs)) return;
--- a/src/node/quotas/workspace_use.ts
+++ b/src/node/quotas/workspace_use.ts
@@ -19,6 +19,8 @@
 
 const workspaceStatusSchema = z.object({
   workspace: id<WorkspaceId>(),
+  /** Missing from members of an earlier build. */
+  unit: z.enum(['requests', 'tokens']).optional(),
   ratePerS: z.number(),
   /** What the leader has left to grant. */
   poolUnits: z.number(),
