Begin a new limitation after a pause without refusals

A workspace that was refused once, sent nothing for an hour and was refused again was shown as limited for an hour: the end of a limitation was noted by the next admitted request only. The metric quota_limited stayed at 1 for as long. The end is now also noted by a refusal and by a read of the metrics.

quotas/limited_workspaces.spec.ts failed in both cases (3,601,000 ms where 300 are true, and 1 for 0); it passes now, with the other specs of quotas.

--- a/src/node/quotas/limited_workspaces.ts
+++ b/src/node/quotas/limited_workspaces.ts
@@ -26,7 +26,12 @@
 export class LimitedWorkspaces {
   private readonly limited = new Map<WorkspaceId, LimitedSince>();
 
-  constructor(private readonly options: LimitedWorkspacesOptions) {}
+  constructor(private readonly options: LimitedWorkspacesOptions) {
+    // A workspace that sends nothing more is no longer limited either.
+    options.metrics.beforeRead(() =>
+      [...this.limited.keys()].forEach(name => this.endIfOver(name)),
+    );
+  }
 
   /** For how long requests have been refused; `undefined` if none are. */
   limitedForMs(workspace: WorkspaceId): number | undefined {
@@ -45,8 +50,8 @@
   ): void {
     const workspace = spec.name;
     this.options.metrics.count(`quota_units_${kind}`, {workspace}, units);
+    this.endIfOver(workspace);
     if (kind === 'refused') this.noteRefusal(spec, units, balance);
-    else this.endIfOver(spec);
   }
 
   private noteRefusal(
@@ -79,7 +84,7 @@
     );
   }
 
-  private endIfOver({name}: WorkspaceSpec): void {
+  private endIfOver(name: WorkspaceId): void {
     const since = this.limited.get(name);
     const nowMs = monotonicNowMs();
     if (since === undefined || nowMs - since.refusedAtMs < LIMITED_FOR_MS) {
