Limit workspaces of the configuration by quotas

Only route tables could limit a workspace: the questionnaire had no quota, and entries of the own interface obeyed none. Answers and the generated configuration now have a quota (unit, rate, burst, plainTokens), set by 'workspace set' too, and entries obey it by the code that quotas of route tables have: QuotaGate at the entry, QuotaLeader at the control members, which exchange reports in calls of their own. Nothing is exchanged while no workspace has a quota.

An instance of an earlier build cannot read a configuration with a quota.

--- a/src/node/config/__tests__/answers.spec.ts
+++ b/src/node/config/__tests__/answers.spec.ts
@@ -36,6 +36,21 @@
   ],
   ['floors above one', 'floorShare: 0.3', 'floorShare: 0.9'],
   ['control without disk', 'disk: true', 'disk: false'],
+  ...[
+    'unit: calls, ratePerS: 1, burst: 1',
+    'unit: requests, ratePerS: 0, burst: 1',
+    'unit: requests, ratePerS: .inf, burst: 1',
+    'unit: requests, ratePerS: 1, burst: -1',
+    'unit: requests, ratePerS: 1',
+    'unit: tokens, ratePerS: 1, burst: 1',
+  ].map(
+    quota =>
+      [
+        `quota of ${quota}`,
+        '    home: centro\n',
+        `    home: centro\n    quota: {${quota}}\n`,
+      ] as const,
+  ),
   ['half an entry', '    innerAddress: 127.0.0.1:17101\n', ''],
 ];
 
--- a/src/node/config/__tests__/generate.spec.ts
+++ b/src/node/config/__tests__/generate.spec.ts
@@ -20,6 +20,40 @@
   matchSnapshot(import.meta.url, 'zsaner', zsaner);
 });
 
+// Guards against a quota that the answers have and no entry hears of.
+test('a quota of the answers is in the configuration, and its values explained', () => {
+  const answers = playgroundAnswers('trazo');
+  const quotas = [
+    {unit: 'requests', ratePerS: 5, burst: 9},
+    {unit: 'tokens', ratePerS: 500.5, burst: 0, plainTokens: 40},
+  ] as const;
+  const limited: Answers = {
+    ...answers,
+    workspaces: answers.workspaces.map((each, index) => {
+      const quota = quotas[index];
+      return quota === undefined ? each : {...each, quota};
+    }),
+  };
+  const {workspaces} = configurationSchema.parse(generate(limited));
+  assert.deepEqual(
+    workspaces.slice(0, 3).map(({quota}) => quota),
+    [{...quotas[0], plainTokens: 0}, quotas[1], undefined],
+  );
+  assert.deepEqual(
+    explain(limited, 'workspaces[0].quota').map(({path, value, sources}) => [
+      path,
+      value,
+      sources[0],
+    ]),
+    [
+      ['unit', 'requests', 'workspaces[0].quota.unit'],
+      ['ratePerS', 5, 'workspaces[0].quota.ratePerS'],
+      ['burst', 9, 'workspaces[0].quota.burst'],
+      ['plainTokens', 0, 'workspaces[0].quota'],
+    ].map(([name, ...others]) => [`workspaces[0].quota.${name}`, ...others]),
+  );
+});
+
 /** Answers with random regions, domains and instances. */
 const randomAnswers: fc.Arbitrary<Answers> = fc
   .array(
--- a/src/node/config/answers.ts
+++ b/src/node/config/answers.ts
@@ -20,6 +20,7 @@
   digestSchema,
   idSchema,
   operatorSchema,
+  quotaSchema,
 } from './configuration.js';
 import {parseSource, readSource, type LocatedProblem} from './source_text.js';
 
@@ -133,6 +134,8 @@
   rank: idSchema<RankId>().optional(),
   /** Its share of a rank relative to other workspaces. @default 1 */
   fairWeight: z.number().positive().optional(),
+  /** What it may run, over all entries together; unlimited without an answer. */
+  quota: quotaSchema.partial({plainTokens: true}).optional(),
   workloads: z.array(workloadAnswerSchema).min(1),
 });
 
@@ -162,6 +165,7 @@
 export type InstanceAnswer = Answers['instances'][number];
 export type UpstreamAnswer = Answers['upstreams'][number];
 export type WorkspaceAnswer = Answers['workspaces'][number];
+export type QuotaAnswer = NonNullable<WorkspaceAnswer['quota']>;
 export type WorkloadAnswer = WorkspaceAnswer['workloads'][number];
 
 /** Parses and checks answers; `file` is named in problems. */
--- a/src/node/config/answers_checks.ts
+++ b/src/node/config/answers_checks.ts
@@ -234,6 +234,7 @@
         : [{name: workspace.rank, path: [...path, 'rank']}],
     ),
     ...duplicates('region', residency),
+    ...checkQuota(workspace, path),
     ...(homeIsAllowed
       ? []
       : [
@@ -259,6 +260,18 @@
   ];
 }
 
+// Calls to services would be free of a quota that counts tokens only.
+function checkQuota({quota}: WorkspaceAnswer, path: ValuePath): ValueProblem[] {
+  return quota?.unit === 'tokens' && quota.plainTokens === undefined
+    ? [
+        {
+          path: [...path, 'quota'],
+          message: 'a quota of tokens needs plainTokens',
+        },
+      ]
+    : [];
+}
+
 function checkWorkload(
   answers: Answers,
   workspace: WorkspaceAnswer,
--- a/src/node/config/configuration.ts
+++ b/src/node/config/configuration.ts
@@ -124,6 +124,17 @@
   maxBodyBytes: z.number().int().positive(),
 });
 
+/** What a workspace may run, over all entries together. */
+export const quotaSchema = z.strictObject({
+  unit: z.enum(['requests', 'tokens']),
+  /** Units a second. */
+  ratePerS: z.number().positive(),
+  /** Units beyond the rate that may be used at once. */
+  burst: z.number().min(0),
+  /** What a call without tokens counts, in a quota of tokens. */
+  plainTokens: z.number().min(0),
+});
+
 /** A customer. */
 export const workspaceSchema = z.strictObject({
   workspaceId: idSchema<WorkspaceId>(),
@@ -136,6 +147,8 @@
   keyDigests: z.array(digestSchema).min(1),
   /** Share of its rank in fair queueing, relative to others. */
   fairWeight: z.number().positive(),
+  /** Missing if it is not limited. */
+  quota: quotaSchema.optional(),
   workloads: z.array(workloadSchema).min(1),
 });
 
@@ -199,6 +212,7 @@
 export type RankConfig = z.infer<typeof rankSchema>;
 export type ModelConfig = z.infer<typeof modelSchema>;
 export type WorkloadConfig = z.infer<typeof workloadSchema>;
+export type QuotaConfig = z.infer<typeof quotaSchema>;
 export type WorkspaceConfig = z.infer<typeof workspaceSchema>;
 export type LinkConfig = z.infer<typeof linkSchema>;
 export type PolicyConfig = z.infer<typeof policySchema>;
--- a/src/node/config/generate_workspaces.ts
+++ b/src/node/config/generate_workspaces.ts
@@ -1,6 +1,15 @@
 /** Workspaces and workloads of the generated configuration. */
-import type {Answers, WorkloadAnswer, WorkspaceAnswer} from './answers.js';
-import type {WorkloadConfig, WorkspaceConfig} from './configuration.js';
+import type {
+  Answers,
+  QuotaAnswer,
+  WorkloadAnswer,
+  WorkspaceAnswer,
+} from './answers.js';
+import type {
+  QuotaConfig,
+  WorkloadConfig,
+  WorkspaceConfig,
+} from './configuration.js';
 import type {RankId} from '../types/ids.js';
 import {rendezvousChoice} from './rendezvous.js';
 import {
@@ -50,6 +59,9 @@
       `${source}.fairWeight`,
       derived(DEFAULT_FAIR_WEIGHT, source, 'no answer: the default weight'),
     ),
+    ...(workspace.quota === undefined
+      ? {}
+      : {quota: traceQuota(workspace.quota, `${source}.quota`)}),
     workloads: workspace.workloads.map((workload, index) =>
       traceWorkload(
         answers,
@@ -61,6 +73,22 @@
   };
 }
 
+function traceQuota(
+  {unit, ratePerS, burst, plainTokens}: QuotaAnswer,
+  source: string,
+): Traced<QuotaConfig> {
+  return {
+    unit: copied(unit, `${source}.unit`),
+    ratePerS: copied(ratePerS, `${source}.ratePerS`),
+    burst: copied(burst, `${source}.burst`),
+    plainTokens: copiedOr(
+      plainTokens,
+      `${source}.plainTokens`,
+      derived(0, source, 'no answer: a quota of requests counts no tokens'),
+    ),
+  };
+}
+
 function traceWorkload(
   answers: Answers,
   workload: WorkloadAnswer,
--- a/src/node/config/workspace_edits.ts
+++ b/src/node/config/workspace_edits.ts
@@ -4,6 +4,7 @@
 import {
   answersSchema,
   type Answers,
+  type QuotaAnswer,
   type WorkloadAnswer,
   type WorkspaceAnswer,
 } from './answers.js';
@@ -17,6 +18,8 @@
   /** `none` leaves the ranks to the workloads. */
   readonly rank?: RankId | 'none';
   readonly fairWeight?: number;
+  /** The parts of the quota that change; `none` ends it. */
+  readonly quota?: Partial<QuotaAnswer> | 'none';
 }
 
 /** Answers after a change, or why it is none. */
@@ -119,19 +122,32 @@
 
 function withTraits(
   workspace: WorkspaceAnswer,
-  {home, residency, rank, fairWeight}: WorkspaceTraits,
+  {home, residency, rank, fairWeight, quota}: WorkspaceTraits,
 ): WorkspaceAnswer {
-  const {rank: before, ...others} = workspace;
+  const {rank: before, quota: quotaBefore, ...others} = workspace;
   const itsRank = rank ?? before;
+  const itsQuota =
+    quota === 'none' ? undefined : changedQuota(quotaBefore, quota);
   return {
     ...others,
     ...(home === undefined ? {} : {home}),
     ...(residency === undefined ? {} : {residency: [...residency]}),
     ...(itsRank === undefined || itsRank === 'none' ? {} : {rank: itsRank}),
     ...(fairWeight === undefined ? {} : {fairWeight}),
+    ...(itsQuota === undefined ? {} : {quota: itsQuota}),
   };
 }
 
+/** A quota may lack parts until it is checked together with the other answers. */
+function changedQuota(
+  before: QuotaAnswer | undefined,
+  change: Partial<QuotaAnswer> | undefined,
+): QuotaAnswer | undefined {
+  return change === undefined
+    ? before
+    : ({...before, ...change} as QuotaAnswer);
+}
+
 /** A change of valid answers may make them invalid, as by an unknown region. */
 function checked(answers: Answers): EditedAnswers {
   const parsed = answersSchema.safeParse(answers);
--- a/src/node/control/change_summary.ts
+++ b/src/node/control/change_summary.ts
@@ -5,6 +5,8 @@
 /** Bounds of an audit entry, which stays in the state of the group. */
 const MAX_CHANGES = 12;
 const MAX_VALUE_CHARACTERS = 40;
+/** Items that are larger are named by their path only. */
+const MAX_ITEM_CHARACTERS = 100;
 /** So much of a digest tells keys apart; `workspace show --keys` has it whole. */
 const DIGEST_CHARACTERS = 12;
 const DIGEST_PATTERN = /\b[0-9a-f]{64}\b/g;
@@ -22,7 +24,7 @@
 
 function describe({path, kind, before, after}: Change): string {
   if (kind === 'added') return `+ ${path}${valueOf(after)}`;
-  if (kind === 'removed') return `- ${path}`;
+  if (kind === 'removed') return `- ${path}${valueOf(before)}`;
   if (!isTextList(before) || !isTextList(after)) {
     return `~ ${path}: ${shorten(before)} -> ${shorten(after)}`;
   }
@@ -35,9 +37,11 @@
   return `~ ${path}: ${items.slice(0, MAX_CHANGES).join(' ')}`;
 }
 
-/** Items that are added whole are named by their path only. */
+/** The value of an item that is added or removed whole. */
 function valueOf(value: unknown): string {
-  return typeof value === 'object' ? '' : ` = ${shorten(value)}`;
+  if (typeof value !== 'object') return ` = ${shorten(value)}`;
+  const text = withoutDigests(JSON.stringify(value));
+  return text.length > MAX_ITEM_CHARACTERS ? '' : ` = ${text}`;
 }
 
 function isTextList(value: unknown): value is readonly string[] {
@@ -46,7 +50,11 @@
 
 function shorten(value: unknown): string {
   const text = typeof value === 'string' ? value : JSON.stringify(value);
-  return text
-    .replace(DIGEST_PATTERN, digest => digest.slice(0, DIGEST_CHARACTERS))
-    .slice(0, MAX_VALUE_CHARACTERS);
+  return withoutDigests(text).slice(0, MAX_VALUE_CHARACTERS);
+}
+
+function withoutDigests(text: string): string {
+  return text.replace(DIGEST_PATTERN, digest =>
+    digest.slice(0, DIGEST_CHARACTERS),
+  );
 }
--- a/src/node/control/configuration_machine.ts
+++ b/src/node/control/configuration_machine.ts
@@ -123,6 +123,11 @@
     return {version: this.version(), answers, configuration};
   }
 
+  /** The configuration in force; `undefined` before version 1. */
+  configurationInForce(): Configuration | undefined {
+    return this.configuration;
+  }
+
   /** The configuration in force, packed for distribution. */
   packedConfiguration(): Packed | undefined {
     return this.state.configuration;
--- a/src/node/control/control_member.ts
+++ b/src/node/control/control_member.ts
@@ -19,6 +19,7 @@
 import {KEEP_ENTRIES, SNAPSHOT_EVERY_ENTRIES} from './constants.js';
 import {ControlService} from './control_service.js';
 import {measuresParamsSchema} from './methods.js';
+import {QuotaService} from './quota_service.js';
 
 const STORAGE_FOLDER = 'control';
 const METHOD_PREFIX = 'control.raft';
@@ -48,6 +49,7 @@
   private member: GroupMember<ControlCommand, ControlResult> | undefined;
   private readonly abortController = new AbortController();
   private service: ControlService | undefined;
+  private quotas: QuotaService | undefined;
 
   constructor(private readonly options: ControlMemberOptions) {
     const {settings} = options;
@@ -110,6 +112,7 @@
   /** Transfers leadership, then closes the log and the listener. */
   async stop(): Promise<void> {
     this.service?.stop();
+    this.quotas?.stop();
     this.abortController.abort();
     await this.member?.stop();
     await this.client.close();
@@ -121,6 +124,7 @@
   abort(): void {
     this.abortController.abort();
     this.service?.stop();
+    this.quotas?.stop();
     this.member?.abort();
   }
 
@@ -129,6 +133,8 @@
   ) {
     const {settings} = this.options;
     const {initialOperator} = settings;
+    const {machine, router} = this;
+    this.quotas = new QuotaService({log, machine, router});
     this.service = new ControlService({
       instanceId: settings.instanceId,
       selfAddress: settings.listenAddress,
--- a/src/node/entry/entry_core.ts
+++ b/src/node/entry/entry_core.ts
@@ -22,7 +22,9 @@
 import type {EntryStatus} from '../operator/entry_methods.js';
 import type {ReplicaStatus} from '../replication/replicated_log.js';
 import {OrderIssuer} from '../orders/order_issuer.js';
+import {QuotaGate} from '../quotas/quota_gate.js';
 import {RpcRouter} from '../rpc/rpc.js';
+import {specOf} from '../workspaces/configured_workspace.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {closeEntryAdapters, type EntryAdapters} from './entry_adapters.js';
 import type {EntryIdentity} from './fleet_state.js';
@@ -30,6 +32,8 @@
 import {InFlightRequests} from './in_flight.js';
 import {registerOperatorMethods} from './operator_methods.js';
 import {orderLeaseName, PlacementLoop} from './placement_loop.js';
+import {QuotaAdmission} from './quota_admission.js';
+import {QuotaLink} from './quota_link.js';
 import {RecordGroup} from './record_group.js';
 import {Serving} from './serving.js';
 import {UpstreamOrderSink} from './upstream_order_sink.js';
@@ -68,6 +72,8 @@
   private readonly records: RecordGroup;
   private readonly placement: PlacementLoop;
   private readonly follower: ConfigurationFollower;
+  private readonly quotas: QuotaGate;
+  private readonly quotaLink: QuotaLink;
   private isLeaving = false;
   private isClosed = false;
 
@@ -102,9 +108,18 @@
       membership: this.membership.view,
       random: options.random ?? Math.random,
     });
+    this.quotas = this.createQuotas();
+    this.quotaLink = new QuotaLink({
+      identity: this.identity,
+      incarnation: this.incarnation,
+      client,
+      gate: this.quotas,
+      configuration: () => this.holder.current()?.configuration,
+    });
     this.gateway = new Gateway({
       models: this.serving.models,
       services: this.serving.services,
+      quotas: new QuotaAdmission(this.quotas),
       membership: this.membership.view,
       metrics: this.metrics,
       inFlight: this.inFlight,
@@ -122,6 +137,7 @@
   async start(): Promise<void> {
     this.holder.subscribe(versioned => this.applyConfiguration(versioned));
     await this.follower.start();
+    this.quotaLink.start();
   }
 
   /** Version of the active configuration; 0 until one is loaded. */
@@ -166,6 +182,7 @@
   async stop(): Promise<void> {
     this.isClosed = true;
     this.follower.stop();
+    this.stopQuotas();
     this.placement.stop();
     await this.records.stop();
     await this.membership.stop();
@@ -178,6 +195,7 @@
   abort(): void {
     this.isClosed = true;
     this.follower.stop();
+    this.stopQuotas();
     this.placement.stop();
     this.records.abort();
     this.serving.stop();
@@ -204,6 +222,20 @@
     });
   }
 
+  private createQuotas(): QuotaGate {
+    return new QuotaGate({
+      entries: () => this.holder.current()?.configuration.instances.length,
+      announceNow: control => this.quotaLink.askNow(control),
+      logger: this.options.logger,
+      metrics: this.metrics,
+    });
+  }
+
+  private stopQuotas(): void {
+    this.quotaLink.stop();
+    this.quotas.stop();
+  }
+
   private createRecords(): RecordGroup {
     const {adapters, logger} = this.options;
     return new RecordGroup({
@@ -288,6 +320,7 @@
   private applyConfiguration(versioned: VersionedConfiguration): void {
     const {logger} = this.options;
     this.serving.configure(versioned.configuration);
+    this.quotas.applyWorkspaces(versioned.configuration.workspaces.map(specOf));
     publishMemberState(this.membership, {configVersion: versioned.version});
     this.metrics.set('config_version', {}, versioned.version);
     logger.info({version: versioned.version}, 'configuration applied');
--- a/src/node/entry/gateway.ts
+++ b/src/node/entry/gateway.ts
@@ -27,6 +27,7 @@
 import {envelopeSchema, type ForwardEnvelope} from './forwarding.js';
 import type {InFlightRequests} from './in_flight.js';
 import type {ModelDispatcher} from './model_dispatcher.js';
+import type {QuotaAdmission} from './quota_admission.js';
 import {
   classifyModelRequest,
   classifyServiceRequest,
@@ -41,6 +42,7 @@
 export interface GatewayParts {
   readonly models: ModelDispatcher;
   readonly services: ServiceDispatcher;
+  readonly quotas: QuotaAdmission;
   readonly membership: MembershipView;
   readonly metrics: MetricsRegistry;
   readonly inFlight: InFlightRequests;
@@ -72,7 +74,9 @@
     response: ServerResponse,
     signal: AbortSignal,
   ): Promise<void> {
-    return this.parts.models.run(request, response, signal);
+    return this.parts.quotas.runModel(request, () =>
+      this.parts.models.run(request, response, signal),
+    );
   }
 
   override runService(
@@ -80,7 +84,9 @@
     response: ServerResponse,
     signal: AbortSignal,
   ): Promise<void> {
-    return this.parts.services.run(request, response, signal);
+    return this.parts.quotas.runService(request, () =>
+      this.parts.services.run(request, response, signal),
+    );
   }
 
   override listEntries(workspace: WorkspaceConfig, callerKey: string): unknown {
--- a/src/node/operator/__tests__/workspaces.spec.ts
+++ b/src/node/operator/__tests__/workspaces.spec.ts
@@ -59,10 +59,21 @@
       4,
     ),
     ranksBack: await change(['set', 'salon', '--rank', 'none'], 5),
+    limited: await change(
+      ['set', 'salon', '--quota-unit', 'requests'].concat([
+        '--rate',
+        '50',
+        '--burst',
+        '100',
+      ]),
+      6,
+    ),
+    raised: await change(['set', 'salon', '--rate', '62.5'], 7),
     shown: await run('workspace', 'show', 'salon'),
     withKeys: await run('workspace', 'show', 'salon', '--keys'),
     asJson: await run('workspace', 'show', 'salon', '--json'),
-    audit: await run('audit', '--limit', '5'),
+    unlimited: await change(['set', 'salon', '--rate', 'none'], 8),
+    audit: await run('audit', '--limit', '8'),
   };
   matchSnapshot(import.meta.url, 'workspace changes', results);
   assert.deepEqual(workspace('salon')?.keyDigests, ['1'.repeat(64)]);
@@ -111,6 +122,11 @@
     ['set', 'feria-sur', '--rank', 'immediate'],
     ['set', 'feria-sur', '--residency', 'centro,pampa'],
     ['set', 'feria-sur', '--fair-weight', '0'],
+    ['set', 'feria-sur', '--rate', '5'],
+    ['set', 'feria-sur', '--quota-unit', 'tokens', '--rate', '5'].concat([
+      '--burst',
+      '0',
+    ]),
     ['create', 'feria-sur', '--workloads-of', 'plaza-retratos', ...key],
     ['create', 'salon', '--workloads-of', 'nobody', ...key],
     ['remove-key', 'feria-sur', ...key],
@@ -123,6 +139,21 @@
   assert.equal(group.logs[0]?.machine.version(), 1);
 });
 
+// Guards against a quota that is ended and changed by one command.
+test('flags of a quota that make no sense are wrong usage', async t => {
+  const {change} = await createDeployment(t);
+  const runs = [
+    await change(['set', 'feria-sur', '--rate', 'none', '--burst', '1'], 1),
+    await change(['set', 'feria-sur', '--rate', 'much'], 1),
+    await change(['set', 'feria-sur'], 1),
+  ];
+  assert.deepEqual(
+    runs.map(({exitCode}) => exitCode),
+    [2, 2, 2],
+  );
+  assert.match(runs[0]?.err.join() ?? '', /--rate none ends the quota/);
+});
+
 // Guards against a key whose digest can be reversed by trying all keys.
 test('a key that could be guessed is wrong usage', async t => {
   const {change, keyFile} = await createDeployment(t);
--- a/src/node/operator/answers_template.ts
+++ b/src/node/operator/answers_template.ts
@@ -91,6 +91,11 @@
     # SHA-256 digests of the callers' keys: printf %s KEY | sha256sum
     callerKeyDigests:
       - aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+    # How much may they run, over all entries together? Unlimited without an answer.
+    # quota:
+    #   unit: requests # or tokens, with plainTokens for a call without tokens
+    #   ratePerS: 50
+    #   burst: 100
     workloads:
       - id: chat
         model: chat
--- a/src/node/operator/cli.ts
+++ b/src/node/operator/cli.ts
@@ -32,6 +32,7 @@
   'workloads-of',
   'key-file',
   'key-digest',
+  'quota-unit',
 ]);
 
 function nameOf(command: Command): string {
--- a/src/node/operator/workspace_commands.ts
+++ b/src/node/operator/workspace_commands.ts
@@ -1,20 +1,13 @@
 /** `cyclamenfall workspace ...`: customers, their keys, homes and ranks. */
-import type {Answers, WorkspaceAnswer} from '../config/answers.js';
+import type {Answers, QuotaAnswer, WorkspaceAnswer} from '../config/answers.js';
 import {
   addKey,
   addWorkspace,
   changeWorkspace,
   removeKey,
   type EditedAnswers,
-  type WorkspaceTraits,
 } from '../config/workspace_edits.js';
-import {
-  asId,
-  type ConfigVersion,
-  type RankId,
-  type RegionId,
-  type WorkspaceId,
-} from '../types/ids.js';
+import {asId, type ConfigVersion, type WorkspaceId} from '../types/ids.js';
 import {acceptAnswers, identifyChange} from './accept_answers.js';
 import {CHANGE_OPTIONS, changeFlags, waitIfAsked} from './change_options.js';
 import {KEY_OPTIONS, keyDigestOption} from './caller_keys.js';
@@ -28,35 +21,7 @@
 import {readAccepted} from './fleet_queries.js';
 import type {Session} from './session.js';
 import {formatTable} from './table.js';
-
-const TRAIT_OPTIONS = [
-  ['--home', 'Home region'],
-  ['--residency', 'Regions that may serve it, with commas between them'],
-  ['--rank', 'Rank of all its workloads; `none` leaves it to these'],
-  ['--fair-weight', 'Share among workspaces of the same rank'],
-] as const;
-
-function traitsOf(options: ParsedOptions): WorkspaceTraits {
-  const home = textOption(options, 'home');
-  const residency = textOption(options, 'residency');
-  const rank = textOption(options, 'rank');
-  const fairWeight = options['fair-weight'];
-  if (fairWeight !== undefined && typeof fairWeight !== 'number') {
-    throw usageFailure('--fair-weight needs a number');
-  }
-  return {
-    ...(home === undefined ? {} : {home: asId<RegionId>(home)}),
-    ...(residency === undefined
-      ? {}
-      : {
-          residency: residency
-            .split(',')
-            .map(each => asId<RegionId>(each.trim())),
-        }),
-    ...(rank === undefined ? {} : {rank: asId<RankId>(rank)}),
-    ...(fairWeight === undefined ? {} : {fairWeight}),
-  };
-}
+import {TRAIT_OPTIONS, traitsOf} from './workspace_options.js';
 
 /** The answers that a change starts from; a resend names an earlier version. */
 async function answersAt(
@@ -117,15 +82,18 @@
       shown.map(each => summaryOf(each, showsKeys)),
       [
         ...formatTable(
-          ['workspace', 'home', 'residency', 'rank', 'weight', 'keys'].concat(
+          ['workspace', 'home', 'residency', 'rank', 'weight'].concat([
+            'quota',
+            'keys',
             'workloads',
-          ),
+          ]),
           shown.map(each => [
             each.id,
             each.home,
             each.residency.join(', '),
             each.rank,
             each.fairWeight,
+            quotaText(each.quota),
             each.callerKeyDigests.length,
             each.workloads.map(({id, rank}) => `${id} (${rank})`).join(', '),
           ]),
@@ -136,6 +104,14 @@
   },
 };
 
+function quotaText(quota: QuotaAnswer | undefined): string | undefined {
+  if (quota === undefined) return undefined;
+  const {unit, ratePerS, burst, plainTokens} = quota;
+  const plain =
+    plainTokens === undefined ? '' : `, ${plainTokens} without tokens`;
+  return `${ratePerS} ${unit}/s, burst ${burst}${plain}`;
+}
+
 function summaryOf(
   {callerKeyDigests, ...others}: WorkspaceAnswer,
   showsKeys: boolean,
@@ -180,9 +156,12 @@
 
 const set: Command = {
   usage: 'workspace set [workspace]',
-  description: 'Change homes, rank or weight of a workspace',
+  description: 'Change homes, rank, weight or quota of a workspace',
   options: [...TRAIT_OPTIONS, ...CHANGE_OPTIONS],
-  examples: ['workspace set reports --rank urgent --base-version 4 --wait'],
+  examples: [
+    'workspace set reports --rank urgent --base-version 4 --wait',
+    'workspace set reports --quota-unit requests --rate 50 --burst 100',
+  ],
   run: (session, [argument], options) => {
     const name = nameOf(argument);
     const traits = traitsOf(options);
