Say of a refused key what the entry saw

An entry that skipped versions cannot tell which one took a key away, only that the table it had before held it; the explanation now says so.

--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -201,7 +201,7 @@
   return [
     former === undefined
       ? `key unknown since version ${version} or earlier, the first that ${rejection.instance} knows of`
-      : `key unknown since version ${version}, which took it away from workspace ${former}`,
+      : `key unknown since version ${version}; the table that ${rejection.instance} had before held it for workspace ${former}`,
   ];
 }
 
