--- a/src/node/control/configuration_machine.ts
+++ b/src/node/control/configuration_machine.ts
@@ -123,6 +123,11 @@
     return {version: this.version(), answers, configuration};
   }
 
+  /** The configuration in force; `undefined` before version 1. */
+  configurationInForce(): Configuration | undefined {
+    return this.configuration;
+  }
+
   /** The configuration in force, packed for distribution. */
   packedConfiguration(): Packed | undefined {
     return this.state.configuration;
@@ -205,7 +210,7 @@
 
   private accept(command: AcceptCommand): ControlResult {
     const {answers, configuration, atMs, operator, operationId} = command;
-    const {baseVersion} = command;
+    const {baseVersion, changes = ''} = command;
     const version = asNumber<ConfigVersion>(baseVersion + 1);
     const entry = {version, baseVersion, operationId, operator, atMs};
     const {state} = this;
@@ -224,7 +229,7 @@
     this.record(command, 'accept', {
       version,
       result: 'accepted',
-      detail: `version ${version}`,
+      detail: `version ${version}${changes === '' ? '' : `: ${changes}`}`,
     });
     return {status: 'accepted', version, atMs};
   }
--- a/src/node/ingress/ingress_server.ts
+++ b/src/node/ingress/ingress_server.ts
@@ -44,6 +44,11 @@
 } from './request_rules.js';
 import type {PlannedStop} from './planned_stop.js';
 import {QuotaAdmission} from './quota_admission.js';
+import {
+  callerFigures,
+  relayFigures,
+  type RejectionFigures,
+} from './rejection_figures.js';
 import type {RequestRunContext} from './request_context.js';
 import {RequestRun} from './request_run.js';
 import {withService} from './service_choice.js';
@@ -164,16 +169,23 @@
     const {protocol, region, log} = this.options.context;
     const matcher = this.options.matcher();
     const version = matcher?.table.version ?? 0;
-    const refuse = (reason: RejectionReason, retryAfterMs: number): void => {
+    const refuse = (
+      reason: RejectionReason,
+      retryAfterMs: number,
+      figures?: RejectionFigures,
+    ): void => {
       const status = sendRefusal(callerResponse, retryAfterMs, 'unsent');
       const requestId = asId<RequestId>(metadata.requestId);
-      log.rejected(requestId, reason, status, version);
+      log.rejected(requestId, reason, status, version, figures);
     };
     if (matcher === undefined) {
       return refuse('no_route_table', this.startupRetryMs());
     }
     const rules = rulesForRelayed(matcher, metadata, region);
-    if (rules.isErr()) return refuse(rules.error, this.startupRetryMs());
+    if (rules.isErr()) {
+      const figures = relayFigures(rules.error, matcher, metadata, region);
+      return refuse(rules.error, this.startupRetryMs(), figures);
+    }
     if (callerResponse.holding?.resize('body', bytes.length) === false) {
       return refuse('no_memory', MEMORY_RETRY_MS);
     }
@@ -234,16 +246,8 @@
     }
     const matcher = currentMatcher();
     const version = matcher?.table.version ?? 0;
-    const onRejected: OnRejected = (reason, status, figures) => {
-      const requestId = this.requestIdOf(request);
-      this.options.context.log.rejected(
-        requestId,
-        reason,
-        status,
-        version,
-        figures,
-      );
-    };
+    const onRejected: OnRejected = (reason, status, figures) =>
+      this.logRejection(request, reason, status, version, figures);
     if (matcher === undefined) {
       onRejected(
         'no_route_table',
@@ -291,11 +295,13 @@
       onRejected('headers_too_large', sendRejection(callerResponse, 431));
       return undefined;
     }
-    const {headers, url: path = '/'} = request;
+    const head = {headers: request.headers, path: request.url ?? '/'};
     const {protocol} = this.options.context;
-    const found = rulesForCaller(matcher, {headers, path}, protocol);
+    const found = rulesForCaller(matcher, head, protocol);
     if (found.isErr()) {
-      onRejected(found.error, sendWithoutRules(callerResponse, found.error));
+      const figures = callerFigures(found.error, matcher, head, protocol);
+      const status = sendWithoutRules(callerResponse, found.error);
+      onRejected(found.error, status, figures);
       return undefined;
     }
     const rules = found.value;
@@ -343,6 +349,18 @@
     return Math.max(MIN_STARTUP_RETRY_MS, EXPECTED_STARTUP_MS - uptimeMs);
   }
 
+  private logRejection(
+    request: IncomingMessage,
+    reason: RejectionReason,
+    status: number,
+    tableVersion: number,
+    figures?: RejectionFigures,
+  ): void {
+    const {log} = this.options.context;
+    const requestId = this.requestIdOf(request);
+    log.rejected(requestId, reason, status, tableVersion, figures);
+  }
+
   private requestIdOf({headers}: IncomingMessage): RequestId {
     const {protocol} = this.options.context;
     return createRequestId(protocol.requestTraits(headers).attemptId);
