--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -4,7 +4,6 @@
  * a newer one.
  */
 import {monotonicNowMs} from '../clock/clock.js';
-import type {LoadShedding} from '../decisions/admission/load_shedding.js';
 import type {Logger} from '../logging/logger.js';
 import {instantNow, type Instant} from '../quotas/instant.js';
 import type {QuotaReply, QuotaReport} from '../quotas/messages.js';
@@ -50,7 +49,6 @@
   /** Called if a control member has a higher incarnation of this entry. */
   readonly onStaleIncarnation: (heldIncarnation: number) => void;
   readonly quotas?: QuotaExchange;
-  readonly shedding?: Pick<LoadShedding, 'admittedShare'>;
 }
 
 /** The link of one entry to all control members. */
@@ -161,10 +159,8 @@
   }
 
   private announcementTo(control: InstanceId): Announcement {
-    const {members, currentState, quotas, shedding} = this.options;
-    const admittedShare = shedding?.admittedShare ?? 1;
+    const {members, currentState, quotas} = this.options;
     return {
-      ...(admittedShare < 1 ? {admittedShare} : {}),
       entry: members.self(),
       revision: currentState().revision,
       viewId: members.viewIdOf(control),
--- a/src/node/fleet/instance_registry.ts
+++ b/src/node/fleet/instance_registry.ts
@@ -1,11 +1,7 @@
 /** The live entries that have announced themselves to one control member. */
 import type {DomainId, InstanceId, RegionId} from '../types/ids.js';
 import {ENTRY_EXPIRY_MS} from './constants.js';
-import {
-  helpingEntries,
-  steeredEntries,
-  type LoadedEntry,
-} from './caller_steering.js';
+import {namedEntries} from './entry_capacity.js';
 import {preferConnected} from './fleet_members.js';
 import type {
   Announcement,
@@ -32,8 +28,6 @@
 interface AnnouncedEntry {
   readonly entry: EntryInstance;
   readonly atMs: number;
-  /** Share of the requests of its callers that it admits. */
-  readonly admittedShare: number;
 }
 
 /** Location of a caller, as stated in its request for addresses. */
@@ -70,10 +64,10 @@
   }
 
   /** Records an announcement; ignores one from an earlier incarnation. */
-  record(entry: EntryInstance, nowMs: number, admittedShare = 1): void {
+  record(entry: EntryInstance, nowMs: number): void {
     const known = this.announced.get(entry.instanceId);
     if (this.incarnationOf(entry.instanceId) > entry.incarnation) return;
-    this.announced.set(entry.instanceId, {entry, atMs: nowMs, admittedShare});
+    this.announced.set(entry.instanceId, {entry, atMs: nowMs});
     if (known !== undefined && isSameEntry(known.entry, entry)) return;
     this.recordChange(known === undefined ? 'joined' : 'changed', entry, 0);
   }
@@ -136,9 +130,7 @@
    * received elsewhere. If these have none either, entries of its own region that
    * stop or start: a planned restart of all of them must not lead bound requests
    * to a third region. Entries of all regions if none of these is known. Among
-   * entries of different capacity, the larger ones are named more often, and busy ones
-   * less often. While entries of its own region refuse requests, a caller is also given
-   * entries of other regions, for bound requests only of their homes.
+   * entries of different capacity, the larger ones are named more often.
    */
   addressesFor(
     place: CallerLocation,
@@ -149,34 +141,18 @@
     const ready = known.filter(entry => entry.isReady && !entry.isStopping);
     const isInRegion = ({region}: EntryInstance): boolean =>
       region === place.region;
-    const own = preferred(ready.filter(isInRegion));
     const choices = [
-      own,
+      preferNonSchedulers(preferMostlyConnected(ready.filter(isInRegion))),
       ready.filter(entry => homeRegions?.includes(entry.region)),
       homeRegions === undefined ? [] : known.filter(isInRegion),
       ready,
     ];
     const chosen = choices.find(entries => entries.length > 0) ?? [];
-    const mayHelp = ({region}: EntryInstance): boolean =>
-      region !== place.region &&
-      (homeRegions === undefined || homeRegions.includes(region));
-    const helping = helpingEntries(
-      this.withLoad(own),
-      this.withLoad(preferred(ready.filter(mayHelp))),
-      this.random,
-    );
-    return [...steeredEntries(this.withLoad(chosen), this.random), ...helping]
+    return namedEntries(chosen, this.random)
       .map(entry => entry.callersAddress)
       .slice(0, limit);
   }
 
-  private withLoad(entries: readonly EntryInstance[]): readonly LoadedEntry[] {
-    return entries.map(entry => ({
-      entry,
-      admittedShare: this.announced.get(entry.instanceId)?.admittedShare ?? 1,
-    }));
-  }
-
   private recordChange(
     kind: RegistryChange['kind'],
     entry: EntryInstance,
@@ -188,12 +164,6 @@
   }
 }
 
-function preferred(
-  entries: readonly EntryInstance[],
-): readonly EntryInstance[] {
-  return preferNonSchedulers(preferMostlyConnected(entries));
-}
-
 function preferNonSchedulers(
   entries: readonly EntryInstance[],
 ): readonly EntryInstance[] {
--- a/src/node/fleet/messages.ts
+++ b/src/node/fleet/messages.ts
@@ -64,8 +64,6 @@
   readonly acceptsChanges?: boolean | undefined;
   /** Sent to the leader of the control group only. */
   readonly quotas?: QuotaReport | undefined;
-  /** Share of the requests of callers that a busy entry admits; left out if all. */
-  readonly admittedShare?: number | undefined;
 }
 
 export const announcementSchema: z.ZodType<Announcement> = z.object({
@@ -74,7 +72,6 @@
   viewId: z.string(),
   acceptsChanges: z.boolean().optional(),
   quotas: quotaReportSchema.optional(),
-  admittedShare: z.number().min(0).max(1).optional(),
 });
 
 /** All live entries and control members, as one control member sees them. */
--- a/src/node/ingress/ingress_entry.ts
+++ b/src/node/ingress/ingress_entry.ts
@@ -134,7 +134,6 @@
       onState: state => this.applyState(state),
       onStaleIncarnation: held => this.raiseIncarnation(held),
       quotas: this.quotas,
-      shedding: this.shedding,
     });
     this.origins = createOrigins(settings, {
       members: this.members,
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -346,8 +346,8 @@
   }
 
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
-    const {entry, admittedShare} = announcement;
-    this.registry.record(entry, monotonicNowMs(), admittedShare);
+    const {entry} = announcement;
+    this.registry.record(entry, monotonicNowMs());
     const quotas = this.quotas.answer(entry, announcement.quotas, instantNow());
     return {
       revision: this.stateForEntries.revision,
