Let the first response that arrives become whole, keep room for short parts

Callers saw: beside ten callers who do not read 4.1 MB each, at an entry of 40 MB, a call that reads took 15.7 s and was close to its time limit of 20 s.

Cause: responses that are read whole grow in turn. Parts of several filled the bound, none could become whole, and as nothing was due from any caller none was slow: all waited for the time limits of the others.

Now the response that began first may use the room that it may still need, and others leave it to it. Parts up to 16 KiB may use the last quarter of the bound, so that large parts no longer make an entry refuse ordinary requests. What a failed try had read is no longer counted while the next one runs.

Without network, ten responses of 4 MiB in turn within 10 MiB: 0 became whole before, 10 now. The call above still takes 15.9 s, now in rounds of 3 s, each of which ends slow readers; that is another cause.

--- a/src/node/http/held_bytes.ts
+++ b/src/node/http/held_bytes.ts
@@ -12,6 +12,14 @@
 /** What is held: the request's body, a copy of it for another entry, the response. */
 export type HeldPart = 'body' | 'copy' | 'response';
 
+/** A larger response is not read whole. */
+export const MAX_WHOLE_RESPONSE_BYTES = 4 * 1_048_576;
+/** Ordinary requests have shorter parts, and must not be refused for large ones. */
+const SHORT_PART_BYTES = 16_384;
+const LARGE_PART_SHARE = 0.75;
+/** For the response that is read first. */
+const FIRST_RESPONSE_SHARE = 0.875;
+
 /** The two sides of one request, as the bound needs to see them. */
 export interface HeldPeer {
   /** Bytes of a response that wait for the peer to read them. */
@@ -47,7 +55,7 @@
 
   /** Bytes of the parts, or of the stream that waits for its reader. */
   get bytes(): number {
-    const isStreaming = (this.parts.get('response') ?? 0) === 0;
+    const isStreaming = this.sizeOf('response') === 0;
     return this.partBytes + (isStreaming ? this.peer.unreadBytes : 0);
   }
 
@@ -58,16 +66,28 @@
   /** Sets the size of a part; false, and unchanged, if the bound has no room. */
   resize(part: HeldPart, sizeBytes: number): boolean {
     if (this.isClosed) return false;
-    const addedBytes = sizeBytes - (this.parts.get(part) ?? 0);
-    if (addedBytes > 0 && !this.held.makeRoom(addedBytes, this)) return false;
+    const addedBytes = sizeBytes - this.sizeOf(part);
+    const request = {part, sizeBytes, addedBytes, asking: this};
+    if (addedBytes > 0 && !this.held.makeRoom(request)) return false;
     this.parts.set(part, sizeBytes);
     this.held.add(addedBytes);
+    if (part === 'response') this.held.noteArriving(this, sizeBytes > 0);
     return true;
   }
 
-  /** Whether a part of this size could be added now. */
+  /** Whether a body of this size could be added now. */
   hasRoomFor(bytes: number): boolean {
-    return !this.isClosed && this.held.makeRoom(bytes, this);
+    const request = {sizeBytes: bytes, addedBytes: bytes, asking: this};
+    return !this.isClosed && this.held.makeRoom({part: 'body', ...request});
+  }
+
+  /** The response has been read whole, or is given up. */
+  endResponse(): void {
+    this.held.noteArriving(this, false);
+  }
+
+  sizeOf(part: HeldPart): number {
+    return this.parts.get(part) ?? 0;
   }
 
   /**
@@ -145,9 +165,19 @@
   readonly onLetGo?: (view: PeerView<unknown>) => void;
 }
 
+/** A part that begins or grows. */
+interface RoomRequest {
+  readonly part: HeldPart;
+  readonly sizeBytes: number;
+  readonly addedBytes: number;
+  readonly asking: Holding;
+}
+
 /** The bytes held for all requests of one process. */
 export class HeldBytes {
   private readonly holdings = new Set<Holding>();
+  /** Whose responses are being read whole, in the order in which these began. */
+  private readonly arriving = new Set<Holding>();
   /** Sources that are not read until there is room for what they send. */
   private readonly waiting = new Set<() => boolean>();
   private isWaking = false;
@@ -169,12 +199,18 @@
     return holding;
   }
 
-  /** Whether `bytes` fit, after slow peers were let go if they have to be. */
-  makeRoom(bytes: number, asking?: Holding): boolean {
-    const excessBytes = this.totalBytes + bytes - this.options.maxBytes;
-    if (excessBytes <= 0) return true;
-    this.letGoSlow(excessBytes, asking);
-    return this.totalBytes + bytes <= this.options.maxBytes;
+  /** Whether a part fits, after slow peers were let go if they have to be. */
+  makeRoom(request: RoomRequest): boolean {
+    const roomBytes = this.roomFor(request) - request.addedBytes;
+    if (this.totalBytes <= roomBytes) return true;
+    this.letGoSlow(this.totalBytes - roomBytes, request.asking);
+    return this.totalBytes <= roomBytes;
+  }
+
+  /** A response begins or ends to arrive. */
+  noteArriving(holding: Holding, isArriving: boolean): void {
+    if (isArriving) this.arriving.add(holding);
+    else if (this.arriving.delete(holding)) this.wakeSoon();
   }
 
   add(bytes: number): void {
@@ -189,6 +225,7 @@
 
   remove(holding: Holding, bytes: number): void {
     if (!this.holdings.delete(holding)) return;
+    this.arriving.delete(holding);
     this.partBytes -= bytes;
     this.wakeSoon();
     if (this.holdings.size > 0) return;
@@ -210,6 +247,22 @@
     this.wake();
   }
 
+  /** The sum up to which a part may take bytes. */
+  private roomFor({part, sizeBytes, asking}: RoomRequest): number {
+    const {maxBytes} = this.options;
+    if (sizeBytes <= SHORT_PART_BYTES) return maxBytes;
+    const [first] = this.arriving;
+    const isFirst = part === 'response' && first === asking;
+    if (isFirst) return maxBytes * FIRST_RESPONSE_SHARE;
+    // The first response can become whole: parts of several that fill the room would
+    // wait for each other.
+    const reservedBytes =
+      first === undefined
+        ? 0
+        : Math.max(0, MAX_WHOLE_RESPONSE_BYTES - first.sizeOf('response'));
+    return maxBytes * LARGE_PART_SHARE - reservedBytes;
+  }
+
   private wakeSoon(): void {
     if (this.waiting.size === 0 || this.isWaking) return;
     this.isWaking = true;
@@ -231,15 +284,15 @@
       .filter(each => each !== asking)
       .map(each => each.view(nowMs));
     const chosen = new Set(choosePeersToLetGo(views, excessBytes));
-    views
-      .filter(({id}) => chosen.has(id))
-      .forEach(view => {
-        const {id} = view;
-        const unreadBytes = Math.max(0, view.heldBytes - id.partBytes);
-        this.options.onLetGo?.(view);
-        id.letGo();
-        id.close();
-        this.unreadBytes = Math.max(0, this.unreadBytes - unreadBytes);
-      });
+    views.filter(({id}) => chosen.has(id)).forEach(view => this.letGo(view));
+  }
+
+  private letGo(view: PeerView<Holding>): void {
+    const {id} = view;
+    const unreadBytes = Math.max(0, view.heldBytes - id.partBytes);
+    this.options.onLetGo?.(view);
+    id.letGo();
+    id.close();
+    this.unreadBytes = Math.max(0, this.unreadBytes - unreadBytes);
   }
 }
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -91,6 +91,7 @@
     const mayRetry = !this.signal.aborted && this.tries.mayFollow(result);
     if (!mayRetry) return result;
     this.recorder.retrying(result);
+    this.response.holding?.resize('response', 0);
     return this.tryUntilFinal();
   }
 
@@ -306,6 +307,7 @@
 
   private interpret(end: ExchangeEnd, reader: ResponseReader): TryResult {
     reader.endWait();
+    this.response.holding?.endResponse();
     if (end.kind === 'aborted') return end;
     if (end.kind === 'not_sent') {
       this.tries.noteNotRun();
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -6,6 +6,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {monotonicNowMs} from '../clock/clock.js';
 import {ByteBuffer, PIECE_COST_BYTES} from '../http/byte_buffer.js';
+import {MAX_WHOLE_RESPONSE_BYTES} from '../http/held_bytes.js';
 import {isFramed} from '../http/response_end.js';
 import type {Completeness} from '../dispatch/response_end_check.js';
 import type {BegunStream} from '../scheduling/types.js';
@@ -72,7 +73,7 @@
 }
 
 /** A larger buffered response is aborted and its connection closed. */
-const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+const MAX_BUFFERED_BYTES = MAX_WHOLE_RESPONSE_BYTES;
 
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
