Begin a response early when there is no room to read it whole

Now a response with a marked end that finds no room is begun and relayed like a stream, within the same limit of 4 MiB. Nothing that is cut looks complete; no other try follows a response that was begun. A caller who is slow by the rule of slow_peers is let go if its early response keeps an upstream, as the upstream's slot is short, also while there is memory. Others keep their responses.

A caller that does not read made its upstream look stalled: the same request was run again at another one, also for streams.

Operators see begun_early and responses_begun_early.

--- a/src/node/http/__tests__/held_responses.spec.ts
+++ b/src/node/http/__tests__/held_responses.spec.ts
@@ -1,6 +1,7 @@
 /** Large responses that arrive side by side, within a bound for all of them. */
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
+import {setMonotonicSource} from '../../clock/clock.js';
 import {HeldBytes, type Holding} from '../held_bytes.js';
 
 const MIB = 1_048_576;
@@ -10,6 +11,7 @@
 const PIECES = RESPONSE_BYTES / PIECE_BYTES;
 const CROWD = 10;
 const SHORT_BODY_BYTES = 2_000;
+const STEP_MS = 100;
 
 /** A caller of whom nothing is due: no response has begun. */
 function open(held: HeldBytes): Holding {
@@ -59,3 +61,50 @@
     assert.ok(held.totalBytes <= BOUND_BYTES);
   }),
 );
+
+/** A reader that takes `bytesPerS` of what waits for it. */
+function reader(bytesPerS: number) {
+  const startedAtMs = Date.now();
+  const letGo = {count: 0};
+  const peer = {
+    unreadBytes: PIECE_BYTES,
+    get takenBytes(): number {
+      return ((Date.now() - startedAtMs) * bytesPerS) / 1_000;
+    },
+    letGo: () => {
+      letGo.count += 1;
+    },
+  };
+  return {peer, letGo};
+}
+
+/** The runtime's paused clock does not stop at each timer on its way. */
+function advance(t: TestContext, steps: number): void {
+  Array.from({length: steps}).forEach(() => t.mock.timers.tick(STEP_MS));
+}
+
+function pauseClock(t: TestContext): void {
+  t.mock.timers.enable({apis: ['setInterval', 'Date']});
+  const {restore} = setMonotonicSource(Date.now);
+  t.after(restore);
+}
+
+// The pattern: callers that read a byte a second of responses that were begun early.
+// Guards against their upstreams, which stay busy and unread until the requests time
+// out while sound callers wait for them.
+test('of responses that keep an upstream, those of slow readers end', t => {
+  pauseClock(t);
+  const held = new HeldBytes({maxBytes: BOUND_BYTES});
+  const slow = reader(1);
+  const sound = reader(60_000);
+  const patient = reader(1);
+  held.open(slow.peer).keepsUpstream = true;
+  held.open(sound.peer).keepsUpstream = true;
+  held.open(patient.peer);
+  advance(t, 29);
+  assert.equal(slow.letGo.count, 0);
+  advance(t, 10);
+  assert.equal(slow.letGo.count, 1);
+  assert.equal(sound.letGo.count, 0);
+  assert.equal(patient.letGo.count, 0);
+});
--- a/src/node/http/held_bytes.ts
+++ b/src/node/http/held_bytes.ts
@@ -5,6 +5,7 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import {
   choosePeersToLetGo,
+  isSlow,
   OBSERVATION_MS,
   type PeerView,
 } from './slow_peers.js';
@@ -37,6 +38,8 @@
 
 /** The bytes held for one request. */
 export class Holding {
+  /** Whether an upstream is kept busy until the peer has read what it sends. */
+  keepsUpstream = false;
   private readonly parts = new Map<HeldPart, number>();
   /** Rejects the body that is arriving; `undefined` if none is. */
   private abandonBody: (() => void) | undefined;
@@ -244,6 +247,7 @@
     );
     this.unreadBytes = heldBytes - this.partBytes;
     this.letGoSlow(heldBytes - this.options.maxBytes);
+    this.freeUpstreams(nowMs);
     this.wake();
   }
 
@@ -263,6 +267,14 @@
     return maxBytes * LARGE_PART_SHARE - reservedBytes;
   }
 
+  private freeUpstreams(nowMs: number): void {
+    [...this.holdings]
+      .filter(({keepsUpstream}) => keepsUpstream)
+      .map(each => each.view(nowMs))
+      .filter(isSlow)
+      .forEach(view => this.letGo(view));
+  }
+
   private wakeSoon(): void {
     if (this.waiting.size === 0 || this.isWaking) return;
     this.isWaking = true;
--- a/src/node/http/slow_peers.ts
+++ b/src/node/http/slow_peers.ts
@@ -25,6 +25,16 @@
  */
 export const SOUND_BYTES_PER_S = 16_384;
 
+/** Whether a peer was observed for long enough and moves next to nothing. */
+export function isSlow({
+  heldBytes,
+  observedMs,
+  bytesPerS,
+}: PeerView<unknown>): boolean {
+  const isObserved = heldBytes > 0 && observedMs >= OBSERVATION_MS;
+  return isObserved && bytesPerS < SOUND_BYTES_PER_S;
+}
+
 /**
  * The peers to let go so that `neededBytes` are free: the slowest first, and of
  * equally slow ones those that lose the least. None if all slow ones together would
@@ -35,9 +45,7 @@
   neededBytes: number,
 ): readonly Id[] {
   const slow = peers
-    .filter(each => each.heldBytes > 0)
-    .filter(each => each.observedMs >= OBSERVATION_MS)
-    .filter(each => each.bytesPerS < SOUND_BYTES_PER_S)
+    .filter(isSlow)
     .sort(
       (left, right) =>
         left.bytesPerS - right.bytesPerS || left.movedBytes - right.movedBytes,
--- a/src/node/ingress/__tests__/support/memory_run.ts
+++ b/src/node/ingress/__tests__/support/memory_run.ts
@@ -5,6 +5,7 @@
 import type {TestContext} from 'node:test';
 import type {Dispatcher} from 'undici';
 import {setMonotonicSource} from '../../../clock/clock.js';
+import {HeldBytes} from '../../../http/held_bytes.js';
 import type {
   Completeness,
   EndedResponse,
@@ -46,6 +47,10 @@
   readonly isRelayed?: boolean;
   /** Headers with which another entry refuses the request, if it is relayed. */
   readonly peerRefusal?: Readonly<Record<string, string>>;
+  /** Bounds what is held for the caller; responses then have chunks. */
+  readonly maxHeldBytes?: number;
+  /** Whether the caller reads what it is sent; default true. */
+  readonly isRead?: boolean;
   /** What is found out about a response that nothing marks as complete. */
   readonly completeness?: Readonly<Record<string, Completeness>>;
   /** Duration of the whole run. */
@@ -118,7 +123,12 @@
   const note = (line: string): number => lines.push(`${Date.now()} ${line}`);
   const abort = new AbortController();
   setTimeout(() => abort.abort(), TIMEOUT_MS);
-  const response = new CallerResponse(fakeResponse(note), () => false);
+  const {maxHeldBytes: maxBytes, isRead = true} = setup;
+  const response = new CallerResponse(
+    fakeResponse(note, isRead),
+    () => false,
+    maxBytes === undefined ? undefined : new HeldBytes({maxBytes}),
+  );
   const run = new RequestRun(
     contextOf(setup, note),
     requestOf(setup),
@@ -177,7 +187,13 @@
 }
 
 function contextOf(
-  {upstreams, decisions, completeness = {}, peerRefusal = {}}: RunSetup,
+  {
+    upstreams,
+    decisions,
+    completeness = {},
+    peerRefusal = {},
+    maxHeldBytes,
+  }: RunSetup,
   note: (line: string) => void,
 ): RequestRunContext {
   let asked = 0;
@@ -209,7 +225,12 @@
     },
     connections: {
       pool: (address: string) =>
-        fakePool(address, upstreams[address] ?? [], note),
+        fakePool(
+          address,
+          upstreams[address] ?? [],
+          note,
+          maxHeldBytes === undefined ? {} : {'transfer-encoding': 'chunked'},
+        ),
       retire: () => undefined,
     },
     retryShares: {
@@ -254,6 +275,7 @@
   name: string,
   pieces: readonly Piece[],
   note: (line: string) => void,
+  headers: Readonly<Record<string, string>>,
 ): Pick<ConnectionPool, 'take'> {
   const send = (handler: Dispatcher.DispatchHandler): void => {
     let isAborted = false;
@@ -274,13 +296,13 @@
           return;
         }
         if (text === REJECTED) {
-          const headers = {[NOT_EXECUTED_HEADER]: '1'};
-          handler.onResponseStart?.(controller, 503, headers, '');
+          const rejection = {[NOT_EXECUTED_HEADER]: '1'};
+          handler.onResponseStart?.(controller, 503, rejection, '');
           handler.onResponseEnd?.(controller, {});
           return;
         }
         if (position === 0) {
-          handler.onResponseStart?.(controller, 200, {}, 'OK');
+          handler.onResponseStart?.(controller, 200, headers, 'OK');
         }
         handler.onResponseData?.(controller, Buffer.from(text));
         const isLast = position === pieces.length - 1;
@@ -296,8 +318,12 @@
   };
 }
 
-function fakeResponse(note: (line: string) => void) {
+function fakeResponse(note: (line: string) => void, isRead: boolean) {
   return {
+    closed: false,
+    writableLength: 0,
+    socket: null,
+    once: () => undefined,
     req: {httpVersion: '1.1'},
     setHeader: () => undefined,
     appendHeader: (name: string, value: string) => {
@@ -307,7 +333,7 @@
     write: (bytes: Buffer) => {
       const ids = [...bytes.toString().matchAll(/id: (\d+)/g)];
       note(`caller gets ${ids.map(each => each[1]).join()}`);
-      return true;
+      return isRead;
     },
     end: () => note('caller has the whole response'),
     destroy: () => note('connection of the caller closed'),
--- a/src/node/ingress/caller_response.ts
+++ b/src/node/ingress/caller_response.ts
@@ -78,7 +78,10 @@
       this.response.setHeader('connection', 'close');
     }
     this.response.writeHead(status);
-    this.sendPieces(body, 0);
+    const last = Math.max(0, body.length - PIECE_BYTES);
+    this.writeInPieces(body.subarray(0, last), () =>
+      this.response.end(body.subarray(last)),
+    );
   }
 
   begin(status: number, headers: readonly HeaderPair[]): void {
@@ -94,6 +97,17 @@
     return false;
   }
 
+  /**
+   * Writes a part of a response in pieces, as its caller reads; `done` is called once
+   * all are written. In one piece, nothing would tell how much has been read.
+   */
+  writeInPieces(part: Buffer, done: () => void): void {
+    const writeOn = (): void =>
+      this.writeInPieces(part.subarray(PIECE_BYTES), done);
+    if (part.length === 0) done();
+    else if (this.write(part.subarray(0, PIECE_BYTES), writeOn)) writeOn();
+  }
+
   end(): void {
     this.hasEnded = true;
     this.response.end();
@@ -112,18 +126,6 @@
     this.response.destroy();
   }
 
-  // In one piece, nothing would tell how much of it the caller has read.
-  private sendPieces(body: Buffer, from: number): void {
-    const to = from + PIECE_BYTES;
-    if (to >= body.length) {
-      this.response.end(body.subarray(from));
-      return;
-    }
-    const isTaken = this.response.write(body.subarray(from, to));
-    if (isTaken) this.sendPieces(body, to);
-    else this.response.once('drain', () => this.sendPieces(body, to));
-  }
-
   private setHeaders(headers: readonly HeaderPair[]): void {
     if (this.mustClose()) this.response.setHeader('connection', 'close');
     headers.forEach(([name, value]) => this.response.appendHeader(name, value));
--- a/src/node/ingress/memory_bound.ts
+++ b/src/node/ingress/memory_bound.ts
@@ -47,7 +47,7 @@
           bytesPerS: Math.round(bytesPerS),
           observedMs: Math.round(observedMs),
         },
-        'let a slow caller go to free memory',
+        'let a slow caller go to free memory or an upstream',
       );
     },
   });
--- a/src/node/ingress/request_log.ts
+++ b/src/node/ingress/request_log.ts
@@ -26,6 +26,7 @@
   | 'refused'
   | 'retry'
   | 'stalled'
+  | 'begun_early'
   | 'end_checked'
   | 'extra_answer'
   | 'resumed'
--- a/src/node/ingress/request_run.ts
+++ b/src/node/ingress/request_run.ts
@@ -88,10 +88,12 @@
 
   private async tryUntilFinal(): Promise<TryResult> {
     const result = await this.attempt();
-    const mayRetry = !this.signal.aborted && this.tries.mayFollow(result);
+    const {signal, response, request, tries} = this;
+    const isCut = response.isBegun && !request.route.isResumable;
+    const mayRetry = !signal.aborted && !isCut && tries.mayFollow(result);
     if (!mayRetry) return result;
     this.recorder.retrying(result);
-    this.response.holding?.resize('response', 0);
+    response.holding?.resize('response', 0);
     return this.tryUntilFinal();
   }
 
@@ -287,6 +289,10 @@
         this.recorder.firstAnswerMs = Math.max(1, firstAnswerMs);
         this.noteOrigin();
       },
+      onEarlyStart: readBytes => {
+        context.metrics.count('responses_begun_early');
+        context.log.write('begun_early', request, {readBytes});
+      },
       ...upstream,
     });
   }
@@ -346,7 +352,7 @@
     if (isFailure && this.tries.hasRunLeft) {
       return {kind: 'failed', cause: `status ${status}`};
     }
-    if (request.route.kind === 'stream' && reader.isSuccess) {
+    if (reader.isRelaying) {
       reader.finishStream();
     } else {
       const {protocol} = context;
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -54,6 +54,8 @@
   /** Called for the answer to another request, which ends the exchange. */
   readonly onExtraAnswer?: (answer: ExtraAnswer) => void;
   readonly onResponseStart: () => void;
+  /** Called if a plain response is begun after this many bytes of it. */
+  readonly onEarlyStart?: (bytes: number) => void;
   /** Called on progress, with the time of the previous one or 0. */
   readonly onProgress?: (previousAtMs: number, nowMs: number) => void;
 }
@@ -78,13 +80,17 @@
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
   head: ResponseHead | undefined;
-  /**
-   * When the response last made progress; 0 before that. In a resumable stream
-   * only whole events are progress: single bytes never complete a response.
-   */
-  progressAtMs = 0;
   /** Whether the response is relayed as it arrives, and not buffered. */
   isRelaying = false;
+  /**
+   * Whether a plain response was begun before it was whole, for want of room. No
+   * other try can go on with it.
+   */
+  isEarly = false;
+  private lastProgressAtMs = 0;
+  /** Whether the caller has yet to read what was written. */
+  private isCallerBehind = false;
+  private plainBytes = 0;
   private foundCompleteness: Completeness | undefined;
   private readonly splitter = new EventSplitter();
   private readonly meter = new EventMeter();
@@ -98,6 +104,15 @@
 
   constructor(private readonly options: ResponseReaderOptions) {}
 
+  /**
+   * When the response last made progress; 0 before that. In a resumable stream
+   * only whole events are progress: single bytes never complete a response. While
+   * the caller does not read, its upstream is not at fault.
+   */
+  get progressAtMs(): number {
+    return this.isCallerBehind ? monotonicNowMs() : this.lastProgressAtMs;
+  }
+
   get isSuccess(): boolean {
     return isSuccessStatus(this.head?.status ?? 0);
   }
@@ -162,9 +177,9 @@
   }
 
   onData(chunk: Buffer, resume: () => void): boolean {
-    if (!this.isRelaying) {
+    if (!this.isRelaying || this.isEarly) {
       this.noteProgress();
-      return this.buffer(chunk, resume);
+      return this.takePlain(chunk, resume);
     }
     this.meter.add(chunk);
     if (!this.options.isResumable) return this.relayBytes(chunk, resume);
@@ -199,14 +214,22 @@
     return isNotRun && attemptId !== '' && !isFromPeer;
   }
 
-  // Without room the upstream waits; it cuts off a response that stays unread.
-  private buffer(chunk: Buffer, resume: () => void): boolean {
-    if (!this.buffered.isWithinLimit(chunk.length)) {
+  // Without room the response is begun before it is whole: its caller loses another
+  // try if the upstream breaks off, but does not wait for others that read slowly. One
+  // whose end is not marked waits unread, as it must not end before its end is known.
+  private takePlain(chunk: Buffer, resume: () => void): boolean {
+    this.plainBytes += chunk.length + PIECE_COST_BYTES;
+    if (this.plainBytes > MAX_BUFFERED_BYTES) {
       throw new Error(
         `response exceeds ${MAX_BUFFERED_BYTES} bytes or has too many chunks`,
       );
     }
+    if (this.isEarly) return this.write(chunk, resume);
     if (this.bufferNow(chunk)) return true;
+    if (this.isSuccess && this.framing === 'framed') {
+      this.relayEarly(chunk, resume);
+      return false;
+    }
     this.endWait();
     const {holding} = this.options.response;
     const stopWaiting = holding?.whenRoom(() => {
@@ -227,18 +250,56 @@
     return this.buffered.append(chunk);
   }
 
+  private relayEarly(chunk: Buffer, resume: () => void): void {
+    const {response, progress, onEarlyStart} = this.options;
+    const {holding} = response;
+    this.isRelaying = true;
+    this.isEarly = true;
+    progress.isStarted = true;
+    onEarlyStart?.(this.buffered.length);
+    response.begin(this.head?.status ?? 0, [
+      ...this.callerHeaders(),
+      ...this.announcedLength(),
+    ]);
+    if (holding !== undefined) holding.keepsUpstream = true;
+    holding?.endResponse();
+    this.isCallerBehind = true;
+    response.writeInPieces(this.buffered.view(), () => {
+      this.buffered.take();
+      holding?.resize('response', 0);
+      // Not before the exchange has paused.
+      setImmediate(() => {
+        if (this.write(chunk, resume)) resume();
+      });
+    });
+  }
+
+  private announcedLength(): readonly HeaderPair[] {
+    const length = this.head?.headers['content-length'];
+    return length === undefined ? [] : [['content-length', length]];
+  }
+
+  private write(bytes: Buffer, resume: () => void): boolean {
+    const isTaken = this.options.response.write(bytes, () => {
+      this.isCallerBehind = false;
+      this.lastProgressAtMs = monotonicNowMs();
+      resume();
+    });
+    this.isCallerBehind = !isTaken;
+    return isTaken;
+  }
+
   private relayBytes(bytes: Buffer, resume: () => void): boolean {
-    const {response, progress} = this.options;
     this.beginOnce();
     this.noteProgress();
-    recordEventTime(progress, this.progressAtMs);
-    return response.write(bytes, resume);
+    recordEventTime(this.options.progress, this.lastProgressAtMs);
+    return this.write(bytes, resume);
   }
 
   private noteProgress(): void {
-    const previousAtMs = this.progressAtMs;
-    this.progressAtMs = monotonicNowMs();
-    this.options.onProgress?.(previousAtMs, this.progressAtMs);
+    const previousAtMs = this.lastProgressAtMs;
+    this.lastProgressAtMs = monotonicNowMs();
+    this.options.onProgress?.(previousAtMs, this.lastProgressAtMs);
   }
 
   private relayEvents(batch: EventBatch, resume: () => void): boolean {
--- a/src/node/ingress/upstream_try.ts
+++ b/src/node/ingress/upstream_try.ts
@@ -125,7 +125,8 @@
 
   private async seekReplacement(stall: Stall): Promise<void> {
     const {grants, reader, replacementItem, signal} = this.options;
-    if (replacementItem === undefined || this.isSearching) return;
+    const mayReplace = replacementItem !== undefined && !reader.isEarly;
+    if (!mayReplace || this.isSearching) return;
     this.isSearching = true;
     const {progressAtMs} = reader;
     const answer = await grants.acquire(replacementItem, this.search.signal);
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -236,6 +236,8 @@
     isUpstreamActive: z.boolean(),
     result: z.string(),
   },
+  /** A plain response was begun before it was whole, for want of room. */
+  begun_early: {...matched, readBytes: z.number()},
   /** The end of a response without a length or chunks. */
   end_checked: {
     ...matched,
