Keep bodies that grow in blocks of equal size

A body in pieces was copied into a block that grew by a quarter: a body of 4.1 MB allocated 22.5 MB, which stays until the runtime frees it and leaves gaps of all sizes. The end of an event is searched in the last bytes, without joining.

--- a/src/node/http/byte_buffer.ts
+++ b/src/node/http/byte_buffer.ts
@@ -5,9 +5,11 @@
  */
 
 const MIN_BLOCK_BYTES = 1_024;
-/** Larger blocks grow by a quarter: doubled, they would take twice their bytes. */
-const LARGE_BLOCK_BYTES = 262_144;
-const LARGE_GROWTH = 1.25;
+/**
+ * A block doubles up to this size, then others follow: blocks that grow further would
+ * be copied again and again, and leave gaps of all sizes in the memory of the process.
+ */
+const FULL_BLOCK_BYTES = 65_536;
 
 /**
  * What a piece from an upstream counts beside its bytes: it costs processor time
@@ -21,9 +23,10 @@
   readonly bytesPerPiece?: number;
 }
 
-/** Copies the pieces into one block that grows. */
+/** Copies the pieces into blocks. */
 export class ByteBuffer {
-  private block = Buffer.alloc(0);
+  private blocks: Buffer[] = [];
+  private blockBytes = 0;
   private sizeBytes = 0;
   private pieces = 0;
   private expectedBytes = 0;
@@ -37,7 +40,7 @@
 
   /** Bytes of memory, with those that are not used yet. */
   get capacityBytes(): number {
-    return this.block.length;
+    return this.blockBytes;
   }
 
   /** Takes all memory with the next piece if the sum of all is known. */
@@ -55,14 +58,14 @@
   /** What `capacityBytes` will be after another piece. */
   capacityWith(pieceBytes: number): number {
     const neededBytes = this.sizeBytes + pieceBytes;
-    const {length} = this.block;
-    if (neededBytes <= length) return length;
+    const {blockBytes} = this;
+    if (neededBytes <= blockBytes) return blockBytes;
     if (neededBytes <= this.expectedBytes) return this.expectedBytes;
-    const factor = length >= LARGE_BLOCK_BYTES ? LARGE_GROWTH : 2;
-    const roomyBytes = Math.min(
-      this.options.maxBytes,
-      Math.max(MIN_BLOCK_BYTES, Math.ceil(factor * length)),
+    const addedBytes = Math.min(
+      FULL_BLOCK_BYTES,
+      Math.max(MIN_BLOCK_BYTES, blockBytes),
     );
+    const roomyBytes = Math.min(this.options.maxBytes, blockBytes + addedBytes);
     return Math.max(neededBytes, roomyBytes);
   }
 
@@ -72,18 +75,30 @@
       this.clear();
       return false;
     }
-    const neededBytes = this.sizeBytes + piece.length;
     this.pieces += 1;
     const capacityBytes = this.capacityWith(piece.length);
-    if (capacityBytes > this.block.length) this.grow(capacityBytes);
-    this.block.set(piece, this.sizeBytes);
-    this.sizeBytes = neededBytes;
+    const freeBytes = this.blockBytes - this.sizeBytes;
+    this.copyToLast(piece.subarray(0, freeBytes));
+    if (capacityBytes > this.blockBytes) this.grow(capacityBytes);
+    this.copyToLast(piece.subarray(freeBytes));
     return true;
   }
 
   /** The bytes so far; valid until the next piece is added. */
   view(): Buffer {
-    return this.block.subarray(0, this.sizeBytes);
+    if (this.blocks.length > 1) this.join(this.sizeBytes);
+    return this.blocks[0]?.subarray(0, this.sizeBytes) ?? Buffer.alloc(0);
+  }
+
+  /** The last bytes, at most `count`, without a copy of the others. */
+  tail(count: number): Buffer {
+    const freeBytes = this.blockBytes - this.sizeBytes;
+    const ends = this.blocks.slice(-2).map((block, position, {length}) => {
+      const isLast = position === length - 1;
+      const used = isLast ? block.length - freeBytes : block.length;
+      return block.subarray(Math.max(0, used - count), used);
+    });
+    return Buffer.concat(ends).subarray(-count);
   }
 
   /** Returns the bytes and starts anew. */
@@ -94,14 +109,39 @@
   }
 
   private clear(): void {
-    this.block = Buffer.alloc(0);
+    this.blocks = [];
+    this.blockBytes = 0;
     this.sizeBytes = 0;
     this.pieces = 0;
   }
 
+  // Only the last block has room.
+  private copyToLast(bytes: Uint8Array): void {
+    const last = this.blocks.at(-1);
+    if (last === undefined || bytes.length === 0) return;
+    last.set(bytes, last.length - (this.blockBytes - this.sizeBytes));
+    this.sizeBytes += bytes.length;
+  }
+
   private grow(capacityBytes: number): void {
-    const grown = Buffer.allocUnsafe(capacityBytes);
-    this.block.copy(grown, 0, 0, this.sizeBytes);
-    this.block = grown;
+    if (this.blockBytes < FULL_BLOCK_BYTES) {
+      this.join(capacityBytes);
+      return;
+    }
+    this.blocks.push(Buffer.allocUnsafe(capacityBytes - this.blockBytes));
+    this.blockBytes = capacityBytes;
+  }
+
+  /** Copies all bytes into one block. */
+  private join(capacityBytes: number): void {
+    const joined = Buffer.allocUnsafe(capacityBytes);
+    let copiedBytes = 0;
+    this.blocks.forEach(block => {
+      const bytes = block.subarray(0, this.sizeBytes - copiedBytes);
+      joined.set(bytes, copiedBytes);
+      copiedBytes += bytes.length;
+    });
+    this.blocks = [joined];
+    this.blockBytes = capacityBytes;
   }
 }
--- a/src/node/ingress/event_splitter.ts
+++ b/src/node/ingress/event_splitter.ts
@@ -87,7 +87,7 @@
   /** The end of the last event that the chunk completes, as a position in it. */
   private endWithin(chunk: Buffer): number | undefined {
     // Only the new bytes can complete an event, with the last ones before them.
-    const tail = this.pending.view().subarray(-MAX_SPLIT_BYTES);
+    const tail = this.pending.tail(MAX_SPLIT_BYTES);
     const searched = tail.length === 0 ? chunk : Buffer.concat([tail, chunk]);
     const end = endOfLastEvent(searched);
     return end === undefined ? undefined : end - tail.length;
