--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -53,8 +53,14 @@
     private readonly layout: Layout,
     private readonly folder: string,
     private readonly onUnexpectedExit: (exit: UnexpectedExit) => void,
+    /** Settings of an entry beside those of the layout. */
+    private readonly entrySettings: Readonly<Record<string, unknown>> = {},
   ) {}
 
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined;
   }
@@ -215,6 +221,7 @@
       retryRatio: RETRY_BUDGET.ratio,
       retryWindowMs: RETRY_BUDGET.windowMs,
       retrySlack: RETRY_BUDGET.slack,
+      ...this.entrySettings,
     };
   }
 }
