Keep a slow reader whose upstream has sent all

A caller of an early response was still let go as slow while it read the last bytes, although its upstream was free by then. The end of the exchange now ends that reason; the test of held_responses.spec has such a caller and fails before.

--- a/src/node/http/__tests__/held_responses.spec.ts
+++ b/src/node/http/__tests__/held_responses.spec.ts
@@ -97,14 +97,17 @@
   const held = new HeldBytes({maxBytes: BOUND_BYTES});
   const slow = reader(1);
   const sound = reader(60_000);
-  const patient = reader(1);
+  const behind = reader(1);
   held.open(slow.peer).keepsUpstream = true;
   held.open(sound.peer).keepsUpstream = true;
-  held.open(patient.peer);
+  // Its upstream has sent all.
+  const sent = held.open(behind.peer);
+  sent.keepsUpstream = true;
+  sent.endResponse();
   advance(t, 29);
   assert.equal(slow.letGo.count, 0);
   advance(t, 10);
   assert.equal(slow.letGo.count, 1);
   assert.equal(sound.letGo.count, 0);
-  assert.equal(patient.letGo.count, 0);
+  assert.equal(behind.letGo.count, 0);
 });
--- a/src/node/http/held_bytes.ts
+++ b/src/node/http/held_bytes.ts
@@ -84,8 +84,9 @@
     return !this.isClosed && this.held.makeRoom({part: 'body', ...request});
   }
 
-  /** The response has been read whole, or is given up. */
+  /** The upstream has sent the response, or it is not read whole. */
   endResponse(): void {
+    this.keepsUpstream = false;
     this.held.noteArriving(this, false);
   }
 
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -261,8 +261,8 @@
       ...this.callerHeaders(),
       ...this.announcedLength(),
     ]);
-    if (holding !== undefined) holding.keepsUpstream = true;
     holding?.endResponse();
+    if (holding !== undefined) holding.keepsUpstream = true;
     this.isCallerBehind = true;
     response.writeInPieces(this.buffered.view(), () => {
       this.buffered.take();
