Grant the burst at once under the leader of the first quota

Callers of a new deployment got 429 for the first 11 s although their quota was unused: 0 of 120 calls served in the specs with the real programs' parts.

A leader that finds a table at its first confirmation took the quotas in it for ones that an earlier leader had leased, also if the table was written under its own term. The replicated state now holds the term of the first table with a quota. Its leader has no predecessor; every other leader recovers. It stays when quotas are removed, and is missing in states of former versions, which counts as leased. An entry that is ahead of the leader shows that another group was there whose disks were lost.

A workspace that gets a quota in the first 11 s of a term had no recovery if the table came after the first confirmation, although an earlier leader may have leased and removed it; now it has one.

--- a/src/node/quotas/__tests__/quota_bound.spec.ts
+++ b/src/node/quotas/__tests__/quota_bound.spec.ts
@@ -42,6 +42,17 @@
     member: fc.integer({min: 0, max: 2}),
     ...times,
   }),
+  fc.record({
+    kind: fc.constant('restart_members' as const),
+    member: fc.integer({min: 0, max: 2}),
+    ...times,
+  }),
+  fc.record({
+    kind: fc.constant('cut_link' as const),
+    entry,
+    member: fc.integer({min: 0, max: 2}),
+    ...times,
+  }),
   fc.record({kind: fc.constant('lossy' as const), ...times}),
 );
 
@@ -65,8 +76,9 @@
         ratePerS: fc.constantFrom(2_000, 20_000),
         burst: fc.constantFrom(0, 5_000),
         largest: fc.constantFrom(100, 3_000),
+        tableAtMs: fc.constantFrom(0, 0, 3_000, 12_000),
       }),
-      ({faults, seed, ratePerS, burst, largest}) => {
+      ({faults, seed, ratePerS, burst, largest, tableAtMs}) => {
         const random = randomFrom(seed);
         const spec = limitedWorkspace(ratePerS, burst);
         const busy = [random, random, random].map(draw =>
@@ -78,6 +90,7 @@
           tolerance: TOLERANCE,
           lengthMs: LENGTH_MS,
           faults,
+          tableAtMs,
           random,
           delayMs: () => 5 + random() * 300,
           // Three times the rate, at entries that change every four seconds.
--- a/src/node/quotas/__tests__/support/quota_days.ts
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -24,6 +24,7 @@
 const ANNOUNCE_STEPS = 16;
 const CALL_TIMEOUT_MS = 800;
 const CONFIRM_STEPS = 10;
+const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 /** A fault from `atMs` for `forMs`. */
 export type Fault =
@@ -35,8 +36,16 @@
   | {readonly kind: 'suspend'; readonly entry: number}
   /** Its wall clock is set; lasts no time. */
   | {readonly kind: 'set_clock'; readonly entry: number; readonly byMs: number}
+  /** The entry and one control member do not reach each other. */
+  | {
+      readonly kind: 'cut_link';
+      readonly entry: number;
+      readonly member: number;
+    }
   /** Another member leads from now on. */
   | {readonly kind: 'new_leader'; readonly member: number}
+  /** The processes of all control members end and start again; lasts no time. */
+  | {readonly kind: 'restart_members'; readonly member: number}
   /** Links lose and double messages. */
   | {readonly kind: 'lossy'};
 
@@ -51,6 +60,8 @@
   readonly tolerance: QuotaTolerance;
   readonly lengthMs: number;
   readonly faults: readonly TimedFault[];
+  /** When the first table with a quota is committed. @default 0 */
+  readonly tableAtMs?: number;
   /** Units of the requests that arrive at an entry in the step at `atMs`. */
   readonly arrivals: (entry: number, atMs: number) => readonly number[];
   /** One way, with each use another value. */
@@ -94,14 +105,18 @@
   readonly most = {sharePerS: 0, heldUnits: 0};
   private readonly entries: Entry[];
   private readonly leaders = [0, 1, 2];
-  private readonly members: QuotaLeader[];
+  private members: QuotaLeader[];
   private deliveries: Delivery[] = [];
   private term = 1;
   private leading = 0;
   private atMs = 0;
+  private firstQuotaTerm = 0;
+
+  private readonly limited: readonly WorkspaceSpec[];
 
   constructor(private readonly day: QuotaDay) {
-    this.members = this.leaders.map(() => new QuotaLeader(day.tolerance, 0));
+    this.limited = [day.spec];
+    this.members = this.startMembers();
     this.entries = Array.from({length: day.entries}, (_, index) => ({
       id: asId<InstanceId>(`e${index}`),
       quotas: new EntryQuotas(() => day.entries),
@@ -111,8 +126,6 @@
       waiting: [],
       pending: new Map(),
     }));
-    // Before the first table, so that no earlier leader can have leased anything.
-    this.members[0]?.confirm(this.confirmation(), [], 0);
   }
 
   run(): readonly Decision[] {
@@ -127,13 +140,10 @@
     const due = this.deliveries.filter(each => each.dueMs <= this.atMs);
     this.deliveries = this.deliveries.filter(each => each.dueMs > this.atMs);
     due.forEach(each => each.run());
-    if (step % CONFIRM_STEPS === 0) {
-      this.members[this.leading]?.confirm(
-        this.confirmation(),
-        [this.day.spec],
-        this.atMs,
-      );
+    if (this.hasTable && this.firstQuotaTerm === 0) {
+      this.firstQuotaTerm = this.term;
     }
+    if (step % CONFIRM_STEPS === 0) this.confirm();
     this.entries.forEach((entry, index) => {
       if (this.isUnder('suspend', index)) {
         entry.suspendedMs += STEP_MS;
@@ -144,6 +154,26 @@
     this.noteSums();
   }
 
+  private get hasTable(): boolean {
+    return this.atMs >= (this.day.tableAtMs ?? 0);
+  }
+
+  private confirm(): void {
+    const {firstQuotaTerm} = this;
+    const workspaces = this.hasTable ? this.limited : NO_WORKSPACES;
+    this.members[this.leading]?.confirm(
+      this.confirmation(),
+      {workspaces, firstQuotaTerm},
+      this.atMs,
+    );
+  }
+
+  private startMembers(): QuotaLeader[] {
+    return this.leaders.map(
+      () => new QuotaLeader(this.day.tolerance, this.atMs),
+    );
+  }
+
   private noteSums(): void {
     const states = this.entries
       .filter((_, index) => !this.isUnder('suspend', index))
@@ -158,9 +188,10 @@
   }
 
   private runEntry(entry: Entry, index: number, step: number): void {
-    this.day
-      .arrivals(index, this.atMs)
-      .forEach(units => this.arrive(entry, index, units));
+    const arrivals = this.day.arrivals(index, this.atMs);
+    (this.hasTable ? arrivals : []).forEach(units =>
+      this.arrive(entry, index, units),
+    );
     const late = entry.waiting.filter(
       each => this.atMs - each.sinceMs >= ASK_TIMEOUT_MS,
     );
@@ -194,14 +225,14 @@
     const {quotas, incarnation, id} = entry;
     const report = quotas.reportFor(memberId(member), sentAt);
     const ask = (isCopy: boolean): void =>
-      this.send(index, () => {
+      this.send(index, member, () => {
         const answer = this.members[member]?.answer(
           {instanceId: id, incarnation, region: REGION},
           report as QuotaReport | undefined,
           this.memberNow(),
         );
         if (isCopy) return;
-        this.send(index, () =>
+        this.send(index, member, () =>
           this.reply(entry, index, member, {
             answer,
             sentAt,
@@ -262,8 +293,9 @@
   }
 
   // Links that are cut hold messages back no longer than a call lasts.
-  private send(entry: number, run: () => void): void {
-    const isCut = this.isUnder('cut', entry);
+  private send(entry: number, member: number, run: () => void): void {
+    const isCut =
+      this.isUnder('cut', entry) || this.isUnder('cut_link', entry, member);
     const isLost = this.isUnder('lossy') && this.day.random() < 0.3;
     if (isCut || isLost) return;
     const dueMs = this.atMs + this.day.delayMs();
@@ -281,6 +313,11 @@
       this.leading = fault.member;
       this.term += 1;
     }
+    if (fault.kind === 'restart_members') {
+      this.leading = fault.member;
+      this.term += 1;
+      this.members = this.startMembers();
+    }
     if (fault.kind === 'restart') {
       const entry = this.entries[fault.entry];
       if (entry === undefined) return;
@@ -295,11 +332,16 @@
     }
   }
 
-  private isUnder(kind: Fault['kind'], entry?: number): boolean {
+  private isUnder(
+    kind: Fault['kind'],
+    entry?: number,
+    member?: number,
+  ): boolean {
     return this.day.faults.some(
       fault =>
         fault.kind === kind &&
         (!('entry' in fault) || fault.entry === entry) &&
+        (fault.kind !== 'cut_link' || fault.member === member) &&
         this.atMs >= fault.atMs &&
         this.atMs < fault.atMs + fault.forMs,
     );
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -16,6 +16,20 @@
   readonly askedAt: Instant;
 }
 
+/** What the replicated state says of quotas. */
+export interface QuotaTable {
+  readonly workspaces: readonly WorkspaceSpec[];
+  /** Term of the leader that appended the first quota of all; missing if unknown. */
+  readonly firstQuotaTerm?: number | undefined;
+}
+
+/** What an announcement tells beside its report. */
+export interface ReportingEntry extends KnownEntry {
+  readonly incarnation: number;
+  /** Whether it holds a state that the group of this member has not reached. */
+  readonly isOfOtherGroup?: boolean;
+}
+
 /** The quotas as one member of the control group sees them. */
 export class QuotaLeader {
   private confirmation: Confirmation | undefined;
@@ -25,7 +39,8 @@
   private readonly droppedAtMs = new Map<WorkspaceId, number>();
 
   private readonly contacts: EntryContacts;
-  private isRecovering = false;
+  private recoversUntilMs = Number.NEGATIVE_INFINITY;
+  private hasOtherGroup = false;
 
   constructor(
     private readonly tolerance: QuotaTolerance,
@@ -37,28 +52,32 @@
   /** A quorum confirmed that this member leads; pools of another term are void. */
   confirm(
     confirmation: Confirmation,
-    workspaces: readonly WorkspaceSpec[],
+    {workspaces, firstQuotaTerm}: QuotaTable,
     nowMs: number,
   ): void {
-    const isNewTerm = this.confirmation?.term !== confirmation.term;
+    const {term} = confirmation;
+    const isNewTerm = this.confirmation?.term !== term;
     this.confirmation = confirmation;
     if (isNewTerm) {
       this.pools = new Map();
       this.workspaces = undefined;
-      this.isRecovering = true;
+      this.recoversUntilMs = nowMs + RECOVERY_MS;
     }
+    const isFirstOfAll = firstQuotaTerm === term && !this.hasOtherGroup;
+    if (isFirstOfAll) this.recoversUntilMs = nowMs;
     this.applyWorkspaces(workspaces, nowMs);
-    this.endRecovery(confirmation.term, nowMs);
+    this.endRecovery(term, nowMs);
   }
 
   /** The reply to an entry; `undefined` unless this member certainly leads. */
   answer(
-    entry: KnownEntry & {readonly incarnation: number},
+    entry: ReportingEntry,
     report: QuotaReport | undefined,
     now: Instant,
   ): QuotaReply | undefined {
     const {confirmation} = this;
     const leads = isCurrent(confirmation, now);
+    this.hasOtherGroup ||= entry.isOfOtherGroup === true;
     const {instanceId, incarnation} = entry;
     const adopted = leads ? report?.term : undefined;
     this.contacts.note(entry, adopted, now.monotonicMs);
@@ -93,9 +112,9 @@
   }
 
   private endRecovery(term: Term, nowMs: number): void {
-    if (!this.isRecovering) return;
+    if (nowMs >= this.recoversUntilMs) return;
     if (!this.contacts.haveAllReported(term, nowMs)) return;
-    this.isRecovering = false;
+    this.recoversUntilMs = nowMs;
     this.pools.forEach(pool => pool.endRecovery(nowMs));
   }
 
@@ -104,12 +123,10 @@
     nowMs: number,
   ): void {
     if (this.workspaces === workspaces) return;
-    // Those of the first table of a term may have been leased by another leader.
-    const isFirst = this.workspaces === undefined;
     this.workspaces = workspaces;
     const limited = workspaces.filter(each => each.quota !== undefined);
     this.dropOthers(new Set(limited.map(each => each.name)), nowMs);
-    limited.forEach(spec => this.applyQuota(spec, isFirst, nowMs));
+    limited.forEach(spec => this.applyQuota(spec, nowMs));
   }
 
   private dropOthers(kept: ReadonlySet<WorkspaceId>, nowMs: number): void {
@@ -124,11 +141,7 @@
       .forEach(([name]) => this.droppedAtMs.delete(name));
   }
 
-  private applyQuota(
-    {name, quota}: WorkspaceSpec,
-    isFirst: boolean,
-    nowMs: number,
-  ): void {
+  private applyQuota({name, quota}: WorkspaceSpec, nowMs: number): void {
     if (quota === undefined) return;
     const limits = poolLimits(quota, this.tolerance);
     const known = this.pools.get(name);
@@ -136,7 +149,9 @@
       known.applyLimits(limits, nowMs);
       return;
     }
-    const mayHavePredecessor = isFirst || this.droppedAtMs.has(name);
+    // A table of an earlier leader may have had the name before this one again has it.
+    const mayHavePredecessor =
+      nowMs < this.recoversUntilMs || this.droppedAtMs.has(name);
     this.pools.set(
       name,
       new WorkspacePool({limits, mayHavePredecessor, nowMs}),
--- a/src/node/replication/replicated_log.ts
+++ b/src/node/replication/replicated_log.ts
@@ -52,8 +52,11 @@
  * the command.
  */
 export abstract class StateMachine<Command, Result> {
-  /** Applies one committed command; called once per index, in order. */
-  abstract apply(command: Command, index: LogIndex): Result;
+  /**
+   * Applies one committed command; called once per index, in order. `term` is that of
+   * the leader that appended it.
+   */
+  abstract apply(command: Command, index: LogIndex, term: Term): Result;
   /** The complete state as JSON. */
   abstract snapshot(): JsonValue;
   /** Replaces the complete state with one that `snapshot` returned. */
--- a/src/node/replication/state_machine_runner.ts
+++ b/src/node/replication/state_machine_runner.ts
@@ -8,7 +8,7 @@
 } from './core/log.js';
 import type {StoredSnapshot} from './replica_storage.js';
 import type {JsonValue, ReplicaMember, StateMachine} from './replicated_log.js';
-import {asNumber, type LogIndex} from '../types/ids.js';
+import {asNumber, type LogIndex, type Term} from '../types/ids.js';
 import type {Waiters} from './waiters.js';
 
 export class StateMachineRunner<Command, Result> {
@@ -60,6 +60,7 @@
         ? this.stateMachine.apply(
             entry.value as Command,
             asNumber<LogIndex>(index),
+            asNumber<Term>(entry.term),
           )
         : undefined;
     this.appliedIndex = index;
--- a/src/node/routes/__tests__/route_table.spec.ts
+++ b/src/node/routes/__tests__/route_table.spec.ts
@@ -9,12 +9,16 @@
   type LogIndex,
   type RouteId,
   type ServiceId,
+  type Term,
+  type WorkspaceId,
 } from '../../types/ids.js';
-import type {Route, RouteTable} from '../route_table.js';
+import type {Route, RouteTable, WorkspaceSpec} from '../route_table.js';
 import {RouteMatcher} from '../route_matcher.js';
 import {RouteTableMachine} from '../route_table_machine.js';
 import {routeTableProblems} from '../validate_route_table.js';
 
+const TERM = asNumber<Term>(1);
+
 function route(name: string, fields: Partial<Route> = {}): Route {
   return {
     name: asId<RouteId>(name),
@@ -69,6 +73,7 @@
         table: pack(table(version, [route(`r${position}`)])),
       },
       asNumber<LogIndex>(position + 1),
+      TERM,
     ),
     inForce: machine.state.table?.routes[0]?.name,
     revision: machine.state.revision,
@@ -82,8 +87,8 @@
   const machine = new RouteTableMachine(() => undefined);
   const domain = asId<DomainId>('a');
   const change = {kind: 'set_evacuation', domain, isEvacuated: true} as const;
-  machine.apply(change, asNumber<LogIndex>(4));
-  const repeated = machine.apply(change, asNumber<LogIndex>(5));
+  machine.apply(change, asNumber<LogIndex>(4), TERM);
+  const repeated = machine.apply(change, asNumber<LogIndex>(5), TERM);
   const restored = new RouteTableMachine(() => undefined);
   restored.restore(
     JSON.parse(JSON.stringify(machine.snapshot())) as ReturnType<
@@ -95,6 +100,47 @@
   assert.equal(restored.state.revision, 4);
 });
 
+// Guards against a leader that takes a quota for new although an earlier leader has
+// leased it: after a removal, a restart, or states of a former version.
+test('the term of the first quota is kept', () => {
+  const machine = new RouteTableMachine(() => undefined);
+  const limited: WorkspaceSpec = {
+    name: asId<WorkspaceId>('w'),
+    keyDigests: [],
+    homeRegions: [],
+    quota: {unit: 'requests', ratePerS: 1, burst: 1, plainTokens: 0},
+  };
+  const apply = (
+    applied: RouteTableMachine,
+    version: number,
+    term: number,
+    workspaces: readonly WorkspaceSpec[],
+  ): number | undefined => {
+    const packed = pack({...table(version, [route('r')]), workspaces});
+    const change = {kind: 'replace_table', version, table: packed} as const;
+    applied.apply(change, asNumber<LogIndex>(version), asNumber<Term>(term));
+    return applied.state.firstQuotaTerm;
+  };
+  const kept = [
+    apply(machine, 1, 2, []),
+    apply(machine, 2, 3, [limited]),
+    apply(machine, 3, 4, []),
+  ];
+  const restored = new RouteTableMachine(() => undefined);
+  restored.restore(machine.snapshot());
+  const {firstQuotaTerm: _, ...former} = machine.state;
+  const ofFormer = new RouteTableMachine(() => undefined);
+  ofFormer.restore(pack(former));
+  assert.deepEqual(
+    {
+      kept,
+      restored: apply(restored, 4, 5, [limited]),
+      ofFormer: apply(ofFormer, 4, 5, [limited]),
+    },
+    {kept: [0, 3, 3], restored: 3, ofFormer: undefined},
+  );
+});
+
 // Guards against a table with unroutable requests or ambiguous routes.
 test('all problems of an invalid table are reported', () => {
   const invalid = table(1, [
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -20,11 +20,7 @@
   type CallerLocation,
 } from '../fleet/instance_registry.js';
 import type {Logger} from '../logging/logger.js';
-import {instantNow} from '../quotas/instant.js';
-import {LeadershipCheck} from '../quotas/leadership_check.js';
 import {DEFAULT_TOLERANCE, type QuotaTolerance} from '../quotas/limits.js';
-import {QuotaLeader} from '../quotas/quota_leader.js';
-import {registerQuotaStatus} from '../quotas/status_method.js';
 import {registerOriginMethods} from '../origins/origin_methods.js';
 import {OriginStore} from '../origins/origin_store.js';
 import {createForwarder} from '../replication/forwarding.js';
@@ -45,13 +41,13 @@
 } from './evacuation_orders.js';
 import {MembershipManager} from './membership_manager.js';
 import {OrderProposer} from './order_proposer.js';
+import {QuotaControl} from './quota_control.js';
 import {
   EMPTY_CONTROL_STATE,
   homesOf,
   summaryOf,
   type ControlState,
   type RouteTable,
-  type WorkspaceSpec,
 } from './route_table.js';
 import {
   RouteTableMachine,
@@ -76,7 +72,6 @@
 const ELECTION_MAX_MS = 900;
 /** Callers of the operators' interface wait little longer than one second. */
 const PROPOSE_TIMEOUT_MS = 2_500;
-const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 export interface ControlPlaneOptions {
   readonly instanceId: InstanceId;
@@ -120,8 +115,7 @@
   private evacuationOrders: EvacuationOrders | undefined;
   private membership: MembershipManager | undefined;
   private isWritable = true;
-  private readonly quotas: QuotaLeader;
-  private leadership: LeadershipCheck | undefined;
+  private readonly quotas: QuotaControl;
   private expiryTimer: ReturnType<typeof setInterval> | undefined;
   private stateForEntries: ControlState = EMPTY_CONTROL_STATE;
   private packedForEntries: Packed = pack(EMPTY_CONTROL_STATE);
@@ -129,13 +123,14 @@
   constructor(private readonly options: ControlPlaneOptions) {
     const {logger, router} = options;
     this.seal = new SourceSeal(options.clusterSecret);
-    this.quotas = new QuotaLeader(
-      options.quotaTolerance ?? DEFAULT_TOLERANCE,
-      monotonicNowMs(),
-    );
     this.machine = new RouteTableMachine(state =>
       this.handleStateChange(state),
     );
+    this.quotas = new QuotaControl(
+      options.quotaTolerance ?? DEFAULT_TOLERANCE,
+      () => this.machine.state,
+      router,
+    );
     this.registry = new InstanceRegistry(String(wallNowMs()), change =>
       logger.info(
         {
@@ -153,7 +148,6 @@
       this.answerAnnouncement(announcement),
     );
     registerOriginMethods(router, new OriginStore());
-    registerQuotaStatus(router, this.quotas);
     router.register(
       FETCH_STATE_METHOD,
       z.object({}),
@@ -204,7 +198,7 @@
   /** Transfers leadership, leaves a group with other voters, closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
-    this.leadership?.stop();
+    this.quotas.stop();
     this.abortController.abort();
     await this.member?.replica.transferLeadership();
     await this.membership?.leave();
@@ -315,14 +309,7 @@
       seedAddresses: () => this.seedAddresses(),
     });
     this.membership.start();
-    this.leadership = new LeadershipCheck(log, confirmation =>
-      this.quotas.confirm(
-        confirmation,
-        this.machine.state.table?.workspaces ?? NO_WORKSPACES,
-        monotonicNowMs(),
-      ),
-    );
-    this.leadership.start();
+    this.quotas.start(log);
   }
 
   private noteStorage({isWritable, cause}: StorageChange): void {
@@ -348,12 +335,11 @@
   private answerAnnouncement(announcement: Announcement): AnnouncementReply {
     const {entry} = announcement;
     this.registry.record(entry, monotonicNowMs());
-    const quotas = this.quotas.answer(entry, announcement.quotas, instantNow());
     return {
       revision: this.stateForEntries.revision,
       incarnation: this.registry.incarnationOf(entry.instanceId),
       ...this.registry.viewUpdate(announcement, this.controlMembers()),
-      ...(quotas === undefined ? {} : {quotas}),
+      ...this.quotas.answer(announcement),
     };
   }
 
--- a/src/node/routes/route_table.ts
+++ b/src/node/routes/route_table.ts
@@ -138,6 +138,11 @@
   readonly table: RouteTable | undefined;
   /** Domains whose upstreams must receive no requests. */
   readonly evacuatedDomains: readonly DomainId[];
+  /**
+   * Term of the leader that appended the first table with a quota; 0 before. Missing
+   * in states that a former version stored, which cannot tell.
+   */
+  readonly firstQuotaTerm?: number;
 }
 
 /** The state before the first change. */
@@ -145,6 +150,7 @@
   revision: 0,
   table: undefined,
   evacuatedDomains: [],
+  firstQuotaTerm: 0,
 };
 
 /** What log lines say of a state. */
--- a/src/node/routes/route_table_machine.ts
+++ b/src/node/routes/route_table_machine.ts
@@ -1,7 +1,7 @@
 /** The replicated state machine of the control group: table and evacuations. */
 import {pack, unpack, type Packed} from '../control/packing.js';
 import {StateMachine, type JsonValue} from '../replication/replicated_log.js';
-import type {DomainId, LogIndex} from '../types/ids.js';
+import type {DomainId, LogIndex, Term} from '../types/ids.js';
 import {OrderHistory} from './order_history.js';
 import {
   EMPTY_CONTROL_STATE,
@@ -60,14 +60,18 @@
     return this.current;
   }
 
-  override apply(change: ControlChange, index: LogIndex): ControlChangeResult {
+  override apply(
+    change: ControlChange,
+    index: LogIndex,
+    term: Term,
+  ): ControlChangeResult {
     this.history.noteCommand(index);
     if (change.kind === 'set_evacuation') {
       this.history.noteOrder(change, index);
     }
     const next =
       change.kind === 'replace_table'
-        ? this.withTable(change.version, change.table)
+        ? this.withTable(change.version, change.table, term)
         : this.withEvacuation(change.domain, change.isEvacuated);
     const isChanged = next !== this.current;
     if (isChanged) {
@@ -87,10 +91,17 @@
     this.onChange(this.current);
   }
 
-  private withTable(version: number, packed: Packed): ControlState {
+  private withTable(version: number, packed: Packed, term: Term): ControlState {
     const currentVersion = this.current.table?.version ?? 0;
     if (version <= currentVersion) return this.current;
-    return {...this.current, table: unpack(packed) as RouteTable};
+    const table = unpack(packed) as RouteTable;
+    const hasQuota = table.workspaces?.some(each => each.quota !== undefined);
+    const isFirst = hasQuota === true && this.current.firstQuotaTerm === 0;
+    return {
+      ...this.current,
+      table,
+      ...(isFirst ? {firstQuotaTerm: term} : {}),
+    };
   }
 
   private withEvacuation(domain: DomainId, isEvacuated: boolean): ControlState {
