Tell callers over quota when they can be served

A refused caller was told the time in which an empty pool fills, 0.2 s at least: while a new leader recovered it came back up to 50 times and was refused each time. Callers that were refused together were all told the same.

- The leader adds the time until it grants again: until the entries that were heard of a moment ago have reported, or the leases of a lost one end.
- Without a reply of the leader the bound comes from the lease constants.
- The retry time counts down between two replies; it stayed as it was told.
- Callers that are refused together return one after another.
- The pool fills by the whole rate from the end of the recovery on; it waited for the next report.
- With the first quota an entry asks all control members for the leader, and the leader confirms a new state with its next check instead of within 250 ms.

--- a/src/node/fleet/control_link.ts
+++ b/src/node/fleet/control_link.ts
@@ -82,15 +82,13 @@
 
   /** Announces immediately, for changes that must not wait for the interval. */
   announceToAll(): void {
-    this.targets()
-      .filter(target => !this.pendingCalls.has(target.instanceId))
-      .forEach(target => void this.announce(target));
+    this.announceTo(undefined);
   }
 
-  /** The same for one control member. */
-  announceTo(control: InstanceId): void {
+  /** The same for one control member, or for all if none is named. */
+  announceTo(control: InstanceId | undefined): void {
     this.targets()
-      .filter(({instanceId}) => instanceId === control)
+      .filter(({instanceId}) => (control ?? instanceId) === instanceId)
       .filter(target => !this.pendingCalls.has(target.instanceId))
       .forEach(target => void this.announce(target));
   }
--- a/src/node/quotas/balance.ts
+++ b/src/node/quotas/balance.ts
@@ -1,6 +1,11 @@
 /** The units of one workspace that an entry may admit. */
 import type {WorkspaceId} from '../types/ids.js';
-import {EXCHANGE_MS, SHARE_LEASE_MS} from './constants.js';
+import {
+  EXCHANGE_MS,
+  MAX_RETRY_MS,
+  MIN_RETRY_MS,
+  SHARE_LEASE_MS,
+} from './constants.js';
 import {DemandMeter} from './demand_meter.js';
 import {longestMsBetween, type Instant} from './instant.js';
 import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
@@ -8,8 +13,6 @@
 const MS_PER_S = 1_000;
 /** Sums of grants are rounded. */
 const ROUNDING_UNITS = 1e-6;
-const MIN_RETRY_MS = 200;
-const MAX_RETRY_MS = 5_000;
 
 /** The lease that an entry acts on. */
 export interface HeldLease {
@@ -36,7 +39,6 @@
   private maxUnits = Number.POSITIVE_INFINITY;
   private accruedAtMs: number;
   private exhaustedUntilMs = Number.NEGATIVE_INFINITY;
-  private poolRetryMs = MIN_RETRY_MS;
 
   constructor(
     private readonly workspace: WorkspaceId,
@@ -68,21 +70,15 @@
     return nowMs < this.exhaustedUntilMs;
   }
 
-  /** When the balance is expected to cover a request behind others. */
-  retryAfterMs(units: number, now: Instant): number {
-    this.accrue(now);
-    const perS = this.lease?.sharePerS ?? 0;
-    const missing = Math.min(units, this.maxUnits) - this.units;
-    const ownMs =
-      perS > 0 && this.ceilingUnits >= units
-        ? (missing * MS_PER_S) / perS
-        : Number.POSITIVE_INFINITY;
-    const leftMs = Math.max(
-      this.poolRetryMs,
-      this.exhaustedUntilMs - now.monotonicMs,
-    );
-    const retryMs = Math.min(ownMs, leftMs);
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, retryMs));
+  /**
+   * When the balance is expected to cover a request: by its share, or by a grant, for
+   * which the leader is expected to be heard in `leaderMs`.
+   */
+  retryAfterMs(units: number, leaderMs: number, now: Instant): number {
+    const leftMs = this.exhaustedUntilMs - now.monotonicMs;
+    const grantMs = Math.max(MIN_RETRY_MS, leaderMs, leftMs);
+    const ownMs = Math.max(MIN_RETRY_MS, this.coveredInMs(units, now));
+    return Math.min(grantMs, ownMs);
   }
 
   /** Whether the leader has nothing to know of it. */
@@ -146,7 +142,6 @@
     this.units += granted;
     this.returningUnits = Math.max(0, this.returnedUnits - grant.returnedUnits);
     this.maxUnits = grant.maxUnits;
-    this.poolRetryMs = grant.retryAfterMs ?? MIN_RETRY_MS;
     this.exhaustedUntilMs = now.monotonicMs + (grant.retryAfterMs ?? 0);
   }
 
@@ -155,6 +150,19 @@
     this.giveBack(this.units + this.returningUnits - this.ceilingUnits);
   }
 
+  // Until the share covers a request; never, if the lease ends before.
+  private coveredInMs(units: number, now: Instant): number {
+    this.accrue(now);
+    if (this.lease === undefined) return Number.POSITIVE_INFINITY;
+    const {sharePerS, ceilingUnits, renewedAt} = this.lease;
+    const needed = Math.min(units, this.maxUnits);
+    if (ceilingUnits < needed) return Number.POSITIVE_INFINITY;
+    const coveredInMs = ((needed - this.units) * MS_PER_S) / sharePerS;
+    const endsInMs = SHARE_LEASE_MS - longestMsBetween(renewedAt, now);
+    const isCovered = coveredInMs < Math.min(endsInMs, MAX_RETRY_MS);
+    return isCovered ? coveredInMs : Number.POSITIVE_INFINITY;
+  }
+
   private get ceilingUnits(): number {
     return this.lease?.ceilingUnits ?? 0;
   }
--- a/src/node/quotas/constants.ts
+++ b/src/node/quotas/constants.ts
@@ -14,6 +14,17 @@
 export const FENCE_MS = LEADERSHIP_VALIDITY_MS * (1 + MAX_CLOCK_DRIFT);
 /** From the election of a leader until all leases it was not told of have expired. */
 export const RECOVERY_MS = FENCE_MS + SHARE_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+/**
+ * From the last reply of a leader until another one is elected, in a group that has a
+ * quorum: detection, and an election that is repeated once.
+ */
+export const SUCCESSION_MS = 2_000;
+/** An entry that is not cut off has by then reported to a new leader. */
+export const REPORTS_WITHIN_MS = 1_200;
+
+/** Bounds of what refused callers are told, beside the recovery of a leader. */
+export const MIN_RETRY_MS = 200;
+export const MAX_RETRY_MS = 5_000;
 
 /** Part of the rate that is leased as shares; the rest fills the pool. */
 export const LEASED_RATE_SHARE = 0.95;
--- a/src/node/quotas/entry_contacts.ts
+++ b/src/node/quotas/entry_contacts.ts
@@ -3,7 +3,7 @@
  * from the announcements that it gets anyway.
  */
 import type {InstanceId, RegionId, Term} from '../types/ids.js';
-import {RECOVERY_MS} from './constants.js';
+import {RECOVERY_MS, REPORTS_WITHIN_MS} from './constants.js';
 
 interface Contact {
   readonly heardAtMs: number;
@@ -44,6 +44,21 @@
     return this.contacts.get(entry)?.region;
   }
 
+  /**
+   * When all entries that may hold a lease are expected to have told this leader what
+   * they hold, or to hold none. Those that were heard of a moment ago soon report.
+   */
+  allReportedAtMs(term: Term, nowMs: number): number {
+    const endsAtMs = [...this.contacts.values()]
+      .filter(each => each.term !== term)
+      .map(({heardAtMs}) =>
+        nowMs - heardAtMs < REPORTS_WITHIN_MS
+          ? nowMs + REPORTS_WITHIN_MS
+          : heardAtMs + RECOVERY_MS,
+      );
+    return Math.max(this.startedAtMs + RECOVERY_MS, nowMs, ...endsAtMs);
+  }
+
   /**
    * Whether all entries that may hold a lease have told this leader what they hold.
    * A member that has just started cannot know them.
--- a/src/node/quotas/entry_quotas.ts
+++ b/src/node/quotas/entry_quotas.ts
@@ -1,10 +1,18 @@
 /** The quotas of all workspaces at one entry, and its exchange with the leader. */
+import {monotonicNowMs} from '../clock/clock.js';
 import type {WorkspaceSpec} from '../routes/route_table.js';
 import type {InstanceId, WorkspaceId} from '../types/ids.js';
 import {Balance} from './balance.js';
+import {
+  MAX_RETRY_MS,
+  RECOVERY_MS,
+  REPORTS_WITHIN_MS,
+  SUCCESSION_MS,
+} from './constants.js';
 import {Floor} from './floor.js';
 import type {Instant} from './instant.js';
 import type {QuotaReply, QuotaReport} from './messages.js';
+import {ReturnLine} from './return_line.js';
 
 /** A leader that did not reply for so long is not waited for. */
 const LEADER_SILENCE_MS = 1_200;
@@ -29,6 +37,7 @@
 export interface WorkspaceState {
   readonly balance: Balance;
   readonly floor: Floor;
+  readonly returns: ReturnLine;
   /** Units of requests that wait for a grant, longest wait first. */
   readonly waiting: number[];
 }
@@ -40,10 +49,17 @@
   private term = 0;
   private sequence = 0;
   private nextEpoch = 0;
-  private repliedAtMs = Number.NEGATIVE_INFINITY;
+  /** When the leader replied last, or could have replied first. */
+  private silentFromMs: number;
+  private hasQuotas = false;
 
   /** `entries` is how many entries divide the floor; `undefined` if unknown. */
-  constructor(private readonly entries: () => number | undefined) {}
+  constructor(
+    private readonly entries: () => number | undefined,
+    nowMs = monotonicNowMs(),
+  ) {
+    this.silentFromMs = nowMs;
+  }
 
   /** The member that replies as the leader. */
   get leaderId(): InstanceId | undefined {
@@ -58,14 +74,15 @@
       return this.admitted(spec, units);
     }
     const mayAsk =
-      this.isLeaderHeard(now.monotonicMs) &&
+      this.isLeaderExpected(now.monotonicMs) &&
       !balance.isExhausted(now.monotonicMs);
     return mayAsk ? {kind: 'ask'} : this.lastResort(spec, units, now);
   }
 
   /** Decides on a request that waited in vain. */
   lastResort(spec: WorkspaceSpec, units: number, now: Instant): Admission {
-    const {balance, floor} = this.stateOf(spec.name, now);
+    const state = this.stateOf(spec.name, now);
+    const {floor} = state;
     const {quota} = spec;
     const entries = this.entries();
     const hasFloor = quota !== undefined && entries !== undefined;
@@ -73,7 +90,9 @@
       // Taken from the floor, so nothing goes back to the balance.
       return this.admitted(spec, 0);
     }
-    return {kind: 'refused', retryAfterMs: balance.retryAfterMs(units, now)};
+    const retryAfterMs = this.retryAfterMs(state, spec, units, now);
+    state.returns.add(units, returnsPerS(state, spec, now), now.monotonicMs);
+    return {kind: 'refused', retryAfterMs};
   }
 
   putBack({workspace, units}: QuotaCharge, now: Instant): void {
@@ -87,6 +106,7 @@
     const state: WorkspaceState = {
       balance: new Balance(workspace, this.nextEpoch, now),
       floor: new Floor(now.monotonicMs),
+      returns: new ReturnLine(now.monotonicMs),
       waiting: [],
     };
     this.states.set(workspace, state);
@@ -97,8 +117,14 @@
     return this.states;
   }
 
-  /** Drops the states of workspaces that have no quota any more. */
-  retain(limited: ReadonlySet<WorkspaceId>): void {
+  /**
+   * Drops the states of workspaces that have no quota any more. With the first quota
+   * the leader begins to reply.
+   */
+  retain(limited: ReadonlySet<WorkspaceId>, nowMs: number): void {
+    const isFirst = !this.hasQuotas && limited.size > 0;
+    this.hasQuotas = limited.size > 0;
+    if (isFirst) this.silentFromMs = nowMs;
     [...this.states.keys()]
       .filter(name => !limited.has(name))
       .forEach(name => this.states.delete(name));
@@ -130,18 +156,54 @@
     if (reply.term < this.term) return false;
     this.term = reply.term;
     this.leader = control;
-    this.repliedAtMs = now.monotonicMs;
+    this.silentFromMs = now.monotonicMs;
     reply.workspaces.forEach(grant =>
       this.states.get(grant.workspace)?.balance.apply(grant, sentAt, now),
     );
     return true;
   }
 
-  private isLeaderHeard(nowMs: number): boolean {
-    return nowMs - this.repliedAtMs < LEADER_SILENCE_MS;
+  private retryAfterMs(
+    state: WorkspaceState,
+    spec: WorkspaceSpec,
+    units: number,
+    now: Instant,
+  ): number {
+    const leaderMs = this.leaderInMs(now.monotonicMs);
+    const ownMs = state.balance.retryAfterMs(units, leaderMs, now);
+    const perS = returnsPerS(state, spec, now);
+    const lineMs = state.returns.waitMs(perS, now.monotonicMs);
+    return ownMs + Math.min(MAX_RETRY_MS, lineMs);
+  }
+
+  /**
+   * Until a leader grants again. At first a lost message or a calm succession is
+   * expected. Then the next leader may have to wait for the leases of the silent one.
+   * After that time this entry is cut off, or there is no quorum, and nothing is known.
+   */
+  private leaderInMs(nowMs: number): number {
+    if (this.leader !== undefined && this.isLeaderExpected(nowMs)) return 0;
+    const succeededAtMs = this.silentFromMs + SUCCESSION_MS;
+    const grantsAtMs =
+      succeededAtMs + (nowMs < succeededAtMs ? REPORTS_WITHIN_MS : RECOVERY_MS);
+    return nowMs < grantsAtMs ? grantsAtMs - nowMs : MAX_RETRY_MS;
+  }
+
+  private isLeaderExpected(nowMs: number): boolean {
+    return nowMs - this.silentFromMs < LEADER_SILENCE_MS;
   }
 
   private admitted({name}: WorkspaceSpec, units: number): Admission {
     return {kind: 'admitted', charge: {workspace: name, units}};
   }
 }
+
+// Without a share the pool serves callers, by the whole rate.
+function returnsPerS(
+  {balance}: WorkspaceState,
+  {quota}: WorkspaceSpec,
+  now: Instant,
+): number {
+  const {sharePerS} = balance.state(now);
+  return sharePerS > 0 ? sharePerS : (quota?.ratePerS ?? 1);
+}
--- a/src/node/quotas/leadership_check.ts
+++ b/src/node/quotas/leadership_check.ts
@@ -30,6 +30,11 @@
     this.timer = setInterval(() => void this.check(), CHECK_INTERVAL_MS);
   }
 
+  /** Confirms a leadership again with the next check, for a new state. */
+  renew(): void {
+    this.asked = undefined;
+  }
+
   stop(): void {
     clearInterval(this.timer);
   }
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -3,6 +3,7 @@
  * the balance of this entry does not cover asks the leader once and waits a moment for
  * the answer; if the pool is known to be empty, it is refused at once.
  */
+import {monotonicNowMs} from '../clock/clock.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {WorkspaceQuota, WorkspaceSpec} from '../routes/route_table.js';
@@ -26,8 +27,11 @@
 export interface QuotaGateOptions {
   /** How many entries the deployment has; `undefined` if that is not known yet. */
   readonly entries: () => number | undefined;
-  /** Announces this entry to a control member without waiting for the interval. */
-  readonly announceNow: (control: InstanceId) => void;
+  /**
+   * Announces this entry to a control member, or to all while no leader is known,
+   * without waiting for the interval.
+   */
+  readonly announceNow: (control: InstanceId | undefined) => void;
   readonly logger: Logger;
   readonly metrics: MetricsRegistry;
 }
@@ -122,7 +126,10 @@
   /** Workspaces of a new route table. */
   applyWorkspaces(workspaces: readonly WorkspaceSpec[]): void {
     const limited = workspaces.filter(each => each.quota !== undefined);
-    this.quotas.retain(new Set(limited.map(each => each.name)));
+    this.quotas.retain(
+      new Set(limited.map(each => each.name)),
+      monotonicNowMs(),
+    );
   }
 
   /** Control members take this process for another one from now on. */
@@ -185,9 +192,8 @@
     if (this.askTimer !== undefined) return;
     this.askTimer = setTimeout(() => {
       this.askTimer = undefined;
-      const {leaderId} = this.quotas;
-      const isNeeded = this.waiters.size > 0 && leaderId !== undefined;
-      if (isNeeded) this.options.announceNow(leaderId);
+      if (this.waiters.size === 0) return;
+      this.options.announceNow(this.quotas.leaderId);
     }, MIN_ASK_INTERVAL_MS);
   }
 
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -67,6 +67,7 @@
     if (isFirstOfAll) this.recoversUntilMs = nowMs;
     this.applyWorkspaces(workspaces, nowMs);
     this.endRecovery(term, nowMs);
+    this.expectRecovery(term, nowMs);
   }
 
   /** The reply to an entry; `undefined` unless this member certainly leads. */
@@ -118,6 +119,12 @@
     this.pools.forEach(pool => pool.endRecovery(nowMs));
   }
 
+  private expectRecovery(term: Term, nowMs: number): void {
+    if (nowMs >= this.recoversUntilMs) return;
+    const endsAtMs = this.contacts.allReportedAtMs(term, nowMs);
+    this.pools.forEach(pool => pool.expectRecovery(endsAtMs));
+  }
+
   private applyWorkspaces(
     workspaces: readonly WorkspaceSpec[],
     nowMs: number,
--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -9,6 +9,8 @@
   MAX_CLOCK_DRIFT,
   RECOVERY_MS,
   FENCE_MS,
+  MAX_RETRY_MS,
+  MIN_RETRY_MS,
   SHARE_LEASE_MS,
 } from './constants.js';
 import {
@@ -32,8 +34,6 @@
 const EXPIRY_CHECK_INTERVAL_MS = 250;
 /** Part of the pool that one entry may take in advance. */
 const PREFETCH_SHARE = 0.25;
-const MIN_RETRY_MS = 200;
-const MAX_RETRY_MS = 5_000;
 
 /** Which process of an entry sent a report, and its position among its reports. */
 export interface ReportSource {
@@ -59,6 +59,8 @@
   private expiredAtMs: number;
   private grantsFromMs: number;
   private recoversUntilMs: number;
+  /** When the recovery is expected to end; no promise. */
+  private recoveryEndsMs: number;
   /** Leases of earlier leaders that entries told of. */
   private carried: LeaseRoom = {sharePerS: 0, ceilingUnits: 0};
 
@@ -68,6 +70,7 @@
     this.expiredAtMs = nowMs;
     this.grantsFromMs = mayHavePredecessor ? nowMs + FENCE_MS : nowMs;
     this.recoversUntilMs = mayHavePredecessor ? nowMs + RECOVERY_MS : nowMs;
+    this.recoveryEndsMs = this.recoversUntilMs;
     if (!mayHavePredecessor) this.level = this.maxLevel(nowMs);
   }
 
@@ -78,6 +81,11 @@
     this.recoversUntilMs = Math.min(this.recoversUntilMs, nowMs);
   }
 
+  /** The recovery is expected to end by itself, or earlier at `endsAtMs`. */
+  expectRecovery(endsAtMs: number): void {
+    this.recoveryEndsMs = Math.min(this.recoversUntilMs, endsAtMs);
+  }
+
   applyLimits(limits: PoolLimits, nowMs: number): void {
     this.fill(nowMs);
     this.limits = limits;
@@ -128,7 +136,9 @@
       grantedUnits: account.grantedUnits,
       returnedUnits: account.returnedUnits,
       maxUnits: this.limits.maxGrantUnits,
-      ...(unmetUnits > 0 ? {retryAfterMs: this.retryAfterMs()} : {}),
+      ...(unmetUnits > 0 || this.isTooEmptyFor(report, nowMs)
+        ? {retryAfterMs: this.retryAfterMs(report, nowMs)}
+        : {}),
     };
   }
 
@@ -253,12 +263,29 @@
     return this.totals.ceilingUnits + this.totals.transitUnits;
   }
 
-  /** When the pool is expected to have what waits. */
-  private retryAfterMs(): number {
-    const {ratePerS} = this.limits;
-    const missing = Math.max(0, this.totals.unmetUnits - this.level);
+  // While it recovers, the entry need not ask to hear that.
+  private isTooEmptyFor(
+    {largestUnits}: WorkspaceReport,
+    nowMs: number,
+  ): boolean {
+    const needed = Math.min(largestUnits, this.limits.maxGrantUnits);
+    const isRecovering = nowMs < this.recoversUntilMs;
+    return isRecovering && this.availableUnits(nowMs) < needed;
+  }
+
+  /** When the pool is expected to have what waits; little comes while it recovers. */
+  private retryAfterMs({largestUnits}: WorkspaceReport, nowMs: number): number {
+    const {ratePerS, maxGrantUnits} = this.limits;
+    const {unmetUnits} = this.totals;
+    const needed =
+      unmetUnits > 0 ? unmetUnits : Math.min(largestUnits, maxGrantUnits);
+    const missing = Math.max(0, needed - this.level);
     const fillMs = (missing * MS_PER_S) / ratePerS;
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, fillMs));
+    const isRecovering = nowMs < this.recoversUntilMs;
+    const recoveryMs = isRecovering
+      ? Math.max(0, this.recoveryEndsMs - nowMs)
+      : 0;
+    return Math.max(MIN_RETRY_MS, recoveryMs + Math.min(MAX_RETRY_MS, fillMs));
   }
 
   private maxLevel(nowMs: number): number {
@@ -272,6 +299,14 @@
   }
 
   private fill(nowMs: number): void {
+    // More fills it from the end of the recovery on.
+    if (this.filledAtMs < this.recoversUntilMs) {
+      this.fillUntil(Math.min(nowMs, this.recoversUntilMs));
+    }
+    this.fillUntil(nowMs);
+  }
+
+  private fillUntil(nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.filledAtMs);
     const freePerS = this.leasable(this.filledAtMs).sharePerS;
     const ratePerS = Math.max(0, freePerS - this.totals.sharePerS);
--- a/src/node/routes/control_plane.ts
+++ b/src/node/routes/control_plane.ts
@@ -362,6 +362,7 @@
       table: table === undefined ? undefined : {...table, source: ''},
     };
     this.packedForEntries = pack(this.stateForEntries);
+    this.quotas.noteState();
     this.options.logger.info(
       {event: 'state_applied', ...summaryOf(state)},
       'applied a committed control state',
--- a/src/node/routes/quota_control.ts
+++ b/src/node/routes/quota_control.ts
@@ -42,6 +42,11 @@
     this.leadership.start();
   }
 
+  /** Quotas of a new state apply once the leadership is confirmed again. */
+  noteState(): void {
+    this.leadership?.renew();
+  }
+
   stop(): void {
     this.leadership?.stop();
   }
