End the recovery of a quota leader with the reports of all entries

After a calm change of the leader the pool granted nothing for up to 1.3 s: an entry told what it holds only with its next announcement but one, and the leader looked for the end four times a second. Entries now report at once to a leader whose first reply they get, and the leader looks with each report.

The recovery also ended too early. An entry that a member had not heard for 11 s, or since the member started 11 s ago, counted as ended, although only the link between the two may be cut and the entry renewed its lease with the last leader a moment ago: 261,200 units ran in a window that allows 176,000. Both times are a minute now. So a leader that has run for less than a minute waits out the 11 s, which it did for 11 s of its run before.

--- a/src/node/quotas/__tests__/failures.spec.ts
+++ b/src/node/quotas/__tests__/failures.spec.ts
@@ -67,6 +67,21 @@
   assert.equal(shareRefused(decisions), 0);
 });
 
+// The same right after it: all entries have reported within one interval of their
+// announcements, so that the pool need not wait any longer.
+test('a workspace that begins one interval after a change of the leader is served', () => {
+  const confirmedWithinMs = 250;
+  const intervalMs = 400;
+  const messagesMs = 3 * 55;
+  const recoveredAtMs =
+    FAULT_AT_MS + confirmedWithinMs + intervalMs + messagesMs;
+  const decisions = play([newLeader(1)], {
+    startsAtMs: recoveredAtMs + STEP_MS,
+    untilMs: 30_000,
+  });
+  assert.equal(shareRefused(decisions), 0);
+});
+
 // Guards against a region that refuses all while it cannot reach the leader.
 test('a region that is cut off goes on with its share', () => {
   const cuts = Array.from({length: PER_REGION}, (_, entry): TimedFault => {
--- a/src/node/quotas/__tests__/retry_after.spec.ts
+++ b/src/node/quotas/__tests__/retry_after.spec.ts
@@ -91,7 +91,7 @@
 // Guards against callers that are told 11 s although the recovery ends with the next
 // announcements, and against the opposite with an entry that is lost.
 test('a recovery that ends with the next reports is told as short', () => {
-  const electedAtMs = 60_000;
+  const electedAtMs = 70_000;
   const told = [
     electedAtMs - ANNOUNCE_INTERVAL_MS,
     electedAtMs - RECOVERY_MS / 2,
--- a/src/node/quotas/__tests__/support/quota_days.ts
+++ b/src/node/quotas/__tests__/support/quota_days.ts
@@ -24,6 +24,8 @@
 const ANNOUNCE_STEPS = 16;
 const CALL_TIMEOUT_MS = 800;
 const CONFIRM_STEPS = 10;
+/** They know all entries that may hold a lease. */
+const MEMBERS_UP_MS = 60_000;
 const NO_WORKSPACES: readonly WorkspaceSpec[] = [];
 
 /** A fault from `atMs` for `forMs`. */
@@ -62,6 +64,8 @@
   readonly faults: readonly TimedFault[];
   /** When the first table with a quota is committed. @default 0 */
   readonly tableAtMs?: number;
+  /** For how long the members have run at the start. @default 60000 */
+  readonly membersUpMs?: number;
   /** Units of the requests that arrive at an entry in the step at `atMs`. */
   readonly arrivals: (entry: number, atMs: number) => readonly number[];
   /** One way, with each use another value. */
@@ -116,7 +120,8 @@
 
   constructor(private readonly day: QuotaDay) {
     this.limited = [day.spec];
-    this.members = this.startMembers();
+    const upMs = day.membersUpMs ?? MEMBERS_UP_MS;
+    this.members = this.startMembers(-upMs);
     this.entries = Array.from({length: day.entries}, (_, index) => ({
       id: asId<InstanceId>(`e${index}`),
       quotas: new EntryQuotas(() => day.entries),
@@ -168,10 +173,8 @@
     );
   }
 
-  private startMembers(): QuotaLeader[] {
-    return this.leaders.map(
-      () => new QuotaLeader(this.day.tolerance, this.atMs),
-    );
+  private startMembers(atMs: number): QuotaLeader[] {
+    return this.leaders.map(() => new QuotaLeader(this.day.tolerance, atMs));
   }
 
   private noteSums(): void {
@@ -262,7 +265,9 @@
     entry.pending.delete(member);
     if (call.answer === undefined) return;
     const {quotas} = entry;
+    const {leaderTerm} = quotas;
     if (!quotas.apply(memberId(member), call.answer, call.sentAt, now)) return;
+    if (quotas.leaderTerm !== leaderTerm) this.announce(entry, index, member);
     if (call.answer.workspaces.length > 0) this.serveWaiting(entry, index);
   }
 
@@ -316,7 +321,7 @@
     if (fault.kind === 'restart_members') {
       this.leading = fault.member;
       this.term += 1;
-      this.members = this.startMembers();
+      this.members = this.startMembers(this.atMs);
     }
     if (fault.kind === 'restart') {
       const entry = this.entries[fault.entry];
--- a/src/node/quotas/constants.ts
+++ b/src/node/quotas/constants.ts
@@ -21,6 +21,12 @@
 export const SUCCESSION_MS = 2_000;
 /** An entry that is not cut off has by then reported to a new leader. */
 export const REPORTS_WITHIN_MS = 1_200;
+/**
+ * How long an entry that a control member does not hear may hold leases of another
+ * one. It bridges cuts of a single link; entries that are gone for good lengthen the
+ * recovery of new leaders as long.
+ */
+export const CONTACT_EXPIRY_MS = 60_000;
 
 /** Bounds of what refused callers are told, beside the recovery of a leader. */
 export const MIN_RETRY_MS = 200;
--- a/src/node/quotas/entry_contacts.ts
+++ b/src/node/quotas/entry_contacts.ts
@@ -3,7 +3,7 @@
  * from the announcements that it gets anyway.
  */
 import type {InstanceId, RegionId, Term} from '../types/ids.js';
-import {RECOVERY_MS, REPORTS_WITHIN_MS} from './constants.js';
+import {CONTACT_EXPIRY_MS, REPORTS_WITHIN_MS} from './constants.js';
 
 interface Contact {
   readonly heardAtMs: number;
@@ -18,7 +18,7 @@
   readonly region: RegionId;
 }
 
-/** The entries that were heard of since leases of earlier leaders are valid. */
+/** The entries that this member has heard of, and that may still run. */
 export class EntryContacts {
   private readonly contacts = new Map<InstanceId, Contact>();
   private readonly startedAtMs: number;
@@ -33,6 +33,7 @@
     nowMs: number,
   ): void {
     const known = this.contacts.get(instanceId);
+    if (known === undefined) this.forgetLost(nowMs);
     this.contacts.set(instanceId, {
       heardAtMs: nowMs,
       region,
@@ -54,21 +55,25 @@
       .map(({heardAtMs}) =>
         nowMs - heardAtMs < REPORTS_WITHIN_MS
           ? nowMs + REPORTS_WITHIN_MS
-          : heardAtMs + RECOVERY_MS,
+          : Number.POSITIVE_INFINITY,
       );
-    return Math.max(this.startedAtMs + RECOVERY_MS, nowMs, ...endsAtMs);
+    return Math.max(this.startedAtMs + CONTACT_EXPIRY_MS, nowMs, ...endsAtMs);
   }
 
   /**
    * Whether all entries that may hold a lease have told this leader what they hold.
-   * A member that has just started cannot know them.
+   * A member that has just started cannot know them. An entry that is not heard here
+   * may have had a lease of the last leader until a moment ago.
    */
   haveAllReported(term: Term, nowMs: number): boolean {
-    const sinceMs = nowMs - RECOVERY_MS;
-    if (this.startedAtMs > sinceMs) return false;
+    if (nowMs - this.startedAtMs < CONTACT_EXPIRY_MS) return false;
+    this.forgetLost(nowMs);
+    return [...this.contacts.values()].every(each => each.term === term);
+  }
+
+  private forgetLost(nowMs: number): void {
     [...this.contacts]
-      .filter(([, {heardAtMs}]) => heardAtMs < sinceMs)
+      .filter(([, {heardAtMs}]) => nowMs - heardAtMs > CONTACT_EXPIRY_MS)
       .forEach(([entry]) => this.contacts.delete(entry));
-    return [...this.contacts.values()].every(each => each.term === term);
   }
 }
--- a/src/node/quotas/entry_quotas.ts
+++ b/src/node/quotas/entry_quotas.ts
@@ -61,6 +61,11 @@
     this.silentFromMs = nowMs;
   }
 
+  /** Term of the leader that this entry accepts. */
+  get leaderTerm(): number {
+    return this.term;
+  }
+
   /** The member that replies as the leader. */
   get leaderId(): InstanceId | undefined {
     return this.leader;
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -150,12 +150,15 @@
   /** The reply to an announcement that was sent at `sentAt`. */
   apply(control: InstanceId, reply: QuotaReply, sentAt: Instant): void {
     const now = instantNow();
+    const {leaderTerm} = this.quotas;
     if (!this.quotas.apply(control, reply, sentAt, now)) return;
+    // A new leader recovers until it knows what each entry holds.
+    if (this.quotas.leaderTerm !== leaderTerm) this.scheduleAnnouncement();
     reply.workspaces.forEach(({workspace}) => {
       const state = this.quotas.workspaces.get(workspace);
       if (state !== undefined) this.serveWaiting(state, now);
     });
-    if (this.waiters.size > 0) this.scheduleAsk();
+    if (this.waiters.size > 0) this.scheduleAnnouncement();
   }
 
   stop(): void {
@@ -183,16 +186,15 @@
       queue.push(waiter);
       state.waiting.push(units);
       this.waiters.set(state, queue);
-      this.scheduleAsk();
+      this.scheduleAnnouncement();
     });
   }
 
   // Requests that arrive together are asked for together.
-  private scheduleAsk(): void {
+  private scheduleAnnouncement(): void {
     if (this.askTimer !== undefined) return;
     this.askTimer = setTimeout(() => {
       this.askTimer = undefined;
-      if (this.waiters.size === 0) return;
       this.options.announceNow(this.quotas.leaderId);
     }, MIN_ASK_INTERVAL_MS);
   }
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -84,6 +84,7 @@
     this.contacts.note(entry, adopted, now.monotonicMs);
     if (!leads || this.pools.size === 0) return undefined;
     const {term} = confirmation;
+    if (adopted === term) this.endRecovery(term, now.monotonicMs);
     // What the entry holds counts only once it takes nothing from others.
     const reports = report?.term === term ? report.workspaces : [];
     const source = {
