Bound how often an entry asks for more quota, and how long requests wait

An entry whose workspace is over its quota asked the leader up to 41 times a second beside its 2.5 announcements, and each ask is an announcement with the reports of all workspaces. A request waited for up to 400 ms whatever the target latency of its route.

- One announcement to the leader is under way, and the next one is asked for 100 ms after the last report at the earliest.
Requests that still wait then are asked for again; a lost reply left them waiting until they gave up.
- After an ask that the pool could not serve the entry pauses for 100, 300, then 400 ms, until one is served.
Its usual reports go on.
- A request waits for a quarter of its target latency at most.
- Waiting requests are served also when the share has covered them.
- Leases change by a hundredth, in place of a tenth, while another entry has a tenth too little.

--- a/src/node/ingress/quota_admission.ts
+++ b/src/node/ingress/quota_admission.ts
@@ -22,9 +22,13 @@
     request: InboundRequest,
     response: CallerResponse,
   ): Promise<AdmittedRequest | undefined> {
-    const {workspace, traits, requestId, tableVersion} = request;
+    const {workspace, traits, requestId, tableVersion, route} = request;
     if (workspace?.quota === undefined) return {charge: undefined};
-    const admission = await this.gate.admit(workspace, traits.prompt);
+    const admission = await this.gate.admit(
+      workspace,
+      traits.prompt,
+      route.targetLatencyMs,
+    );
     if (admission.kind === 'admitted') return admission;
     const {retryAfterMs} = admission;
     const status = sendOverQuota(response, retryAfterMs);
--- a/src/node/quotas/balance.ts
+++ b/src/node/quotas/balance.ts
@@ -11,6 +11,9 @@
 import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
 
 const MS_PER_S = 1_000;
+/** Pause of asks after one that the pool could not serve, and after many in a row. */
+const MIN_ASK_PAUSE_MS = 100;
+const MAX_ASK_PAUSE_MS = 400;
 /** Sums of grants are rounded. */
 const ROUNDING_UNITS = 1e-6;
 
@@ -39,6 +42,10 @@
   private maxUnits = Number.POSITIVE_INFINITY;
   private accruedAtMs: number;
   private exhaustedUntilMs = Number.NEGATIVE_INFINITY;
+  /** Asks in a row that the pool could not serve. */
+  private unservedAsks = 0;
+  private asksFromMs = Number.NEGATIVE_INFINITY;
+  private hasAsked = false;
 
   constructor(
     private readonly workspace: WorkspaceId,
@@ -65,9 +72,9 @@
     this.units += Math.max(0, Math.min(units, room));
   }
 
-  /** Whether the pool was said to be empty a moment ago. */
+  /** Whether the pool was said to be empty a moment ago, or again and again. */
   isExhausted(nowMs: number): boolean {
-    return nowMs < this.exhaustedUntilMs;
+    return nowMs < Math.max(this.exhaustedUntilMs, this.asksFromMs);
   }
 
   /**
@@ -113,7 +120,8 @@
     const demandPerS = this.demand.perS(nowMs);
     const waitingUnits = waiting.reduce((sum, each) => sum + each, 0);
     const wanted = this.wantedUnits(demandPerS, largestUnits);
-    if (waiting.length === 0) this.giveBack(this.units - wanted);
+    this.hasAsked = waiting.length > 0;
+    if (!this.hasAsked) this.giveBack(this.units - wanted);
     return {
       workspace: this.workspace,
       epoch: this.epoch,
@@ -142,7 +150,19 @@
     this.units += granted;
     this.returningUnits = Math.max(0, this.returnedUnits - grant.returnedUnits);
     this.maxUnits = grant.maxUnits;
-    this.exhaustedUntilMs = now.monotonicMs + (grant.retryAfterMs ?? 0);
+    this.noteExhaustion(grant.retryAfterMs, now.monotonicMs);
+  }
+
+  // A pool that is empty again and again is asked less often; the usual reports go on.
+  private noteExhaustion(
+    retryAfterMs: number | undefined,
+    nowMs: number,
+  ): void {
+    this.exhaustedUntilMs = nowMs + (retryAfterMs ?? 0);
+    if (!this.hasAsked) return;
+    this.unservedAsks = retryAfterMs === undefined ? 0 : this.unservedAsks + 1;
+    const pauseMs = MIN_ASK_PAUSE_MS * (2 ** this.unservedAsks - 1);
+    this.asksFromMs = nowMs + Math.min(MAX_ASK_PAUSE_MS, pauseMs);
   }
 
   /** Gives back what exceeds the ceiling, after waiting requests had their part. */
--- a/src/node/quotas/constants.ts
+++ b/src/node/quotas/constants.ts
@@ -49,6 +49,13 @@
 export const ASK_TIMEOUT_MS = 400;
 /** Smaller relative changes of a share are not worth a new version. */
 export const MIN_SHARE_CHANGE = 0.1;
+/**
+ * The same while another entry gets less than it should: many entries that each keep
+ * a tenth too much leave nothing to one that joins.
+ */
+export const MIN_SHARE_CHANGE_IF_SHORT = 0.01;
+/** How long an entry that got too little counts; it reports again by then. */
+export const SHORT_FOR_MS = 1_000;
 
 /**
  * Part of the rate that entries without a lease use in sum. Their buckets hold one
--- a/src/node/quotas/lease_targets.ts
+++ b/src/node/quotas/lease_targets.ts
@@ -59,9 +59,13 @@
 }
 
 /** Whether a lease differs enough from what an entry holds to change it. */
-export function isWorthChange(held: LeaseTarget, next: LeaseTarget): boolean {
+export function isWorthChange(
+  held: LeaseTarget,
+  next: LeaseTarget,
+  minChange = MIN_SHARE_CHANGE,
+): boolean {
   const differs = (left: number, right: number): boolean =>
-    Math.abs(left - right) > MIN_SHARE_CHANGE * Math.max(left, right);
+    Math.abs(left - right) > minChange * Math.max(left, right);
   return (
     differs(held.sharePerS, next.sharePerS) ||
     differs(held.ceilingUnits, next.ceilingUnits)
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -21,7 +21,11 @@
 import type {QuotaReply, QuotaReport} from './messages.js';
 
 /** Questions of requests that arrive within this time are asked together. */
-const MIN_ASK_INTERVAL_MS = 20;
+const GATHER_MS = 20;
+/** Bounds the announcements that an entry sends beside the periodic ones. */
+const MIN_ASK_INTERVAL_MS = 100;
+/** A request waits for a grant no longer than this part of its target latency. */
+const WAIT_SHARE = 0.25;
 const MAX_WAITING = 256;
 
 export interface QuotaGateOptions {
@@ -67,12 +71,20 @@
     : prompt.promptTokens + prompt.maxOutputTokens;
 }
 
+function longestWaitMs(targetLatencyMs: number): number {
+  // 0 is a route without a target.
+  return targetLatencyMs === 0
+    ? ASK_TIMEOUT_MS
+    : Math.min(ASK_TIMEOUT_MS, WAIT_SHARE * targetLatencyMs);
+}
+
 /** The quotas of one entry. */
 export class QuotaGate {
   private readonly quotas: EntryQuotas;
   private readonly limited: LimitedWorkspaces;
   private readonly waiters = new Map<WorkspaceState, Waiter[]>();
   private askTimer: ReturnType<typeof setTimeout> | undefined;
+  private reportedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: QuotaGateOptions) {
     this.quotas = new EntryQuotas(options.entries);
@@ -84,6 +96,7 @@
   async admit(
     spec: WorkspaceSpec,
     prompt: Pick<PromptSize, 'promptTokens' | 'maxOutputTokens'> | undefined,
+    targetLatencyMs: number,
   ): Promise<Admission> {
     const {quota} = spec;
     if (quota === undefined) {
@@ -92,9 +105,13 @@
     const now = instantNow();
     const units = unitsOf(quota, prompt);
     const state = this.quotas.stateOf(spec.name, now);
+    // The share may have covered requests that wait for a grant.
+    this.serveCovered(state, now);
     const verdict = this.quotas.arrive(spec, units, now);
     const admission =
-      verdict.kind === 'ask' ? await this.ask(spec, units, state) : verdict;
+      verdict.kind === 'ask'
+        ? await this.ask(spec, units, state, targetLatencyMs)
+        : verdict;
     this.limited.note(spec, units, admission, state.balance);
     return admission;
   }
@@ -140,6 +157,7 @@
   reportFor(control: InstanceId): QuotaReport | undefined {
     const report = this.quotas.reportFor(control, instantNow());
     if (report === undefined) return undefined;
+    this.reportedAtMs = monotonicNowMs();
     const workspaces = report.workspaces.map(each => ({
       ...each,
       limitedForMs: this.limited.limitedForMs(each.workspace),
@@ -153,12 +171,15 @@
     const {leaderTerm} = this.quotas;
     if (!this.quotas.apply(control, reply, sentAt, now)) return;
     // A new leader recovers until it knows what each entry holds.
-    if (this.quotas.leaderTerm !== leaderTerm) this.scheduleAnnouncement();
+    if (this.quotas.leaderTerm !== leaderTerm) this.scheduleAnnouncement(0);
     reply.workspaces.forEach(({workspace}) => {
       const state = this.quotas.workspaces.get(workspace);
       if (state !== undefined) this.serveWaiting(state, now);
     });
-    if (this.waiters.size > 0) this.scheduleAnnouncement();
+    if (this.waiters.size === 0) return;
+    clearTimeout(this.askTimer);
+    this.askTimer = undefined;
+    this.scheduleAnnouncement(0);
   }
 
   stop(): void {
@@ -172,6 +193,7 @@
     spec: WorkspaceSpec,
     units: number,
     state: WorkspaceState,
+    targetLatencyMs: number,
   ): Promise<Admission> {
     const queue = this.waiters.get(state) ?? [];
     if (queue.length >= MAX_WAITING) {
@@ -180,7 +202,7 @@
     return new Promise(settle => {
       const timer = setTimeout(
         () => this.giveUp(state, waiter),
-        ASK_TIMEOUT_MS,
+        longestWaitMs(targetLatencyMs),
       );
       const waiter: Waiter = {spec, units, settle, timer};
       queue.push(waiter);
@@ -191,15 +213,25 @@
   }
 
   // Requests that arrive together are asked for together.
-  private scheduleAnnouncement(): void {
+  private scheduleAnnouncement(gatherMs = GATHER_MS): void {
     if (this.askTimer !== undefined) return;
-    this.askTimer = setTimeout(() => {
-      this.askTimer = undefined;
-      this.options.announceNow(this.quotas.leaderId);
-    }, MIN_ASK_INTERVAL_MS);
+    const restMs = this.reportedAtMs + MIN_ASK_INTERVAL_MS - monotonicNowMs();
+    this.askTimer = setTimeout(
+      () => this.announce(),
+      Math.max(gatherMs, restMs),
+    );
   }
 
-  private serveWaiting(state: WorkspaceState, now: Instant): void {
+  // One under way makes this one void, and its reply may be lost: requests that still
+  // wait are asked for again.
+  private announce(): void {
+    this.askTimer = undefined;
+    this.options.announceNow(this.quotas.leaderId);
+    this.options.metrics.count('quota_asks');
+    if (this.waiters.size > 0) this.scheduleAnnouncement(MIN_ASK_INTERVAL_MS);
+  }
+
+  private serveCovered(state: WorkspaceState, now: Instant): void {
     const queue = this.waiters.get(state) ?? [];
     const firstUncovered = queue.findIndex(
       ({units}) => !state.balance.take(units, now),
@@ -210,6 +242,10 @@
       const charge = {workspace: spec.name, units};
       this.settle(state, waiter, {kind: 'admitted', charge});
     });
+  }
+
+  private serveWaiting(state: WorkspaceState, now: Instant): void {
+    this.serveCovered(state, now);
     state.balance.settle();
     if (!state.balance.isExhausted(now.monotonicMs)) return;
     [...(this.waiters.get(state) ?? [])].forEach(waiter =>
--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -10,6 +10,9 @@
   RECOVERY_MS,
   FENCE_MS,
   MAX_RETRY_MS,
+  MIN_SHARE_CHANGE,
+  MIN_SHARE_CHANGE_IF_SHORT,
+  SHORT_FOR_MS,
   MIN_RETRY_MS,
   SHARE_LEASE_MS,
 } from './constants.js';
@@ -35,6 +38,11 @@
 /** Part of the pool that one entry may take in advance. */
 const PREFETCH_SHARE = 0.25;
 
+const UNLIMITED: LeaseRoom = {
+  sharePerS: Number.POSITIVE_INFINITY,
+  ceilingUnits: Number.POSITIVE_INFINITY,
+};
+
 /** Which process of an entry sent a report, and its position among its reports. */
 export interface ReportSource {
   readonly entry: InstanceId;
@@ -59,6 +67,7 @@
   private expiredAtMs: number;
   private grantsFromMs: number;
   private recoversUntilMs: number;
+  private isShortUntilMs = Number.NEGATIVE_INFINITY;
   /** When the recovery is expected to end; no promise. */
   private recoveryEndsMs: number;
   /** Leases of earlier leaders that entries told of. */
@@ -188,14 +197,16 @@
     nowMs: number,
   ): void {
     const {lease} = account;
-    const target = leaseTarget(
-      report,
-      this.totals,
-      this.limits,
-      this.roomFor(account, nowMs),
-      lease,
-    );
-    if (!isWorthChange(lease, target)) return;
+    const {totals, limits} = this;
+    const room = this.roomFor(account, nowMs);
+    const target = leaseTarget(report, totals, limits, room, lease);
+    const wish = leaseTarget(report, totals, limits, UNLIMITED, lease);
+    if (isWorthChange(target, wish)) this.isShortUntilMs = nowMs + SHORT_FOR_MS;
+    const minChange =
+      nowMs < this.isShortUntilMs
+        ? MIN_SHARE_CHANGE_IF_SHORT
+        : MIN_SHARE_CHANGE;
+    if (!isWorthChange(lease, target, minChange)) return;
     this.change(account, () =>
       account.changeLease(target.sharePerS, target.ceilingUnits),
     );
