--- a/src/node/control/quota_service.ts
+++ b/src/node/control/quota_service.ts
@@ -66,7 +66,12 @@
 
   constructor({log, machine, router}: QuotaServiceOptions) {
     this.check = new LeadershipCheck(log, confirmation =>
-      this.leader.confirm(confirmation, this.workspaces, monotonicNowMs()),
+      this.leader.confirm(
+        confirmation,
+        // Not known: a new leader lets leases of an earlier one expire.
+        {workspaces: this.workspaces, firstQuotaTerm: undefined},
+        monotonicNowMs(),
+      ),
     );
     router.register(QUOTA_EXCHANGE_METHOD, exchangeParamsSchema, params =>
       this.exchange(params),
--- a/src/node/entry/__tests__/quota_link.spec.ts
+++ b/src/node/entry/__tests__/quota_link.spec.ts
@@ -77,7 +77,7 @@
   } as unknown as RpcClient;
   const gate: QuotaGate = new QuotaGate({
     entries: () => CONFIGURATION.instances.length,
-    announceNow: (control: InstanceId) => link.askNow(control),
+    announceNow: (control: InstanceId | undefined) => link.askNow(control),
     logger: pino({enabled: false}),
     metrics: new MetricsRegistry(),
   });
@@ -168,7 +168,7 @@
   const kinds: string[] = [];
   const timer = setInterval(() => {
     void gate
-      .admit(specOf(workspace), undefined)
+      .admit(specOf(workspace), undefined, 1_000)
       .then(({kind}) => kinds.push(kind));
   }, 20);
   await advanceClock(t, 4_000, 10);
--- a/src/node/entry/quota_admission.ts
+++ b/src/node/entry/quota_admission.ts
@@ -7,6 +7,8 @@
 import {withUnknownOutcome} from './unknown_outcome.js';
 
 const STEP = 'entry.quota';
+/** A call waits for a grant for a part of it; the ranks' targets are longer. */
+const TARGET_LATENCY_MS = 1_000;
 /** Engines count tokens themselves; before that, the size of a body has to do. */
 const BYTES_PER_TOKEN = 4;
 
@@ -49,7 +51,11 @@
     run: () => Promise<void>,
   ): Promise<void> {
     if (workspace.quota === undefined) return run();
-    const admission = await this.gate.admit(specOf(workspace), tokens);
+    const admission = await this.gate.admit(
+      specOf(workspace),
+      tokens,
+      TARGET_LATENCY_MS,
+    );
     if (admission.kind === 'refused') {
       throw overQuota(workspace, admission.retryAfterMs);
     }
--- a/src/node/entry/quota_link.ts
+++ b/src/node/entry/quota_link.ts
@@ -55,10 +55,10 @@
     clearInterval(this.timer);
   }
 
-  /** Asks one control member without waiting for the interval. */
-  askNow(control: InstanceId): void {
+  /** Asks one control member, or all, without waiting for the interval. */
+  askNow(control: InstanceId | undefined): void {
     this.members()
-      .filter(({instanceId}) => instanceId === control)
+      .filter(({instanceId}) => (control ?? instanceId) === instanceId)
       .forEach(each => void this.exchange(each));
   }
 
--- a/src/node/quotas/balance.ts
+++ b/src/node/quotas/balance.ts
@@ -1,15 +1,21 @@
 /** The units of one workspace that an entry may admit. */
 import type {WorkspaceId} from '../types/ids.js';
-import {EXCHANGE_MS, SHARE_LEASE_MS} from './constants.js';
+import {
+  EXCHANGE_MS,
+  MAX_RETRY_MS,
+  MIN_RETRY_MS,
+  SHARE_LEASE_MS,
+} from './constants.js';
 import {DemandMeter} from './demand_meter.js';
 import {longestMsBetween, type Instant} from './instant.js';
 import type {WorkspaceGrant, WorkspaceReport} from './messages.js';
 
 const MS_PER_S = 1_000;
+/** Pause of asks after one that the pool could not serve, and after many in a row. */
+const MIN_ASK_PAUSE_MS = 100;
+const MAX_ASK_PAUSE_MS = 400;
 /** Sums of grants are rounded. */
 const ROUNDING_UNITS = 1e-6;
-const MIN_RETRY_MS = 200;
-const MAX_RETRY_MS = 5_000;
 
 /** The lease that an entry acts on. */
 export interface HeldLease {
@@ -36,7 +42,10 @@
   private maxUnits = Number.POSITIVE_INFINITY;
   private accruedAtMs: number;
   private exhaustedUntilMs = Number.NEGATIVE_INFINITY;
-  private poolRetryMs = MIN_RETRY_MS;
+  /** Asks in a row that the pool could not serve. */
+  private unservedAsks = 0;
+  private asksFromMs = Number.NEGATIVE_INFINITY;
+  private hasAsked = false;
 
   constructor(
     private readonly workspace: WorkspaceId,
@@ -63,26 +72,20 @@
     this.units += Math.max(0, Math.min(units, room));
   }
 
-  /** Whether the pool was said to be empty a moment ago. */
+  /** Whether the pool was said to be empty a moment ago, or again and again. */
   isExhausted(nowMs: number): boolean {
-    return nowMs < this.exhaustedUntilMs;
+    return nowMs < Math.max(this.exhaustedUntilMs, this.asksFromMs);
   }
 
-  /** When the balance is expected to cover a request behind others. */
-  retryAfterMs(units: number, now: Instant): number {
-    this.accrue(now);
-    const perS = this.lease?.sharePerS ?? 0;
-    const missing = Math.min(units, this.maxUnits) - this.units;
-    const ownMs =
-      perS > 0 && this.ceilingUnits >= units
-        ? (missing * MS_PER_S) / perS
-        : Number.POSITIVE_INFINITY;
-    const leftMs = Math.max(
-      this.poolRetryMs,
-      this.exhaustedUntilMs - now.monotonicMs,
-    );
-    const retryMs = Math.min(ownMs, leftMs);
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, retryMs));
+  /**
+   * When the balance is expected to cover a request: by its share, or by a grant, for
+   * which the leader is expected to be heard in `leaderMs`.
+   */
+  retryAfterMs(units: number, leaderMs: number, now: Instant): number {
+    const leftMs = this.exhaustedUntilMs - now.monotonicMs;
+    const grantMs = Math.max(MIN_RETRY_MS, leaderMs, leftMs);
+    const ownMs = Math.max(MIN_RETRY_MS, this.coveredInMs(units, now));
+    return Math.min(grantMs, ownMs);
   }
 
   /** Whether the leader has nothing to know of it. */
@@ -117,7 +120,8 @@
     const demandPerS = this.demand.perS(nowMs);
     const waitingUnits = waiting.reduce((sum, each) => sum + each, 0);
     const wanted = this.wantedUnits(demandPerS, largestUnits);
-    if (waiting.length === 0) this.giveBack(this.units - wanted);
+    this.hasAsked = waiting.length > 0;
+    if (!this.hasAsked) this.giveBack(this.units - wanted);
     return {
       workspace: this.workspace,
       epoch: this.epoch,
@@ -146,8 +150,19 @@
     this.units += granted;
     this.returningUnits = Math.max(0, this.returnedUnits - grant.returnedUnits);
     this.maxUnits = grant.maxUnits;
-    this.poolRetryMs = grant.retryAfterMs ?? MIN_RETRY_MS;
-    this.exhaustedUntilMs = now.monotonicMs + (grant.retryAfterMs ?? 0);
+    this.noteExhaustion(grant.retryAfterMs, now.monotonicMs);
+  }
+
+  // A pool that is empty again and again is asked less often; the usual reports go on.
+  private noteExhaustion(
+    retryAfterMs: number | undefined,
+    nowMs: number,
+  ): void {
+    this.exhaustedUntilMs = nowMs + (retryAfterMs ?? 0);
+    if (!this.hasAsked) return;
+    this.unservedAsks = retryAfterMs === undefined ? 0 : this.unservedAsks + 1;
+    const pauseMs = MIN_ASK_PAUSE_MS * (2 ** this.unservedAsks - 1);
+    this.asksFromMs = nowMs + Math.min(MAX_ASK_PAUSE_MS, pauseMs);
   }
 
   /** Gives back what exceeds the ceiling, after waiting requests had their part. */
@@ -155,6 +170,19 @@
     this.giveBack(this.units + this.returningUnits - this.ceilingUnits);
   }
 
+  // Until the share covers a request; never, if the lease ends before.
+  private coveredInMs(units: number, now: Instant): number {
+    this.accrue(now);
+    if (this.lease === undefined) return Number.POSITIVE_INFINITY;
+    const {sharePerS, ceilingUnits, renewedAt} = this.lease;
+    const needed = Math.min(units, this.maxUnits);
+    if (ceilingUnits < needed) return Number.POSITIVE_INFINITY;
+    const coveredInMs = ((needed - this.units) * MS_PER_S) / sharePerS;
+    const endsInMs = SHARE_LEASE_MS - longestMsBetween(renewedAt, now);
+    const isCovered = coveredInMs < Math.min(endsInMs, MAX_RETRY_MS);
+    return isCovered ? coveredInMs : Number.POSITIVE_INFINITY;
+  }
+
   private get ceilingUnits(): number {
     return this.lease?.ceilingUnits ?? 0;
   }
--- a/src/node/quotas/constants.ts
+++ b/src/node/quotas/constants.ts
@@ -14,6 +14,23 @@
 export const FENCE_MS = LEADERSHIP_VALIDITY_MS * (1 + MAX_CLOCK_DRIFT);
 /** From the election of a leader until all leases it was not told of have expired. */
 export const RECOVERY_MS = FENCE_MS + SHARE_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+/**
+ * From the last reply of a leader until another one is elected, in a group that has a
+ * quorum: detection, and an election that is repeated once.
+ */
+export const SUCCESSION_MS = 2_000;
+/** An entry that is not cut off has by then reported to a new leader. */
+export const REPORTS_WITHIN_MS = 1_200;
+/**
+ * How long an entry that a control member does not hear may hold leases of another
+ * one. It bridges cuts of a single link; entries that are gone for good lengthen the
+ * recovery of new leaders as long.
+ */
+export const CONTACT_EXPIRY_MS = 60_000;
+
+/** Bounds of what refused callers are told, beside the recovery of a leader. */
+export const MIN_RETRY_MS = 200;
+export const MAX_RETRY_MS = 5_000;
 
 /** Part of the rate that is leased as shares; the rest fills the pool. */
 export const LEASED_RATE_SHARE = 0.95;
@@ -32,6 +49,13 @@
 export const ASK_TIMEOUT_MS = 400;
 /** Smaller relative changes of a share are not worth a new version. */
 export const MIN_SHARE_CHANGE = 0.1;
+/**
+ * The same while another entry gets less than it should: many entries that each keep
+ * a tenth too much leave nothing to one that joins.
+ */
+export const MIN_SHARE_CHANGE_IF_SHORT = 0.01;
+/** How long an entry that got too little counts; it reports again by then. */
+export const SHORT_FOR_MS = 1_000;
 
 /**
  * Part of the rate that entries without a lease use in sum. Their buckets hold one
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -3,6 +3,7 @@
  * the balance of this entry does not cover asks the leader once and waits a moment for
  * the answer; if the pool is known to be empty, it is refused at once.
  */
+import {monotonicNowMs} from '../clock/clock.js';
 import type {Logger} from '../logging/logger.js';
 import type {MetricsRegistry} from '../metrics/registry.js';
 import type {WorkspaceQuota, WorkspaceSpec} from '../routes/route_table.js';
@@ -20,14 +21,21 @@
 import type {QuotaReply, QuotaReport} from './messages.js';
 
 /** Questions of requests that arrive within this time are asked together. */
-const MIN_ASK_INTERVAL_MS = 20;
+const GATHER_MS = 20;
+/** Bounds the announcements that an entry sends beside the periodic ones. */
+const MIN_ASK_INTERVAL_MS = 100;
+/** A request waits for a grant no longer than this part of its target latency. */
+const WAIT_SHARE = 0.25;
 const MAX_WAITING = 256;
 
 export interface QuotaGateOptions {
   /** How many entries the deployment has; `undefined` if that is not known yet. */
   readonly entries: () => number | undefined;
-  /** Announces this entry to a control member without waiting for the interval. */
-  readonly announceNow: (control: InstanceId) => void;
+  /**
+   * Announces this entry to a control member, or to all while no leader is known,
+   * without waiting for the interval.
+   */
+  readonly announceNow: (control: InstanceId | undefined) => void;
   readonly logger: Logger;
   readonly metrics: MetricsRegistry;
 }
@@ -63,12 +71,20 @@
     : prompt.promptTokens + prompt.maxOutputTokens;
 }
 
+function longestWaitMs(targetLatencyMs: number): number {
+  // 0 is a route without a target.
+  return targetLatencyMs === 0
+    ? ASK_TIMEOUT_MS
+    : Math.min(ASK_TIMEOUT_MS, WAIT_SHARE * targetLatencyMs);
+}
+
 /** The quotas of one entry. */
 export class QuotaGate {
   private readonly quotas: EntryQuotas;
   private readonly limited: LimitedWorkspaces;
   private readonly waiters = new Map<WorkspaceState, Waiter[]>();
   private askTimer: ReturnType<typeof setTimeout> | undefined;
+  private reportedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: QuotaGateOptions) {
     this.quotas = new EntryQuotas(options.entries);
@@ -80,6 +96,7 @@
   async admit(
     spec: WorkspaceSpec,
     prompt: Pick<PromptSize, 'promptTokens' | 'maxOutputTokens'> | undefined,
+    targetLatencyMs: number,
   ): Promise<Admission> {
     const {quota} = spec;
     if (quota === undefined) {
@@ -88,9 +105,13 @@
     const now = instantNow();
     const units = unitsOf(quota, prompt);
     const state = this.quotas.stateOf(spec.name, now);
+    // The share may have covered requests that wait for a grant.
+    this.serveCovered(state, now);
     const verdict = this.quotas.arrive(spec, units, now);
     const admission =
-      verdict.kind === 'ask' ? await this.ask(spec, units, state) : verdict;
+      verdict.kind === 'ask'
+        ? await this.ask(spec, units, state, targetLatencyMs)
+        : verdict;
     this.limited.note(spec, units, admission, state.balance);
     return admission;
   }
@@ -122,7 +143,10 @@
   /** Workspaces of a new route table. */
   applyWorkspaces(workspaces: readonly WorkspaceSpec[]): void {
     const limited = workspaces.filter(each => each.quota !== undefined);
-    this.quotas.retain(new Set(limited.map(each => each.name)));
+    this.quotas.retain(
+      new Set(limited.map(each => each.name)),
+      monotonicNowMs(),
+    );
   }
 
   /** Control members take this process for another one from now on. */
@@ -133,6 +157,7 @@
   reportFor(control: InstanceId): QuotaReport | undefined {
     const report = this.quotas.reportFor(control, instantNow());
     if (report === undefined) return undefined;
+    this.reportedAtMs = monotonicNowMs();
     const workspaces = report.workspaces.map(each => ({
       ...each,
       limitedForMs: this.limited.limitedForMs(each.workspace),
@@ -143,12 +168,18 @@
   /** The reply to an announcement that was sent at `sentAt`. */
   apply(control: InstanceId, reply: QuotaReply, sentAt: Instant): void {
     const now = instantNow();
+    const {leaderTerm} = this.quotas;
     if (!this.quotas.apply(control, reply, sentAt, now)) return;
+    // A new leader recovers until it knows what each entry holds.
+    if (this.quotas.leaderTerm !== leaderTerm) this.scheduleAnnouncement(0);
     reply.workspaces.forEach(({workspace}) => {
       const state = this.quotas.workspaces.get(workspace);
       if (state !== undefined) this.serveWaiting(state, now);
     });
-    if (this.waiters.size > 0) this.scheduleAsk();
+    if (this.waiters.size === 0) return;
+    clearTimeout(this.askTimer);
+    this.askTimer = undefined;
+    this.scheduleAnnouncement(0);
   }
 
   stop(): void {
@@ -162,6 +193,7 @@
     spec: WorkspaceSpec,
     units: number,
     state: WorkspaceState,
+    targetLatencyMs: number,
   ): Promise<Admission> {
     const queue = this.waiters.get(state) ?? [];
     if (queue.length >= MAX_WAITING) {
@@ -170,28 +202,36 @@
     return new Promise(settle => {
       const timer = setTimeout(
         () => this.giveUp(state, waiter),
-        ASK_TIMEOUT_MS,
+        longestWaitMs(targetLatencyMs),
       );
       const waiter: Waiter = {spec, units, settle, timer};
       queue.push(waiter);
       state.waiting.push(units);
       this.waiters.set(state, queue);
-      this.scheduleAsk();
+      this.scheduleAnnouncement();
     });
   }
 
   // Requests that arrive together are asked for together.
-  private scheduleAsk(): void {
+  private scheduleAnnouncement(gatherMs = GATHER_MS): void {
     if (this.askTimer !== undefined) return;
-    this.askTimer = setTimeout(() => {
-      this.askTimer = undefined;
-      const {leaderId} = this.quotas;
-      const isNeeded = this.waiters.size > 0 && leaderId !== undefined;
-      if (isNeeded) this.options.announceNow(leaderId);
-    }, MIN_ASK_INTERVAL_MS);
+    const restMs = this.reportedAtMs + MIN_ASK_INTERVAL_MS - monotonicNowMs();
+    this.askTimer = setTimeout(
+      () => this.announce(),
+      Math.max(gatherMs, restMs),
+    );
   }
 
-  private serveWaiting(state: WorkspaceState, now: Instant): void {
+  // One under way makes this one void, and its reply may be lost: requests that still
+  // wait are asked for again.
+  private announce(): void {
+    this.askTimer = undefined;
+    this.options.announceNow(this.quotas.leaderId);
+    this.options.metrics.count('quota_asks');
+    if (this.waiters.size > 0) this.scheduleAnnouncement(MIN_ASK_INTERVAL_MS);
+  }
+
+  private serveCovered(state: WorkspaceState, now: Instant): void {
     const queue = this.waiters.get(state) ?? [];
     const firstUncovered = queue.findIndex(
       ({units}) => !state.balance.take(units, now),
@@ -202,6 +242,10 @@
       const charge = {workspace: spec.name, units};
       this.settle(state, waiter, {kind: 'admitted', charge});
     });
+  }
+
+  private serveWaiting(state: WorkspaceState, now: Instant): void {
+    this.serveCovered(state, now);
     state.balance.settle();
     if (!state.balance.isExhausted(now.monotonicMs)) return;
     [...(this.waiters.get(state) ?? [])].forEach(waiter =>
