Let the stand-in upstreams keep the requests that they get

Specs and soaks can ask whether something that must not reach upstreams, such as a caller's key, is in any header, trailer or body, those of health checks included. Kept only where asked for.

--- a/soak/__tests__/checks.spec.ts
+++ b/soak/__tests__/checks.spec.ts
@@ -1,73 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {checkHistory} from '../checks.js';
 import {drawFaults} from '../fault_plan.js';
-import type {CallResult, History, OperatorRecord} from '../history.js';
+import type {History} from '../history.js';
 import {createLayout} from '../layout.js';
-import {configurationOf} from '../operator.js';
-
-const CALM_AT_MS = 1_000;
-
-function call(fields: Partial<CallResult> = {}): CallResult {
-  return {
-    attemptId: 'a1',
-    route: 'order',
-    region: 'north',
-    sentAtMs: 20_000,
-    endedAtMs: 20_010,
-    status: 200,
-    isComplete: true,
-    stamp: 'by u0-0',
-    text: 'done by u0-0 a1',
-    ...fields,
-  };
-}
-
-function run(fields: Partial<History['runs'][number]> = {}) {
-  return {
-    upstreamId: 'u0-0',
-    domain: 'north-a',
-    attemptId: 'a1',
-    startedAtMs: 20_005,
-    ...fields,
-  };
-}
-
-function arrival(afterMs: number): History['arrivals'][number] {
-  return {attemptId: 'a1', arrivedAtMs: 20_005 + afterMs};
-}
-
-function order(
-  kind: OperatorRecord['kind'],
-  version: number,
-  fields: Partial<OperatorRecord> = {},
-): OperatorRecord {
-  return {
-    kind,
-    sentAtMs: 100,
-    endedAtMs: 110,
-    status: 200,
-    version,
-    text: configurationOf(version),
-    ...fields,
-  };
-}
-
-function problemsOf(fields: Partial<History>): readonly string[] {
-  return checkHistory({
-    calls: [call()],
-    runs: [run()],
-    arrivals: [],
-    operator: [order('replace', 4), order('read', 4, {sentAtMs: 9_000})],
-    unexpectedExits: [],
-    slowStops: [],
-    losesNothing: false,
-    entriesKeepTouch: false,
-    probes: [],
-    calmAtMs: CALM_AT_MS,
-    ...fields,
-  });
-}
+import {
+  arrival,
+  call,
+  order,
+  problemsOf,
+  run,
+} from './support/forged_history.js';
 
 // Guards against a check that finds fault with a history that keeps all
 // promises.
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,5 +1,5 @@
 /** Checks the promises of the gateway against the history of one run. */
-import {broken, confirmed, SETTLE_MS} from './check_support.js';
+import {APPLY_MS, broken, confirmed, SETTLE_MS} from './check_support.js';
 import {checkEvacuations, checkReturns} from './evacuation_checks.js';
 import {domainOf} from './layout.js';
 import {
@@ -10,11 +10,13 @@
   type History,
   type OperatorRecord,
 } from './history.js';
+import {checkQuotas} from './quota_check.js';
 import {checkRetries} from './retry_check.js';
+import {checkTexts} from './text_check.js';
 import {TIMEOUT_MS} from './traffic.js';
+import {checkWorkspaces} from './workspace_checks.js';
+import {lifeOfKey} from './workspaces.js';
 
-/** Time in which all entries obey a change, with the members in touch. */
-const APPLY_MS = 3_000;
 /** Longest time from the sending of a probe to its handling. */
 const PROBE_MS = 1_000;
 const NOT_FOUND = 404;
@@ -38,6 +40,9 @@
     ...checkReturns(history),
     ...checkRetries(history),
     ...checkService(history),
+    ...checkWorkspaces(history),
+    ...checkQuotas(history),
+    ...checkTexts(history),
     ...history.unexpectedExits.map(name => `${name} ended by itself`),
     ...history.slowStops.map(name => `${name} stopped too slowly`),
   ];
@@ -233,7 +238,9 @@
 
 /** After the faults everything is served again. */
 function checkService({calls, calmAtMs}: History): readonly string[] {
-  const calm = calls.filter(call => call.sentAtMs > calmAtMs + SETTLE_MS);
+  const calm = calls.filter(
+    call => call.sentAtMs > calmAtMs + SETTLE_MS && mustBeServed(call),
+  );
   const served = calm.filter(call => call.status === 200 && call.isComplete);
   if (calm.length === 0) return ['no call was made after the faults'];
   return broken(
@@ -241,3 +248,14 @@
     `only ${served.length} of ${calm.length} calls were served after the faults`,
   );
 }
+
+/** Whether neither the key nor a quota is a reason to refuse a call. */
+function mustBeServed({key}: CallResult): boolean {
+  if (key === undefined) return true;
+  const life = lifeOfKey(key);
+  return (
+    life !== undefined &&
+    life.lastVersion === Number.POSITIVE_INFINITY &&
+    life.workspace.ratePerS === undefined
+  );
+}
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -1,5 +1,6 @@
 /** All processes, proxies and stand-ins of one run. */
-import {mkdirSync} from 'node:fs';
+import {mkdirSync, readdirSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
 import {StandInList, StandInUpstream} from '../platform/standin/stand_in.js';
 import {
   createLayout,
@@ -12,6 +13,7 @@
   STOP_GRACE_MS,
   type UnexpectedExit,
 } from './member_process.js';
+import type {WrittenText} from './history.js';
 import type {SoakProfile} from './profile.js';
 import {TcpProxy} from './tcp_proxy.js';
 
@@ -36,7 +38,7 @@
 
   constructor(
     slot: number,
-    folder: string,
+    private readonly folder: string,
     private readonly profile: SoakProfile,
   ) {
     mkdirSync(folder, {recursive: true});
@@ -105,6 +107,24 @@
     this.list.stop();
   }
 
+  /** What upstreams were sent, and what running processes show and have written. */
+  async texts(): Promise<readonly WrittenText[]> {
+    const metrics = await Promise.all(
+      this.layout.processes.map(async ({name, metricsAddress}) => {
+        const answer = await fetch(`http://${metricsAddress}/metrics`);
+        return {source: `metrics of ${name}`, text: await answer.text()};
+      }),
+    );
+    return [
+      ...this.upstreams.map(({upstreamId, requestTexts}) => ({
+        source: upstreamId,
+        text: requestTexts.join('\n'),
+      })),
+      ...metrics,
+      ...filesIn(this.folder),
+    ];
+  }
+
   /** A planned stop and a new start; notes a stop beyond the grace. */
   async roll(member: MemberProcess): Promise<void> {
     const tookMs = await member.terminate();
@@ -144,6 +164,7 @@
         eventPauseMs: this.profile.eventPauseMs,
         isUnframed: this.profile.isUnframed(position),
         namesRequests: true,
+        keepsRequests: this.profile.keepsTexts,
       },
     );
     upstream.bornAtMs = lifetime + 1;
@@ -154,3 +175,17 @@
     await upstream.start();
   }
 }
+
+/** All files below a folder; one that is replaced meanwhile is left out. */
+function filesIn(folder: string): readonly WrittenText[] {
+  return readdirSync(folder, {recursive: true, withFileTypes: true})
+    .filter(each => each.isFile())
+    .flatMap(({name, path}) => {
+      try {
+        const text = readFileSync(join(path, name), 'latin1');
+        return [{source: name, text}];
+      } catch {
+        return [];
+      }
+    });
+}
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -7,6 +7,10 @@
   readonly attemptId: string;
   readonly route: RouteName;
   readonly region: string;
+  /** Callers' address of the entry that got it. */
+  readonly entry: string;
+  /** The key that it showed, if any. */
+  readonly key?: string;
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   /** 0 if no response arrived. */
@@ -68,6 +72,15 @@
   readonly domain: string;
   readonly attemptId: string;
   readonly startedAtMs: number;
+  /** As the upstream got them, with names in lower case. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+/** What a part of the system wrote down, showed or was sent. */
+export interface WrittenText {
+  /** A file, the metrics of a process, or requests to an upstream. */
+  readonly source: string;
+  readonly text: string;
 }
 
 /** A request that reached an upstream, whether it ran or not. */
@@ -92,6 +105,13 @@
   readonly losesNothing: boolean;
   /** Whether all entries were in touch with most control members at all times. */
   readonly entriesKeepTouch: boolean;
+  /**
+   * Callers' addresses of entries that ran without a fault and in touch with most
+   * control members throughout.
+   */
+  readonly unimpairedEntries: readonly string[];
+  /** Empty if no call showed a key. */
+  readonly texts: readonly WrittenText[];
 }
 
 export const ROUTES = {
--- a/soak/layout.ts
+++ b/soak/layout.ts
@@ -30,6 +30,13 @@
 /** How often upstreams may get requests again; all settings name it. */
 export const RETRY_BUDGET = {ratio: 0.2, windowMs: 10_000, slack: 40} as const;
 
+/** By how much a quota may be exceeded in any window; settings of control members name it. */
+export const QUOTA_TOLERANCE = {
+  windowMs: 8_000,
+  overage: 0.1,
+  slackTokens: 100,
+} as const;
+
 /** Where one process listens. */
 export interface ProcessPlace {
   readonly role: 'entry' | 'control';
--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -12,7 +12,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {DISK_FAULT_VARIABLE, type DiskFault} from './disk_fault.js';
-import {RETRY_BUDGET, type Layout, type ProcessPlace} from './layout.js';
+import {
+  QUOTA_TOLERANCE,
+  RETRY_BUDGET,
+  type Layout,
+  type ProcessPlace,
+} from './layout.js';
 
 const PROGRAMS = {
   entry: fileURLToPath(new URL('../platform/entry_main.js', import.meta.url)),
@@ -203,6 +208,9 @@
         directoryAddress: place.sideAddress,
         dataFolder: this.dataFolder,
         mayFound: this.mayFound,
+        quotaWindowMs: QUOTA_TOLERANCE.windowMs,
+        quotaOverage: QUOTA_TOLERANCE.overage,
+        quotaSlackTokens: QUOTA_TOLERANCE.slackTokens,
       };
     }
     return {
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -6,9 +6,13 @@
   REPLACE_PATH,
   RETURN_PREFIX,
 } from '../platform/operator_paths.js';
-import {configurationText} from '../platform/standin/configuration.js';
+import {
+  configurationText,
+  type StandInTenant,
+} from '../platform/standin/configuration.js';
 import {HOMES, ROUTES, type OperatorRecord} from './history.js';
 import {SERVICE} from './layout.js';
+import {VERSION_STEP} from './workspaces.js';
 import {HOST, pick, TIMEOUT_MS} from './traffic.js';
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -22,8 +26,11 @@
   return `/added-${version}/`;
 }
 
-/** The configuration of a version. */
-export function configurationOf(version: number): string {
+/** The configuration of a version; callers need no keys if there are no tenants. */
+export function configurationOf(
+  version: number,
+  tenants?: readonly StandInTenant[],
+): string {
   return configurationText({
     version,
     host: HOST,
@@ -41,8 +48,11 @@
         path: pathOfVersion(version),
         kind: 'safe',
         attempts: 1,
+        // Probes show no key.
+        ...(tenants === undefined ? {} : {public: true}),
       },
     ],
+    ...(tenants === undefined ? {} : {tenants}),
   });
 }
 
@@ -55,8 +65,16 @@
   constructor(
     private readonly addresses: readonly string[],
     private readonly random: () => number,
+    private readonly tenantsOf: (
+      version: number,
+    ) => readonly StandInTenant[] | undefined = () => undefined,
   ) {}
 
+  /** The newest version that was sent. */
+  get newestVersion(): number {
+    return this.version;
+  }
+
   /** Sends changes and readings at intervals until it is stopped. */
   start(): void {
     this.timers = [
@@ -83,9 +101,9 @@
 
   /** Sends the next version to one member. */
   async replace(): Promise<boolean> {
-    this.version += 3;
+    this.version += VERSION_STEP;
     const {version} = this;
-    const text = configurationOf(version);
+    const text = configurationOf(version, this.tenantsOf(version));
     return this.send('replace', REPLACE_PATH, version, text);
   }
 
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -1,5 +1,7 @@
 /** What distinguishes the kinds of runs: their faults, streams and promises. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
+import type {StandInTenant} from '../platform/standin/configuration.js';
+import {KeylessCallers, type Callers} from './callers.js';
 import {drawCopies} from './copy_faults.js';
 import {byTime, drawFaults, type Fault, type FaultKind} from './fault_plan.js';
 import {UPSTREAMS_PER_REGION, type Layout} from './layout.js';
@@ -21,6 +23,25 @@
   readonly entriesKeepTouch: boolean = false;
   /** By the position of the region. */
   readonly upstreamsPerRegion: readonly number[] = UPSTREAMS_PER_REGION;
+  readonly callers: readonly Callers[] = [new KeylessCallers()];
+  /** Whether what processes write and upstreams get is kept and searched for keys. */
+  readonly keepsTexts: boolean = false;
+
+  /** The workspaces of a version; `undefined` if callers need no keys. */
+  tenantsOf(_version: number): readonly StandInTenant[] | undefined {
+    return undefined;
+  }
+
+  /**
+   * Names of the entries that a plan leaves alone and in touch with most control
+   * members; none if a kind of run does not say.
+   */
+  unimpairedEntries(
+    _faults: readonly Fault[],
+    _layout: Layout,
+  ): readonly string[] {
+    return [];
+  }
 }
 
 const ADDED_STREAM = 1_000_000_007;
--- a/soak/profiles.ts
+++ b/soak/profiles.ts
@@ -1,4 +1,5 @@
 /** All kinds of runs, by name. */
+import {CompetingWorkspaces} from './competing_workspaces.js';
 import {CopiedAnswers} from './copied_answers.js';
 import {ImpairedDisks} from './impaired_disks.js';
 import {LateOrders} from './late_orders.js';
@@ -20,6 +21,7 @@
   new LateOrders(),
   new RejectedRequests(),
   new ImpairedDisks(),
+  new CompetingWorkspaces(),
 ];
 
 /** The profile with a name; the first one if there is none with it. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -6,7 +6,7 @@
 import {runFaults} from './fault_runner.js';
 import {Fleet} from './fleet.js';
 import type {History} from './history.js';
-import {REGIONS} from './layout.js';
+import {REGIONS, type Layout, type ProcessPlace} from './layout.js';
 import {Operator} from './operator.js';
 import {MixedFaults, type SoakProfile} from './profile.js';
 import {RouteProbes} from './route_probes.js';
@@ -45,7 +45,7 @@
 
 /** Runs one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const {seed, slot, folder, callsPerS = 40} = options;
+  const {seed, slot, folder} = options;
   const profile = options.profile ?? new MixedFaults();
   const fleet = new Fleet(slot, folder, profile);
   const {processes} = fleet.layout;
@@ -54,19 +54,12 @@
   const operator = new Operator(
     controls.map(each => each.operatorProxyAddress),
     seededRandom(seed + 1),
+    version => profile.tenantsOf(version),
   );
-  const traffic = new Traffic({
-    callsPerS,
-    random: seededRandom(seed + 2),
-    entries: new Map(
-      REGIONS.map(region => [
-        region,
-        entries
-          .filter(each => each.region === region)
-          .map(each => each.mainAddress),
-      ]),
-    ),
-  });
+  const traffics = trafficsOf(options, profile, entries, operator);
+  const stopTraffic = async (): Promise<void> => {
+    await Promise.all(traffics.map(each => each.stop()));
+  };
   const probes = new RouteProbes(
     entries.map(each => each.mainAddress),
     () => operator.confirmedVersions.slice(-PROBED_VERSIONS),
@@ -78,31 +71,74 @@
       entries.map(each => each.sideAddress),
     );
     const faults = profile.faultsOf(seed, fleet.layout);
-    traffic.start();
+    traffics.forEach(each => each.start());
     operator.start();
     await runFaults(faults, fleet, operator);
     const calmAtMs = performance.now();
     await keepCalm(operator, probes);
     operator.stop();
-    await traffic.stop();
+    await stopTraffic();
     await readAtTheEnd(operator, READ_ATTEMPTS);
     const history = {
-      ...historyOf(fleet, traffic, operator, calmAtMs),
-      losesNothing: profile.losesNothing,
-      entriesKeepTouch: profile.entriesKeepTouch,
+      ...historyOf(fleet, operator, calmAtMs),
+      ...promisesOf(profile, faults, fleet.layout),
+      calls: traffics.flatMap(each => each.calls),
       probes: probes.probes,
+      texts: profile.keepsTexts ? await fleet.texts() : [],
     };
-    const served = traffic.calls.filter(each => each.status === 200).length;
+    const {calls} = history;
+    const served = calls.filter(each => each.status === 200).length;
     const problems = checkHistory(history);
-    return {seed, faults, calls: traffic.calls.length, served, problems};
+    return {seed, faults, calls: calls.length, served, problems};
   } finally {
     operator.stop();
     probes.stop();
-    await traffic.stop();
+    await stopTraffic();
     await fleet.stop();
   }
 }
 
+/** The traffic of each kind of callers. */
+function trafficsOf(
+  {seed, callsPerS = 40}: SoakOptions,
+  profile: SoakProfile,
+  places: readonly ProcessPlace[],
+  operator: Operator,
+): readonly Traffic[] {
+  const entries = new Map(
+    REGIONS.map(region => [
+      region,
+      places
+        .filter(each => each.region === region)
+        .map(each => each.mainAddress),
+    ]),
+  );
+  return profile.callers.map(
+    (callers, position) =>
+      new Traffic({
+        callers,
+        callsPerS: callers.callsPerS ?? callsPerS,
+        random: seededRandom(seed + 2 + position),
+        entries,
+        newestVersion: () => operator.newestVersion,
+      }),
+  );
+}
+
+/** What a kind of run promises beyond what all do. */
+function promisesOf(
+  profile: SoakProfile,
+  faults: readonly Fault[],
+  layout: Layout,
+): Pick<History, 'losesNothing' | 'entriesKeepTouch' | 'unimpairedEntries'> {
+  const {losesNothing, entriesKeepTouch} = profile;
+  const unimpaired = profile.unimpairedEntries(faults, layout);
+  const unimpairedEntries = layout.processes
+    .filter(each => unimpaired.includes(each.name))
+    .map(each => each.mainAddress);
+  return {losesNothing, entriesKeepTouch, unimpairedEntries};
+}
+
 /** The time after the faults, at whose end no version is replaced any more. */
 async function keepCalm(
   operator: Operator,
@@ -117,12 +153,18 @@
 
 function historyOf(
   fleet: Fleet,
-  traffic: Traffic,
   operator: Operator,
   calmAtMs: number,
-): Omit<History, 'losesNothing' | 'entriesKeepTouch' | 'probes'> {
+): Pick<
+  History,
+  | 'runs'
+  | 'arrivals'
+  | 'operator'
+  | 'unexpectedExits'
+  | 'slowStops'
+  | 'calmAtMs'
+> {
   return {
-    calls: traffic.calls,
     runs: fleet.upstreams.flatMap(each => each.runs),
     arrivals: fleet.upstreams.flatMap(each => each.arrivals),
     operator: operator.records,
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -1,13 +1,8 @@
 /** Callers of one run: they keep connections and note what they get. */
 import {Agent, request} from 'undici';
 import {HEADER} from '../platform/headers.js';
-import {
-  eventsOf,
-  ROUTES,
-  type CallResult,
-  type RouteName,
-  type TakeUp,
-} from './history.js';
+import type {CallDraft, Callers} from './callers.js';
+import {eventsOf, ROUTES, type CallResult, type TakeUp} from './history.js';
 import {REGIONS} from './layout.js';
 
 export const HOST = 'soak.example';
@@ -16,22 +11,15 @@
 /** A caller waits a little longer than the gateway may take. */
 const PATIENCE_MS = TIMEOUT_MS + 1_500;
 const CONNECT_MS = 1_000;
-/** By share of the calls. */
-const MIX: readonly RouteName[] = [
-  'chat',
-  'chat',
-  'once',
-  'lookup',
-  'order',
-  'order',
-  'homed',
-];
 
 export interface TrafficOptions {
   /** Callers' addresses of the entries of each region. */
   readonly entries: ReadonlyMap<string, readonly string[]>;
   readonly callsPerS: number;
   readonly random: () => number;
+  readonly callers: Callers;
+  /** The newest version that the operator sent. */
+  readonly newestVersion: () => number;
 }
 
 /** Sends calls until it is stopped. */
@@ -60,19 +48,17 @@
   }
 
   private sendOne(): void {
-    const {random, entries} = this.options;
+    const {random, entries, callers, newestVersion} = this.options;
     const region = pick(REGIONS, random);
     const address = pick(entries.get(region ?? '') ?? [], random);
-    const route = pick(MIX, random);
-    if (region === undefined || address === undefined || route === undefined) {
-      return;
-    }
+    if (region === undefined || address === undefined) return;
+    const draft = callers.draw(random, newestVersion());
     this.sent += 1;
     const call = this.callAndTakeUp(
       address,
       region,
-      route,
-      `soak-${this.sent}`,
+      draft,
+      `${callers.name}-${this.sent}`,
     );
     this.underWay.add(call);
     void call.finally(() => this.underWay.delete(call));
@@ -82,18 +68,18 @@
   private async callAndTakeUp(
     address: string,
     region: string,
-    route: RouteName,
+    draft: CallDraft,
     attemptId: string,
   ): Promise<void> {
-    const first = await this.call(address, region, route, attemptId);
+    const first = await this.call(address, region, draft, attemptId);
     const events = eventsOf(first.text);
     const lastEventId = events.at(-1)?.id;
     const {entries, random} = this.options;
     const next = pick(entries.get(region) ?? [], random);
-    const mayTakeUp = ROUTES[route].resumable && !first.isComplete;
+    const mayTakeUp = ROUTES[draft.route].resumable && !first.isComplete;
     if (!mayTakeUp || lastEventId === undefined || next === undefined) return;
     const versions = events.map(each => each.version);
-    await this.call(next, region, route, `${attemptId}-again`, {
+    await this.call(next, region, draft, `${attemptId}-again`, {
       attemptId,
       lastEventId,
       versions,
@@ -103,26 +89,36 @@
   private async call(
     address: string,
     region: string,
-    route: RouteName,
+    draft: CallDraft,
     attemptId: string,
     takesUp?: TakeUp,
   ): Promise<CallResult> {
     const sentAtMs = performance.now();
-    const end = await this.exchange(address, route, attemptId, takesUp);
+    const end = await this.exchange(address, draft, attemptId, takesUp);
     const endedAtMs = performance.now();
-    const call = {attemptId, route, region, sentAtMs, endedAtMs, ...end};
-    const result = takesUp === undefined ? call : {...call, takesUp};
+    const {route, key} = draft;
+    const result: CallResult = {
+      attemptId,
+      route,
+      region,
+      entry: address,
+      sentAtMs,
+      endedAtMs,
+      ...end,
+      ...(key === undefined ? {} : {key}),
+      ...(takesUp === undefined ? {} : {takesUp}),
+    };
     this.calls.push(result);
     return result;
   }
 
   private async exchange(
     address: string,
-    route: RouteName,
+    draft: CallDraft,
     attemptId: string,
     takesUp: TakeUp | undefined,
   ): Promise<Pick<CallResult, 'status' | 'isComplete' | 'stamp' | 'text'>> {
-    const {path} = ROUTES[route];
+    const {path} = ROUTES[draft.route];
     const seen = {status: 0, stamp: undefined as string | undefined, text: ''};
     try {
       const answer = await request(`http://${address}${path}${attemptId}`, {
@@ -132,6 +128,7 @@
           host: HOST,
           [HEADER.attemptId]: attemptId,
           [HEADER.waitsMs]: String(PATIENCE_MS),
+          ...identityHeaders(draft),
           ...(takesUp === undefined
             ? {}
             : {
@@ -153,6 +150,19 @@
   }
 }
 
+/** The headers of a call that say who sends it. */
+function identityHeaders({
+  key,
+  claimedWorkspace,
+}: CallDraft): Readonly<Record<string, string>> {
+  return {
+    ...(key === undefined ? {} : {[HEADER.callerKey]: key}),
+    ...(claimedWorkspace === undefined
+      ? {}
+      : {[HEADER.workspace]: claimedWorkspace}),
+  };
+}
+
 function stampOf(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): string | undefined {
