--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -24,6 +24,11 @@
   abstract readonly name: string;
   /** Default: as the run says. */
   readonly callsPerS: number | undefined = undefined;
+  /** Whether they send nothing at a time since the start of the traffic. */
+  isQuiet(_elapsedMs: number): boolean {
+    return false;
+  }
+
   /** The next call; the operator has sent versions up to `newestVersion`. */
   abstract draw(random: () => number, newestVersion: number): CallDraft;
 }
@@ -83,7 +88,7 @@
   }
 }
 
-/** Calls above the quota of a workspace, as many times as it. */
+/** Calls of a greedy workspace for each one that its quota allows. */
 const EXCESS = 10;
 /** Requests of these run once at most, so that runs are as many as charges. */
 const ONE_RUN_ROUTES: readonly RouteName[] = ['order', 'once'];
@@ -107,6 +112,16 @@
   }
 }
 
+const QUIET_MS = 4_000;
+const LOUD_MS = 2_000;
+
+/** Greedy callers that are quiet for some seconds, so that their burst fills up. */
+export class PulsingCallers extends GreedyCallers {
+  override isQuiet(elapsedMs: number): boolean {
+    return elapsedMs % (QUIET_MS + LOUD_MS) < QUIET_MS;
+  }
+}
+
 function withClaim(draft: CallDraft, random: () => number): CallDraft {
   if (random() >= CLAIMED_SHARE) return draft;
   const claimed = pick(WORKSPACES, random)?.name;
--- a/soak/competing_workspaces.ts
+++ b/soak/competing_workspaces.ts
@@ -5,6 +5,7 @@
   ChangingKeyCallers,
   GreedyCallers,
   LastingKeyCallers,
+  PulsingCallers,
   type Callers,
 } from './callers.js';
 import {byTime, type Fault, type FaultKind} from './fault_plan.js';
@@ -67,7 +68,7 @@
     new LastingKeyCallers(),
     new ChangingKeyCallers(),
     new GreedyCallers('requests'),
-    new GreedyCallers('tokens'),
+    new PulsingCallers('tokens'),
   ];
 
   override isUnframed(): boolean {
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -30,6 +30,7 @@
     keepAliveTimeout: 10_000,
   });
   private timer: NodeJS.Timeout | undefined;
+  private startedAtMs = 0;
   private sent = 0;
   private readonly underWay = new Set<Promise<void>>();
 
@@ -37,6 +38,7 @@
 
   start(): void {
     const intervalMs = 1_000 / this.options.callsPerS;
+    this.startedAtMs = performance.now();
     this.timer = setInterval(() => this.sendOne(), intervalMs);
   }
 
@@ -49,6 +51,7 @@
 
   private sendOne(): void {
     const {random, entries, callers, newestVersion} = this.options;
+    if (callers.isQuiet(performance.now() - this.startedAtMs)) return;
     const region = pick(REGIONS, random);
     const address = pick(entries.get(region ?? '') ?? [], random);
     if (region === undefined || address === undefined) return;
