--- a/soak/competing_workspaces.ts
+++ b/soak/competing_workspaces.ts
@@ -153,12 +153,14 @@
   longestMs: number,
   random: () => number,
 ): Fault {
+  const kind = pick(KINDS, random) ?? 'kill';
+  const link = pick(LINK_STATES, random) ?? 'silent';
   return {
-    kind: pick(KINDS, random) ?? 'kill',
+    kind,
     target,
     atMs: Math.round(random() * ENTRY_FAULTS_MS),
     durationMs: Math.round(SHORTEST_MS + random() * (longestMs - SHORTEST_MS)),
-    link: pick(LINK_STATES, random) ?? 'silent',
+    ...(kind === 'link' ? {link} : {}),
   };
 }
 
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -111,8 +111,11 @@
   async texts(): Promise<readonly WrittenText[]> {
     const metrics = await Promise.all(
       this.layout.processes.map(async ({name, metricsAddress}) => {
-        const answer = await fetch(`http://${metricsAddress}/metrics`);
-        return {source: `metrics of ${name}`, text: await answer.text()};
+        // A process that has ended shows none; its end is noted elsewhere.
+        const text = await fetch(`http://${metricsAddress}/metrics`)
+          .then(answer => answer.text())
+          .catch(() => '');
+        return {source: `metrics of ${name}`, text};
       }),
     );
     return [
