Let the pulses of a greedy workspace move from region to region

Demand that stays where it is finds its shares where it left them. Pulses that come in another region each time meet entries without a share while others still hold theirs, which is when a quota could be used twice.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,5 +1,6 @@
 /** What callers ask for, and with which headers. */
 import type {RouteName} from './history.js';
+import {REGIONS} from './layout.js';
 import {pick} from './traffic.js';
 import {
   changingKeyOf,
@@ -24,9 +25,9 @@
   abstract readonly name: string;
   /** Default: as the run says. */
   readonly callsPerS: number | undefined = undefined;
-  /** Whether they send nothing at a time since the start of the traffic. */
-  isQuiet(_elapsedMs: number): boolean {
-    return false;
+  /** Where they send at a time since the start of the traffic; nowhere if empty. */
+  regionsAt(_elapsedMs: number): readonly string[] {
+    return REGIONS;
   }
 
   /** The next call; the operator has sent versions up to `newestVersion`. */
@@ -115,10 +116,16 @@
 const QUIET_MS = 4_000;
 const LOUD_MS = 2_000;
 
-/** Greedy callers that are quiet for some seconds, so that their burst fills up. */
+/**
+ * Greedy callers that are quiet for some seconds, so that their burst fills up, and
+ * then send in another region than before.
+ */
 export class PulsingCallers extends GreedyCallers {
-  override isQuiet(elapsedMs: number): boolean {
-    return elapsedMs % (QUIET_MS + LOUD_MS) < QUIET_MS;
+  override regionsAt(elapsedMs: number): readonly string[] {
+    const cycleMs = QUIET_MS + LOUD_MS;
+    if (elapsedMs % cycleMs < QUIET_MS) return [];
+    const position = Math.floor(elapsedMs / cycleMs) % REGIONS.length;
+    return REGIONS.slice(position, position + 1);
   }
 }
 
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -3,7 +3,6 @@
 import {HEADER} from '../platform/headers.js';
 import type {CallDraft, Callers} from './callers.js';
 import {eventsOf, ROUTES, type CallResult, type TakeUp} from './history.js';
-import {REGIONS} from './layout.js';
 
 export const HOST = 'soak.example';
 /** The route's time limit. */
@@ -51,8 +50,8 @@
 
   private sendOne(): void {
     const {random, entries, callers, newestVersion} = this.options;
-    if (callers.isQuiet(performance.now() - this.startedAtMs)) return;
-    const region = pick(REGIONS, random);
+    const elapsedMs = performance.now() - this.startedAtMs;
+    const region = pick(callers.regionsAt(elapsedMs), random);
     const address = pick(entries.get(region ?? '') ?? [], random);
     if (region === undefined || address === undefined) return;
     const draft = callers.draw(random, newestVersion());
