Cut single entries off from the control members in the soak

A proxy could hold back the bytes of all processes or of none, so that an entry on its own could not lose the control members. That is the case in which its lease must run out before others get its share. Entries now connect from their own addresses, by a module that is loaded before their program, and a proxy can hold back one of them.

--- a/soak/__tests__/tcp_proxy.spec.ts
+++ b/soak/__tests__/tcp_proxy.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {connect, createServer} from 'node:net';
+import {connect, createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {freshAddress} from '../../platform/standin/loopback.js';
 import {TcpProxy} from '../tcp_proxy.js';
@@ -41,3 +41,49 @@
     );
   },
 );
+
+// Guards against a cut of one process that also holds back the bytes of others.
+test(
+  'only the bytes of the host that is cut off are held back',
+  {timeout: TIMEOUT_MS},
+  async t => {
+    const [targetAddress, proxyAddress] = [freshAddress(), freshAddress()];
+    const [targetHost, targetPort] = targetAddress.split(':');
+    const [host, port] = proxyAddress.split(':');
+    const received: string[] = [];
+    // The proxy resets all connections when it stops.
+    const ignoreReset = (): void => undefined;
+    const target = createServer(socket => {
+      socket.on('error', ignoreReset);
+      socket.on('data', chunk => {
+        received.push(String(chunk));
+        target.emit('received');
+      });
+    }).listen(Number(targetPort), targetHost);
+    const proxy = new TcpProxy(proxyAddress, targetAddress);
+    const connectFrom = (localAddress: string): Socket =>
+      connect({host, port: Number(port), localAddress}).on(
+        'error',
+        ignoreReset,
+      );
+    await proxy.start();
+    proxy.cut('127.0.0.2');
+    const cut = connectFrom('127.0.0.2');
+    const other = connectFrom('127.0.0.3');
+    t.after(() => {
+      proxy.stop();
+      target.close();
+    });
+    cut.write('cut');
+    await once(cut, 'connect');
+    other.write('other');
+    await once(target, 'received');
+    const before = [...received];
+    proxy.join('127.0.0.2');
+    await once(target, 'received');
+    assert.deepEqual(
+      {before, received},
+      {before: ['other'], received: ['other', 'cut']},
+    );
+  },
+);
--- a/soak/competing_workspaces.ts
+++ b/soak/competing_workspaces.ts
@@ -29,6 +29,7 @@
 const LARGE_FAULT_AT_MS = 4_000;
 /** By share of the faults of entries and of control members. */
 const KINDS: readonly FaultKind[] = ['kill', 'kill', 'pause', 'link'];
+const ENTRY_KINDS: readonly FaultKind[] = [...KINDS, 'control_cut'];
 const LINK_STATES: readonly LinkState[] = [
   'refusing',
   'cut_inbound',
@@ -45,6 +46,8 @@
   | 'controls_killed'
   /** Nothing reaches control members for longer than shares are leased. */
   | 'controls_cut'
+  /** The same for one entry. */
+  | 'entry_cut'
   /** An entry stands still for longer than its shares are leased. */
   | 'entry_frozen';
 const LARGE_FAULTS: readonly LargeFault[] = [
@@ -52,6 +55,7 @@
   'all_killed',
   'controls_killed',
   'controls_cut',
+  'entry_cut',
   'entry_frozen',
 ];
 
@@ -88,10 +92,10 @@
     const largeOnes = largeFaults(large, controls, hit[0] ?? '');
     const smallOnes = [
       ...Array.from({length: ENTRY_FAULTS}, () =>
-        drawFault(pick(hit, random), LONGEST_MS, random),
+        drawFault(ENTRY_KINDS, pick(hit, random), LONGEST_MS, random),
       ),
       ...CONTROL_FAULTS_AT_MS.map(atMs => ({
-        ...drawFault(pick(controls, random), LONGEST_CONTROL_MS, random),
+        ...drawFault(KINDS, pick(controls, random), LONGEST_CONTROL_MS, random),
         atMs,
       })),
     ];
@@ -143,17 +147,20 @@
         target,
         link: 'refusing',
       }));
+    case 'entry_cut':
+      return [{...fault, kind: 'control_cut', target: entry}];
     case 'entry_frozen':
       return [{...fault, kind: 'pause', target: entry}];
   }
 }
 
 function drawFault(
+  kinds: readonly FaultKind[],
   target = '',
   longestMs: number,
   random: () => number,
 ): Fault {
-  const kind = pick(KINDS, random) ?? 'kill';
+  const kind = pick(kinds, random) ?? 'kill';
   const link = pick(LINK_STATES, random) ?? 'silent';
   return {
     kind,
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -31,6 +31,8 @@
   /** The inner link of a process, or the link of an upstream, is impaired. */
   | 'link'
   | 'link_delay'
+  /** Nothing passes between an entry and the control members. */
+  | 'control_cut'
   /** All connections of a link are reset. */
   | 'link_reset'
   /** An upstream crashes and comes back under another name. */
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -36,6 +36,7 @@
   run(fault: Fault): Promise<void> {
     const {kind} = fault;
     if (kind.startsWith('link')) return this.impairLink(fault);
+    if (kind === 'control_cut') return this.cutFromControls(fault);
     if (kind.startsWith('upstream')) return this.changeUpstream(fault);
     if (kind === 'evacuate') return this.orders.evacuate(fault);
     if (kind === 'late_order' && fault.late !== undefined) {
@@ -105,6 +106,14 @@
     await this.impair(proxy, fault);
   }
 
+  private async cutFromControls({target, durationMs}: Fault): Promise<void> {
+    const host = this.fleet.members.get(target)?.place.host ?? '';
+    const {controlProxies} = this.fleet;
+    controlProxies.forEach(proxy => proxy.cut(host));
+    await sleep(durationMs);
+    controlProxies.forEach(proxy => proxy.join(host));
+  }
+
   private async impair(
     proxy: TcpProxy | undefined,
     {link = 'open', delayMs, durationMs}: Fault,
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -81,6 +81,13 @@
     return [...this.past, ...this.current.values()];
   }
 
+  /** Between all other processes and the control members. */
+  get controlProxies(): readonly TcpProxy[] {
+    return this.layout.processes
+      .filter(each => each.role === 'control')
+      .flatMap(({name}) => this.proxies.get(name) ?? []);
+  }
+
   private get allProxies(): readonly TcpProxy[] {
     return [...this.proxies.values(), ...this.operatorProxies.values()];
   }
--- a/soak/member_process.ts
+++ b/soak/member_process.ts
@@ -18,6 +18,7 @@
   type Layout,
   type ProcessPlace,
 } from './layout.js';
+import {OWN_ADDRESS_VARIABLE} from './own_address_variable.js';
 
 const PROGRAMS = {
   entry: fileURLToPath(new URL('../platform/entry_main.js', import.meta.url)),
@@ -28,8 +29,11 @@
 /** Longest planned stop that the settings allow. */
 export const STOP_GRACE_MS = 4_500;
 const HEAP_MB = 128;
-/** Loaded before the program of a control member. */
-const FAULTY_DISK = new URL('./faulty_disk.js', import.meta.url).href;
+/** Loaded before the programs. */
+const PRELOADED = {
+  entry: new URL('./own_address.js', import.meta.url).href,
+  control: new URL('./faulty_disk.js', import.meta.url).href,
+} as const;
 /**
  * No program can handle a signal before the runtime has run its first line. On a
  * busy machine that takes seconds.
@@ -71,13 +75,15 @@
       process.execPath,
       [
         `--max-old-space-size=${HEAP_MB}`,
-        ...(this.place.role === 'control' ? ['--import', FAULTY_DISK] : []),
+        '--import',
+        PRELOADED[this.place.role],
         PROGRAMS[this.place.role],
       ],
       {
         env: {
           CYCLAMENFALL_SETTINGS: this.file('yaml'),
           [DISK_FAULT_VARIABLE]: this.file('fault'),
+          [OWN_ADDRESS_VARIABLE]: this.place.host,
         },
         stdio: ['ignore', 'pipe', 'pipe'],
       },
--- a/soak/tcp_proxy.ts
+++ b/soak/tcp_proxy.ts
@@ -66,6 +66,7 @@
 export class TcpProxy {
   private state: LinkState = 'open';
   private delayMs = 0;
+  private readonly cutSources = new Set<string>();
   private readonly links = new Set<Link>();
   private readonly server: Server;
 
@@ -92,9 +93,18 @@
   impair(state: LinkState, delayMs = 0): void {
     this.state = state;
     this.delayMs = delayMs;
-    [...this.links].forEach(link =>
-      link.directions.forEach(direction => direction.release()),
-    );
+    this.release();
+  }
+
+  /** Holds back the bytes of both directions on connections from a host. */
+  cut(source: string): void {
+    this.cutSources.add(source);
+  }
+
+  /** Ends the cut of a host. */
+  join(source: string): void {
+    this.cutSources.delete(source);
+    this.release();
   }
 
   /** Resets every connection. */
@@ -102,6 +112,13 @@
     [...this.links].forEach(link => link.sockets.forEach(resetSocket));
   }
 
+  /** Delivers what nothing holds back any more. */
+  private release(): void {
+    [...this.links].forEach(link =>
+      link.directions.forEach(direction => direction.release()),
+    );
+  }
+
   private accept(client: Socket): void {
     if (this.state === 'refusing') {
       resetSocket(client);
@@ -110,14 +127,13 @@
     const {host, port} = partsOf(this.targetAddress);
     const target = connect(port, host);
     const delayMs = (): number => this.delayMs;
-    const inbound = new Direction(
-      target,
-      () => HELD_INBOUND.includes(this.state),
-      delayMs,
-    );
+    const source = client.remoteAddress ?? '';
+    const isHeld = (states: readonly LinkState[]): boolean =>
+      states.includes(this.state) || this.cutSources.has(source);
+    const inbound = new Direction(target, () => isHeld(HELD_INBOUND), delayMs);
     const outbound = new Direction(
       client,
-      () => HELD_OUTBOUND.includes(this.state),
+      () => isHeld(HELD_OUTBOUND),
       delayMs,
     );
     const link = {sockets: [client, target], directions: [inbound, outbound]};
