Ask the soak's retry budget of the requests that may reach an upstream

With workspaces, most calls of a soak are refused for their key or quota. Counted as requests, they raised the repeats that the check allows by a fifth of their number. No other kind of run has answers of 401 or 429, so that nothing changes there.

Callers also claim a workspace that does not exist, and 429 is an answer only for workspaces with a quota. Both new rules have forged histories that fail them.

--- a/soak/__tests__/workspace_checks.spec.ts
+++ b/soak/__tests__/workspace_checks.spec.ts
@@ -9,7 +9,13 @@
   lifeOfKey,
   tenantsOf,
 } from '../workspaces.js';
-import {call, order, problemsOf, run} from './support/forged_history.js';
+import {
+  arrival,
+  call,
+  order,
+  problemsOf,
+  run,
+} from './support/forged_history.js';
 
 const FIRST_VERSION = 4;
 const LAST_VERSION = 19;
@@ -110,6 +116,23 @@
     /a known key got 401/,
     {calls: [refused(401, {key: CHANGING_KEY})], runs: []},
   ],
+  [
+    /of plain, which has no quota, got 429/,
+    {calls: [refused(429, keyOf('plain'))], runs: []},
+  ],
+  [
+    /41 repeated arrivals in a window with 1 requests, 40 are allowed/,
+    {
+      calls: [
+        call(keyOf('requests')),
+        ...Array.from({length: 20}, (_, index) =>
+          refused(429, {...keyOf('requests'), attemptId: `b${index}`}),
+        ),
+      ],
+      runs: [runOf('requests')],
+      arrivals: Array.from({length: 42}, (_, index) => arrival(index)),
+    },
+  ],
   [/got 401 although there are no workspaces/, {calls: [refused(401)]}],
   [
     /was taken away was answered 200, it ran 1 times/,
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -54,7 +54,13 @@
   }
 }
 
+/** Share of the calls whose callers say of which workspace they are. */
 const CLAIMED_SHARE = 0.3;
+/** Workspaces that there are, and one that there is not. */
+const CLAIMED: readonly string[] = [
+  ...WORKSPACES.map(each => each.name),
+  'nobody',
+];
 
 /** Callers of workspaces without a quota, on all routes. */
 export class LastingKeyCallers extends Callers {
@@ -131,6 +137,5 @@
 
 function withClaim(draft: CallDraft, random: () => number): CallDraft {
   if (random() >= CLAIMED_SHARE) return draft;
-  const claimed = pick(WORKSPACES, random)?.name;
-  return claimed === undefined ? draft : {...draft, claimedWorkspace: claimed};
+  return {...draft, claimedWorkspace: pick(CLAIMED, random) ?? ''};
 }
--- a/soak/retry_check.ts
+++ b/soak/retry_check.ts
@@ -3,6 +3,9 @@
 import type {History, UpstreamArrival} from './history.js';
 import {RETRY_BUDGET} from './layout.js';
 
+/** Statuses of requests that an entry refuses for their key or their quota. */
+const REFUSED_AT_ENTRY: readonly number[] = [401, 429];
+
 /** The arrivals beyond the first of each request in one window. */
 interface Window {
   readonly repeats: number;
@@ -31,7 +34,9 @@
 function windowsOf({arrivals, calls}: History): readonly Window[] {
   const {ratio, windowMs, slack} = RETRY_BUDGET;
   const repeatedAtMs = repeatsOf(arrivals).map(each => each.arrivedAtMs);
-  const sentAtMs = calls.map(call => call.sentAtMs);
+  const sentAtMs = calls
+    .filter(call => !REFUSED_AT_ENTRY.includes(call.status))
+    .map(call => call.sentAtMs);
   const countBefore = (times: readonly number[], endMs: number): number =>
     times.filter(atMs => atMs > endMs - windowMs && atMs <= endMs).length;
   return repeatedAtMs.map(endMs => {
--- a/soak/workspace_checks.ts
+++ b/soak/workspace_checks.ts
@@ -5,6 +5,7 @@
 import {homeDomainsOf, lifeOfKey, type SoakWorkspace} from './workspaces.js';
 
 const UNAUTHORIZED = 401;
+const OVER_QUOTA = 429;
 /** No answer, and that of an entry that knows no version yet. */
 const NO_ANSWERS: readonly number[] = [0, 503];
 
@@ -57,6 +58,10 @@
     ...(life === undefined
       ? checkUnknown(name, call, runs, history)
       : [
+          ...broken(
+            status === OVER_QUOTA && life.workspace.ratePerS === undefined,
+            `${name} of ${life.workspace.name}, which has no quota, got 429`,
+          ),
           ...checkRuns(name, life.workspace, runs),
           ...checkKnown(name, call, history),
           ...checkTakenAway(name, call, runs, history),
