Cut control members off for certain, with quotas in use

Two reasons for which the large faults of the soak showed little of leases that expire: "refusing" links leave open connections alone, so that control members were not cut off at all, and faults began before quotas were granted, which takes up to 11 s after the start. The cut is now silent, and faults begin once callers of each kind were served.

What the soak's own code calls workspaces is no longer named as on the platform's pages.

--- a/soak/__tests__/workspace_checks.spec.ts
+++ b/soak/__tests__/workspace_checks.spec.ts
@@ -7,7 +7,7 @@
   changingKeyOf,
   lastingKeyOf,
   lifeOfKey,
-  tenantsOf,
+  workspacesOf,
 } from '../workspaces.js';
 import {
   arrival,
@@ -197,7 +197,7 @@
 test('a key is in the versions that its life says', () => {
   const versions = [1, 4, 7, 10, 13, 16, 19, 22];
   const holders = versions.filter(version =>
-    tenantsOf(version).some(
+    workspacesOf(version).some(
       ({name, apiKeys}) =>
         name === 'changing' && apiKeys.includes(CHANGING_KEY),
     ),
--- a/soak/competing_workspaces.ts
+++ b/soak/competing_workspaces.ts
@@ -13,7 +13,7 @@
 import {SoakProfile} from './profile.js';
 import type {LinkState} from './tcp_proxy.js';
 import {pick} from './traffic.js';
-import {tenantsOf} from './workspaces.js';
+import {workspacesOf} from './workspaces.js';
 
 const ENTRY_FAULTS = 8;
 /** Entries that no fault hits. */
@@ -79,8 +79,8 @@
     return false;
   }
 
-  override tenantsOf(version: number): readonly StandInTenant[] {
-    return tenantsOf(version);
+  override workspacesOf(version: number): readonly StandInTenant[] {
+    return workspacesOf(version);
   }
 
   override faultsOf(seed: number, layout: Layout): readonly Fault[] {
@@ -145,7 +145,7 @@
         ...fault,
         kind: 'link',
         target,
-        link: 'refusing',
+        link: 'silent',
       }));
     case 'entry_cut':
       return [{...fault, kind: 'control_cut', target: entry}];
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -26,10 +26,10 @@
   return `/added-${version}/`;
 }
 
-/** The configuration of a version; callers need no keys if there are no tenants. */
+/** The configuration of a version; callers need no keys if there are no workspaces. */
 export function configurationOf(
   version: number,
-  tenants?: readonly StandInTenant[],
+  workspaces?: readonly StandInTenant[],
 ): string {
   return configurationText({
     version,
@@ -49,10 +49,10 @@
         kind: 'safe',
         attempts: 1,
         // Probes show no key.
-        ...(tenants === undefined ? {} : {public: true}),
+        ...(workspaces === undefined ? {} : {public: true}),
       },
     ],
-    ...(tenants === undefined ? {} : {tenants}),
+    ...(workspaces === undefined ? {} : {tenants: workspaces}),
   });
 }
 
@@ -65,7 +65,7 @@
   constructor(
     private readonly addresses: readonly string[],
     private readonly random: () => number,
-    private readonly tenantsOf: (
+    private readonly workspacesOf: (
       version: number,
     ) => readonly StandInTenant[] | undefined = () => undefined,
   ) {}
@@ -103,7 +103,7 @@
   async replace(): Promise<boolean> {
     this.version += VERSION_STEP;
     const {version} = this;
-    const text = configurationOf(version, this.tenantsOf(version));
+    const text = configurationOf(version, this.workspacesOf(version));
     return this.send('replace', REPLACE_PATH, version, text);
   }
 
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -28,7 +28,7 @@
   readonly keepsTexts: boolean = false;
 
   /** The workspaces of a version; `undefined` if callers need no keys. */
-  tenantsOf(_version: number): readonly StandInTenant[] | undefined {
+  workspacesOf(_version: number): readonly StandInTenant[] | undefined {
     return undefined;
   }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -14,6 +14,9 @@
 
 const START_LIMIT_MS = 20_000;
 const START_CHECK_MS = 200;
+/** Callers may send in pulses. */
+const SERVED_LIMIT_MS = 30_000;
+const SERVED_CHECK_MS = 20;
 /** Settling, and some seconds in which everything must be served. */
 const CALM_MS = 10_000;
 const READ_ATTEMPTS = 20;
@@ -54,7 +57,7 @@
   const operator = new Operator(
     controls.map(each => each.operatorProxyAddress),
     seededRandom(seed + 1),
-    version => profile.tenantsOf(version),
+    version => profile.workspacesOf(version),
   );
   const traffics = trafficsOf(options, profile, entries, operator);
   const stopTraffic = async (): Promise<void> => {
@@ -73,6 +76,7 @@
     const faults = profile.faultsOf(seed, fleet.layout);
     traffics.forEach(each => each.start());
     operator.start();
+    await untilAllServed(traffics);
     await runFaults(faults, fleet, operator);
     const calmAtMs = performance.now();
     await keepCalm(operator, probes);
@@ -195,6 +199,22 @@
   }
 }
 
+/**
+ * Waits until callers of each kind were served: quotas are granted some time after the
+ * start, and faults before that would show nothing about them.
+ */
+async function untilAllServed(traffics: readonly Traffic[]): Promise<void> {
+  const startedAtMs = performance.now();
+  const isServed = ({calls}: Traffic): boolean =>
+    calls.some(each => each.status === 200);
+  while (!traffics.every(isServed)) {
+    if (performance.now() - startedAtMs > SERVED_LIMIT_MS) {
+      throw new Error('some callers were not served before the faults');
+    }
+    await sleep(SERVED_CHECK_MS);
+  }
+}
+
 async function isReady(address: string): Promise<boolean> {
   try {
     const answer = await fetch(`http://${address}/`);
--- a/soak/workspaces.ts
+++ b/soak/workspaces.ts
@@ -41,7 +41,7 @@
 }
 
 /** The workspaces with their keys, as a version of the configuration has them. */
-export function tenantsOf(version: number): readonly StandInTenant[] {
+export function workspacesOf(version: number): readonly StandInTenant[] {
   const changing = Array.from({length: KEY_LIFE_VERSIONS}, (_, age) =>
     changingKeyOf(version - age * VERSION_STEP),
   );
