--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -1,5 +1,6 @@
 /** All processes, proxies and stand-ins of one run. */
-import {mkdirSync} from 'node:fs';
+import {mkdirSync, readdirSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
 import {StandInList, StandInUpstream} from '../platform/standin/stand_in.js';
 import {
   createLayout,
@@ -12,6 +13,7 @@
   STOP_GRACE_MS,
   type UnexpectedExit,
 } from './member_process.js';
+import type {WrittenText} from './history.js';
 import type {SoakProfile} from './profile.js';
 import {TcpProxy} from './tcp_proxy.js';
 
@@ -36,7 +38,7 @@
 
   constructor(
     slot: number,
-    folder: string,
+    private readonly folder: string,
     private readonly profile: SoakProfile,
   ) {
     mkdirSync(folder, {recursive: true});
@@ -79,6 +81,13 @@
     return [...this.past, ...this.current.values()];
   }
 
+  /** Between all other processes and the control members. */
+  get controlProxies(): readonly TcpProxy[] {
+    return this.layout.processes
+      .filter(each => each.role === 'control')
+      .flatMap(({name}) => this.proxies.get(name) ?? []);
+  }
+
   private get allProxies(): readonly TcpProxy[] {
     return [...this.proxies.values(), ...this.operatorProxies.values()];
   }
@@ -105,6 +114,27 @@
     this.list.stop();
   }
 
+  /** What upstreams were sent, and what running processes show and have written. */
+  async texts(): Promise<readonly WrittenText[]> {
+    const metrics = await Promise.all(
+      this.layout.processes.map(async ({name, metricsAddress}) => {
+        // A process that has ended shows none; its end is noted elsewhere.
+        const text = await fetch(`http://${metricsAddress}/metrics`)
+          .then(answer => answer.text())
+          .catch(() => '');
+        return {source: `metrics of ${name}`, text};
+      }),
+    );
+    return [
+      ...this.upstreams.map(({upstreamId, requestTexts}) => ({
+        source: upstreamId,
+        text: requestTexts.join('\n'),
+      })),
+      ...metrics,
+      ...filesIn(this.folder),
+    ];
+  }
+
   /** A planned stop and a new start; notes a stop beyond the grace. */
   async roll(member: MemberProcess): Promise<void> {
     const tookMs = await member.terminate();
@@ -144,6 +174,7 @@
         eventPauseMs: this.profile.eventPauseMs,
         isUnframed: this.profile.isUnframed(position),
         namesRequests: true,
+        keepsRequests: this.profile.keepsTexts,
       },
     );
     upstream.bornAtMs = lifetime + 1;
@@ -154,3 +185,17 @@
     await upstream.start();
   }
 }
+
+/** All files below a folder; one that is replaced meanwhile is left out. */
+function filesIn(folder: string): readonly WrittenText[] {
+  return readdirSync(folder, {recursive: true, withFileTypes: true})
+    .filter(each => each.isFile())
+    .flatMap(({name, path}) => {
+      try {
+        const text = readFileSync(join(path, name), 'latin1');
+        return [{source: name, text}];
+      } catch {
+        return [];
+      }
+    });
+}
