Test how soon a quarantine reaches other domains

The test fails: on paused time, 0.5 s after the publication some domains have not heard of it, since it waits there for the next summary. A caller that resends to such a domain has its request run once more.

--- a/src/node/membership/__tests__/failures.spec.ts
+++ b/src/node/membership/__tests__/failures.spec.ts
@@ -254,6 +254,35 @@
   assert.equal(quarantinedCount(), 0, 'the entry expires');
 });
 
+// A caller that resends to another region at once would have one more upstream
+// run a request that has crashed two.
+test('a quarantine entry reaches all domains before the next summaries', async t => {
+  pauseTimers(t);
+  const waitsMs = [0, 200, 400, 600, 800];
+  const reached: Record<string, number> = {};
+  for (const [index, waitMs] of waitsMs.entries()) {
+    const cluster = new Cluster(peerList(3, 3), 20 + index);
+    cluster.network.oneWayMs = 55;
+    cluster.startAll();
+    await advance(t, 6_000 + waitMs);
+    const digest = asId<never>('cd'.repeat(32));
+    publishQuarantine(cluster.get('entry-1-02'), {
+      digest,
+      expiresAtMs: Date.now() + 600_000,
+      reason: 'lost worker-1 worker-2',
+    });
+    await advance(t, 500);
+    reached[`published ${waitMs} ms later`] = [
+      ...cluster.members.values(),
+    ].filter(member => member.view.quarantine().has(digest)).length;
+    [...cluster.members.keys()].forEach(id => cluster.kill(id));
+  }
+  assert.deepEqual(
+    reached,
+    Object.fromEntries(waitsMs.map(ms => [`published ${ms} ms later`, 9])),
+  );
+});
+
 test('one lost answer is retried before the exchange counts as failed', async t => {
   pauseTimers(t);
   const cluster = new Cluster(peerList(1, 2), 13);
