Tell other domains of a quarantine at once

A request that had crashed two engines ran on a third one when its caller sent it to another region two seconds later. The quarantine waited for the summaries, which take one to three seconds; how long depends on the rounds of the instances against each other.

A new entry now also goes to two instances of each other domain, which spread it there at once. The summaries still repeat it until it is acknowledged, so a lost notice costs what it cost before.

--- a/src/node/membership/actor.ts
+++ b/src/node/membership/actor.ts
@@ -24,6 +24,10 @@
   type ResolvedOptions,
   type Send,
 } from './messages.js';
+import {
+  publishNewQuarantine,
+  sendQuarantineNotices,
+} from './quarantine_notice.js';
 import {
   type ActorState,
   advanceRound,
@@ -41,6 +45,7 @@
   sendSummary,
 } from './summary_exchange.js';
 import {membersOf} from './view.js';
+import {decodeQuarantineEntry} from './wire.js';
 
 /** Starts exchanges with several random live peers at once. */
 function exchangeWithRandomPeers(
@@ -119,6 +124,33 @@
   return next;
 }
 
+function handleQuarantine(
+  state: ActorState,
+  {entry}: MessageOf<'quarantine'>,
+  options: ResolvedOptions,
+  send: Send,
+): ActorState {
+  const {gossip} = state;
+  const value = encodeQuarantine(entry);
+  const changed = publish(gossip, ItemKind.quarantine, entry.digest, value);
+  if (changed !== gossip) sendQuarantineNotices(state, entry, options, send);
+  return publishUrgent(state, changed, options, send);
+}
+
+function handleQuarantineNotice(
+  state: ActorState,
+  {request, resolve}: MessageOf<'quarantine_notice'>,
+  options: ResolvedOptions,
+  send: Send,
+): ActorState {
+  resolve({});
+  const entries = request.q
+    .map(decodeQuarantineEntry)
+    .filter(entry => entry !== undefined);
+  const changed = publishNewQuarantine(state.gossip, entries);
+  return publishUrgent(state, changed, options, send);
+}
+
 function countFailure(state: ActorState): ActorState {
   const {counters} = state;
   const exchangesFailed = counters.exchangesFailed + 1;
@@ -169,12 +201,10 @@
       const next = publishLoad(gossip, message.report, intervalMs);
       return {...state, gossip: next};
     }
-    case 'quarantine': {
-      const {entry} = message;
-      const value = encodeQuarantine(entry);
-      const changed = publish(gossip, ItemKind.quarantine, entry.digest, value);
-      return publishUrgent(state, changed, options, send);
-    }
+    case 'quarantine':
+      return handleQuarantine(state, message, options, send);
+    case 'quarantine_notice':
+      return handleQuarantineNotice(state, message, options, send);
     case 'offers': {
       const catalogue = encodeCatalogue(message.offers);
       const listed = publish(gossip, ItemKind.catalogue, '', catalogue);
--- a/src/node/membership/constants.ts
+++ b/src/node/membership/constants.ts
@@ -52,6 +52,11 @@
 export const SUMMARY_BUILDERS = 2;
 /** Number of peers to which an urgent change is sent at once. */
 export const URGENT_FANOUT = 8;
+/**
+ * Number of instances of each other domain that are told of a quarantine at
+ * once. A second one, because the first may have just ended.
+ */
+export const NOTICE_FANOUT = 2;
 /** Every n-th round contacts a configured peer that is not known to be live. */
 export const REPAIR_EVERY_ROUNDS = 8;
 /** Every n-th round contacts a suspect member, if there is one. */
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -31,6 +31,8 @@
   exchangeSchema,
   PUSH_METHOD,
   pushSchema,
+  QUARANTINE_METHOD,
+  quarantineNoticeSchema,
   SUMMARY_METHOD,
   summarySchema,
 } from './wire.js';
@@ -151,6 +153,14 @@
   router.register(SUMMARY_METHOD, summarySchema, request =>
     ask((resolve, reject) => ({kind: 'summary', request, resolve, reject})),
   );
+  router.register(QUARANTINE_METHOD, quarantineNoticeSchema, request =>
+    ask((resolve, reject) => ({
+      kind: 'quarantine_notice',
+      request,
+      resolve,
+      reject,
+    })),
+  );
 }
 
 function stoppedError(peer: string): GatewayError {
--- a/src/node/membership/messages.ts
+++ b/src/node/membership/messages.ts
@@ -48,6 +48,10 @@
         readonly q: WireQuarantine[];
       };
     } & ReplyCallbacks<SummaryAnswer>)
+  | ({
+      readonly kind: 'quarantine_notice';
+      readonly request: {readonly q: WireQuarantine[]};
+    } & ReplyCallbacks<object>)
   | {readonly kind: 'summary_refused'; readonly target: SummaryTarget}
   | {
       readonly kind: 'summary_result';
--- a/src/node/membership/summaries.ts
+++ b/src/node/membership/summaries.ts
@@ -94,19 +94,15 @@
 }
 
 /**
- * The targets of this builder in one turn: one instance of each domain that is
- * assigned to it. The builders alternate per domain, so each domain receives
- * one summary per turn and, over time, summaries of both builders.
+ * The instances of each other domain: those of its summary, or the configured
+ * ones while it has none that is current.
  */
-export function summaryTargets(
+export function instancesByDomain(
   state: GossipState,
   ownDomain: DomainId,
   peers: readonly PeerAddress[],
-  builder: {readonly index: number; readonly count: number},
-  turn: number,
   nowMs: number,
-  random: () => number,
-): SummaryTarget[] {
+): ReadonlyMap<DomainId, readonly Pick<SummaryEntry, 'innerAddress'>[]> {
   const summaries = new Map(
     summariesOf(state, ownDomain, nowMs).map(summary => [
       summary.domainId,
@@ -118,21 +114,40 @@
     ...peers.map(peer => peer.domainId),
   ]);
   domainIds.delete(ownDomain);
-  return [...domainIds]
-    .sort()
-    .filter((_, index) => (index + turn) % builder.count === builder.index)
-    .flatMap(domainId => {
+  return new Map(
+    [...domainIds].map(domainId => {
       const summary = summaries.get(domainId);
+      const isCurrent =
+        summary !== undefined && !summary.stale && summary.entries.length > 0;
       const configured = peers.filter(peer => peer.domainId === domainId);
-      const known: readonly Pick<SummaryEntry, 'innerAddress'>[] =
-        summary === undefined || summary.stale || summary.entries.length === 0
-          ? configured
-          : summary.entries;
-      return sample(known, 1, random).map(entry => ({
+      return [domainId, isCurrent ? summary.entries : configured];
+    }),
+  );
+}
+
+/**
+ * The targets of this builder in one turn: one instance of each domain that is
+ * assigned to it. The builders alternate per domain, so each domain receives
+ * one summary per turn and, over time, summaries of both builders.
+ */
+export function summaryTargets(
+  state: GossipState,
+  ownDomain: DomainId,
+  peers: readonly PeerAddress[],
+  builder: {readonly index: number; readonly count: number},
+  turn: number,
+  nowMs: number,
+  random: () => number,
+): SummaryTarget[] {
+  return [...instancesByDomain(state, ownDomain, peers, nowMs)]
+    .sort(([left], [right]) => (left < right ? -1 : 1))
+    .filter((_, index) => (index + turn) % builder.count === builder.index)
+    .flatMap(([domainId, instances]) =>
+      sample(instances, 1, random).map(({innerAddress}) => ({
         domainId,
-        address: entry.innerAddress,
-      }));
-    });
+        address: innerAddress,
+      })),
+    );
 }
 
 /**
--- a/src/node/membership/summary_exchange.ts
+++ b/src/node/membership/summary_exchange.ts
@@ -2,7 +2,6 @@
 import {monotonicNowMs} from '../clock/clock.js';
 import {JOIN_TIMEOUT_MS, SUMMARY_TIMEOUT_MS} from './constants.js';
 import type {DomainId} from '../types/ids.js';
-import {encodeQuarantine, ItemKind, type QuarantineEntry} from './items.js';
 import {
   listLinks,
   withCallFailed,
@@ -17,8 +16,9 @@
   type ResolvedOptions,
   type Send,
 } from './messages.js';
+import {publishNewQuarantine} from './quarantine_notice.js';
 import type {ActorState} from './round.js';
-import {type GossipState, ownOrigin, publish} from './state.js';
+import {ownOrigin} from './state.js';
 import {
   exportedDelta,
   type PeerAddress,
@@ -125,30 +125,6 @@
   return {...next, counters: {...state.counters, summariesSent}};
 }
 
-/**
- * Publishes quarantine entries of another domain that are new or expire later.
- */
-function publishNewQuarantine(
-  gossip: GossipState,
-  entries: readonly QuarantineEntry[],
-): GossipState {
-  return entries
-    .filter(entry => {
-      const known = gossip.quarantine.get(entry.digest);
-      return known === undefined || known.expiresAtMs < entry.expiresAtMs;
-    })
-    .reduce(
-      (next, entry) =>
-        publish(
-          next,
-          ItemKind.quarantine,
-          entry.digest,
-          encodeQuarantine(entry),
-        ),
-      gossip,
-    );
-}
-
 /** Merges a summary from another domain, unless earlier items are missing. */
 export function handleSummary(
   state: ActorState,
--- a/src/node/membership/wire.ts
+++ b/src/node/membership/wire.ts
@@ -16,6 +16,8 @@
 export const PUSH_METHOD = 'membership.push';
 /** The method that sends the summary of a domain to another. */
 export const SUMMARY_METHOD = 'membership.summary';
+/** The method that tells another domain of a quarantine ahead of its summary. */
+export const QUARANTINE_METHOD = 'membership.quarantine';
 
 const itemSchema = z.tuple([
   z.number().int().min(0),
@@ -68,6 +70,11 @@
   q: z.array(quarantineSchema),
 });
 
+/** Parameters of `QUARANTINE_METHOD`: quarantine entries. */
+export const quarantineNoticeSchema = z.object({
+  q: z.array(quarantineSchema),
+});
+
 export type WireExchange = z.infer<typeof exchangeSchema>;
 export type WirePush = z.infer<typeof pushSchema>;
 export type WireDelta = z.infer<typeof deltaSchema>;
