--- a/soak/__tests__/workspace_checks.spec.ts
+++ b/soak/__tests__/workspace_checks.spec.ts
@@ -1,3 +1,4 @@
+import {HEADER} from '../../platform/headers.js';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {CompetingWorkspaces} from '../competing_workspaces.js';
@@ -30,7 +31,7 @@
 ];
 
 function runOf(workspace: string, fields: Partial<UpstreamRun> = {}) {
-  const headers = {tenant: workspace, 'request-priority': '0'};
+  const headers = {[HEADER.workspace]: workspace, 'request-priority': '0'};
   return run({headers, ...fields});
 }
 
--- a/soak/competing_workspaces.ts
+++ b/soak/competing_workspaces.ts
@@ -1,5 +1,5 @@
 /** Runs in which workspaces compete while their keys change and entries fail. */
-import type {StandInTenant} from '../platform/standin/configuration.js';
+import type {StandInWorkspace} from '../platform/standin/configuration.js';
 import {seededRandom} from '../src/node/__tests__/support/random.js';
 import {
   ChangingKeyCallers,
@@ -79,7 +79,7 @@
     return false;
   }
 
-  override workspacesOf(version: number): readonly StandInTenant[] {
+  override workspacesOf(version: number): readonly StandInWorkspace[] {
     return workspacesOf(version);
   }
 
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -8,7 +8,7 @@
 } from '../platform/operator_paths.js';
 import {
   configurationText,
-  type StandInTenant,
+  type StandInWorkspace,
 } from '../platform/standin/configuration.js';
 import {HOMES, ROUTES, type OperatorRecord} from './history.js';
 import {SERVICE} from './layout.js';
@@ -29,7 +29,7 @@
 /** The configuration of a version; callers need no keys if there are no workspaces. */
 export function configurationOf(
   version: number,
-  workspaces?: readonly StandInTenant[],
+  workspaces?: readonly StandInWorkspace[],
 ): string {
   return configurationText({
     version,
@@ -67,7 +67,7 @@
     private readonly random: () => number,
     private readonly workspacesOf: (
       version: number,
-    ) => readonly StandInTenant[] | undefined = () => undefined,
+    ) => readonly StandInWorkspace[] | undefined = () => undefined,
   ) {}
 
   /** The newest version that was sent. */
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -1,6 +1,6 @@
 /** What distinguishes the kinds of runs: their faults, streams and promises. */
 import {seededRandom} from '../src/node/__tests__/support/random.js';
-import type {StandInTenant} from '../platform/standin/configuration.js';
+import type {StandInWorkspace} from '../platform/standin/configuration.js';
 import {KeylessCallers, type Callers} from './callers.js';
 import {drawCopies} from './copy_faults.js';
 import {byTime, drawFaults, type Fault, type FaultKind} from './fault_plan.js';
@@ -28,7 +28,7 @@
   readonly keepsTexts: boolean = false;
 
   /** The workspaces of a version; `undefined` if callers need no keys. */
-  workspacesOf(_version: number): readonly StandInTenant[] | undefined {
+  workspacesOf(_version: number): readonly StandInWorkspace[] | undefined {
     return undefined;
   }
 
--- a/soak/workspaces.ts
+++ b/soak/workspaces.ts
@@ -1,5 +1,5 @@
 /** The workspaces of a run, and which versions of the configuration hold their keys. */
-import type {StandInTenant} from '../platform/standin/configuration.js';
+import type {StandInWorkspace} from '../platform/standin/configuration.js';
 import {domainOf} from './layout.js';
 
 /** All keys contain it, so that texts can be searched for keys. */
@@ -11,7 +11,7 @@
 const CHANGING = 'changing';
 
 /** A workspace without its keys; the same in all versions. */
-export interface SoakWorkspace extends Omit<StandInTenant, 'apiKeys'> {
+export interface SoakWorkspace extends Omit<StandInWorkspace, 'apiKeys'> {
   readonly name: string;
 }
 
@@ -41,7 +41,7 @@
 }
 
 /** The workspaces with their keys, as a version of the configuration has them. */
-export function workspacesOf(version: number): readonly StandInTenant[] {
+export function workspacesOf(version: number): readonly StandInWorkspace[] {
   const changing = Array.from({length: KEY_LIFE_VERSIONS}, (_, age) =>
     changingKeyOf(version - age * VERSION_STEP),
   );
--- a/src/node/config/workspace_edits.ts
+++ b/src/node/config/workspace_edits.ts
@@ -36,15 +36,17 @@
   if (find(answers, id) !== undefined) {
     return err(`workspace ${id} exists already`);
   }
-  const model = find(answers, workloadsOf);
-  if (model === undefined) return err(`there is no workspace ${workloadsOf}`);
-  const itsHome = home ?? model.home;
+  const template = find(answers, workloadsOf);
+  if (template === undefined) {
+    return err(`there is no workspace ${workloadsOf}`);
+  }
+  const homeRegion = home ?? template.home;
   const added: WorkspaceAnswer = {
     id,
-    home: itsHome,
-    residency: [...(residency ?? [itsHome])],
+    home: homeRegion,
+    residency: [...(residency ?? [homeRegion])],
     callerKeyDigests: [keyDigest],
-    workloads: model.workloads.map((each): WorkloadAnswer => ({...each})),
+    workloads: template.workloads.map((each): WorkloadAnswer => ({...each})),
   };
   return checked({
     ...answers,
@@ -125,16 +127,16 @@
   {home, residency, rank, fairWeight, quota}: WorkspaceTraits,
 ): WorkspaceAnswer {
   const {rank: before, quota: quotaBefore, ...others} = workspace;
-  const itsRank = rank ?? before;
-  const itsQuota =
+  const nextRank = rank ?? before;
+  const nextQuota =
     quota === 'none' ? undefined : changedQuota(quotaBefore, quota);
   return {
     ...others,
     ...(home === undefined ? {} : {home}),
     ...(residency === undefined ? {} : {residency: [...residency]}),
-    ...(itsRank === undefined || itsRank === 'none' ? {} : {rank: itsRank}),
+    ...(nextRank === undefined || nextRank === 'none' ? {} : {rank: nextRank}),
     ...(fairWeight === undefined ? {} : {fairWeight}),
-    ...(itsQuota === undefined ? {} : {quota: itsQuota}),
+    ...(nextQuota === undefined ? {} : {quota: nextQuota}),
   };
 }
 
--- a/src/node/control/change_summary.ts
+++ b/src/node/control/change_summary.ts
@@ -7,7 +7,7 @@
 const MAX_VALUE_CHARACTERS = 40;
 /** Items that are larger are named by their path only. */
 const MAX_ITEM_CHARACTERS = 100;
-/** So much of a digest tells keys apart; `workspace show --keys` has it whole. */
+/** Enough of a digest to tell keys apart; the answers of the version hold it whole. */
 const DIGEST_CHARACTERS = 12;
 const DIGEST_PATTERN = /\b[0-9a-f]{64}\b/g;
 
@@ -34,13 +34,16 @@
     ...added.map(each => `+${shorten(each)}`),
     ...removed.map(each => `-${shorten(each)}`),
   ];
-  return `~ ${path}: ${items.slice(0, MAX_CHANGES).join(' ')}`;
+  if (items.length === 0) return `~ ${path}: order`;
+  const rest = items.length - MAX_CHANGES;
+  const shown = items.slice(0, MAX_CHANGES);
+  return `~ ${path}: ${[...shown, ...(rest > 0 ? [`${rest} more`] : [])].join(' ')}`;
 }
 
 /** The value of an item that is added or removed whole. */
 function valueOf(value: unknown): string {
   if (typeof value !== 'object') return ` = ${shorten(value)}`;
-  const text = withoutDigests(JSON.stringify(value));
+  const text = shortenDigests(JSON.stringify(value));
   return text.length > MAX_ITEM_CHARACTERS ? '' : ` = ${text}`;
 }
 
@@ -50,10 +53,10 @@
 
 function shorten(value: unknown): string {
   const text = typeof value === 'string' ? value : JSON.stringify(value);
-  return withoutDigests(text).slice(0, MAX_VALUE_CHARACTERS);
+  return shortenDigests(text).slice(0, MAX_VALUE_CHARACTERS);
 }
 
-function withoutDigests(text: string): string {
+function shortenDigests(text: string): string {
   return text.replace(DIGEST_PATTERN, digest =>
     digest.slice(0, DIGEST_CHARACTERS),
   );
--- a/src/node/decisions/admission/load_shedding.ts
+++ b/src/node/decisions/admission/load_shedding.ts
@@ -89,7 +89,9 @@
     return {
       priority,
       admittedShare: Number(this.share.toFixed(2)),
-      retryAfterMs: Math.min(MAX_RETRY_MS, HALF_RETRY_MS / (2 * share)),
+      retryAfterMs: Math.round(
+        Math.min(MAX_RETRY_MS, HALF_RETRY_MS / (2 * share)),
+      ),
     };
   }
 
--- a/src/node/entry/quota_admission.ts
+++ b/src/node/entry/quota_admission.ts
@@ -7,8 +7,8 @@
 import {withUnknownOutcome} from './unknown_outcome.js';
 
 const STEP = 'entry.quota';
-/** A call waits for a grant for a part of it; the ranks' targets are longer. */
-const TARGET_LATENCY_MS = 1_000;
+/** The gate waits a quarter of it for a grant; all ranks have longer targets. */
+const ASSUMED_TARGET_LATENCY_MS = 1_000;
 /** Engines count tokens themselves; before that, the size of a body has to do. */
 const BYTES_PER_TOKEN = 4;
 
@@ -54,7 +54,7 @@
     const admission = await this.gate.admit(
       specOf(workspace),
       tokens,
-      TARGET_LATENCY_MS,
+      ASSUMED_TARGET_LATENCY_MS,
     );
     if (admission.kind === 'refused') {
       throw overQuota(workspace, admission.retryAfterMs);
--- a/src/node/entry/quota_link.ts
+++ b/src/node/entry/quota_link.ts
@@ -39,6 +39,7 @@
   private timer: ReturnType<typeof setInterval> | undefined;
   private readonly pending = new Set<InstanceId>();
   private readonly askedAtMs = new Map<InstanceId, number>();
+  private isStopped = false;
   private leader: InstanceId | undefined;
   private heardAtMs = Number.NEGATIVE_INFINITY;
 
@@ -52,6 +53,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
   }
 
@@ -87,7 +89,7 @@
     instanceId: control,
     innerAddress,
   }: ControlMemberConfig): Promise<void> {
-    if (this.pending.has(control)) return;
+    if (this.isStopped || this.pending.has(control)) return;
     const {identity, incarnation, client, gate} = this.options;
     const report = gate.reportFor(control);
     const params: QuotaExchangeParams = {
@@ -106,6 +108,7 @@
       EXCHANGE_TIMEOUT_MS,
     );
     this.pending.delete(control);
+    if (this.isStopped) return;
     const reply = result.isOk() ? result.value.reply : undefined;
     if (reply === undefined) return;
     this.leader = control;
--- a/src/node/explain/findings.ts
+++ b/src/node/explain/findings.ts
@@ -175,6 +175,7 @@
     `${REJECTION_TEXTS[reason] ?? reason} ` +
       `(version ${numberField(rejection, 'tableVersion') ?? 0})`,
     ...quotaReasons(rejection),
+    ...busyReasons(rejection),
     ...unknownKeyReasons(rejection),
     ...homeFigures(rejection),
     ...startReasons(timeline, rejection),
@@ -192,6 +193,15 @@
   return [`workspace ${String(fields['workspace'])}: ${figures.join(', ')}`];
 }
 
+/** The figures that decided that a busy entry refused a request. */
+function busyReasons(rejection: LogLine): readonly string[] {
+  if (textField(rejection, 'reason') !== 'busy') return [];
+  const figures = ['priority', 'admittedShare', 'retryAfterMs'].map(
+    name => `${name} ${String(rejection.fields[name])}`,
+  );
+  return [figures.join(', ')];
+}
+
 /** Since when the key has been unknown, as far as the entry knew. */
 function unknownKeyReasons(rejection: LogLine): readonly string[] {
   if (textField(rejection, 'reason') !== 'unknown_key') return [];
--- a/src/node/http/byte_buffer.ts
+++ b/src/node/http/byte_buffer.ts
@@ -90,7 +90,7 @@
     return this.blocks[0]?.subarray(0, this.sizeBytes) ?? Buffer.alloc(0);
   }
 
-  /** The last bytes, at most `count`, without a copy of the others. */
+  /** The last bytes, at most `count`, which must not exceed `FULL_BLOCK_BYTES`. */
   tail(count: number): Buffer {
     const freeBytes = this.blockBytes - this.sizeBytes;
     const ends = this.blocks.slice(-2).map((block, position, {length}) => {
--- a/src/node/ingress/response_reader.ts
+++ b/src/node/ingress/response_reader.ts
@@ -74,9 +74,6 @@
   readonly namedAttemptId: string | undefined;
 }
 
-/** A larger buffered response is aborted and its connection closed. */
-const MAX_BUFFERED_BYTES = MAX_WHOLE_RESPONSE_BYTES;
-
 /** Receives the response of one try. */
 export class ResponseReader implements ResponseSink {
   head: ResponseHead | undefined;
@@ -90,12 +87,13 @@
   private lastProgressAtMs = 0;
   /** Whether the caller has yet to read what was written. */
   private isCallerBehind = false;
-  private plainBytes = 0;
+  /** Bytes of a plain response with the cost of its pieces; limited also if begun early. */
+  private chargedBytes = 0;
   private foundCompleteness: Completeness | undefined;
   private readonly splitter = new EventSplitter();
   private readonly meter = new EventMeter();
   private readonly buffered = new ByteBuffer({
-    maxBytes: MAX_BUFFERED_BYTES,
+    maxBytes: MAX_WHOLE_RESPONSE_BYTES,
     bytesPerPiece: PIECE_COST_BYTES,
   });
 
@@ -218,10 +216,10 @@
   // try if the upstream breaks off, but does not wait for others that read slowly. One
   // whose end is not marked waits unread, as it must not end before its end is known.
   private takePlain(chunk: Buffer, resume: () => void): boolean {
-    this.plainBytes += chunk.length + PIECE_COST_BYTES;
-    if (this.plainBytes > MAX_BUFFERED_BYTES) {
+    this.chargedBytes += chunk.length + PIECE_COST_BYTES;
+    if (this.chargedBytes > MAX_WHOLE_RESPONSE_BYTES) {
       throw new Error(
-        `response exceeds ${MAX_BUFFERED_BYTES} bytes or has too many chunks`,
+        `response exceeds ${MAX_WHOLE_RESPONSE_BYTES} bytes or has too many chunks`,
       );
     }
     if (this.isEarly) return this.write(chunk, resume);
--- a/src/node/logging/event_schema.ts
+++ b/src/node/logging/event_schema.ts
@@ -196,6 +196,10 @@
     reason: z.string(),
     status: z.number(),
     tableVersion: z.number(),
+    // With `busy`.
+    priority: z.number().optional(),
+    admittedShare: z.number().optional(),
+    retryAfterMs: z.number().optional(),
     // With `unknown_key`; neither the key nor its digest is logged.
     hasKey: z.boolean().optional(),
     /** This version and all later ones lack the key, as far as the entry knows. */
--- a/src/node/operator/cli.ts
+++ b/src/node/operator/cli.ts
@@ -25,7 +25,11 @@
 /** Flags without a value; without this list they would take the next word. */
 const SWITCHES = ['json', 'wait', 'local', 'answers', 'keys'];
 /** Flags with text; without this list digits would become numbers. */
-const TEXTS = ['settings', 'operation-id', 'against', 'logs'].concat([
+const TEXTS = [
+  'settings',
+  'operation-id',
+  'against',
+  'logs',
   'home',
   'residency',
   'rank',
@@ -33,7 +37,7 @@
   'key-file',
   'key-digest',
   'quota-unit',
-]);
+];
 
 function nameOf(command: Command): string {
   return command.usage.replace(/ \[.*$/, '');
--- a/src/node/operator/quota_commands.ts
+++ b/src/node/operator/quota_commands.ts
@@ -39,7 +39,7 @@
     if (leading === undefined) {
       throw new CommandFailure(
         EXIT_FAILURE,
-        'no control member that answers divides quotas',
+        'no control member that answers divides quotas; does a workspace have one?',
       );
     }
     const workspaces = leading.workspaces.filter(
--- a/src/node/operator/workspace_commands.ts
+++ b/src/node/operator/workspace_commands.ts
@@ -82,11 +82,16 @@
       shown.map(each => summaryOf(each, showsKeys)),
       [
         ...formatTable(
-          ['workspace', 'home', 'residency', 'rank', 'weight'].concat([
+          [
+            'workspace',
+            'home',
+            'residency',
+            'rank',
+            'weight',
             'quota',
             'keys',
             'workloads',
-          ]),
+          ],
           shown.map(each => [
             each.id,
             each.home,
@@ -144,12 +149,12 @@
   ],
   run: (session, [argument], options) => {
     const name = nameOf(argument);
-    const model = textOption(options, 'workloads-of');
-    if (model === undefined) throw usageFailure('--workloads-of is missing');
+    const template = textOption(options, 'workloads-of');
+    if (template === undefined) throw usageFailure('--workloads-of is missing');
     const traits = traitsOf(options);
     const digest = keyDigestOption(options);
     return change(session, options, answers =>
-      addWorkspace(answers, name, asId(model), digest, traits),
+      addWorkspace(answers, name, asId(template), digest, traits),
     );
   },
 };
--- a/src/node/quotas/balance.ts
+++ b/src/node/quotas/balance.ts
@@ -44,7 +44,7 @@
   private exhaustedUntilMs = Number.NEGATIVE_INFINITY;
   /** Asks in a row that the pool could not serve. */
   private unservedAsks = 0;
-  private asksFromMs = Number.NEGATIVE_INFINITY;
+  private nextAskAtMs = Number.NEGATIVE_INFINITY;
   private hasAsked = false;
 
   constructor(
@@ -72,9 +72,9 @@
     this.units += Math.max(0, Math.min(units, room));
   }
 
-  /** Whether the pool was said to be empty a moment ago, or again and again. */
+  /** Whether to ask for a grant is pointless: the pool is empty, or it is too soon. */
   isExhausted(nowMs: number): boolean {
-    return nowMs < Math.max(this.exhaustedUntilMs, this.asksFromMs);
+    return nowMs < Math.max(this.exhaustedUntilMs, this.nextAskAtMs);
   }
 
   /**
@@ -162,7 +162,7 @@
     if (!this.hasAsked) return;
     this.unservedAsks = retryAfterMs === undefined ? 0 : this.unservedAsks + 1;
     const pauseMs = MIN_ASK_PAUSE_MS * (2 ** this.unservedAsks - 1);
-    this.asksFromMs = nowMs + Math.min(MAX_ASK_PAUSE_MS, pauseMs);
+    this.nextAskAtMs = nowMs + Math.min(MAX_ASK_PAUSE_MS, pauseMs);
   }
 
   /** Gives back what exceeds the ceiling, after waiting requests had their part. */
--- a/src/node/quotas/quota_gate.ts
+++ b/src/node/quotas/quota_gate.ts
@@ -227,8 +227,9 @@
   private announce(): void {
     this.askTimer = undefined;
     this.options.announceNow(this.quotas.leaderId);
+    if (this.waiters.size === 0) return;
     this.options.metrics.count('quota_asks');
-    if (this.waiters.size > 0) this.scheduleAnnouncement(MIN_ASK_INTERVAL_MS);
+    this.scheduleAnnouncement(MIN_ASK_INTERVAL_MS);
   }
 
   private serveCovered(state: WorkspaceState, now: Instant): void {
--- a/src/node/quotas/quota_leader.ts
+++ b/src/node/quotas/quota_leader.ts
@@ -163,7 +163,7 @@
       known.applyLimits(limits, nowMs);
       return;
     }
-    // A table of an earlier leader may have had the name before this one again has it.
+    // Entries may still hold leases of this name, of an earlier leader or quota.
     const mayHavePredecessor =
       nowMs < this.recoversUntilMs || this.droppedAtMs.has(name);
     this.pools.set(
--- a/src/node/quotas/workspace_pool.ts
+++ b/src/node/quotas/workspace_pool.ts
@@ -67,9 +67,9 @@
   private expiredAtMs: number;
   private grantsFromMs: number;
   private recoversUntilMs: number;
-  private isShortUntilMs = Number.NEGATIVE_INFINITY;
-  /** When the recovery is expected to end; no promise. */
-  private recoveryEndsMs: number;
+  /** Until then some entry counts as getting less than it should. */
+  private shortUntilMs = Number.NEGATIVE_INFINITY;
+  private expectedRecoveryEndMs: number;
   /** Leases of earlier leaders that entries told of. */
   private carried: LeaseRoom = {sharePerS: 0, ceilingUnits: 0};
 
@@ -79,7 +79,7 @@
     this.expiredAtMs = nowMs;
     this.grantsFromMs = mayHavePredecessor ? nowMs + FENCE_MS : nowMs;
     this.recoversUntilMs = mayHavePredecessor ? nowMs + RECOVERY_MS : nowMs;
-    this.recoveryEndsMs = this.recoversUntilMs;
+    this.expectedRecoveryEndMs = this.recoversUntilMs;
     if (!mayHavePredecessor) this.level = this.maxLevel(nowMs);
   }
 
@@ -92,7 +92,7 @@
 
   /** The recovery is expected to end by itself, or earlier at `endsAtMs`. */
   expectRecovery(endsAtMs: number): void {
-    this.recoveryEndsMs = Math.min(this.recoversUntilMs, endsAtMs);
+    this.expectedRecoveryEndMs = Math.min(this.recoversUntilMs, endsAtMs);
   }
 
   applyLimits(limits: PoolLimits, nowMs: number): void {
@@ -201,11 +201,9 @@
     const room = this.roomFor(account, nowMs);
     const target = leaseTarget(report, totals, limits, room, lease);
     const wish = leaseTarget(report, totals, limits, UNLIMITED, lease);
-    if (isWorthChange(target, wish)) this.isShortUntilMs = nowMs + SHORT_FOR_MS;
+    if (isWorthChange(target, wish)) this.shortUntilMs = nowMs + SHORT_FOR_MS;
     const minChange =
-      nowMs < this.isShortUntilMs
-        ? MIN_SHARE_CHANGE_IF_SHORT
-        : MIN_SHARE_CHANGE;
+      nowMs < this.shortUntilMs ? MIN_SHARE_CHANGE_IF_SHORT : MIN_SHARE_CHANGE;
     if (!isWorthChange(lease, target, minChange)) return;
     this.change(account, () =>
       account.changeLease(target.sharePerS, target.ceilingUnits),
@@ -294,7 +292,7 @@
     const fillMs = (missing * MS_PER_S) / ratePerS;
     const isRecovering = nowMs < this.recoversUntilMs;
     const recoveryMs = isRecovering
-      ? Math.max(0, this.recoveryEndsMs - nowMs)
+      ? Math.max(0, this.expectedRecoveryEndMs - nowMs)
       : 0;
     return Math.max(MIN_RETRY_MS, recoveryMs + Math.min(MAX_RETRY_MS, fillMs));
   }
--- a/src/node/routes/route_matcher.ts
+++ b/src/node/routes/route_matcher.ts
@@ -11,7 +11,7 @@
   /** `undefined` if callers need no keys. */
   readonly workspaces: WorkspaceIndex | undefined;
 
-  /** Of callers whose key this table and perhaps earlier ones do not hold. */
+  /** Since when keys that this table lacks have been missing; for log lines only. */
   readonly keyHistory: KeyHistory;
 
   /** `before` is the matcher that this one replaces. */
--- a/src/node/workspaces/key_history.ts
+++ b/src/node/workspaces/key_history.ts
@@ -1,7 +1,7 @@
 /**
  * Since which version of the route table no workspace has held a key, as far as this
- * process has seen the versions. Only digests are kept, and only of keys that were
- * taken away.
+ * process has seen the versions. Beside the table in force, it keeps only digests of
+ * keys that were taken away.
  */
 import type {RouteTable} from '../routes/route_table.js';
 import type {WorkspaceId} from '../types/ids.js';
