--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -37,7 +37,7 @@
 };
 /** As the settings of an entry say. */
 const DESCRIPTORS = 4_100;
-const TOTAL_LIMIT_MS = 110_000;
+const TOTAL_LIMIT_MS = 115_000;
 
 /** Whether the disruption of the case takes place. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -144,15 +144,19 @@
     this.child?.kill(name);
   }
 
-  /** Resident memory and its peak, in MB. */
+  /** Resident memory and its peak, in MB; `undefined` without a process. */
   memory() {
-    if (this.child === undefined) return undefined;
-    const text = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
-    const mbOf = field =>
-      Math.round(
-        Number(new RegExp(`${field}:\\s+(\\d+)`).exec(text)[1]) / 1024,
-      );
-    return {residentMb: mbOf('VmRSS'), peakMb: mbOf('VmHWM')};
+    try {
+      const text = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+      const mbOf = field => {
+        const line = new RegExp(`${field}:\\s+(\\d+)`).exec(text);
+        return Math.round(Number(line[1]) / 1024);
+      };
+      return {residentMb: mbOf('VmRSS'), peakMb: mbOf('VmHWM')};
+    } catch {
+      // It has just ended.
+      return undefined;
+    }
   }
 
   log() {
