--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -548,11 +548,16 @@
   record.line(`TROUBLE=${hasTrouble ? 1 : 0}`);
   let fleet;
   let code = EXIT.notRun;
-  const limit = setTimeout(() => {
-    record.line('not run: out of time');
+  const giveUp = cause => {
+    record.line(`not run: ${cause}`);
     fleet?.members.forEach(each => each.child?.kill('SIGKILL'));
     process.exit(EXIT.notRun);
-  }, TOTAL_LIMIT_MS);
+  };
+  const limit = setTimeout(() => giveUp('out of time'), TOTAL_LIMIT_MS);
+  process.on('uncaughtException', error => giveUp(error.stack));
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach(name =>
+    process.on(name, () => giveUp(name)),
+  );
   try {
     fleet = new Fleet(record, await freeNetwork());
     const breaks = await play(fleet, record);
