--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,7 +1,6 @@
 /**
- * A part of prompts crashes the workers, and prompts have some dozen parts, as long
- * chats and documents do. The gateway keeps the evidence on a bounded number of parts
- * and drops the oldest first: that on the deadly part goes before it is enough.
+ * A part of prompts crashes the workers. It stands behind the 255th part, and the
+ * gateway keeps no more of a prompt, so it never learns what crashes the workers.
  */
 import {fileURLToPath} from 'node:url';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -15,27 +14,27 @@
 import {StreamWorker} from '../lib-3/worker.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
-/** Parts of each prompt: a common one, those of a document, and its own. */
-const PARTS = Number(process.env.PARTS ?? 250);
-const DOCUMENTS = 138;
+/** Parts of each prompt; the deadly one is the last but two. */
+const PARTS = Number(process.env.PARTS ?? 300);
 const DEADLY = 'dead0001';
 const DOWN_MS = 3000;
-const PACE_MS = 16;
-/** One request in so many holds the part; the letter has one in 20. */
-const ONE_IN = 40;
-/** The part comes for 22 s of these, as in the letter. */
-const LENGTH_S = 27;
-/** The part comes after that time, when the workers have their usual load. */
-const WARM_S = 5;
+const PACE_MS = 50;
+/** One request in so many holds the part, for so long, as in the letter. */
+const ONE_IN = 20;
+const LENGTH_S = 22;
 const MAX_LATE = 3;
 
 const record = new Record(fileURLToPath(new URL('.', import.meta.url)));
-const zones = {'centro-a': 'centro'};
+const zones = {
+  'centro-a': 'centro',
+  'cuyo-a': 'cuyo',
+  'patagonia-a': 'patagonia',
+};
 const names = Object.keys(zones);
 const deployment = new Deployment({
   zones,
-  cores: ['centro-a', 'centro-a', 'centro-a'],
-  fronts: ['centro-a', 'centro-a', 'centro-a', 'centro-a'],
+  cores: names,
+  fronts: ['centro-a', 'centro-a', 'cuyo-a', 'patagonia-a'],
 });
 const crashes = [];
 const arrivals = [];
@@ -71,23 +70,21 @@
 }
 
 function prefix(isDeadly, number) {
-  const document = (number * 61) % DOCUMENTS;
   const parts = Array.from(
     {length: PARTS},
-    (_, position) => `${(0x100000 + document * 256 + position).toString(16)}:2`,
+    (_, position) => `${(0xa000 + position).toString(16)}:20`,
   );
-  parts[0] = 'a0:2';
-  if (isDeadly) parts[1] = `${DEADLY}:2`;
-  parts[PARTS - 1] = `${(0xf00000 + number).toString(16)}:2`;
+  if (isDeadly) parts[PARTS - 3] = `${DEADLY}:20`;
+  parts[PARTS - 1] = `${(0xf00000 + number).toString(16)}:20`;
   return parts.join(',');
 }
 
 let sent = 0;
 const answers = {sound: {}, deadly: {}};
 
-async function send(isWarm) {
+async function send() {
   sent += 1;
-  const isDeadly = isWarm && sent % ONE_IN === 0;
+  const isDeadly = sent % ONE_IN === 0;
   const attempt = `attempt${sent}`;
   const front = deployment.fronts[sent % deployment.fronts.length];
   const kind = isDeadly ? 'deadly' : 'sound';
@@ -100,11 +97,11 @@
       host: 'ficu95.example',
       'attempt-id': attempt,
       model: 'm',
-      'token-counts': `${PARTS * 2},280`,
+      'token-counts': `${PARTS * 20},42`,
       'prompt-prefix': prefix(isDeadly, sent),
-      'deadline-milliseconds': '10000',
+      'deadline-milliseconds': '4000',
     },
-    11_000,
+    5000,
   );
   answers[kind][status] = (answers[kind][status] ?? 0) + 1;
   record.write(`${kind} ${attempt} to ${front.name}: ${status}`);
@@ -113,13 +110,7 @@
 async function main() {
   for (const zone of names) {
     for (let each = 0; each < 4; each += 1) {
-      const worker = new DeadlyWorker({
-        service: 'modelo',
-        zone,
-        slots: 64,
-        events: 40,
-        gapMs: 100,
-      });
+      const worker = new DeadlyWorker({service: 'modelo', zone, slots: 64});
       await worker.start();
       deployment.workers.push(worker);
     }
@@ -138,7 +129,6 @@
           attempts: 2,
           sticky: true,
           resumable: true,
-          timeoutMs: 10_000,
           targetLatencyMs: 1500,
           targetGapMs: 300,
         },
@@ -160,11 +150,10 @@
   );
   await deployment.ready();
   await sleep(3000);
-  const warmAt = Date.now() + WARM_S * 1000;
   const endAt = Date.now() + LENGTH_S * 1000;
   const running = [];
   while (Date.now() < endAt) {
-    running.push(send(Date.now() >= warmAt));
+    running.push(send());
     await sleep(PACE_MS);
   }
   await Promise.all(running);
