--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -24,7 +24,9 @@
 const LENGTH_S = 22;
 const MAX_LATE = 3;
 
-const record = new Record(fileURLToPath(new URL('.', import.meta.url)));
+const record = new Record(
+  fileURLToPath(new URL('record.txt', import.meta.url)),
+);
 const zones = {
   'centro-a': 'centro',
   'cuyo-a': 'cuyo',
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -84,8 +84,9 @@
 
 /** Writes what was sent, answered and run. */
 export class Record {
-  constructor(folder) {
-    this.file = join(folder, 'record.txt');
+  /** `file` is the `record.txt` of a case. */
+  constructor(file) {
+    this.file = file;
     this.startedAt = Date.now();
     writeFileSync(this.file, '');
   }
