--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 # this only checks that the runtime can read each of them.
 set -eu
 cd "$(dirname "$0")"
-for file in lib-3/*.mjs 11/*.mjs 12/*.mjs 13/*.mjs 14/*.mjs 15/*.mjs; do
+for file in lib-3/*.mjs 12/*.mjs 13/*.mjs 14/*.mjs 15/*.mjs; do
   if [ -e "$file" ]; then node --check "$file"; fi
 done
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -131,6 +131,63 @@
     this.events = options.events ?? 6;
     this.firstMs = options.firstMs ?? 60;
     this.gapMs = options.gapMs ?? 40;
+    this.models = [{name: 'm', version: 1, adapters: []}];
+  }
+
+  listed() {
+    return {...super.listed(), stage: 'both', models: this.models};
+  }
+
+  head(attempt) {
+    return {...super.head(attempt), 'weight-versions': '1'};
+  }
+
+  /** What it tells of itself; it keeps no prompts, and so has no events of them. */
+  says(path, query) {
+    if (path === '/report') {
+      return {
+        stage: 'both',
+        models: this.models,
+        busy: false,
+        sequence: 0,
+        waiting: 0,
+        running: this.running,
+        kvCacheUsed: 0,
+        kvCacheTotal: 246_518,
+        handles: 0,
+        pinned: 0,
+        held: 0,
+        state: 'ready',
+        next: 0,
+        runs: [],
+        born: this.born,
+      };
+    }
+    const epoch = `e${this.born}`;
+    const {born} = this;
+    if (path === '/kv-list') return {epoch, next: 0, held: [], born};
+    if (path !== '/kv-events') return undefined;
+    const next = Number(query.get('since') ?? 0);
+    return {epoch, next, lost: false, events: [], born};
+  }
+
+  handle(request, response) {
+    const {pathname, searchParams} = new URL(request.url, 'http://worker');
+    const said = this.says(pathname, searchParams);
+    if (said === undefined) {
+      super.handle(request, response);
+      return;
+    }
+    request.resume();
+    const isWaiting = pathname === '/kv-events';
+    const waitMs = isWaiting ? Number(request.headers['wait-ms'] ?? 0) : 0;
+    setTimeout(
+      () => {
+        response.writeHead(200, {'content-type': 'application/json'});
+        response.end(JSON.stringify(said));
+      },
+      Math.min(waitMs, 1000),
+    );
   }
 
   answer(request, response, body, run) {
